--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test ci format lint types layers generate fuzz binary clean
+
+$(VENV)/.ready: requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m amaranthspar demo
+
+test: $(VENV)/.ready
+	$(BIN)/python -m pytest -q
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: $(VENV)/.ready
+	$(BIN)/mypy
+
+layers: $(VENV)/.ready
+	$(BIN)/lint-imports
+
+generate: $(VENV)/.ready
+	$(BIN)/python -m tools.generate
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/amaranthspar/__init__.py
@@ -0,0 +1,3 @@
+"""Dispatcher for tasks of under a second."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/amaranthspar/effects.py
@@ -0,0 +1,18 @@
+"""Effects that several state machines return."""
+
+import attrs
+
+from amaranthspar import codec
+
+
+@attrs.frozen(slots=True)
+class Send:
+    """Sends a message to a process.
+
+    Attributes:
+        peer: Process name or address of the receiver.
+        message: Message to send.
+    """
+
+    peer: str
+    message: codec.Message
--- /dev/null
+++ b/amaranthspar/errors.py
@@ -0,0 +1,48 @@
+"""Tree of the exceptions that amaranthspar raises.
+
+Each layer raises errors of its own and turns those from below into them.
+"""
+
+
+class AmaranthsparError(Exception):
+    """Base of every error of this package."""
+
+
+class SchemaError(AmaranthsparError):
+    """Bytes or text do not follow the schema."""
+
+
+class DecisionError(AmaranthsparError):
+    """A state machine was given an event that can never occur."""
+
+
+class InputOutputError(AmaranthsparError):
+    """A link, a file or an HTTP connection failed."""
+
+
+class LinkError(InputOutputError):
+    """A link between processes cannot be opened."""
+
+
+class DiskError(InputOutputError):
+    """A data folder cannot be read or written."""
+
+
+class UpstreamError(InputOutputError):
+    """An upstream did not give a whole answer."""
+
+
+class RoleError(AmaranthsparError):
+    """A process cannot start or go on."""
+
+
+class SettingsError(RoleError):
+    """A settings file is wrong.
+
+    Args:
+        faults: One line for each fault, naming file, section and key.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
--- /dev/null
+++ b/amaranthspar/options.py
@@ -0,0 +1,116 @@
+"""Classes of the schema file ``schema/options.yaml``; generated."""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+import attrs
+
+Options: TypeAlias = Any
+
+
+@attrs.frozen(slots=True)
+class ProcessOptions:
+    """Section `process` of every settings file.
+
+    Attributes:
+        name: Unique process name.
+        listen: Address for links, as in `127.0.0.1:7000`.
+        controllers: Addresses of the controllers.
+        failure_domain: Failure domain of this host.
+        statsd: StatsD address; empty for no metrics.
+        trace_endpoint: OTLP endpoint; empty for no export.
+        trace_ratio: Share of requests traced from 0 to 1.
+    """
+
+    name: str
+    listen: str
+    controllers: list[str]
+    failure_domain: str
+    statsd: str = ""
+    trace_endpoint: str = ""
+    trace_ratio: float = 0.0
+
+
+@attrs.frozen(slots=True)
+class LinkOptions:
+    """Section `links`.
+
+    Attributes:
+        heartbeat_ms: Heartbeat interval in ms.
+        certificate: PEM file with this process's certificate and key; empty for no TLS.
+        authority: PEM file with the authority that signs peers.
+    """
+
+    heartbeat_ms: int = 500
+    certificate: str = ""
+    authority: str = ""
+
+
+@attrs.frozen(slots=True)
+class GatewayOptions:
+    """Section `gateway`.
+
+    Attributes:
+        http: Address for HTTP.
+        operator_token_hash: SHA-256 of the first operator's token in hex.
+        drain_ms: Time between turning unready and closing in ms.
+        max_body_bytes: Largest body accepted in bytes.
+    """
+
+    http: str
+    operator_token_hash: str = ""
+    drain_ms: int = 1000
+    max_body_bytes: int = 8388608
+
+
+@attrs.frozen(slots=True)
+class SidecarOptions:
+    """Section `sidecar`.
+
+    Attributes:
+        upstream: Address of the upstream's HTTP server.
+        worker: Name of the worker.
+        rack: Rack of the worker.
+        services: Services served.
+        group: Upstream group.
+        slots: Tasks that may run at once.
+        connections: Connections that may be open at once.
+        cores: Processor cores.
+        memory_mb: Memory in MB.
+        accelerators: Accelerators.
+    """
+
+    upstream: str
+    worker: str
+    rack: str
+    services: list[str]
+    group: str = "main"
+    slots: int = 8
+    connections: int = 64
+    cores: int = 16
+    memory_mb: int = 65536
+    accelerators: int = 0
+
+
+@attrs.frozen(slots=True)
+class ControllerOptions:
+    """Section `controller`.
+
+    Attributes:
+        replica: Replica id; a host with a new disk takes a new one.
+        replicas: First replicas as `id=address`.
+        data: Data folder.
+        bootstrap: File with the first configuration; empty for none.
+        lease_ms: Length of a lease in ms.
+        election_ms: Shortest election timeout in ms.
+        heartbeat_ms: Heartbeat interval among replicas in ms.
+    """
+
+    replica: str
+    replicas: list[str]
+    data: str
+    bootstrap: str = ""
+    lease_ms: int = 3000
+    election_ms: int = 600
+    heartbeat_ms: int = 100
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers of amaranthspar."""
