--- a/amaranthspar/codec.py
+++ b/amaranthspar/codec.py
@@ -19,7 +19,9 @@
 }
 _encoder = msgspec.msgpack.Encoder()
 _header = msgspec.msgpack.Decoder(tuple[int, str, int, list[tuple[str, msgspec.Raw]]])
-_decoders: dict[str, msgspec.msgpack.Decoder[Message]] = {name: msgspec.msgpack.Decoder(kind) for name, kind in _CLASSES.items()}
+_decoders: dict[str, msgspec.msgpack.Decoder[Message]] = {
+    name: msgspec.msgpack.Decoder(kind) for name, kind in _CLASSES.items()
+}
 
 
 @attrs.frozen(slots=True)
