Add the configuration library and addresses in frames

Cause: controllers need checked configurations and a way to answer a sender. Change: typed builders, INI text and checks that list every fault; a frame names its sender's address; forwarded requests. Conclusion: controllers can be built on this.

--- a/amaranthspar/codec.py
+++ b/amaranthspar/codec.py
@@ -1,7 +1,7 @@
 """Frames of messages as MessagePack.
 
-A frame is an array of the format version, the sender, the sender's
-incarnation and a list of pairs of a message's class name and its fields.
+A frame is an array of the format version, the sender, its incarnation, its
+address and a list of pairs of a message's class name and its fields.
 """
 
 import attrs
@@ -18,7 +18,9 @@
     if isinstance(value, type) and attrs.has(value)
 }
 _encoder = msgspec.msgpack.Encoder()
-_header = msgspec.msgpack.Decoder(tuple[int, str, int, list[tuple[str, msgspec.Raw]]])
+_header = msgspec.msgpack.Decoder(
+    tuple[int, str, int, str, list[tuple[str, msgspec.Raw]]]
+)
 _decoders: dict[str, msgspec.msgpack.Decoder[Message]] = {
     name: msgspec.msgpack.Decoder(kind) for name, kind in _CLASSES.items()
 }
@@ -31,11 +33,13 @@
     Attributes:
         sender: Process name of the sender.
         incarnation: Incarnation of the sender.
+        address: Address at which the sender listens.
         messages: Messages in the order in which they were sent.
     """
 
     sender: str
     incarnation: int
+    address: str
     messages: list[Message]
 
 
@@ -46,7 +50,8 @@
         frame: Frame to encode.
     """
     body = [(type(message).__name__, message) for message in frame.messages]
-    return _encoder.encode((FORMAT_VERSION, frame.sender, frame.incarnation, body))
+    header = (FORMAT_VERSION, frame.sender, frame.incarnation, frame.address)
+    return _encoder.encode((*header, body))
 
 
 def decode_frame(data: bytes) -> Frame:
@@ -59,7 +64,7 @@
         errors.SchemaError: The bytes are no frame of this format version.
     """
     try:
-        version, sender, incarnation, body = _header.decode(data)
+        version, sender, incarnation, address, body = _header.decode(data)
         if version != FORMAT_VERSION:
             raise errors.SchemaError(f"unknown format version {version}")
         decoded = [_decoders[tag].decode(raw) for tag, raw in body]
@@ -67,7 +72,7 @@
         raise errors.SchemaError(str(error)) from error
     except KeyError as error:
         raise errors.SchemaError(f"unknown message {error}") from error
-    return Frame(sender, incarnation, decoded)
+    return Frame(sender, incarnation, address, decoded)
 
 
 def encode_message(message: Message) -> bytes:
--- /dev/null
+++ b/amaranthspar/configuration.py
@@ -0,0 +1,234 @@
+"""Typed builders of the configuration, its INI text and its checks.
+
+Operators build a `Configuration` in their own programs and print it::
+
+    from amaranthspar import configuration
+
+    print(
+        configuration.Configuration()
+        .add_service("lookup", idempotent=True)
+        .add_domain("gyor")
+    )
+"""
+
+import configparser
+import io
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import msgspec
+
+from amaranthspar import entries, errors, messages
+
+Entry = entries.Service | entries.Domain | entries.Desk | entries.Team | entries.Account
+KINDS: dict[str, type[Entry]] = {
+    "service": entries.Service,
+    "domain": entries.Domain,
+    "desk": entries.Desk,
+    "team": entries.Team,
+    "account": entries.Account,
+}
+
+
+class ConfigurationError(errors.DecisionError):
+    """A configuration is wrong.
+
+    Args:
+        faults: Every fault, one line each, naming section and key.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+@attrs.define(slots=True)
+class Configuration:
+    """Services, failure domains, desks, teams and accounts by name."""
+
+    services: dict[str, entries.Service] = attrs.field(factory=dict)
+    domains: dict[str, entries.Domain] = attrs.field(factory=dict)
+    desks: dict[str, entries.Desk] = attrs.field(factory=dict)
+    teams: dict[str, entries.Team] = attrs.field(factory=dict)
+    accounts: dict[str, entries.Account] = attrs.field(factory=dict)
+
+    def add_service(self, name: str, **settings: Any) -> "Configuration":
+        """Add or replace a service; the settings are those of `entries.Service`."""
+        self.services[name] = entries.Service(name, **settings)
+        return self
+
+    def add_domain(self, name: str, **settings: Any) -> "Configuration":
+        """Add or replace a failure domain."""
+        self.domains[name] = entries.Domain(name, **settings)
+        return self
+
+    def add_desk(self, name: str, **settings: Any) -> "Configuration":
+        """Add or replace a desk."""
+        self.desks[name] = entries.Desk(name, **settings)
+        return self
+
+    def add_team(self, name: str, **settings: Any) -> "Configuration":
+        """Add or replace a team."""
+        self.teams[name] = entries.Team(name, **settings)
+        return self
+
+    def add_account(self, name: str, **settings: Any) -> "Configuration":
+        """Add or replace an account."""
+        self.accounts[name] = entries.Account(name, **settings)
+        return self
+
+    def select_kind(self, kind: str) -> dict[str, Any]:
+        """Return the entries of one kind by name.
+
+        Args:
+            kind: Kind as in a section's name, as in ``service``.
+        """
+        selected: dict[str, Any] = getattr(self, f"{kind}s")
+        return selected
+
+    def list_sections(self) -> list[messages.Section]:
+        """Return every entry as a section, in a fixed order."""
+        return [
+            _format_section(kind, entry)
+            for kind in KINDS
+            for _, entry in sorted(self.select_kind(kind).items())
+        ]
+
+    def __str__(self) -> str:
+        """Return the INI text to submit."""
+        return format_sections(self.list_sections())
+
+
+def format_sections(sections: Iterable[messages.Section]) -> str:
+    """Return sections as INI text.
+
+    Args:
+        sections: Sections in the order in which they are printed.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    for section in sections:
+        parser[section.name] = {item.key: item.value for item in section.settings}
+    text = io.StringIO()
+    parser.write(text)
+    return text.getvalue().rstrip("\n") + "\n"
+
+
+def parse_text(text: str) -> Configuration:
+    """Return the configuration that an INI text holds.
+
+    Args:
+        text: INI text with sections such as ``[service lookup]``.
+
+    Raises:
+        ConfigurationError: The text has faults; all are listed.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        raise ConfigurationError([" ".join(str(error).split())]) from error
+    sections = [
+        messages.Section(
+            name, [messages.Setting(key, value) for key, value in parser[name].items()]
+        )
+        for name in parser.sections()
+    ]
+    return build_configuration(sections)
+
+
+def build_configuration(sections: Iterable[messages.Section]) -> Configuration:
+    """Return the configuration that sections describe.
+
+    Args:
+        sections: Sections in any order.
+
+    Raises:
+        ConfigurationError: A section has faults; all are listed.
+    """
+    result = Configuration()
+    faults: list[str] = []
+    for section in sections:
+        kind, _, name = section.name.partition(" ")
+        if kind not in KINDS or not name:
+            expected = ", ".join(f"[{known} NAME]" for known in KINDS)
+            faults.append(f"[{section.name}]: unknown section, expected {expected}")
+            continue
+        entry = _parse_entry(kind, name, section, faults)
+        if entry is not None:
+            result.select_kind(kind)[name] = entry
+    faults += _find_dangling_names(result)
+    if faults:
+        raise ConfigurationError(faults)
+    return result
+
+
+def compare_configurations(
+    base: list[messages.Section], target: list[messages.Section]
+) -> tuple[list[messages.Section], list[str]]:
+    """Return the sections that differ and the names of those that are gone.
+
+    Args:
+        base: Sections of the older version.
+        target: Sections of the newer version.
+    """
+    old = {section.name: section for section in base}
+    new = {section.name: section for section in target}
+    changed = [item for name, item in new.items() if old.get(name) != item]
+    return changed, [name for name in old if name not in new]
+
+
+def _format_section(kind: str, entry: Entry) -> messages.Section:
+    settings = [
+        messages.Setting(field.name, _format_value(getattr(entry, field.name)))
+        for field in attrs.fields(type(entry))
+        if field.name != "name" and getattr(entry, field.name) != field.default
+    ]
+    return messages.Section(f"{kind} {entry.name}", settings)
+
+
+def _format_value(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
+def _parse_entry(
+    kind: str, name: str, section: messages.Section, faults: list[str]
+) -> Entry | None:
+    fields = {field.name: field for field in attrs.fields(KINDS[kind])}
+    values: dict[str, Any] = {"name": name}
+    known = len(faults)
+    for item in section.settings:
+        if item.key == "name" or item.key not in fields:
+            faults.append(f"[{section.name}] {item.key}: unknown key")
+            continue
+        value: Any = item.value
+        if fields[item.key].type in (bool, "bool"):
+            value = configparser.ConfigParser.BOOLEAN_STATES.get(value.lower(), value)
+        try:
+            part = {item.key: value, "name": name, "token_hash": ""}
+            if item.key == "token_hash":
+                part["token_hash"] = value
+            part = {key: part[key] for key in part if key in fields}
+            msgspec.convert(part, KINDS[kind], strict=False)
+        except msgspec.ValidationError as error:
+            reason = str(error).partition(" - at ")[0]
+            faults.append(f"[{section.name}] {item.key} = {item.value}: {reason}")
+            continue
+        values[item.key] = value
+    if len(faults) > known:
+        return None
+    try:
+        return msgspec.convert(values, KINDS[kind], strict=False)
+    except msgspec.ValidationError as error:
+        faults.append(f"[{section.name}]: {error}")
+        return None
+
+
+def _find_dangling_names(result: Configuration) -> list[str]:
+    return [
+        f"[account {account.name}] team = {account.team}: no such team"
+        for account in result.accounts.values()
+        if account.team and account.team not in result.teams
+    ]
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import os
-import time
 from collections.abc import Callable
 
 import attrs
@@ -50,7 +49,8 @@
     socket: pynng.Push0
     queue: list[codec.Message]
     heard_ms: int
-    sent_ms: int
+    number: int = 0
+    dialled_number: int = 0
     flushing: bool = False
 
 
@@ -63,7 +63,6 @@
         address: Address to listen on, as in ``127.0.0.1:7000``.
         receive: Called with each frame received.
         heartbeat_ms: Interval between heartbeats on a link in ms.
-        tls: TLS settings for both directions, none for plain TCP.
     """
 
     def __init__(
@@ -149,7 +148,7 @@
 
     def _dial(self, address: str) -> _Peer:
         now_ms = self._clock.read_monotonic()
-        peer = _Peer(address, self._open_push(address), [], now_ms, 0)
+        peer = _Peer(address, self._open_push(address), [], now_ms)
         self._peers[address] = peer
         return peer
 
@@ -165,7 +164,7 @@
     def _flush(self, peer: _Peer) -> None:
         if self._peers.get(peer.address) is not peer:
             return
-        frame = codec.Frame(self.name, self.incarnation, peer.queue)
+        frame = codec.Frame(self.name, self.incarnation, self.address, peer.queue)
         data = codec.encode_frame(frame)
         try:
             peer.socket.send(data, block=False)
@@ -194,24 +193,23 @@
         except errors.SchemaError:
             self.rejected_frames += 1
             return
-        rest = []
+        rest: list[codec.Message] = []
         for message in frame.messages:
             match message:
                 case messages.Heartbeat():
-                    reply = messages.HeartbeatReply(message.sent_ms)
-                    self.send(message.address, reply)
+                    reply = messages.HeartbeatReply(message.number)
+                    self.send(frame.address, reply)
                 case messages.HeartbeatReply():
-                    self._note_reply(frame.sender, message)
+                    self._note_reply(frame.address, message)
                 case _:
                     rest.append(message)
         if rest:
-            self._receive(codec.Frame(frame.sender, frame.incarnation, rest))
+            self._receive(attrs.evolve(frame, messages=rest))
 
-    def _note_reply(self, sender: str, reply: messages.HeartbeatReply) -> None:
-        now_ms = self._clock.read_monotonic()
-        for peer in self._peers.values():
-            if peer.sent_ms == reply.sent_ms:
-                peer.heard_ms = now_ms
+    def _note_reply(self, address: str, reply: messages.HeartbeatReply) -> None:
+        peer = self._peers.get(address)
+        if peer is not None and reply.number > peer.dialled_number:
+            peer.heard_ms = self._clock.read_monotonic()
 
     async def _beat(self) -> None:
         while True:
@@ -226,5 +224,6 @@
             peer.socket.close()
             peer.socket = self._open_push(peer.address)
             peer.heard_ms = now_ms
-        peer.sent_ms = time.monotonic_ns()
-        self.send(peer.address, messages.Heartbeat(peer.sent_ms, self.address))
+            peer.dialled_number = peer.number
+        peer.number += 1
+        self.send(peer.address, messages.Heartbeat(peer.number))
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -14,12 +14,10 @@
     """Asks the peer to prove that the link still carries messages.
 
     Attributes:
-        sent_ms: Sender's monotonic clock in ms.
-        address: Address at which the sender listens.
+        number: Number of the heartbeat on this link.
     """
 
-    sent_ms: int
-    address: str
+    number: int
 
 
 @attrs.frozen(slots=True)
@@ -27,10 +25,29 @@
     """Answers a heartbeat.
 
     Attributes:
-        sent_ms: Copied from the heartbeat.
+        number: Copied from the heartbeat.
     """
 
-    sent_ms: int
+    number: int
+
+
+@attrs.frozen(slots=True)
+class Forwarded:
+    """Carries a request that a controller hands on to the leader.
+
+    Attributes:
+        sender: Process name of the first sender.
+        incarnation: Incarnation of the first sender.
+        address: Address to which the answer goes.
+        kind: Class name of the request.
+        payload: Encoded request.
+    """
+
+    sender: str
+    incarnation: int
+    address: str
+    kind: str
+    payload: bytes
 
 
 @attrs.frozen(slots=True)
