--- /dev/null
+++ b/amaranthspar/consensus.py
@@ -0,0 +1,455 @@
+"""Consensus among replicas after Raft, as a pure state machine.
+
+The machine takes events with the time in ms and returns effects. It answers
+other replicas only after `transitions.Persisted` has confirmed all that the
+answer states.
+"""
+
+import random
+
+from amaranthspar import (
+    codec,
+    effects,
+    errors,
+    following,
+    journal,
+    leadership,
+    messages,
+    replicas,
+    transitions,
+)
+
+QUORUM_LOST_ELECTIONS = 2
+
+
+class Consensus:
+    """One replica.
+
+    Args:
+        identity: Who this replica is.
+        first: First set of replicas, for a cluster that is not formed yet.
+        timing: Timeouts.
+        chance: Source of random election timeouts.
+        stored: What the data folder holds.
+        now_ms: Current time in ms.
+    """
+
+    def __init__(
+        self,
+        identity: transitions.Identity,
+        first: messages.ChangeReplicas,
+        timing: transitions.Timing,
+        chance: random.Random,
+        stored: transitions.Stored,
+        now_ms: int,
+    ) -> None:
+        self.replica = identity.replica
+        self.folder = identity.folder
+        self.journal = journal.Journal(first, stored)
+        self.commit_index = self.journal.log.base_index
+        self.role = "follower"
+        self.leader = ""
+        self.leading: leadership.Leadership | None = None
+        self.rejected_folders = 0
+        self.follower = following.Follower(self.replica, self.folder, chance)
+        self._view_ms = -1
+        self._timing = timing
+        self._chance = chance
+        self._votes: dict[str, int] = {}
+        self._vote_number = 0
+        self._heard_ms = now_ms - timing.election_ms
+        self._deadline_ms = 0
+        self._reset_deadline(now_ms)
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.journal.term
+
+    @property
+    def accepts_proposals(self) -> bool:
+        """Whether `transitions.Propose` has an effect now."""
+        return self.leading is not None and not self.leading.target
+
+    @property
+    def leader_address(self) -> str:
+        """Address of the leader, empty if none other is known."""
+        if self.leader in ("", self.replica):
+            return ""
+        known = replicas.find_replica(self.journal.members, self.leader)
+        return known.address if known else self.follower.leader_address
+
+    def read_view_age(self, now_ms: int) -> int:
+        """Return the age of the newest quorum-confirmed view.
+
+        All that was committed anywhere before that age is applied here.
+
+        Args:
+            now_ms: Current time in ms.
+
+        Returns:
+            Age in ms; -1 if there never was a confirmed view.
+        """
+        view_ms = max(self._view_ms, self.follower.view_ms)
+        return now_ms - view_ms if view_ms >= 0 else -1
+
+    def step(self, event: transitions.Event, now_ms: int) -> list[transitions.Effect]:
+        """Take one event.
+
+        Args:
+            event: What happened.
+            now_ms: Current monotonic time in ms.
+
+        Returns:
+            Effects to carry out in order.
+        """
+        match event:
+            case transitions.Tick():
+                self._tick(now_ms)
+            case transitions.Received():
+                self._receive(event, now_ms)
+            case transitions.Propose():
+                self._propose(event.commands, now_ms)
+            case transitions.Persisted():
+                self._note_persisted(event.number, now_ms)
+            case transitions.Compact():
+                self.journal.compact(self.commit_index, event.state)
+            case transitions.Confirm():
+                self._broadcast(now_ms)
+            case transitions.HandOver():
+                self._hand_over()
+        return self.journal.end_step()
+
+    def _tick(self, now_ms: int) -> None:
+        if self.leading is None:
+            if now_ms >= self._deadline_ms:
+                self._start_pre_vote(now_ms)
+            return
+        self._confirm_view(now_ms)
+        confirmed_ms = max(
+            self.leading.find_confirmed_ms(self.journal.members, now_ms),
+            self.leading.elected_ms,
+        )
+        if now_ms - confirmed_ms > QUORUM_LOST_ELECTIONS * self._timing.election_ms:
+            self._follow(self.term, "", now_ms)
+        elif now_ms >= self.leading.next_heartbeat_ms:
+            self._broadcast(now_ms)
+
+    def _receive(self, event: transitions.Received, now_ms: int) -> None:
+        match event.message:
+            case messages.RequestVote() as message:
+                if self._trust(message.candidate, message.folder):
+                    self._give_vote(event.address, message, now_ms)
+            case messages.Vote() as message:
+                if self._trust(message.voter, message.folder):
+                    self._take_vote(message, now_ms)
+            case messages.AppendEntries() as message:
+                self._take_append(event.address, message, now_ms)
+            case messages.Appended() as message:
+                if self._trust(message.follower, message.folder):
+                    self._take_answer(message, now_ms)
+            case messages.InstallSnapshot() as message:
+                self._take_chunk(event.address, message, now_ms)
+            case messages.SnapshotReceived() as message:
+                if self._trust(message.follower, message.folder):
+                    self._continue_snapshot(message, now_ms)
+            case messages.TransferLeadership() as message:
+                if message.term == self.term and message.leader == self.leader:
+                    self._campaign(True, now_ms)
+            case other:
+                raise errors.DecisionError(f"unexpected message {other!r}")
+
+    def _trust(self, replica: str, folder: int) -> bool:
+        if replicas.trust_folder(self.journal.members, replica, folder):
+            return True
+        self.rejected_folders += 1
+        return False
+
+    # Elections.
+
+    def _reset_deadline(self, now_ms: int) -> None:
+        election_ms = self._timing.election_ms
+        self._deadline_ms = now_ms + self._chance.randint(election_ms, 2 * election_ms)
+
+    def _may_campaign(self) -> bool:
+        known = replicas.find_replica(self.journal.members, self.replica)
+        if known is None or not known.voter:
+            return False
+        return known.folder in (0, self.folder)
+
+    def _start_pre_vote(self, now_ms: int) -> None:
+        self._reset_deadline(now_ms)
+        self._change_leader("")
+        if not self._may_campaign():
+            return
+        self.role = "pre_candidate"
+        self._votes = {}
+        self._ask_votes(self.term + 1, pre_vote=True, transfer=False)
+        self._count_vote(self.replica, self.folder, now_ms)
+
+    def _campaign(self, transfer: bool, now_ms: int) -> None:
+        if not self._may_campaign() or self.leading is not None:
+            return
+        self._reset_deadline(now_ms)
+        self._change_leader("")
+        self.role = "candidate"
+        self._votes = {}
+        self._vote_number = self.journal.save_vote(self.term + 1, self.replica)
+        self._ask_votes(self.term, pre_vote=False, transfer=transfer)
+
+    def _ask_votes(self, term: int, pre_vote: bool, transfer: bool) -> None:
+        log = self.journal.log
+        request = messages.RequestVote(
+            term,
+            self.replica,
+            log.last_index,
+            log.last_term,
+            pre_vote,
+            transfer,
+            self.folder,
+        )
+        for peer in self.journal.members.replicas:
+            if peer.voter and peer.id != self.replica:
+                self.journal.answer(peer.address, request)
+
+    def _give_vote(
+        self, address: str, message: messages.RequestVote, now_ms: int
+    ) -> None:
+        if not message.transfer and self._hears_leader(now_ms):
+            return
+        log = self.journal.log
+        current = (message.last_term, message.last_index) >= (
+            log.last_term,
+            log.last_index,
+        )
+        if message.pre_vote:
+            granted = current and message.term > self.term
+            term = message.term if granted else self.term
+            vote = messages.Vote(term, self.replica, granted, True, self.folder)
+            self.journal.answer(address, vote)
+            return
+        if message.term > self.term:
+            self._follow(message.term, "", now_ms)
+        free = self.journal.vote in ("", message.candidate)
+        granted = message.term == self.term and free and current
+        if granted:
+            self.journal.save_vote(self.term, message.candidate)
+            self._reset_deadline(now_ms)
+        vote = messages.Vote(self.term, self.replica, granted, False, self.folder)
+        self.journal.answer(address, vote)
+
+    def _hears_leader(self, now_ms: int) -> bool:
+        if self.leading is None:
+            return now_ms - self._heard_ms < self._timing.election_ms
+        confirmed_ms = self.leading.find_confirmed_ms(self.journal.members, now_ms)
+        return now_ms - confirmed_ms < self._timing.election_ms
+
+    def _take_vote(self, message: messages.Vote, now_ms: int) -> None:
+        if message.term > self.term and not message.granted:
+            self._follow(message.term, "", now_ms)
+            return
+        if not message.granted:
+            return
+        wanted = self.term + 1 if message.pre_vote else self.term
+        asking = "pre_candidate" if message.pre_vote else "candidate"
+        if self.role == asking and message.term == wanted:
+            self._count_vote(message.voter, message.folder, now_ms)
+
+    def _count_vote(self, voter: str, folder: int, now_ms: int) -> None:
+        self._votes[voter] = folder
+        members = self.journal.members
+        if not replicas.win_election(members, self._votes, self.journal.formed):
+            return
+        if self.role == "pre_candidate":
+            self._campaign(False, now_ms)
+        elif self._vote_number <= self.journal.done:
+            self._lead(now_ms)
+
+    def _lead(self, now_ms: int) -> None:
+        log = self.journal.log
+        self.role = "leader"
+        self.leading = leadership.Leadership(
+            self.term, self.replica, log.last_index + 1, now_ms
+        )
+        self._change_leader(self.replica)
+        first = transitions.Command("", b"")
+        if not self.journal.formed:
+            bound = replicas.bind_folders(self.journal.members, self._votes)
+            first = transitions.Command(
+                journal.REPLICAS_KIND, codec.encode_message(bound)
+            )
+        self._propose([first], now_ms)
+
+    def _follow(self, term: int, leader: str, now_ms: int) -> None:
+        if term > self.term:
+            self.journal.save_vote(term, "")
+        if self.role != "follower":
+            self._reset_deadline(now_ms)
+        self.role = "follower"
+        self.leading = None
+        self._change_leader(leader)
+
+    def _change_leader(self, leader: str) -> None:
+        if leader != self.leader:
+            self.leader = leader
+            self.journal.emit(transitions.ChangeLeader(leader, self.term))
+
+    # The leader.
+
+    def _propose(self, commands: list[transitions.Command], now_ms: int) -> None:
+        if self.leading is None or self.leading.target or not commands:
+            return
+        first = self.journal.log.last_index + 1
+        self.journal.append(
+            [
+                messages.LogEntry(first + offset, self.term, item.kind, item.payload)
+                for offset, item in enumerate(commands)
+            ]
+        )
+        self._broadcast(now_ms)
+
+    def _broadcast(self, now_ms: int) -> None:
+        if self.leading is None:
+            return
+        self.leading.start_round(now_ms)
+        self.leading.next_heartbeat_ms = now_ms + self._timing.heartbeat_ms
+        for peer in self.journal.members.replicas:
+            if peer.id != self.replica:
+                self._replicate(peer, now_ms)
+
+    def _replicate(self, peer: messages.Replica, now_ms: int) -> None:
+        if self.leading is None:
+            return
+        log = self.journal.log
+        progress = self.leading.find_progress(peer.id, log.last_index)
+        age_ms = self.read_view_age(now_ms)
+        append = self.leading.build_append(progress, log, self.commit_index, age_ms)
+        self.journal.emit(effects.Send(peer.address, append))
+        snapshot = self.journal.snapshot
+        if progress.next <= log.base_index and snapshot is not None:
+            chunk = self.leading.build_chunk(progress, snapshot)
+            self.journal.emit(effects.Send(peer.address, chunk))
+
+    def _take_answer(self, message: messages.Appended, now_ms: int) -> None:
+        if message.term > self.term:
+            self._follow(message.term, "", now_ms)
+        peer = replicas.find_replica(self.journal.members, message.follower)
+        if self.leading is None or message.term < self.term or peer is None:
+            return
+        last_index = self.journal.log.last_index
+        progress = self.leading.find_progress(peer.id, last_index)
+        moved = self.leading.note_answer(progress, message, last_index)
+        if message.seen:
+            self.journal.emit(transitions.NoteSeen(message.seen))
+        self._advance_commit(now_ms)
+        self._confirm_view(now_ms)
+        if self.leading is not None:
+            self._finish_hand_over(peer, progress)
+            if moved and self.journal.log.base_index < progress.next <= last_index:
+                self._replicate(peer, now_ms)
+
+    def _advance_commit(self, now_ms: int) -> None:
+        if self.leading is None:
+            return
+        members = self.journal.members
+        index = self.leading.find_match(members, self.journal.durable_index)
+        if index <= self.commit_index or index < self.leading.first_index:
+            return
+        self._commit(index)
+        self._confirm_view(now_ms)
+        removed = replicas.find_replica(members, self.replica) is None
+        if removed and self.journal.members_index <= index:
+            self._broadcast(now_ms)
+            self._follow(self.term, "", now_ms)
+
+    def _confirm_view(self, now_ms: int) -> None:
+        if self.leading is None or self.commit_index < self.leading.first_index:
+            return
+        confirmed_ms = self.leading.find_confirmed_ms(self.journal.members, now_ms)
+        self._view_ms = max(self._view_ms, confirmed_ms)
+
+    def _continue_snapshot(
+        self, message: messages.SnapshotReceived, now_ms: int
+    ) -> None:
+        if message.term > self.term:
+            self._follow(message.term, "", now_ms)
+        peer = replicas.find_replica(self.journal.members, message.follower)
+        if self.leading is None or message.term < self.term or peer is None:
+            return
+        progress = self.leading.find_progress(peer.id, self.journal.log.last_index)
+        if self.leading.note_chunk(progress, message):
+            self._replicate(peer, now_ms)
+            self._advance_commit(now_ms)
+
+    def _hand_over(self) -> None:
+        if self.leading is None:
+            return
+        target = self.leading.choose_target(self.journal.members)
+        peer = replicas.find_replica(self.journal.members, target)
+        if peer is not None:
+            self.leading.target = target
+            self._finish_hand_over(peer, self.leading.peers[target])
+
+    def _finish_hand_over(
+        self, peer: messages.Replica, progress: leadership.Progress
+    ) -> None:
+        if self.leading is None or self.leading.target != peer.id:
+            return
+        if progress.match == self.journal.log.last_index:
+            transfer = messages.TransferLeadership(self.term, self.replica)
+            self.journal.emit(effects.Send(peer.address, transfer))
+
+    # Followers.
+
+    def _accept_leader(self, term: int, leader: str, now_ms: int) -> bool:
+        if term < self.term:
+            return False
+        self._follow(term, leader, now_ms)
+        self._heard_ms = now_ms
+        self._reset_deadline(now_ms)
+        return True
+
+    def _take_append(
+        self, address: str, message: messages.AppendEntries, now_ms: int
+    ) -> None:
+        matched = None
+        if self._accept_leader(message.term, message.leader, now_ms):
+            self.follower.leader_address = address
+            matched = following.merge_entries(self.journal, self.commit_index, message)
+            if matched is not None:
+                self._commit(min(message.commit_index, matched))
+            self.follower.note_statement(message)
+            self.follower.confirm_view(self.commit_index)
+        hint = following.find_hint(self.journal.log, self.commit_index, message)
+        answer = self.follower.build_answer(message, self.term, matched, hint, now_ms)
+        self.journal.answer(address, answer)
+
+    def _take_chunk(
+        self, address: str, message: messages.InstallSnapshot, now_ms: int
+    ) -> None:
+        if not self._accept_leader(message.term, message.leader, now_ms):
+            return
+        snapshot = self.follower.collect_chunk(message)
+        done = message.last_index <= self.commit_index
+        if snapshot is not None and not done:
+            self.journal.install(snapshot)
+            self.commit_index = snapshot.index
+            self.journal.emit(transitions.Restore(snapshot.state))
+            done = True
+        answer = self.follower.build_chunk_answer(message, self.term, done)
+        self.journal.answer(address, answer)
+
+    # Both.
+
+    def _commit(self, index: int) -> None:
+        if index <= self.commit_index:
+            return
+        entries = self.journal.log.slice(self.commit_index + 1, index)
+        self.commit_index = index
+        self.journal.emit(transitions.Apply(entries))
+
+    def _note_persisted(self, number: int, now_ms: int) -> None:
+        self.journal.note_persisted(number)
+        if self.role == "candidate" and number >= self._vote_number:
+            self._count_vote(self.replica, self.folder, now_ms)
+        self._advance_commit(now_ms)
--- /dev/null
+++ b/amaranthspar/controller.py
@@ -0,0 +1,356 @@
+"""The controller role: one replica of configuration, membership and claims."""
+
+import asyncio
+import concurrent.futures
+import pathlib
+import random
+import secrets
+
+import structlog
+
+from amaranthspar import (
+    clock,
+    codec,
+    configuration,
+    consensus,
+    disk,
+    effects,
+    errors,
+    files,
+    leases,
+    links,
+    messages,
+    options,
+    registry,
+    requests,
+    transitions,
+)
+
+FOLDER_BITS = 62
+HAND_OVER_MS = 1_000
+EXPIRE_INTERVAL_MS = 500
+SNAPSHOT_ENTRIES = 2_000
+SNAPSHOT_MIN_BYTES = 4 * 1024 * 1024
+VIEW_AGE_PARTS = (2, 3)
+BOOTSTRAP = "bootstrap"
+
+_log = structlog.get_logger()
+_REPLICA_MESSAGES = (
+    messages.RequestVote
+    | messages.Vote
+    | messages.AppendEntries
+    | messages.Appended
+    | messages.InstallSnapshot
+    | messages.SnapshotReceived
+    | messages.TransferLeadership
+)
+
+
+class Controller:
+    """One controller process.
+
+    Args:
+        process: Name and address.
+        link: Heartbeats of links.
+        controller: Replica id, data folder and timeouts.
+    """
+
+    def __init__(
+        self,
+        process: options.ProcessOptions,
+        link: options.LinkOptions,
+        controller: options.ControllerOptions,
+    ) -> None:
+        self.name = process.name
+        self.failure: errors.DiskError | None = None
+        self.stopped = asyncio.Event()
+        self._options = controller
+        self._clock = clock.Clock()
+        self._bootstrap: list[messages.Section] = []
+        self._bootstrap_term = 0
+        self._folder: disk.Folder | None = None
+        self._registry = registry.Registry()
+        age_ms = controller.lease_ms * VIEW_AGE_PARTS[0] // VIEW_AGE_PARTS[1]
+        grants = leases.Leases(controller.lease_ms, age_ms)
+        self.requests = requests.Requests(self._registry, grants, controller.lease_ms)
+        self._links = links.Links(
+            process.name,
+            self._clock.read_wall(),
+            process.listen,
+            self._receive,
+            link.heartbeat_ms,
+        )
+        self._executor = concurrent.futures.ThreadPoolExecutor(1)
+        self._queue: list[transitions.Persist | transitions.SaveSnapshot] = []
+        self._writing = False
+        self._flushing = False
+        self._ticking: asyncio.Task[None] | None = None
+        self._bytes = 0
+        self._snapshot_bytes = 0
+        self._expire_ms = 0
+
+    @property
+    def leading(self) -> bool:
+        """Whether this replica is the leader."""
+        return self._machine.leading is not None
+
+    @property
+    def state(self) -> registry.Registry:
+        """Registry of this replica."""
+        return self._registry
+
+    @property
+    def machine(self) -> consensus.Consensus:
+        """Consensus of this replica."""
+        return self._machine
+
+    async def start(self) -> None:
+        """Open the data folder and the links and take part.
+
+        Raises:
+            errors.SettingsError: The first configuration or a replica is wrong.
+            errors.DiskError: The data folder cannot be used.
+            errors.LinkError: The address cannot be listened on.
+        """
+        first = parse_replicas(self._options.replicas)
+        self._bootstrap = _read_bootstrap(self._options.bootstrap)
+        content = files.Files(self._options.data)
+        number = secrets.randbits(FOLDER_BITS) | 1
+        folder = disk.open_folder(content, self._options.replica, number)
+        self._folder = folder
+        if folder.torn_bytes:
+            _log.warning("torn tail cut", name=self.name, bytes=folder.torn_bytes)
+        if folder.stored.snapshot is not None:
+            self._registry.restore(folder.stored.snapshot.state)
+        self._machine = consensus.Consensus(
+            transitions.Identity(self._options.replica, folder.folder),
+            first,
+            transitions.Timing(self._options.election_ms, self._options.heartbeat_ms),
+            random.Random(secrets.randbits(64)),
+            folder.stored,
+            self._clock.read_monotonic(),
+        )
+        try:
+            await self._links.open()
+        except errors.LinkError:
+            folder.close()
+            raise
+        self._ticking = asyncio.get_running_loop().create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Hand leadership over if this replica has it, then stop."""
+        if self.stopped.is_set():
+            return
+        if self.leading:
+            self._step(transitions.HandOver())
+            for _ in range(HAND_OVER_MS // 10):
+                if not self.leading:
+                    break
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.01)
+        self.abort()
+
+    def abort(self) -> None:
+        """Stop at once, as after a failure."""
+        if self.stopped.is_set():
+            return
+        self.stopped.set()
+        if self._ticking is not None:
+            self._ticking.cancel()
+        self._links.close()
+        self._executor.shutdown(wait=True)
+        if self._folder is not None:
+            self._folder.close()
+
+    async def _tick(self) -> None:
+        interval = max(self._options.heartbeat_ms // 4, 5) / 1000
+        while True:
+            await asyncio.sleep(interval)
+            self._step(transitions.Tick())
+            standing = self._find_standing()
+            if standing.now_ms >= self._expire_ms:
+                self._expire_ms = standing.now_ms + EXPIRE_INTERVAL_MS
+                self.requests.expire(standing)
+                self._plan_flush()
+
+    def _receive(self, frame: codec.Frame) -> None:
+        for message in frame.messages:
+            if self.stopped.is_set():
+                return
+            if isinstance(message, _REPLICA_MESSAGES):
+                self._pass_seen()
+                self._step(transitions.Received(frame.address, message))
+                continue
+            request = _unwrap(frame, message)
+            if request is not None:
+                self._send(self.requests.take(request, self._find_standing()))
+                self._plan_flush()
+
+    def _pass_seen(self) -> None:
+        if not self.leading:
+            self._machine.follower.seen |= self.requests.seen
+        self.requests.seen.clear()
+
+    def _find_standing(self) -> requests.Standing:
+        now_ms = self._clock.read_monotonic()
+        return requests.Standing(
+            self._machine.accepts_proposals,
+            self._machine.leader_address,
+            self._machine.read_view_age(now_ms),
+            now_ms,
+            self._clock.read_wall(),
+        )
+
+    def _plan_flush(self) -> None:
+        if not self._flushing:
+            self._flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        if self.stopped.is_set() or not self._machine.accepts_proposals:
+            return
+        commands = self.requests.collect_commands(self._clock.read_wall())
+        if commands:
+            self._step(transitions.Propose(commands))
+        elif self.requests.reading:
+            self._step(transitions.Confirm())
+
+    def _step(self, event: transitions.Event) -> None:
+        if self.stopped.is_set():
+            return
+        for effect in self._machine.step(event, self._clock.read_monotonic()):
+            self._carry_out(effect)
+        if self.requests.reading:
+            self._send(self.requests.answer_reads(self._find_standing()))
+
+    def _carry_out(self, effect: transitions.Effect) -> None:
+        match effect:
+            case effects.Send():
+                self._links.send(effect.peer, effect.message)
+            case transitions.Persist() | transitions.SaveSnapshot():
+                self._queue.append(effect)
+                self._write()
+            case transitions.Apply(entries=entries):
+                self._apply(entries)
+            case transitions.Restore(state=state):
+                self._registry.restore(state)
+            case transitions.NoteSeen(processes=processes):
+                now_ms = self._clock.read_monotonic()
+                self.requests.note_seen(processes, now_ms)
+            case transitions.ChangeLeader(leader=leader, term=term):
+                _log.info("leader changed", name=self.name, leader=leader, term=term)
+                if self.leading:
+                    self.requests.start_leading(self._clock.read_monotonic())
+
+    def _apply(self, entries: list[messages.LogEntry]) -> None:
+        standing = self._find_standing()
+        for entry in entries:
+            self._bytes += len(entry.payload)
+            outcomes = self._registry.apply(entry)
+            self._send(self.requests.note_outcomes(outcomes, standing))
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._follow_up)
+
+    def _follow_up(self) -> None:
+        """Propose the first configuration and take snapshots when they are due."""
+        if self.stopped.is_set():
+            return
+        snapshot = self._machine.journal.snapshot
+        covered = snapshot.index if snapshot is not None else 0
+        entries = self._machine.commit_index - covered
+        limit = max(SNAPSHOT_MIN_BYTES, self._snapshot_bytes)
+        if entries >= SNAPSHOT_ENTRIES or self._bytes > limit:
+            state = self._registry.save()
+            self._bytes = 0
+            self._snapshot_bytes = len(state)
+            self._step(transitions.Compact(state))
+        leading = self._machine.leading
+        if leading is None or self._machine.commit_index < leading.first_index:
+            return
+        if self._registry.version == 0 and self._bootstrap_term < leading.term:
+            self._propose_bootstrap(leading.term)
+
+    def _propose_bootstrap(self, term: int) -> None:
+        self._bootstrap_term = term
+        if not self._bootstrap:
+            return
+        command = messages.AcceptConfiguration(
+            BOOTSTRAP, 0, BOOTSTRAP, "", self._clock.read_wall(), self._bootstrap, []
+        )
+        self._step(transitions.Propose([requests.encode_command(command)]))
+
+    def _send(self, sends: list[effects.Send]) -> None:
+        for send in sends:
+            self._links.send(send.peer, send.message)
+
+    def _write(self) -> None:
+        if self._writing or not self._queue or self._folder is None:
+            return
+        self._writing = True
+        batch = self._queue
+        self._queue = []
+        loop = asyncio.get_running_loop()
+        future = loop.run_in_executor(self._executor, self._folder.write, batch)
+        number = batch[-1].number
+        future.add_done_callback(lambda done: self._finish_write(done, number))
+
+    def _finish_write(self, done: "asyncio.Future[None]", number: int) -> None:
+        self._writing = False
+        if self.stopped.is_set():
+            return
+        try:
+            done.result()
+        except errors.DiskError as error:
+            _log.error("data folder failed", name=self.name, error=str(error))
+            self.failure = error
+            self.abort()
+            return
+        self._step(transitions.Persisted(number))
+        self._write()
+
+
+def parse_replicas(texts: list[str]) -> messages.ChangeReplicas:
+    """Return the first set of replicas from the settings.
+
+    Args:
+        texts: Replicas as ``id=address``.
+
+    Raises:
+        errors.SettingsError: A text has another form.
+    """
+    faults = [
+        f"[controller] replicas: {text!r} is not of the form id=address"
+        for text in texts
+        if not all(text.partition("="))
+    ]
+    if faults:
+        raise errors.SettingsError(faults)
+    parts = [text.partition("=") for text in texts]
+    found = [messages.Replica(part[0], part[2], True) for part in parts]
+    return messages.ChangeReplicas(found, [])
+
+
+def _read_bootstrap(path: str) -> list[messages.Section]:
+    if not path:
+        return []
+    try:
+        text = pathlib.Path(path).read_text()
+        return configuration.parse_text(text).list_sections()
+    except OSError as error:
+        raise errors.SettingsError([f"[controller] bootstrap: {error}"]) from error
+    except configuration.ConfigurationError as error:
+        faults = [f"[controller] bootstrap: {fault}" for fault in error.faults]
+        raise errors.SettingsError(faults) from error
+
+
+def _unwrap(frame: codec.Frame, message: codec.Message) -> requests.Request | None:
+    if not isinstance(message, messages.Forwarded):
+        return requests.Request(frame.sender, frame.incarnation, frame.address, message)
+    try:
+        inner = codec.decode_message(message.kind, message.payload)
+    except errors.SchemaError:
+        return None
+    return requests.Request(
+        message.sender, message.incarnation, message.address, inner, True
+    )
--- /dev/null
+++ b/amaranthspar/following.py
@@ -0,0 +1,191 @@
+"""What a follower knows: freshness of its view, entries and snapshot chunks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from amaranthspar import codec, messages
+
+if TYPE_CHECKING:
+    import random
+
+    from amaranthspar import journal, replicalog
+
+KEPT_ROUNDS = 64
+FIRST_ROUND_BITS = 48
+
+
+@attrs.define(slots=True)
+class _Incoming:
+    """Snapshot that arrives in chunks."""
+
+    term: int
+    last_index: int
+    data: bytearray = attrs.field(factory=bytearray)
+
+
+class Follower:
+    """State of a follower that is lost at a crash.
+
+    Args:
+        replica: Replica id.
+        folder: Random number of its data folder.
+        chance: Source of the first round, so that no two runs share rounds.
+    """
+
+    def __init__(self, replica: str, folder: int, chance: random.Random) -> None:
+        self.leader_address = ""
+        self.view_ms = -1
+        self.seen: set[str] = set()
+        self._replica = replica
+        self._folder = folder
+        self._round = chance.getrandbits(FIRST_ROUND_BITS)
+        self._sent_ms: dict[int, int] = {}
+        self._pending: list[tuple[int, int]] = []
+        self._incoming: _Incoming | None = None
+
+    def note_statement(self, message: messages.AppendEntries) -> None:
+        """Take in a leader's statement of its commit index.
+
+        The leader made it after it had received the round that it echoes.
+
+        Args:
+            message: Append of the current leader.
+        """
+        sent_ms = self._sent_ms.get(message.echoed_round)
+        if sent_ms is None or message.view_age_ms < 0:
+            return
+        view_ms = sent_ms - message.view_age_ms
+        self._pending.append((message.commit_index, view_ms))
+        del self._pending[:-KEPT_ROUNDS]
+
+    def confirm_view(self, commit_index: int) -> None:
+        """Count the statements up to whose commit index all is applied.
+
+        Args:
+            commit_index: Last index applied here.
+        """
+        for needed, view_ms in self._pending:
+            if needed <= commit_index:
+                self.view_ms = max(self.view_ms, view_ms)
+        self._pending = [item for item in self._pending if item[0] > commit_index]
+
+    def build_answer(
+        self,
+        message: messages.AppendEntries,
+        term: int,
+        matched: int | None,
+        hint: int,
+        now_ms: int,
+    ) -> messages.Appended:
+        """Return the answer to an append and number it.
+
+        Args:
+            message: Append that is answered.
+            term: Current term.
+            matched: Last index known to match, nothing on a mismatch.
+            hint: Index after which to go on after a mismatch.
+            now_ms: Current time in ms.
+        """
+        self._round += 1
+        self._sent_ms[self._round] = now_ms
+        self._sent_ms.pop(self._round - KEPT_ROUNDS, None)
+        seen = sorted(self.seen)
+        self.seen.clear()
+        return messages.Appended(
+            term,
+            self._replica,
+            matched is not None,
+            hint if matched is None else matched,
+            message.round,
+            self._round,
+            seen,
+            self._folder,
+        )
+
+    def collect_chunk(
+        self, message: messages.InstallSnapshot
+    ) -> messages.LogSnapshot | None:
+        """Add a chunk.
+
+        Args:
+            message: Chunk from the current leader.
+
+        Returns:
+            The snapshot once it is whole.
+        """
+        incoming = self._incoming
+        key = (message.term, message.last_index)
+        if incoming is None or (incoming.term, incoming.last_index) != key:
+            incoming = self._incoming = _Incoming(*key)
+        if message.offset != len(incoming.data):
+            return None
+        incoming.data += message.chunk
+        if not message.done:
+            return None
+        self._incoming = None
+        snapshot = codec.decode_message("LogSnapshot", bytes(incoming.data))
+        return snapshot if isinstance(snapshot, messages.LogSnapshot) else None
+
+    def build_chunk_answer(
+        self, message: messages.InstallSnapshot, term: int, done: bool
+    ) -> messages.SnapshotReceived:
+        """Return the answer to a chunk.
+
+        Args:
+            message: Chunk that is answered.
+            term: Current term.
+            done: Whether all that the snapshot covers is applied here.
+        """
+        offset = len(self._incoming.data) if self._incoming is not None else 0
+        return messages.SnapshotReceived(
+            term, self._replica, message.last_index, offset, done, self._folder
+        )
+
+
+def merge_entries(
+    state: journal.Journal, commit_index: int, message: messages.AppendEntries
+) -> int | None:
+    """Add the entries of an append and remove those that conflict.
+
+    Args:
+        state: Journal of the follower.
+        commit_index: Last index that is committed here.
+        message: Append of the current leader.
+
+    Returns:
+        Last index known to match, nothing if the previous entry does not.
+    """
+    log = state.log
+    previous = message.previous_index
+    if previous > log.base_index and log.read_term(previous) != message.previous_term:
+        return None
+    for offset, entry in enumerate(message.entries):
+        if entry.index <= max(log.base_index, commit_index):
+            continue
+        if log.read_term(entry.index) == entry.term:
+            continue
+        if entry.index <= log.last_index:
+            state.truncate(entry.index)
+        state.append(message.entries[offset:])
+        break
+    return previous + len(message.entries)
+
+
+def find_hint(
+    log: replicalog.ReplicaLog, commit_index: int, message: messages.AppendEntries
+) -> int:
+    """Return the index after which the leader should go on after a mismatch.
+
+    Args:
+        log: Log of the follower.
+        commit_index: Last index that is committed here.
+        message: Append that did not match.
+    """
+    hint = min(log.last_index, message.previous_index - 1)
+    conflicting = log.read_term(hint)
+    while hint > commit_index and log.read_term(hint) == conflicting:
+        hint -= 1
+    return max(hint, commit_index)
--- /dev/null
+++ b/amaranthspar/journal.py
@@ -0,0 +1,225 @@
+"""What a replica keeps on disk, and the answers that wait for the disk."""
+
+import attrs
+
+from amaranthspar import codec, effects, messages, replicalog, transitions
+
+REPLICAS_KIND = "ChangeReplicas"
+TRAILING_ENTRIES = 256
+
+
+@attrs.define(slots=True)
+class _Write:
+    """One write that is not yet known to be on disk."""
+
+    number: int
+    last_index: int
+
+
+@attrs.define(slots=True)
+class _Step:
+    """What one step has changed so far."""
+
+    emitted: list[transitions.Effect] = attrs.field(factory=list)
+    gated: list[effects.Send] = attrs.field(factory=list)
+    state_changed: bool = False
+    truncate_from: int = 0
+    entries: list[messages.LogEntry] = attrs.field(factory=list)
+    saved: messages.LogSnapshot | None = None
+
+    @property
+    def changed(self) -> bool:
+        """Whether anything must be written."""
+        return (
+            self.state_changed
+            or bool(self.entries)
+            or self.truncate_from > 0
+            or self.saved is not None
+        )
+
+
+class Journal:
+    """Term, vote, log, snapshot and set of replicas of one replica.
+
+    Args:
+        first: First set of replicas, for a cluster that is not formed yet.
+        stored: What the data folder holds.
+    """
+
+    def __init__(
+        self, first: messages.ChangeReplicas, stored: transitions.Stored
+    ) -> None:
+        self.term = stored.state.term
+        self.vote = stored.state.vote
+        self.snapshot = stored.snapshot
+        self.log = replicalog.ReplicaLog()
+        self._changes: list[tuple[int, messages.ChangeReplicas]] = [(0, first)]
+        if stored.snapshot is not None:
+            self.log.reset(stored.snapshot.index, stored.snapshot.term)
+            self._changes = [(stored.snapshot.index, stored.snapshot.replicas)]
+        self.log.append(stored.entries)
+        self._note_changes(stored.entries)
+        self.durable_index = self.log.last_index
+        self.issued = 0
+        self.done = 0
+        self._writes: list[_Write] = []
+        self._held: list[tuple[int, effects.Send]] = []
+        self._step = _Step()
+
+    @property
+    def members(self) -> messages.ChangeReplicas:
+        """Set of replicas by the newest entry of the log."""
+        return self._changes[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        """Index of the entry that set the replicas."""
+        return self._changes[-1][0]
+
+    @property
+    def formed(self) -> bool:
+        """Whether the log holds any entry."""
+        return self.log.last_index > 0
+
+    def save_vote(self, term: int, vote: str) -> int:
+        """Change term and vote.
+
+        Args:
+            term: Current term.
+            vote: Replica id that has the vote; empty for none.
+
+        Returns:
+            Number of the write that holds them.
+        """
+        if (term, vote) != (self.term, self.vote):
+            self.term = term
+            self.vote = vote
+            self._step.state_changed = True
+        return self.issued + 1
+
+    def append(self, entries: list[messages.LogEntry]) -> None:
+        """Add entries to the log.
+
+        Args:
+            entries: Entries that follow the last index.
+        """
+        self.log.append(entries)
+        self._note_changes(entries)
+        self._step.entries += entries
+
+    def truncate(self, first: int) -> None:
+        """Remove an index and all that follow.
+
+        Args:
+            first: First index to remove.
+        """
+        self.log.truncate(first)
+        while len(self._changes) > 1 and self.members_index >= first:
+            self._changes.pop()
+        self.durable_index = min(self.durable_index, first - 1)
+        for write in self._writes:
+            write.last_index = min(write.last_index, first - 1)
+        self._step.truncate_from = first
+        self._step.entries = []
+
+    def compact(self, index: int, state: bytes) -> None:
+        """Replace the log up to an index by a snapshot.
+
+        Args:
+            index: Last index that was applied.
+            state: Encoded state of the registry at that index.
+        """
+        term = self.log.read_term(index)
+        covered = self.snapshot.index if self.snapshot is not None else 0
+        if index <= covered or term is None:
+            return
+        self.snapshot = messages.LogSnapshot(index, term, self._find_set(index), state)
+        self._step.saved = self.snapshot
+        kept = index - TRAILING_ENTRIES
+        if kept > self.log.base_index:
+            self.log.compact(kept)
+
+    def install(self, snapshot: messages.LogSnapshot) -> None:
+        """Take a snapshot from the leader.
+
+        Args:
+            snapshot: Snapshot that covers more than was committed here.
+        """
+        if self.log.read_term(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot.index)
+        else:
+            self.log.reset(snapshot.index, snapshot.term)
+            self.durable_index = 0
+            for write in self._writes:
+                write.last_index = 0
+        self._changes = [(snapshot.index, snapshot.replicas)]
+        self._note_changes(self.log.entries)
+        self.snapshot = snapshot
+        self._step.saved = snapshot
+
+    def emit(self, effect: transitions.Effect) -> None:
+        """Return an effect that states nothing about this replica's disk.
+
+        Args:
+            effect: Effect of this step.
+        """
+        self._step.emitted.append(effect)
+
+    def answer(self, address: str, message: codec.Message) -> None:
+        """Send a message once all that changed so far is on disk.
+
+        Args:
+            address: Address of the receiver.
+            message: Message to send.
+        """
+        self._step.gated.append(effects.Send(address, message))
+
+    def note_persisted(self, number: int) -> None:
+        """Release the answers that waited for a write.
+
+        Args:
+            number: Number of the write; all before it are on disk also.
+        """
+        self.done = max(self.done, number)
+        while self._writes and self._writes[0].number <= number:
+            self.durable_index = self._writes.pop(0).last_index
+        for needed, send in self._held:
+            if needed <= number:
+                self.emit(send)
+        self._held = [item for item in self._held if item[0] > number]
+
+    def end_step(self) -> list[transitions.Effect]:
+        """Return the effects of this step and begin the next."""
+        step = self._step
+        self._step = _Step()
+        result: list[transitions.Effect] = []
+        if step.changed:
+            result.append(self._write(step))
+        result += step.emitted
+        if self.done < self.issued:
+            self._held += [(self.issued, send) for send in step.gated]
+        else:
+            result += step.gated
+        return result
+
+    def _write(self, step: _Step) -> transitions.Effect:
+        self.issued += 1
+        self._writes.append(_Write(self.issued, self.log.last_index))
+        state = messages.ReplicaState(self.term, self.vote)
+        if step.saved is None:
+            return transitions.Persist(
+                self.issued, state, step.truncate_from, step.entries
+            )
+        tail = self.log.slice(step.saved.index + 1, self.log.last_index)
+        return transitions.SaveSnapshot(self.issued, state, step.saved, tail)
+
+    def _note_changes(self, entries: list[messages.LogEntry]) -> None:
+        for entry in entries:
+            if entry.kind == REPLICAS_KIND:
+                change = codec.decode_message(entry.kind, entry.payload)
+                if isinstance(change, messages.ChangeReplicas):
+                    self._changes.append((entry.index, change))
+
+    def _find_set(self, index: int) -> messages.ChangeReplicas:
+        found = [change for at, change in self._changes if at <= index]
+        return found[-1]
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -506,6 +506,7 @@
         last_term: Term of the candidate's last entry.
         pre_vote: Whether this only asks if a vote would be given.
         transfer: Whether the leader asked for this election.
+        folder: Random number of the sender's data folder.
     """
 
     term: int
@@ -514,6 +515,7 @@
     last_term: int
     pre_vote: bool
     transfer: bool = False
+    folder: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -525,12 +527,14 @@
         voter: Replica id of the voter.
         granted: Whether the vote is given.
         pre_vote: Copied from the request.
+        folder: Random number of the sender's data folder.
     """
 
     term: int
     voter: str
     granted: bool
     pre_vote: bool
+    folder: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -572,6 +576,7 @@
         round: Copied from the append.
         follower_round: Follower's own counter; echoed by the leader.
         seen: Processes whose leases this follower renewed since its last answer.
+        folder: Random number of the sender's data folder.
     """
 
     term: int
@@ -581,6 +586,7 @@
     round: int
     follower_round: int
     seen: list[str]
+    folder: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -616,6 +622,7 @@
         last_index: Last index that the snapshot covers.
         offset: Bytes held so far.
         done: Whether the snapshot is installed.
+        folder: Random number of the sender's data folder.
     """
 
     term: int
@@ -623,6 +630,7 @@
     last_index: int
     offset: int
     done: bool
+    folder: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -638,6 +646,165 @@
     leader: str
 
 
+@attrs.frozen(slots=True)
+class Replica:
+    """One replica of the log.
+
+    Attributes:
+        id: Replica id; never used again once removed.
+        address: Address at which the replica listens.
+        voter: Whether the replica counts in a majority.
+        folder: Random number of its data folder; 0 while not known.
+    """
+
+    id: str
+    address: str
+    voter: bool
+    folder: int = 0
+
+
+@attrs.frozen(slots=True)
+class ChangeReplicas:
+    """Replaces the set of replicas.
+
+    Attributes:
+        replicas: All replicas after the change.
+        retired: Replica ids that may not be used again.
+        reason: Who made the change and why.
+    """
+
+    replicas: list[Replica]
+    retired: list[str]
+    reason: str = ""
+
+
+@attrs.frozen(slots=True)
+class MemberRemoval:
+    """Removes one incarnation of a member.
+
+    Attributes:
+        process: Process name.
+        incarnation: Incarnation that is removed.
+        stopped: Whether the process said itself that it stopped.
+    """
+
+    process: str
+    incarnation: int
+    stopped: bool
+
+
+@attrs.frozen(slots=True)
+class RecordClaims:
+    """Claims keyed submissions in one batch; the first claim of a key wins.
+
+    Attributes:
+        claims: Claims in order.
+        decided_ms: Wall clock of the leader in ms.
+        retention_ms: Time for which a claim is kept in ms.
+    """
+
+    claims: list[ClaimSubmission]
+    decided_ms: int
+    retention_ms: int
+
+
+@attrs.frozen(slots=True)
+class KeptClaim:
+    """A claim and when it was decided.
+
+    Attributes:
+        decided_ms: Wall clock of the leader in ms.
+        claim: Claim that holds the key.
+    """
+
+    decided_ms: int
+    claim: ClaimSubmission
+
+
+@attrs.frozen(slots=True)
+class KeptChange:
+    """An accepted configuration change as kept by the registry.
+
+    Attributes:
+        item: What the history shows.
+        fingerprint: Digest of the proposed text and base version.
+    """
+
+    item: HistoryItem
+    fingerprint: str
+
+
+@attrs.frozen(slots=True)
+class MemberTombstone:
+    """A member that is gone.
+
+    Attributes:
+        revision: Membership revision of the removal.
+        removal: What was removed.
+    """
+
+    revision: int
+    removal: MemberRemoval
+
+
+@attrs.frozen(slots=True)
+class LogSnapshot:
+    """State of the registry and of the set of replicas at one index.
+
+    Attributes:
+        index: Last index covered.
+        term: Term of that index.
+        replicas: Replicas at that index.
+        state: Encoded state of the registry.
+    """
+
+    index: int
+    term: int
+    replicas: ChangeReplicas
+    state: bytes
+
+
+@attrs.frozen(slots=True)
+class ReplicaState:
+    """Term and vote of a replica, as kept on disk.
+
+    Attributes:
+        term: Current term.
+        vote: Replica id that has the vote in this term; empty for none.
+    """
+
+    term: int
+    vote: str
+
+
+@attrs.frozen(slots=True)
+class LogTruncation:
+    """Removes the end of the log, as kept on disk.
+
+    Attributes:
+        index: First index that is removed.
+    """
+
+    index: int
+
+
+@attrs.frozen(slots=True)
+class FolderIdentity:
+    """Whose data folder it is, as kept on disk.
+
+    Attributes:
+        format_version: Version of the file format.
+        replica: Replica id.
+        folder: Random number of the folder.
+        inode: Inode of the identity file; differs in a copy.
+    """
+
+    format_version: int
+    replica: str
+    folder: int
+    inode: int
+
+
 @attrs.frozen(slots=True)
 class Section:
     """One section of the configuration in INI terms.
@@ -668,6 +835,42 @@
     history: list[HistoryItem]
 
 
+@attrs.frozen(slots=True)
+class ChangeMembers:
+    """Adds, changes and removes members in one batch.
+
+    Attributes:
+        members: Members that join or change.
+        removed: Members that leave or expired.
+    """
+
+    members: list[Member]
+    removed: list[MemberRemoval]
+
+
+@attrs.frozen(slots=True)
+class AcceptConfiguration:
+    """Changes the configuration if its version is still the base.
+
+    Attributes:
+        change_id: Unique name of the change.
+        base_version: Version that the change is based on.
+        operator: Name of the operator's account.
+        fingerprint: Digest of the proposed text and base version.
+        accepted_ms: Wall clock of the leader in ms.
+        sections: Sections that are added or replaced.
+        removed: Names of the sections that are removed.
+    """
+
+    change_id: str
+    base_version: int
+    operator: str
+    fingerprint: str
+    accepted_ms: int
+    sections: list[Section]
+    removed: list[str]
+
+
 @attrs.frozen(slots=True)
 class ConfigurationChange:
     """Difference between two configuration versions by section.
@@ -706,3 +909,30 @@
     membership_revision: int
     configuration: ConfigurationChange | None = None
     membership: MembershipChange | None = None
+
+
+@attrs.frozen(slots=True)
+class RegistrySnapshot:
+    """Whole state of the registry.
+
+    Attributes:
+        sections: Oldest configuration kept.
+        oldest_version: Version of these sections.
+        changes: Later versions in order.
+        history: Accepted changes in order.
+        members: Members.
+        revision: Membership revision.
+        floor_revision: Oldest revision from which deltas are known.
+        tombstones: Latest removals in order.
+        claims: Claims in order of decision.
+    """
+
+    sections: list[Section]
+    oldest_version: int
+    changes: list[ConfigurationChange]
+    history: list[KeptChange]
+    members: list[Member]
+    revision: int
+    floor_revision: int
+    tombstones: list[MemberTombstone]
+    claims: list[KeptClaim]
--- /dev/null
+++ b/amaranthspar/requests.py
@@ -0,0 +1,383 @@
+"""Answers the requests that processes and operators send to a controller.
+
+The machine has no I/O: it returns messages to send, and commands for the log
+when it is asked for them. Whatever is asked in one turn is proposed together.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import xxhash
+
+from amaranthspar import codec, configuration, effects, messages, registry, transitions
+
+if TYPE_CHECKING:
+    from amaranthspar import leases
+
+MAX_BATCH = 512
+CLAIM_RETENTION_MS = 1_800_000
+EXPIRY_LEASES = 2
+WAIT_MS = 5_000
+
+
+@attrs.frozen(slots=True)
+class Standing:
+    """What consensus says of this replica at one moment.
+
+    Attributes:
+        leading: Whether it is the leader and accepts proposals.
+        leader_address: Address of the leader, empty if none other is known.
+        view_age_ms: Age of the quorum-confirmed view in ms; -1 for none.
+        now_ms: Monotonic clock in ms.
+        wall_ms: Wall clock in ms.
+    """
+
+    leading: bool
+    leader_address: str
+    view_age_ms: int
+    now_ms: int
+    wall_ms: int
+
+
+@attrs.frozen(slots=True)
+class Request:
+    """A request and where its answer goes.
+
+    Attributes:
+        sender: Process name of the first sender.
+        incarnation: Incarnation of the first sender.
+        address: Address for the answer.
+        message: Message of the schema.
+        forwarded: Whether another controller handed it on.
+    """
+
+    sender: str
+    incarnation: int
+    address: str
+    message: codec.Message
+    forwarded: bool = False
+
+
+@attrs.frozen(slots=True)
+class _Waiting:
+    """A request whose answer waits for the log or for a confirmed view."""
+
+    address: str
+    since_ms: int
+    message: Any
+
+
+class Requests:
+    """All requests of one controller.
+
+    Args:
+        state: Registry of this replica.
+        grants: Grants of leases.
+        lease_ms: Length of a lease in ms.
+    """
+
+    def __init__(
+        self, state: registry.Registry, grants: leases.Leases, lease_ms: int
+    ) -> None:
+        self.granted = 0
+        self.denied = 0
+        self.seen: set[str] = set()
+        self._state = state
+        self._grants = grants
+        self._lease_ms = lease_ms
+        self._seen_ms: dict[str, int] = {}
+        self._led_ms = 0
+        self._joins: dict[str, messages.Member] = {}
+        self._removals: dict[str, messages.MemberRemoval] = {}
+        self._claims: list[messages.ClaimSubmission] = []
+        self._changes: list[messages.AcceptConfiguration] = []
+        self._renewing: dict[str, _Waiting] = {}
+        self._claiming: dict[str, list[_Waiting]] = {}
+        self._proposing: dict[str, list[_Waiting]] = {}
+        self._reading: list[_Waiting] = []
+
+    @property
+    def reading(self) -> bool:
+        """Whether requests wait for a confirmed view."""
+        return bool(self._reading)
+
+    def start_leading(self, now_ms: int) -> None:
+        """Count every member as seen and drop what an earlier term left.
+
+        Args:
+            now_ms: Monotonic clock in ms.
+        """
+        self._led_ms = now_ms
+        self._seen_ms.clear()
+        self._joins.clear()
+        self._removals.clear()
+        self._claims.clear()
+        self._changes.clear()
+
+    def take(self, request: Request, standing: Standing) -> list[effects.Send]:
+        """Take one request.
+
+        Args:
+            request: Request.
+            standing: What consensus says now.
+
+        Returns:
+            Answers that can be given at once.
+        """
+        match request.message:
+            case messages.RenewLease() as message:
+                return self._renew(request, message, standing)
+            case messages.FetchConfiguration() as message:
+                waiting = _Waiting(request.address, standing.now_ms, message)
+                if standing.leading:
+                    self._reading.append(waiting)
+                    return []
+                return _forward(request, standing)
+            case messages.ProposeConfiguration() as message:
+                return self._propose(request, message, standing)
+            case messages.ClaimSubmission() as message:
+                return self._claim(request, message, standing)
+            case messages.LeaveMembership() as message:
+                if not standing.leading:
+                    return _forward(request, standing)
+                self._leave(message)
+        return []
+
+    def collect_commands(self, wall_ms: int) -> list[transitions.Command]:
+        """Return the commands that wait, and forget them.
+
+        Args:
+            wall_ms: Wall clock in ms.
+        """
+        found: list[codec.Message] = list(self._changes)
+        joins = list(self._joins.values())
+        removals = list(self._removals.values())
+        for start in range(0, max(len(joins), len(removals)), MAX_BATCH):
+            end = start + MAX_BATCH
+            found.append(messages.ChangeMembers(joins[start:end], removals[start:end]))
+        for start in range(0, len(self._claims), MAX_BATCH):
+            batch = self._claims[start : start + MAX_BATCH]
+            found.append(messages.RecordClaims(batch, wall_ms, CLAIM_RETENTION_MS))
+        self._changes.clear()
+        self._joins.clear()
+        self._removals.clear()
+        self._claims.clear()
+        return [encode_command(command) for command in found]
+
+    def note_outcomes(
+        self, outcomes: list[registry.Outcome], standing: Standing
+    ) -> list[effects.Send]:
+        """Answer those that waited for applied entries.
+
+        Args:
+            outcomes: What the registry decided.
+            standing: What consensus says now.
+        """
+        sends: list[effects.Send] = []
+        for outcome in outcomes:
+            match outcome:
+                case registry.ConfigurationApplied(decision=decision):
+                    waiting = self._proposing.pop(decision.change_id, [])
+                    sends += [effects.Send(item.address, decision) for item in waiting]
+                case registry.ClaimApplied(claim=claim):
+                    waiting = self._claiming.pop(claim.key, [])
+                    decided = self._decide_claim(claim.key)
+                    sends += [effects.Send(item.address, decided) for item in waiting]
+                case registry.MembersApplied(processes=processes):
+                    for process in processes:
+                        sends += self._renew_waiting(process, standing)
+        return sends
+
+    def note_seen(self, processes: list[str], now_ms: int) -> None:
+        """Note members whose leases a follower has renewed.
+
+        Args:
+            processes: Process names.
+            now_ms: Monotonic clock in ms.
+        """
+        self._seen_ms.update(dict.fromkeys(processes, now_ms))
+
+    def answer_reads(self, standing: Standing) -> list[effects.Send]:
+        """Answer the reads that arrived before the confirmed view.
+
+        Args:
+            standing: What consensus says now.
+        """
+        if standing.view_age_ms < 0:
+            return []
+        view_ms = standing.now_ms - standing.view_age_ms
+        ready = [item for item in self._reading if item.since_ms <= view_ms]
+        self._reading = [item for item in self._reading if item.since_ms > view_ms]
+        return [
+            effects.Send(item.address, self._state.fetch(item.message))
+            for item in ready
+        ]
+
+    def expire(self, standing: Standing) -> None:
+        """Remove members that were not seen, and forget requests that waited long.
+
+        Args:
+            standing: What consensus says now.
+        """
+        oldest_ms = standing.now_ms - WAIT_MS
+        self._reading = [item for item in self._reading if item.since_ms > oldest_ms]
+        for waiting in (self._claiming, self._proposing):
+            for key, items in list(waiting.items()):
+                if items[-1].since_ms <= oldest_ms:
+                    del waiting[key]
+        if not standing.leading:
+            return
+        limit_ms = standing.now_ms - EXPIRY_LEASES * self._lease_ms
+        for process, member in self._state.members.items():
+            if self._seen_ms.get(process, self._led_ms) < limit_ms:
+                removal = messages.MemberRemoval(process, member.incarnation, False)
+                self._removals[process] = removal
+
+    def _renew(
+        self, request: Request, message: messages.RenewLease, standing: Standing
+    ) -> list[effects.Send]:
+        decision = self._grants.decide(self._state, message, standing.view_age_ms)
+        process = message.member.process
+        if decision is None:
+            if not standing.leading:
+                return _forward(request, standing)
+            self._joins[process] = message.member
+            self._seen_ms[process] = standing.now_ms
+            waiting = _Waiting(request.address, standing.now_ms, message)
+            self._renewing[process] = waiting
+            return []
+        if isinstance(decision, messages.LeaseGranted):
+            self.granted += 1
+            self.seen.add(process)
+            self._seen_ms[process] = standing.now_ms
+        else:
+            self.denied += 1
+        return [effects.Send(request.address, decision)]
+
+    def _renew_waiting(self, process: str, standing: Standing) -> list[effects.Send]:
+        waiting = self._renewing.pop(process, None)
+        if waiting is None or waiting.since_ms <= standing.now_ms - WAIT_MS:
+            return []
+        renewal = waiting.message
+        decision = self._grants.decide(self._state, renewal, standing.view_age_ms)
+        return [] if decision is None else [effects.Send(waiting.address, decision)]
+
+    def _propose(
+        self,
+        request: Request,
+        message: messages.ProposeConfiguration,
+        standing: Standing,
+    ) -> list[effects.Send]:
+        fingerprint = _digest(f"{message.base_version}\n{message.text}")
+        version = self._state.version
+        known = self._state.decide_known(
+            message.change_id, message.base_version, fingerprint
+        )
+        if known is not None:
+            return [effects.Send(request.address, known)]
+        if not standing.leading:
+            forwarded = _forward(request, standing)
+            if forwarded:
+                return forwarded
+            return [_refuse_change(request, message, "unavailable", version, [])]
+        try:
+            wanted = configuration.parse_text(message.text)
+        except configuration.ConfigurationError as error:
+            faults = error.faults
+            return [_refuse_change(request, message, "invalid", version, faults)]
+        waiting = _Waiting(request.address, standing.now_ms, message)
+        self._proposing.setdefault(message.change_id, []).append(waiting)
+        base = self._state.read_sections(message.base_version) or {}
+        sections, removed = configuration.compare_configurations(
+            list(base.values()), wanted.list_sections()
+        )
+        self._changes.append(
+            messages.AcceptConfiguration(
+                message.change_id,
+                message.base_version,
+                message.operator,
+                fingerprint,
+                standing.wall_ms,
+                sections,
+                removed,
+            )
+        )
+        return []
+
+    def _claim(
+        self, request: Request, message: messages.ClaimSubmission, standing: Standing
+    ) -> list[effects.Send]:
+        if message.key in self._state.claims:
+            decided = self._decide_claim(message.key)
+            return [effects.Send(request.address, decided)]
+        if standing.leading:
+            waiting = _Waiting(request.address, standing.now_ms, message)
+            self._claiming.setdefault(message.key, []).append(waiting)
+            self._claims.append(message)
+            return []
+        forwarded = _forward(request, standing)
+        if forwarded:
+            return forwarded
+        refused = messages.ClaimDecided(message.key, message.fingerprint, "", "", 0)
+        return [effects.Send(request.address, refused)]
+
+    def _decide_claim(self, key: str) -> messages.ClaimDecided:
+        holder = self._state.claims[key].claim
+        return messages.ClaimDecided(
+            key,
+            holder.fingerprint,
+            holder.submission,
+            holder.gateway,
+            holder.incarnation,
+        )
+
+    def _leave(self, message: messages.LeaveMembership) -> None:
+        known = self._state.members.get(message.process)
+        if known is None or known.incarnation != message.incarnation:
+            return
+        if message.stopped:
+            removal = messages.MemberRemoval(message.process, known.incarnation, True)
+            self._removals[message.process] = removal
+        else:
+            self._joins[message.process] = attrs.evolve(known, leaving=True)
+
+
+def encode_command(command: codec.Message) -> transitions.Command:
+    """Return a message as a command for the log.
+
+    Args:
+        command: Message of the schema.
+    """
+    return transitions.Command(type(command).__name__, codec.encode_message(command))
+
+
+def _forward(request: Request, standing: Standing) -> list[effects.Send]:
+    if request.forwarded or not standing.leader_address:
+        return []
+    forwarded = messages.Forwarded(
+        request.sender,
+        request.incarnation,
+        request.address,
+        type(request.message).__name__,
+        codec.encode_message(request.message),
+    )
+    return [effects.Send(standing.leader_address, forwarded)]
+
+
+def _refuse_change(
+    request: Request,
+    message: messages.ProposeConfiguration,
+    outcome: str,
+    version: int,
+    faults: list[str],
+) -> effects.Send:
+    decision = messages.ConfigurationDecided(
+        message.change_id, outcome, version, faults
+    )
+    return effects.Send(request.address, decision)
+
+
+def _digest(text: str) -> str:
+    return xxhash.xxh3_128_hexdigest(text.encode())
--- /dev/null
+++ b/amaranthspar/transitions.py
@@ -0,0 +1,173 @@
+"""Events and effects of consensus."""
+
+import attrs
+
+from amaranthspar import codec, effects, messages
+
+
+@attrs.frozen(slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@attrs.frozen(slots=True)
+class Received:
+    """A message from another replica arrived.
+
+    Attributes:
+        address: Address of the sender.
+        message: Message of the schema.
+    """
+
+    address: str
+    message: codec.Message
+
+
+@attrs.frozen(slots=True)
+class Command:
+    """One command to replicate.
+
+    Attributes:
+        kind: Tag of the command.
+        payload: Encoded command.
+    """
+
+    kind: str
+    payload: bytes
+
+
+@attrs.frozen(slots=True)
+class Propose:
+    """The leader's role wants commands in the log."""
+
+    commands: list[Command]
+
+
+@attrs.frozen(slots=True)
+class Persisted:
+    """All up to a number of `Persist` or `SaveSnapshot` is on disk."""
+
+    number: int
+
+
+@attrs.frozen(slots=True)
+class Compact:
+    """The role took a snapshot of all that was applied."""
+
+    state: bytes
+
+
+@attrs.frozen(slots=True)
+class Confirm:
+    """The role needs the leader's view confirmed as of now."""
+
+
+@attrs.frozen(slots=True)
+class HandOver:
+    """The leader is to hand leadership to another voter."""
+
+
+Event = Tick | Received | Propose | Persisted | Compact | Confirm | HandOver
+
+
+@attrs.frozen(slots=True)
+class Persist:
+    """Writes to the log on disk; `Persisted` follows once it is synced.
+
+    Attributes:
+        number: Grows with each write.
+        state: Term and vote.
+        truncate_from: First index to remove before; 0 for none.
+        entries: Entries to add.
+    """
+
+    number: int
+    state: messages.ReplicaState
+    truncate_from: int
+    entries: list[messages.LogEntry]
+
+
+@attrs.frozen(slots=True)
+class SaveSnapshot:
+    """Replaces snapshot and log on disk; `Persisted` follows once it is synced.
+
+    Attributes:
+        number: Grows with each write.
+        state: Term and vote.
+        snapshot: Snapshot.
+        entries: All entries that follow the snapshot.
+    """
+
+    number: int
+    state: messages.ReplicaState
+    snapshot: messages.LogSnapshot
+    entries: list[messages.LogEntry]
+
+
+@attrs.frozen(slots=True)
+class Apply:
+    """Applies committed entries to the registry."""
+
+    entries: list[messages.LogEntry]
+
+
+@attrs.frozen(slots=True)
+class Restore:
+    """Replaces the registry by the state of a snapshot."""
+
+    state: bytes
+
+
+@attrs.frozen(slots=True)
+class NoteSeen:
+    """A follower has renewed leases of processes."""
+
+    processes: list[str]
+
+
+@attrs.frozen(slots=True)
+class ChangeLeader:
+    """Another leader is known; empty for none."""
+
+    leader: str
+    term: int
+
+
+Effect = (
+    Persist | SaveSnapshot | Apply | Restore | NoteSeen | ChangeLeader | effects.Send
+)
+
+
+@attrs.frozen(slots=True)
+class Stored:
+    """What a data folder holds at start."""
+
+    state: messages.ReplicaState = messages.ReplicaState(0, "")
+    snapshot: messages.LogSnapshot | None = None
+    entries: list[messages.LogEntry] = attrs.field(factory=list)
+
+
+@attrs.frozen(slots=True)
+class Identity:
+    """Who a replica is.
+
+    Attributes:
+        replica: Replica id.
+        folder: Random number of its data folder.
+    """
+
+    replica: str
+    folder: int
+
+
+@attrs.frozen(slots=True)
+class Timing:
+    """Timeouts of a replica.
+
+    Attributes:
+        election_ms: Shortest election timeout in ms; the longest is twice that.
+        heartbeat_ms: Interval between heartbeat rounds in ms.
+    """
+
+    election_ms: int = 600
+    heartbeat_ms: int = 100
--- /dev/null
+++ b/tests/builders_control.py
@@ -0,0 +1,137 @@
+"""Builders of controllers in one process, and a client that asks them."""
+
+import asyncio
+import pathlib
+import socket
+
+from amaranthspar import clock, codec, controller, links, messages, options
+
+TEXT = "[service lookup]\nidempotent = yes\n\n[domain gyor]\n\n[domain pecs]\n"
+WAIT_S = 10
+
+
+def find_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def build_announcement(**changes) -> messages.Announcement:
+    values = {
+        "worker": "w1",
+        "rack": "r1",
+        "group": "main",
+        "failure_domain": "gyor",
+        "services": ["lookup"],
+        "slots": 8,
+        "connections": 64,
+        "cores": 64,
+        "memory_mb": 262144,
+        "accelerators": 0,
+    }
+    return messages.Announcement(**{**values, **changes})
+
+
+def build_member(
+    process: str = "s1", role: str = "sidecar", incarnation: int = 1, address: str = ""
+) -> messages.Member:
+    announcement = build_announcement() if role == "sidecar" else None
+    return messages.Member(process, role, incarnation, address, 0, False, announcement)
+
+
+class Client:
+    """Sends requests to controllers and keeps the answers."""
+
+    def __init__(self, name: str = "client") -> None:
+        self.address = find_address()
+        self.links = links.Links(name, 1, self.address, self._receive)
+        self.clock = clock.Clock()
+        self._answers: asyncio.Queue[codec.Message] = asyncio.Queue()
+
+    def _receive(self, frame: codec.Frame) -> None:
+        for message in frame.messages:
+            self._answers.put_nowait(message)
+
+    def send(self, address: str, message: codec.Message) -> None:
+        self.links.send(address, message)
+
+    async def ask(self, addresses, message, kind, wait_s=0.5):
+        """Return the first answer of a kind; asks the next address on silence."""
+        for attempt in range(int(WAIT_S / wait_s)):
+            self.send(addresses[attempt % len(addresses)], message)
+            answer = await self.wait(kind, wait_s)
+            if answer is not None:
+                return answer
+        raise AssertionError(f"no {kind.__name__} within {WAIT_S} s")
+
+    async def wait(self, kind, wait_s=WAIT_S):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while True:
+            try:
+                answer = await asyncio.wait_for(
+                    self._answers.get(), until - loop.time()
+                )
+            except TimeoutError:
+                return None
+            if isinstance(answer, kind):
+                return answer
+
+    def build_renewal(self, member=None, version=0, revision=0) -> messages.RenewLease:
+        member = member or build_member(address=self.address)
+        now_ms = self.clock.read_monotonic()
+        return messages.RenewLease(member, now_ms, version, revision)
+
+
+class Cluster:
+    """Controllers of one process."""
+
+    def __init__(self, folder: pathlib.Path, names=("a", "b", "c"), **changes) -> None:
+        self.folder = folder
+        self.addresses = {name: find_address() for name in names}
+        self.changes = changes
+        self.running: dict[str, controller.Controller] = {}
+        self.bootstrap = folder / "first.ini"
+        self.bootstrap.write_text(TEXT)
+
+    @property
+    def targets(self) -> list[str]:
+        return list(self.addresses.values())
+
+    def build(self, name: str) -> controller.Controller:
+        replicas = [f"{key}={value}" for key, value in self.addresses.items()]
+        process = options.ProcessOptions(
+            name, self.addresses[name], self.targets, "gyor"
+        )
+        settings = {
+            "replica": name,
+            "replicas": replicas,
+            "data": str(self.folder / name),
+            "bootstrap": str(self.bootstrap),
+            "election_ms": 150,
+            "heartbeat_ms": 20,
+            **self.changes,
+        }
+        return controller.Controller(
+            process, options.LinkOptions(), options.ControllerOptions(**settings)
+        )
+
+    async def start(self, *names: str) -> None:
+        for name in names or self.addresses:
+            self.running[name] = self.build(name)
+            await self.running[name].start()
+
+    async def find_leader(self) -> str:
+        for _ in range(WAIT_S * 100):
+            for name, item in self.running.items():
+                if item.leading and item.state.version > 0:
+                    return name
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"no leader within {WAIT_S} s")
+
+    def kill(self, name: str) -> None:
+        self.running.pop(name).abort()
+
+    def close(self) -> None:
+        for name in list(self.running):
+            self.kill(name)
--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,197 @@
+"""Controllers over real links and disks in one process."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from amaranthspar import disk, messages
+from tests import builders_control
+
+
+def run(scenario, tmp_path, **changes):
+    """Run a scenario with three controllers and a client."""
+
+    async def main():
+        cluster = builders_control.Cluster(tmp_path, **changes)
+        client = builders_control.Client()
+        await client.links.open()
+        try:
+            await cluster.start()
+            await cluster.find_leader()
+            await scenario(cluster, client)
+        finally:
+            cluster.close()
+            client.links.close()
+
+    uvloop.run(main())
+
+
+def build_proposal(change_id="c1", base=1, text=builders_control.TEXT):
+    return messages.ProposeConfiguration(change_id, base, "ops", text)
+
+
+def test_every_controller_grants_leases_with_the_first_configuration(tmp_path):
+    async def scenario(cluster, client):
+        for target in cluster.targets:
+            renewal = client.build_renewal()
+            granted = await client.ask([target], renewal, messages.LeaseGranted)
+            assert granted.configuration.version == 1
+            names = {item.name for item in granted.configuration.sections}
+            assert names == {"service lookup", "domain gyor", "domain pecs"}
+            assert 0 <= granted.age_ms <= 2000
+
+    run(scenario, tmp_path)
+
+
+def test_gateway_sees_sidecars_and_sidecar_sees_gateways_only(tmp_path):
+    async def scenario(cluster, client):
+        leader = cluster.addresses[await cluster.find_leader()]
+        gateway = builders_control.build_member("g1", "gateway", 1, client.address)
+        for member in (builders_control.build_member("s1"), gateway):
+            renewal = client.build_renewal(member)
+            granted = await client.ask([leader], renewal, messages.LeaseGranted)
+        members = {item.process: item for item in granted.membership.members}
+        assert members["s1"].announcement == builders_control.build_announcement()
+        renewal = client.build_renewal(builders_control.build_member("s1"))
+        granted = await client.ask([leader], renewal, messages.LeaseGranted)
+        assert [item.process for item in granted.membership.members] == ["g1"]
+
+    run(scenario, tmp_path)
+
+
+def test_older_incarnation_is_superseded(tmp_path):
+    async def scenario(cluster, client):
+        for incarnation in (5, 4):
+            member = builders_control.build_member("s1", incarnation=incarnation)
+            renewal = client.build_renewal(member)
+            answer = await client.ask(
+                cluster.targets,
+                renewal,
+                messages.LeaseGranted | messages.LeaseDenied,
+            )
+        assert answer.reason == "superseded"
+
+    run(scenario, tmp_path)
+
+
+def test_racing_operators_get_one_winner_and_one_conflict(tmp_path):
+    async def scenario(cluster, client):
+        one, other = build_proposal("c1"), build_proposal("c2")
+        client.send(cluster.targets[0], one)
+        client.send(cluster.targets[1], other)
+        answers = [await client.wait(messages.ConfigurationDecided) for _ in range(2)]
+        assert sorted(item.outcome for item in answers) == ["accepted", "conflict"]
+        assert {item.version for item in answers} == {2}
+
+    run(scenario, tmp_path)
+
+
+def test_resent_change_gets_first_answer_after_leader_is_killed(tmp_path):
+    async def scenario(cluster, client):
+        text = builders_control.TEXT + "\n[domain veszprem]\nstate = out\n"
+        proposal = build_proposal(text=text)
+        kind = messages.ConfigurationDecided
+        first = await client.ask(cluster.targets, proposal, kind)
+        assert (first.outcome, first.version) == ("accepted", 2)
+        cluster.kill(await cluster.find_leader())
+        await cluster.find_leader()
+        targets = [cluster.addresses[name] for name in cluster.running]
+        again = await client.ask(targets, proposal, kind)
+        while again.outcome == "unavailable":
+            again = await client.ask(targets, proposal, kind)
+        assert again == first
+        fetch = messages.FetchConfiguration(7, 0)
+        fetched = await client.ask(targets, fetch, messages.ConfigurationFetched)
+        assert fetched.version == 2
+        assert "[domain veszprem]" in fetched.text
+        assert [item.change_id for item in fetched.history] == ["bootstrap", "c1"]
+
+    run(scenario, tmp_path)
+
+
+def test_wrong_text_gets_every_fault(tmp_path):
+    async def scenario(cluster, client):
+        proposal = build_proposal(text="[domain x]\nstate = up\n\n[shop y]\n")
+        kind = messages.ConfigurationDecided
+        answer = await client.ask(cluster.targets, proposal, kind)
+        assert (answer.outcome, answer.version) == ("invalid", 1)
+        assert len(answer.errors) == 2
+
+    run(scenario, tmp_path)
+
+
+def test_first_claim_of_a_key_wins(tmp_path):
+    async def scenario(cluster, client):
+        for submission in ("first", "second"):
+            claim = messages.ClaimSubmission("key", "f", submission, "g1", 1)
+            decided = await client.ask(cluster.targets, claim, messages.ClaimDecided)
+            assert decided.submission == "first"
+
+    run(scenario, tmp_path)
+
+
+def test_stopped_member_is_removed_and_stays_out(tmp_path):
+    async def scenario(cluster, client):
+        member = builders_control.build_member("s1")
+        renewal = client.build_renewal(member)
+        await client.ask(cluster.targets, renewal, messages.LeaseGranted)
+        leave = messages.LeaveMembership("s1", 1, True)
+        client.send(cluster.targets[0], leave)
+        states = [item.state for item in cluster.running.values()]
+        while any("s1" in state.members for state in states):
+            await asyncio.sleep(0.01)
+        answer = await client.ask(
+            cluster.targets, renewal, messages.LeaseGranted | messages.LeaseDenied
+        )
+        assert answer.reason == "superseded"
+
+    run(scenario, tmp_path)
+
+
+def test_silent_member_expires(tmp_path):
+    async def scenario(cluster, client):
+        renewal = client.build_renewal(builders_control.build_member("s1"))
+        await client.ask(cluster.targets, renewal, messages.LeaseGranted)
+        state = next(iter(cluster.running.values())).state
+        for _ in range(builders_control.WAIT_S * 100):
+            if "s1" not in state.members:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("the member did not expire")
+
+    run(scenario, tmp_path, lease_ms=300)
+
+
+def test_planned_stop_hands_leadership_over(tmp_path):
+    async def scenario(cluster, client):
+        leader = await cluster.find_leader()
+        stopping = cluster.running.pop(leader)
+        await stopping.stop()
+        assert any(item.leading for item in cluster.running.values())
+
+    run(scenario, tmp_path)
+
+
+def test_state_survives_a_restart_of_all(tmp_path):
+    async def scenario(cluster, client):
+        kind = messages.ConfigurationDecided
+        decided = await client.ask(cluster.targets, build_proposal(), kind)
+        assert decided.outcome == "accepted"
+        cluster.close()
+        await cluster.start()
+        await cluster.find_leader()
+        fetch = messages.FetchConfiguration(1, 0)
+        kind = messages.ConfigurationFetched
+        fetched = await client.ask(cluster.targets, fetch, kind)
+        assert fetched.version == 2
+
+    run(scenario, tmp_path)
+
+
+def test_two_processes_cannot_use_one_folder(tmp_path):
+    async def scenario(cluster, client):
+        with pytest.raises(disk.LockedError):
+            await cluster.build("a").start()
+
+    run(scenario, tmp_path)
