Add the whole path: gateway, sidecar, controllers, demo

Cause: nothing served a request yet. Change: lease holder, start rule, credits, executor, fair queue, routing and dispatcher as pure machines; HTTP interface, upstream calls, roles, stand-in upstream, one-process cluster, demonstration and command line.

--- /dev/null
+++ b/amaranthspar/_httpserver.py
@@ -0,0 +1,76 @@
+"""Sanic embedded in a running loop, without child processes."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import sanic
+from sanic import response
+
+from amaranthspar import errors
+
+Handler = Callable[..., Awaitable[response.HTTPResponse]]
+
+RESPONSE_TIMEOUT_SECONDS = 3700
+KEEP_ALIVE_SECONDS = 120
+_numbers = itertools.count(1)
+
+
+class HttpServer:
+    """HTTP server of one role.
+
+    Args:
+        max_body_bytes: Largest body accepted in bytes.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.app: Any = sanic.Sanic(
+            f"amaranthspar-{next(_numbers)}", configure_logging=False
+        )
+        self.app.config.MOTD = False
+        self.app.config.TOUCHUP = False
+        self.app.config.NOISY_EXCEPTIONS = False
+        self.app.config.REQUEST_MAX_SIZE = max_body_bytes
+        self.app.config.RESPONSE_TIMEOUT = RESPONSE_TIMEOUT_SECONDS
+        self.app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_SECONDS
+        self._server: Any = None
+
+    def add(self, method: str, path: str, handler: Handler) -> None:
+        """Serve a path.
+
+        Args:
+            method: HTTP method.
+            path: Path with Sanic's placeholders.
+            handler: Coroutine function that answers.
+        """
+        name = handler.__name__.strip("_")
+        self.app.add_route(handler, path, methods=[method], name=name)
+
+    async def open(self, address: str) -> None:
+        """Listen.
+
+        Args:
+            address: Address as in ``127.0.0.1:8000``.
+
+        Raises:
+            errors.InputOutputError: The address cannot be used.
+        """
+        host, _, port = address.rpartition(":")
+        self._server = await self.app.create_server(
+            host, int(port), return_asyncio_server=True, access_log=False
+        )
+        await self._server.startup()
+        try:
+            await self._server.start_serving()
+        except OSError as error:
+            raise errors.InputOutputError(f"cannot listen on {address}") from error
+
+    async def close(self) -> None:
+        """Stop listening and close the connections."""
+        if self._server is None:
+            return
+        self._server.close()
+        for connection in list(self._server.connections):
+            connection.close()
+        await self._server.wait_closed()
+        self._server = None
--- /dev/null
+++ b/amaranthspar/cluster.py
@@ -0,0 +1,157 @@
+"""All roles and stand-in upstreams in one process on loopback."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+
+import attrs
+
+from amaranthspar import (
+    configuration,
+    controller,
+    gateway,
+    options,
+    sidecar,
+    standin,
+    tokens,
+)
+
+DOMAINS = ("gyor", "pecs", "veszprem")
+CONTROLLERS = 3
+GATEWAYS = 2
+UPSTREAMS = 9
+SLOTS = 8
+CONNECTIONS = 64
+SERVICES = ["lookup", "recalculate", "hold"]
+HOST = "127.0.0.1"
+READY_POLL_MS = 20
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that are free now.
+
+    Args:
+        count: How many ports.
+    """
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            probe = stack.enter_context(socket.socket())
+            probe.bind((HOST, 0))
+            ports.append(probe.getsockname()[1])
+        return ports
+
+
+def build_configuration(token: str) -> configuration.Configuration:
+    """Return the configuration that the cluster starts with.
+
+    Args:
+        token: Token of its one account, which is an operator's as well.
+    """
+    result = configuration.Configuration()
+    result.add_service("lookup", idempotent=True)
+    result.add_service("recalculate", idempotent=True, objective="completion")
+    result.add_service("hold")
+    for domain in DOMAINS:
+        result.add_domain(domain)
+    result.add_team("field")
+    digest = tokens.hash_token(token)
+    return result.add_account("field", team="field", token_hash=digest, operator=True)
+
+
+@attrs.define(slots=True)
+class Cluster:
+    """Controllers, gateways, sidecars and stand-ins of one loop.
+
+    Attributes:
+        folder: Folder for the controllers' data.
+        token: Token of the account.
+        ports: HTTP ports of the gateways.
+        record: Starts of each task.
+    """
+
+    folder: pathlib.Path
+    token: str
+    ports: list[int]
+    record: standin.StartRecord = attrs.field(factory=standin.StartRecord)
+    controllers: list[controller.Controller] = attrs.field(factory=list)
+    gateways: list[gateway.Gateway] = attrs.field(factory=list)
+    sidecars: list[sidecar.Sidecar] = attrs.field(factory=list)
+    stand_ins: list[standin.StandIn] = attrs.field(factory=list)
+
+    async def start(self) -> None:
+        """Start every role and wait until each gateway is ready."""
+        addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS)]
+        await self._start_controllers(addresses)
+        for number in range(UPSTREAMS):
+            await self._start_sidecar(number, addresses)
+        for number, port in enumerate(self.ports):
+            await self._start_gateway(number, port, addresses)
+        while not self.is_ready:
+            await asyncio.sleep(READY_POLL_MS / 1000)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether every gateway sees every sidecar and holds a lease."""
+        return all(
+            item.is_ready and len(item.dispatcher.routes) == len(self.sidecars)
+            for item in self.gateways
+        )
+
+    async def stop(self) -> None:
+        """Stop every role in order, cutting off nothing."""
+        await asyncio.gather(*(item.stop() for item in self.gateways))
+        await asyncio.gather(*(item.stop() for item in self.sidecars))
+        await asyncio.gather(*(item.stop() for item in self.controllers))
+        await asyncio.gather(*(item.close() for item in self.stand_ins))
+
+    async def _start_controllers(self, addresses: list[str]) -> None:
+        bootstrap = self.folder / "bootstrap.ini"
+        bootstrap.write_text(str(build_configuration(self.token)))
+        replicas = [f"c{number + 1}={item}" for number, item in enumerate(addresses)]
+        for number, address in enumerate(addresses):
+            name = f"controller-{number + 1}"
+            process = options.ProcessOptions(name, address, addresses, DOMAINS[number])
+            section = options.ControllerOptions(
+                f"c{number + 1}", replicas, str(self.folder / name), str(bootstrap)
+            )
+            role = controller.Controller(process, options.LinkOptions(), section)
+            await role.start()
+            self.controllers.append(role)
+
+    async def _start_sidecar(self, number: int, controllers: list[str]) -> None:
+        listen, upstream = (f"{HOST}:{port}" for port in find_ports(2))
+        domain = DOMAINS[number % len(DOMAINS)]
+        stand_in = standin.StandIn(f"upstream-{number + 1}", domain, self.record)
+        await stand_in.open(upstream)
+        self.stand_ins.append(stand_in)
+        process = options.ProcessOptions(
+            f"sidecar-{number + 1}", listen, controllers, domain
+        )
+        section = options.SidecarOptions(
+            upstream,
+            worker=f"worker-{number + 1}",
+            rack=f"rack-{number // 3 + 1}",
+            services=SERVICES,
+            slots=SLOTS,
+            connections=CONNECTIONS,
+        )
+        role = sidecar.Sidecar(process, options.LinkOptions(), section)
+        await role.start()
+        self.sidecars.append(role)
+
+    async def _start_gateway(
+        self, number: int, port: int, controllers: list[str]
+    ) -> None:
+        listen = f"{HOST}:{find_ports(1)[0]}"
+        domain = DOMAINS[number % len(DOMAINS)]
+        process = options.ProcessOptions(
+            f"gateway-{number + 1}", listen, controllers, domain
+        )
+        section = options.GatewayOptions(
+            f"{HOST}:{port}", tokens.hash_token(self.token)
+        )
+        role = gateway.Gateway(process, options.LinkOptions(), section)
+        await role.start()
+        self.gateways.append(role)
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -17,9 +17,8 @@
 from typing import Any
 
 import attrs
-import msgspec
 
-from amaranthspar import entries, errors, messages
+from amaranthspar import _sections, entries, errors, messages
 
 Entry = entries.Service | entries.Domain | entries.Desk | entries.Team | entries.Account
 KINDS: dict[str, type[Entry]] = {
@@ -154,9 +153,11 @@
             expected = ", ".join(f"[{known} NAME]" for known in KINDS)
             faults.append(f"[{section.name}]: unknown section, expected {expected}")
             continue
-        entry = _parse_entry(kind, name, section, faults)
-        if entry is not None:
-            result.select_kind(kind)[name] = entry
+        values = {item.key: item.value for item in section.settings}
+        reading = _sections.read_section(section.name, values, KINDS[kind], name)
+        faults += reading.faults
+        if reading.entry is not None:
+            result.select_kind(kind)[name] = reading.entry
     faults += _find_dangling_names(result)
     if faults:
         raise ConfigurationError(faults)
@@ -193,39 +194,6 @@
     return str(value)
 
 
-def _parse_entry(
-    kind: str, name: str, section: messages.Section, faults: list[str]
-) -> Entry | None:
-    fields = {field.name: field for field in attrs.fields(KINDS[kind])}
-    values: dict[str, Any] = {"name": name}
-    known = len(faults)
-    for item in section.settings:
-        if item.key == "name" or item.key not in fields:
-            faults.append(f"[{section.name}] {item.key}: unknown key")
-            continue
-        value: Any = item.value
-        if fields[item.key].type in (bool, "bool"):
-            value = configparser.ConfigParser.BOOLEAN_STATES.get(value.lower(), value)
-        try:
-            part = {item.key: value, "name": name, "token_hash": ""}
-            if item.key == "token_hash":
-                part["token_hash"] = value
-            part = {key: part[key] for key in part if key in fields}
-            msgspec.convert(part, KINDS[kind], strict=False)
-        except msgspec.ValidationError as error:
-            reason = str(error).partition(" - at ")[0]
-            faults.append(f"[{section.name}] {item.key} = {item.value}: {reason}")
-            continue
-        values[item.key] = value
-    if len(faults) > known:
-        return None
-    try:
-        return msgspec.convert(values, KINDS[kind], strict=False)
-    except msgspec.ValidationError as error:
-        faults.append(f"[{section.name}]: {error}")
-        return None
-
-
 def _find_dangling_names(result: Configuration) -> list[str]:
     return [
         f"[account {account.name}] team = {account.team}: no such team"
--- /dev/null
+++ b/amaranthspar/leaseholder.py
@@ -0,0 +1,136 @@
+"""Holder's side of a lease.
+
+A lease counts from the moment at which its holder sent the renewal, less the
+age of the controller's quorum-confirmed view and a margin for clock drift. So
+no grant outlives the configuration that it was made under by more than the
+lease's length, whatever the network does.
+"""
+
+import random
+
+import attrs
+
+from amaranthspar import effects, messages, view
+
+RENEW_MS = 1000
+RETRY_MS = 300
+DRIFT_RATIO = 0.1
+JITTER_RATIO = 0.1
+
+
+@attrs.frozen(slots=True)
+class ViewChanged:
+    """Tells that a newer configuration or membership is held."""
+
+
+@attrs.frozen(slots=True)
+class LeaseLost:
+    """Tells that another incarnation took this process's place."""
+
+
+Effect = effects.Send | ViewChanged | LeaseLost
+
+
+class LeaseHolder:
+    """Renews a lease and installs what the grants carry.
+
+    Args:
+        member: The process itself.
+        controllers: Addresses of the controllers.
+        started_ms: Monotonic time at which the process started.
+        chance: Source of the jitter and of the first controller.
+    """
+
+    def __init__(
+        self,
+        member: messages.Member,
+        controllers: list[str],
+        started_ms: int,
+        chance: random.Random,
+    ) -> None:
+        self.member = member
+        self.view = view.View()
+        self._controllers = controllers
+        self._chance = chance
+        self._target = chance.randrange(len(controllers))
+        self._started_ms = started_ms
+        self._expires_ms = started_ms
+        self._next_ms = started_ms
+        self._unanswered = False
+
+    def is_valid(self, now_ms: int) -> bool:
+        """Return whether the lease is in force.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        return now_ms < self._expires_ms
+
+    def count_remaining(self, now_ms: int) -> int:
+        """Return the time left in ms, 0 for a lapsed lease."""
+        return max(0, self._expires_ms - now_ms)
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Renew the lease when it is time.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        if now_ms < self._next_ms:
+            return []
+        if self._unanswered:
+            self._target = (self._target + 1) % len(self._controllers)
+        self._unanswered = True
+        self._next_ms = now_ms + RETRY_MS
+        renewal = messages.RenewLease(
+            self.member,
+            now_ms,
+            self.view.configuration_version,
+            self.view.membership_revision,
+        )
+        return [effects.Send(self._controllers[self._target], renewal)]
+
+    def announce(self, member: messages.Member, now_ms: int) -> list[Effect]:
+        """Replace what the process states about itself and renew at once."""
+        self.member = member
+        self._next_ms = now_ms
+        return self.tick(now_ms)
+
+    def handle(self, message: object, now_ms: int) -> list[Effect]:
+        """Take a controller's answer.
+
+        Args:
+            message: `messages.LeaseGranted` or `messages.LeaseDenied`.
+            now_ms: Monotonic time in ms.
+        """
+        match message:
+            case messages.LeaseGranted():
+                return self._accept(message, now_ms)
+            case messages.LeaseDenied(reason="superseded"):
+                self._expires_ms = now_ms
+                return [LeaseLost()]
+            case _:
+                return []
+
+    def _accept(self, grant: messages.LeaseGranted, now_ms: int) -> list[Effect]:
+        if grant.sent_ms < self._started_ms or grant.sent_ms > now_ms:
+            return []
+        changed = False
+        if grant.configuration is not None:
+            changed |= self.view.apply_configuration(grant.configuration)
+        if grant.membership is not None:
+            changed |= self.view.apply_membership(grant.membership)
+        self._extend(grant, now_ms)
+        return [ViewChanged()] if changed else []
+
+    def _extend(self, grant: messages.LeaseGranted, now_ms: int) -> None:
+        if self.view.configuration_version < grant.configuration_version:
+            return
+        length_ms = int((grant.duration_ms - grant.age_ms) * (1 - DRIFT_RATIO))
+        expires_ms = grant.sent_ms + length_ms
+        if expires_ms <= self._expires_ms:
+            return
+        self._expires_ms = expires_ms
+        self._unanswered = False
+        jitter_ms = self._chance.uniform(-JITTER_RATIO, JITTER_RATIO) * RENEW_MS
+        self._next_ms = max(now_ms, grant.sent_ms + RENEW_MS + int(jitter_ms))
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -292,25 +292,6 @@
     incarnation: int
 
 
-@attrs.frozen(slots=True)
-class SubmissionAnswered:
-    """Hands the answer of a keyed submission to another gateway.
-
-    Attributes:
-        submission: Submission id.
-        outcome: `done`, `not-run` or `unknown`.
-        status: HTTP status.
-        content_type: HTTP content type.
-        body: Whole body.
-    """
-
-    submission: str
-    outcome: str
-    status: int
-    content_type: str
-    body: bytes
-
-
 @attrs.frozen(slots=True)
 class TaskStart:
     """One task of a start message.
@@ -342,6 +323,10 @@
         service: Service name.
         content_type: Content type of the payloads.
         deadline_ms: Time left in ms when sent.
+        queued: Tasks that still wait in the gateway and may run here.
+        oldest_wait_ms: Wait in ms of the oldest of them.
+        sent: Total of tasks sent and credits handed back after this message.
+        acknowledged: Sequence up to which results arrived.
         tasks: Tasks.
         desk: Desk name; empty for none.
         traceparent: W3C trace context.
@@ -354,6 +339,10 @@
     service: str
     content_type: str
     deadline_ms: int
+    queued: int
+    oldest_wait_ms: int
+    sent: int
+    acknowledged: int
     tasks: list[TaskStart]
     desk: str = ""
     traceparent: str = ""
@@ -391,11 +380,13 @@
     """Reports finished or refused tasks and the gateway's credit limit.
 
     Attributes:
+        target: Gateway incarnation that the results are for.
         first_sequence: Sequence of the first result on this link.
         results: Results.
         credit_limit: Total of tasks that the gateway may have sent.
     """
 
+    target: int
     first_sequence: int
     results: list[TaskResult]
     credit_limit: int
@@ -835,6 +826,23 @@
     history: list[HistoryItem]
 
 
+@attrs.frozen(slots=True)
+class SubmissionAnswered:
+    """Hands the answer of a keyed submission to another gateway.
+
+    Attributes:
+        submission: Submission id.
+        outcome: `done`, `not-run` or `unknown`.
+        results: Results in task order; empty for a failure.
+        reason: Why the submission failed; empty for a whole answer.
+    """
+
+    submission: str
+    outcome: str
+    results: list[TaskResult]
+    reason: str
+
+
 @attrs.frozen(slots=True)
 class ChangeMembers:
     """Adds, changes and removes members in one batch.
--- /dev/null
+++ b/amaranthspar/sidecar.py
@@ -0,0 +1,173 @@
+"""Role of a sidecar: the only starter of tasks on its upstream."""
+
+import asyncio
+import random
+
+from amaranthspar import (
+    clock,
+    codec,
+    effects,
+    executor,
+    leaseholder,
+    links,
+    logs,
+    messages,
+    metrics,
+    options,
+    upstream,
+)
+
+TICK_MS = 50
+METRICS_MS = 1000
+LEAVE_POLL_MS = 20
+
+
+class Sidecar:
+    """Process beside one upstream.
+
+    Args:
+        process: Section ``process`` of the settings.
+        link: Section ``links`` of the settings.
+        sidecar: Section ``sidecar`` of the settings.
+    """
+
+    def __init__(
+        self,
+        process: options.ProcessOptions,
+        link: options.LinkOptions,
+        sidecar: options.SidecarOptions,
+    ) -> None:
+        self._clock = clock.Clock()
+        self._process = process
+        self._log = logs.get_logger(process.name)
+        self._metrics = metrics.Metrics(process.name, process.statsd)
+        incarnation = self._clock.read_wall()
+        member = messages.Member(
+            process.name,
+            "sidecar",
+            incarnation,
+            process.listen,
+            revision=0,
+            announcement=_build_announcement(process, sidecar),
+        )
+        chance = random.Random(f"{process.name}/{incarnation}")
+        now_ms = self._clock.read_monotonic()
+        self.holder = leaseholder.LeaseHolder(
+            member, process.controllers, now_ms, chance
+        )
+        self.executor = executor.Executor(self.holder)
+        self._links = links.Links(
+            process.name, incarnation, process.listen, self._receive, link.heartbeat_ms
+        )
+        self._options = sidecar
+        self._upstream: upstream.Upstream | None = None
+        self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._ticking: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, announce the upstream and take work.
+
+        Raises:
+            errors.LinkError: The address for links cannot be used.
+        """
+        self._upstream = upstream.Upstream(
+            self._options.upstream, self._options.connections
+        )
+        await self._links.open()
+        self._ticking = asyncio.get_running_loop().create_task(self._tick())
+        self._log.info("started", upstream=self._options.upstream)
+
+    async def stop(self) -> None:
+        """Refuse new work, finish what runs and leave."""
+        self._log.info("draining")
+        self._act(self.executor.drain(self._clock.read_monotonic()))
+        self._leave(stopped=False)
+        while not self.executor.is_idle:
+            await asyncio.sleep(LEAVE_POLL_MS / 1000)
+        self._leave(stopped=True)
+        await asyncio.sleep(LEAVE_POLL_MS / 1000)
+        await self.close()
+        self._log.info("stopped")
+
+    async def close(self) -> None:
+        """Close everything at once, as a crash would."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        for call in self._calls.values():
+            call.cancel()
+        self._links.close()
+        if self._upstream is not None:
+            await self._upstream.close()
+
+    def _leave(self, stopped: bool) -> None:
+        incarnation = self.holder.member.incarnation
+        message = messages.LeaveMembership(self._process.name, incarnation, stopped)
+        for address in self._process.controllers:
+            self._links.send(address, message)
+
+    async def _tick(self) -> None:
+        reported_ms = 0
+        while True:
+            now_ms = self._clock.read_monotonic()
+            self._act(self.holder.tick(now_ms))
+            self._act(self.executor.tick(now_ms))
+            if now_ms - reported_ms >= METRICS_MS:
+                reported_ms = now_ms
+                self._metrics.report(self.executor.counts)
+            await asyncio.sleep(TICK_MS / 1000)
+
+    def _receive(self, frame: codec.Frame) -> None:
+        now_ms = self._clock.read_monotonic()
+        for message in frame.messages:
+            match message:
+                case messages.LeaseGranted() | messages.LeaseDenied():
+                    self._act(self.holder.handle(message, now_ms))
+                case _:
+                    event = executor.Received(
+                        frame.sender, frame.incarnation, frame.address, message
+                    )
+                    self._act(self.executor.handle(event, now_ms))
+
+    def _act(self, performed: list[executor.Effect] | list[leaseholder.Effect]) -> None:
+        for effect in performed:
+            match effect:
+                case effects.Send():
+                    self._links.send(effect.peer, effect.message)
+                case executor.RunTask():
+                    call = asyncio.get_running_loop().create_task(self._run(effect))
+                    self._calls[effect.submission, effect.index] = call
+                case executor.StopTask():
+                    self._calls[effect.submission, effect.index].cancel()
+                case leaseholder.ViewChanged():
+                    version = self.holder.view.configuration_version
+                    self._log.info("view changed", configuration=version)
+                case leaseholder.LeaseLost():
+                    self._log.error("another incarnation took over")
+
+    async def _run(self, run: executor.RunTask) -> None:
+        assert self._upstream is not None
+        name = (run.submission, run.index)
+        try:
+            result = await self._upstream.call(run)
+        except asyncio.CancelledError:
+            result = messages.TaskResult(*name, "unknown", "cancelled")
+        self._calls.pop(name, None)
+        ended = executor.TaskEnded(result)
+        self._act(self.executor.handle(ended, self._clock.read_monotonic()))
+
+
+def _build_announcement(
+    process: options.ProcessOptions, sidecar: options.SidecarOptions
+) -> messages.Announcement:
+    return messages.Announcement(
+        worker=sidecar.worker,
+        rack=sidecar.rack,
+        group=sidecar.group,
+        failure_domain=process.failure_domain,
+        services=sidecar.services,
+        slots=sidecar.slots,
+        connections=sidecar.connections,
+        cores=sidecar.cores,
+        memory_mb=sidecar.memory_mb,
+        accelerators=sidecar.accelerators,
+    )
--- /dev/null
+++ b/amaranthspar/submissions.py
@@ -0,0 +1,158 @@
+"""Requests and jobs that a gateway has admitted, and how they end."""
+
+import enum
+
+import attrs
+
+from amaranthspar import messages
+
+NOT_RUN = "not-run"
+DONE = "done"
+UNKNOWN = "unknown"
+
+
+class TaskState(enum.Enum):
+    """Progress of one task."""
+
+    QUEUED = enum.auto()
+    SENT = enum.auto()
+    ENDED = enum.auto()
+
+
+@attrs.frozen(slots=True)
+class Answer:
+    """Final answer to a submission.
+
+    Attributes:
+        submission: Submission id.
+        outcome: ``done``, ``not-run`` or ``unknown``.
+        results: Results in task order if all tasks are done, else empty.
+        reason: Why the submission failed; empty for a whole answer.
+        retry_after_ms: When a caller may come back; 0 for no advice.
+    """
+
+    submission: str
+    outcome: str
+    results: list[messages.TaskResult]
+    reason: str = ""
+    retry_after_ms: int = 0
+
+
+@attrs.define(slots=True)
+class Task:
+    """One task of a submission.
+
+    Attributes:
+        index: Position in the submission.
+        payload: Body for the upstream.
+        expected_ms: Declared run time in ms; 0 for none.
+        cores: Declared processor cores.
+        memory_mb: Declared memory in MB.
+        accelerators: Declared accelerators.
+    """
+
+    index: int
+    payload: bytes
+    expected_ms: int = 0
+    cores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    state: TaskState = TaskState.QUEUED
+    sidecar: str = ""
+    sent_ms: int = 0
+    attempts: int = 0
+    result: messages.TaskResult | None = None
+
+
+@attrs.define(slots=True)
+class Submission:
+    """A request or a job.
+
+    Attributes:
+        name: Submission id, unique over gateways and incarnations.
+        service: Service name.
+        account: Account name.
+        team: Team name; empty for none.
+        caller: Name by which callers of one account are told apart.
+        desk: Desk name; empty for none.
+        is_job: Whether the answer is that of a job.
+        content_type: Content type of the payloads.
+        admitted_ms: Monotonic time of admission.
+        deadline_ms: Monotonic time of the deadline.
+        tasks: Tasks in order.
+        traceparent: W3C trace context; empty for none.
+    """
+
+    name: str
+    service: str
+    account: str
+    team: str
+    caller: str
+    desk: str
+    is_job: bool
+    content_type: str
+    admitted_ms: int
+    deadline_ms: int
+    tasks: list[Task]
+    traceparent: str = ""
+    ended: int = 0
+    over: bool = False
+
+    def list_sent(self) -> list[Task]:
+        """Return the tasks that a sidecar holds."""
+        return [task for task in self.tasks if task.state is TaskState.SENT]
+
+    def end_task(self, task: Task, result: messages.TaskResult) -> None:
+        """Note the result of a task.
+
+        Args:
+            task: Task of this submission that has not ended.
+            result: How it ended.
+        """
+        task.state = TaskState.ENDED
+        task.result = result
+        self.ended += 1
+
+    def conclude(self) -> Answer:
+        """Return the answer once every task has ended."""
+        results = [task.result for task in self.tasks if task.result is not None]
+        failed = [item for item in results if not is_success(item, self.is_job)]
+        if not failed:
+            return Answer(self.name, DONE, results)
+        return self.fail(f"task {failed[0].index}: {describe_failure(failed[0])}")
+
+    def fail(self, reason: str, retry_after_ms: int = 0) -> Answer:
+        """Return the answer of a submission that has failed.
+
+        Args:
+            reason: Cause in a few words.
+            retry_after_ms: When a caller may come back; 0 for no advice.
+        """
+        return Answer(self.name, self._judge_outcome(), [], reason, retry_after_ms)
+
+    def _judge_outcome(self) -> str:
+        started = False
+        for task in self.tasks:
+            outcome = "" if task.result is None else task.result.outcome
+            if task.state is TaskState.SENT or outcome == UNKNOWN:
+                return UNKNOWN
+            started |= outcome == DONE
+        return DONE if started else NOT_RUN
+
+
+def is_success(result: messages.TaskResult, is_job: bool) -> bool:
+    """Return whether a task's result belongs in a whole answer.
+
+    Args:
+        result: Result of a task.
+        is_job: Whether the task is part of a job; a single request hands the
+            upstream's status on as it is.
+    """
+    return result.outcome == DONE and (not is_job or result.status < 400)
+
+
+def describe_failure(result: messages.TaskResult) -> str:
+    """Return the cause of a failed task in a few words."""
+    if result.outcome == DONE:
+        return f"upstream answered {result.status}"
+    return result.reason or result.outcome
--- /dev/null
+++ b/amaranthspar/view.py
@@ -0,0 +1,102 @@
+"""What a process knows of the configuration and the membership."""
+
+import attrs
+
+from amaranthspar import configuration, errors, messages
+
+
+@attrs.define(slots=True)
+class View:
+    """Configuration and membership as granted by the controllers.
+
+    Attributes:
+        configuration_version: Version held; 0 for none.
+        membership_revision: Revision held; 0 for none.
+        settings: Configuration of that version.
+        members: Members of that revision by process name.
+    """
+
+    configuration_version: int = 0
+    membership_revision: int = 0
+    settings: configuration.Configuration = attrs.field(
+        factory=configuration.Configuration
+    )
+    members: dict[str, messages.Member] = attrs.field(factory=dict)
+    _sections: dict[str, messages.Section] = attrs.field(factory=dict)
+
+    def apply_configuration(self, change: messages.ConfigurationChange) -> bool:
+        """Apply a delta or a snapshot.
+
+        Args:
+            change: Difference from the version held, or a snapshot.
+
+        Returns:
+            Whether the version held has changed.
+
+        Raises:
+            errors.DecisionError: The sections do not form a configuration.
+        """
+        if change.version <= self.configuration_version:
+            return False
+        if change.base_version not in (0, self.configuration_version):
+            return False
+        sections = {} if change.base_version == 0 else dict(self._sections)
+        for name in change.removed:
+            sections.pop(name, None)
+        for section in change.sections:
+            sections[section.name] = section
+        try:
+            self.settings = configuration.build_configuration(sections.values())
+        except configuration.ConfigurationError as error:
+            raise errors.DecisionError(str(error)) from error
+        self._sections = sections
+        self.configuration_version = change.version
+        return True
+
+    def apply_membership(self, change: messages.MembershipChange) -> bool:
+        """Apply a delta or a snapshot.
+
+        Args:
+            change: Difference from the revision held, or a snapshot.
+
+        Returns:
+            Whether the revision held has changed.
+        """
+        if change.revision <= self.membership_revision:
+            return False
+        if change.base_revision not in (0, self.membership_revision):
+            return False
+        if change.base_revision == 0:
+            self.members = {}
+        for process in change.removed:
+            self.members.pop(process, None)
+        for member in change.members:
+            self.members[member.process] = member
+        self.membership_revision = change.revision
+        return True
+
+    def is_domain_in(self, name: str) -> bool:
+        """Return whether tasks may start in a failure domain.
+
+        Args:
+            name: Failure domain name; one that is not configured is out.
+        """
+        domain = self.settings.domains.get(name)
+        return domain is not None and domain.state == "in"
+
+    def find_home(self, desk: str) -> str:
+        """Return the upstream group that serves a desk.
+
+        Args:
+            desk: Desk name; one that is not configured is served by ``main``.
+        """
+        entry = self.settings.desks.get(desk)
+        return "main" if entry is None else entry.home
+
+    def list_sidecars(self) -> list[messages.Member]:
+        """Return the members that stand beside an upstream."""
+        return [
+            member
+            for member in self.members.values()
+            if member.announcement is not None
+        ]
--- /dev/null
+++ b/tools/pin.py
@@ -0,0 +1,77 @@
+"""Writes the pinned requirements from what is installed.
+
+Run it as ``python -m tools.pin`` after installing ``requirements-dev.in``.
+``requirements.txt`` pins what the program needs, ``requirements-dev.txt`` all.
+"""
+
+import importlib.metadata
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+NAME = re.compile(r"[A-Za-z0-9._-]+")
+
+
+def read_names(path: pathlib.Path) -> list[str]:
+    """Return the package names that a requirements file lists.
+
+    Args:
+        path: File with one requirement a line.
+    """
+    lines = path.read_text().splitlines()
+    matches = [NAME.match(line) for line in lines if not line.startswith("-")]
+    return [match.group() for match in matches if match]
+
+
+def collect_pins(names: list[str]) -> dict[str, str]:
+    """Return the pins of packages and of all that they need.
+
+    Args:
+        names: Names of installed packages.
+    """
+    pins: dict[str, str] = {}
+    waiting = list(names)
+    while waiting:
+        name = waiting.pop()
+        try:
+            distribution = importlib.metadata.distribution(name)
+        except importlib.metadata.PackageNotFoundError:
+            continue
+        key = re.sub(r"[-_.]+", "-", distribution.name).lower()
+        if key in pins:
+            continue
+        pins[key] = distribution.version
+        for requirement in distribution.requires or []:
+            match = NAME.match(requirement)
+            if match and "extra ==" not in requirement:
+                waiting.append(match.group())
+    return pins
+
+
+def write_pins(path: pathlib.Path, pins: dict[str, str]) -> None:
+    """Write a requirements file.
+
+    Args:
+        path: File to write.
+        pins: Version by package name.
+    """
+    lines = [f"{name}=={version}\n" for name, version in sorted(pins.items())]
+    path.write_text("".join(lines))
+
+
+def main() -> int:
+    """Write both files.
+
+    Returns:
+        0.
+    """
+    runtime = read_names(ROOT / "requirements.in")
+    development = read_names(ROOT / "requirements-dev.in")
+    write_pins(ROOT / "requirements.txt", collect_pins(runtime))
+    write_pins(ROOT / "requirements-dev.txt", collect_pins(runtime + development))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
