Expect a keyed answer before its claim is sent

Cause: another gateway can learn of a claim before the claimer does and ask for an answer that is not expected yet; it was told that the answer is lost (test_key_runs_once_over_both_gateways failed in 1 of 3 runs). Change: the answer is expected before the claim is sent.

--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -140,14 +140,18 @@
         claim = messages.ClaimSubmission(
             key, fingerprint, submission.name, member.process, member.incarnation
         )
+        # Another gateway may learn of the claim first and ask for its answer.
+        self._answers.expect(submission.name)
         try:
             decided = await self.control.claim(claim)
         except control.ControlUnavailableError:
-            return submission.fail("key could not be claimed", 1000)
-        if decided.fingerprint != fingerprint:
-            return answers.KeyConflict()
+            self._settle(submission.fail("key could not be claimed", 1000))
+            return await self._answers.expect(submission.name)
         if decided.submission == submission.name:
             return await self.submit(submission)
+        self._answers.forget(submission.name)
+        if decided.fingerprint != fingerprint:
+            return answers.KeyConflict()
         if decided.gateway == member.process:
             kept = self._answers.find(decided.submission)
             if kept is not None:
