Hold keys, jobs and desks over several gateways

Cause: a key whose claim ended in not-run could never run again; jobs were seen only by the gateway that admitted them; desks had no barrier. Change: claims that certainly did not run are released; attachments fetch and cancel submissions at the gateway that holds them, by account; the controllers stamp each desk with the version of its last move; sidecars tell what they have settled.

--- a/amaranthspar/answers.py
+++ b/amaranthspar/answers.py
@@ -7,7 +7,8 @@
 from amaranthspar import submissions
 
 RETENTION_MS = 600_000
-RETAINED_ANSWERS = 10_000
+RETAINED_BYTES = 64 * 1024 * 1024
+ANSWER_OVERHEAD_BYTES = 512
 
 
 @attrs.frozen(slots=True)
@@ -16,35 +17,52 @@
 
 
 @attrs.define(slots=True)
-class _Kept:
-    """One submission's answer."""
+class Kept:
+    """One submission's answer, or the promise of it.
 
+    Attributes:
+        account: Account that submitted.
+        future: Answer once it is there.
+        ended_ms: Monotonic time of the answer.
+        size_bytes: Memory that it takes, roughly.
+    """
+
+    account: str
     future: asyncio.Future[submissions.Answer]
     ended_ms: int = 0
+    size_bytes: int = 0
 
 
 class Answers:
-    """Futures of the answers by submission id."""
+    """Answers by submission id, bounded by time and by memory."""
 
     def __init__(self) -> None:
-        self._kept: dict[str, _Kept] = {}
+        self._kept: dict[str, Kept] = {}
+        self._ended: dict[str, None] = {}
+        self._size_bytes = 0
 
-    def expect(self, submission: str) -> asyncio.Future[submissions.Answer]:
+    def expect(
+        self, submission: str, account: str
+    ) -> asyncio.Future[submissions.Answer]:
         """Return the future of a submission's answer, made if need be.
 
         Args:
             submission: Submission id.
+            account: Account that submitted.
         """
         kept = self._kept.get(submission)
         if kept is None:
-            kept = _Kept(asyncio.get_running_loop().create_future())
+            kept = Kept(account, asyncio.get_running_loop().create_future())
             self._kept[submission] = kept
         return kept.future
 
-    def find(self, submission: str) -> asyncio.Future[submissions.Answer] | None:
-        """Return the future of a submission's answer, none if it is not kept."""
-        kept = self._kept.get(submission)
-        return None if kept is None else kept.future
+    def find(self, submission: str) -> Kept | None:
+        """Return a submission's answer or its promise, none if it is not kept.
+
+        Args:
+            submission: Submission id.
+        """
+        return self._kept.get(submission)
 
     def settle(self, answer: submissions.Answer, now_ms: int) -> None:
         """Hand an answer to all who wait for it.
@@ -58,20 +76,30 @@
             return
         kept.future.set_result(answer)
         kept.ended_ms = now_ms
+        body_bytes = sum(len(result.body) for result in answer.results)
+        kept.size_bytes = ANSWER_OVERHEAD_BYTES + body_bytes
+        self._size_bytes += kept.size_bytes
+        self._ended[answer.submission] = None
 
     def forget(self, submission: str) -> None:
-        """Drop an answer that nobody will ask for again."""
-        self._kept.pop(submission, None)
+        """Drop an answer that nobody will ask for again.
+
+        Args:
+            submission: Submission id.
+        """
+        kept = self._kept.pop(submission, None)
+        if kept is not None:
+            self._size_bytes -= kept.size_bytes
+            self._ended.pop(submission, None)
 
     def expire(self, now_ms: int) -> None:
-        """Drop the answers that were kept long enough.
+        """Drop the answers that were kept long enough, or for want of memory.
 
         Args:
             now_ms: Monotonic time in ms.
         """
-        surplus = len(self._kept) - RETAINED_ANSWERS
-        for name, kept in list(self._kept.items()):
-            old = now_ms - kept.ended_ms > RETENTION_MS
-            if kept.future.done() and (old or surplus > 0):
-                del self._kept[name]
-                surplus -= 1
+        for submission in list(self._ended):
+            recent = now_ms - self._kept[submission].ended_ms <= RETENTION_MS
+            if recent and self._size_bytes <= RETAINED_BYTES:
+                return
+            self.forget(submission)
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -89,7 +89,7 @@
     def list_sections(self) -> list[messages.Section]:
         """Return every entry as a section, in a fixed order."""
         return [
-            _format_section(kind, entry)
+            format_section(kind, entry)
             for kind in KINDS
             for _, entry in sorted(self.select_kind(kind).items())
         ]
@@ -179,7 +179,13 @@
     return changed, [name for name in old if name not in new]
 
 
-def _format_section(kind: str, entry: Entry) -> messages.Section:
+def format_section(kind: str, entry: Entry) -> messages.Section:
+    """Return an entry as a section.
+
+    Args:
+        kind: Kind of the entry, as in ``service``.
+        entry: Entry to print.
+    """
     settings = [
         messages.Setting(field.name, _format_value(getattr(entry, field.name)))
         for field in attrs.fields(type(entry))
--- a/amaranthspar/control.py
+++ b/amaranthspar/control.py
@@ -66,6 +66,14 @@
         assert isinstance(answer, messages.ClaimDecided)
         return answer
 
+    def tell(self, message: codec.Message) -> None:
+        """Send a controller something that needs no answer.
+
+        Args:
+            message: Message that may get lost.
+        """
+        self._links.send(self._target, message)
+
     def handle(self, message: codec.Message) -> None:
         """Take a controller's answer.
 
--- a/amaranthspar/entries.py
+++ b/amaranthspar/entries.py
@@ -52,10 +52,12 @@
     Attributes:
         name: Desk name.
         home: Upstream group that serves the desk.
+        moved_version: Version at which the home last changed; kept by the controllers.
     """
 
     name: str
     home: str = "main"
+    moved_version: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar import effects, leaseholder, messages, slots, starts
+from amaranthspar import desks, effects, leaseholder, messages, slots, starts
 
 RESEND_RESULTS_MS = 1500
 GATEWAY_SILENT_MS = 5000
@@ -90,7 +90,7 @@
         self._announcement = holder.member.announcement
         self.slots = slots.Slots(self._announcement.slots)
         self._gateways: dict[str, _Gateway] = {}
-        self._running: dict[tuple[str, int], str] = {}
+        self._running: dict[tuple[str, int], desks.RunningTask] = {}
         self._started = starts.TaskMemory()
 
     @property
@@ -148,6 +148,8 @@
                 return self._note_demand(gateway, event.message)
             case messages.CancelTasks():
                 return self._cancel(event.message)
+            case messages.InquireSettled():
+                return self._report_settled(gateway, event.message)
             case messages.InquireTasks():
                 return self._answer_inquiry(gateway, event.message, now_ms)
             case _:
@@ -217,7 +219,9 @@
         task: messages.TaskStart,
     ) -> RunTask:
         self._started.note(message.submission, task.index)
-        self._running[message.submission, task.index] = gateway.name
+        self._running[message.submission, task.index] = desks.RunningTask(
+            gateway.name, message.desk, self._holder.view.configuration_version
+        )
         self.slots.running += 1
         self._count("tasks.started")
         return RunTask(
@@ -241,9 +245,10 @@
         gateway.ready.append(refused)
 
     def _end(self, ended: messages.TaskResult, now_ms: int) -> list[Effect]:
-        name = self._running.pop((ended.submission, ended.index), None)
-        if name is None:
+        running = self._running.pop((ended.submission, ended.index), None)
+        if running is None:
             return []
+        name = running.gateway
         self.slots.running -= 1
         gateway = self._gateways.get(name)
         grown = self._redistribute(name)
@@ -328,6 +333,21 @@
             if (message.submission, index) in self._running
         ]
 
+    def _report_settled(
+        self, gateway: _Gateway, message: messages.InquireSettled
+    ) -> list[Effect]:
+        if message.target != self._holder.member.incarnation:
+            return []
+        known = self._holder.view
+        version = desks.find_settled_version(
+            known.configuration_version,
+            self._running.values(),
+            self._announcement.group,
+            known,
+        )
+        report = messages.ReportSettled(gateway.incarnation, version)
+        return [effects.Send(gateway.address, report)]
+
     def _answer_inquiry(
         self, gateway: _Gateway, message: messages.InquireTasks, now_ms: int
     ) -> list[Effect]:
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -6,11 +6,14 @@
 
 from amaranthspar import (
     answers,
+    attachments,
     clock,
     codec,
     control,
     dispatcher,
     effects,
+    intake,
+    keys,
     leaseholder,
     links,
     logs,
@@ -24,6 +27,7 @@
 TICK_MS = 50
 HOUSEKEEPING_MS = 1000
 DRAIN_POLL_MS = 20
+REMOTE_TIMEOUT_MS = 3000
 
 
 class Gateway:
@@ -62,7 +66,12 @@
         self.control = control.Control(self._links, process.controllers)
         self._answers = answers.Answers()
         self._numbers = itertools.count(1)
-        self._attached: dict[str, set[str]] = {}
+        self._attachments = attachments.Attachments(
+            self.holder, self._links, self._answers
+        )
+        self._keys = keys.Keys(
+            self.holder, self.control, self._answers, self._attachments, self.submit
+        )
         self._web = web.Web(self)
         self._ticking: asyncio.Task[None] | None = None
 
@@ -122,64 +131,69 @@
         Returns:
             Future of the final answer; a refusal is one as well.
         """
-        future = self._answers.expect(submission.name)
+        future = self._answers.expect(submission.name, submission.account)
         self.handle(dispatcher.Submitted(submission))
         return future
 
     async def submit_keyed(
-        self, submission: submissions.Submission, key: str, fingerprint: str
+        self, submission: submissions.Submission, key: intake.Key
     ) -> submissions.Answer | answers.KeyConflict:
-        """Claim a key, then run the submission or attach to its holder.
+        """Run a submission under its key, or attach to the one that holds it.
 
         Args:
             submission: Request or job.
-            key: Digest of account, service and idempotency key.
-            fingerprint: Digest of the request's body.
+            key: Key of the submission.
         """
-        member = self.holder.member
-        claim = messages.ClaimSubmission(
-            key, fingerprint, submission.name, member.process, member.incarnation
-        )
-        # Another gateway may learn of the claim first and ask for its answer.
-        self._answers.expect(submission.name)
-        try:
-            decided = await self.control.claim(claim)
-        except control.ControlUnavailableError:
-            self._settle(submission.fail("key could not be claimed", 1000))
-            return await self._answers.expect(submission.name)
-        if decided.submission == submission.name:
-            return await self.submit(submission)
-        self._answers.forget(submission.name)
-        if decided.fingerprint != fingerprint:
-            return answers.KeyConflict()
-        if decided.gateway == member.process:
-            kept = self._answers.find(decided.submission)
-            if kept is not None:
-                return await asyncio.shield(kept)
-            return lose_answer(submission.name)
-        return await self._attach(decided, submission)
-
-    async def _attach(
-        self, decided: messages.ClaimDecided, submission: submissions.Submission
-    ) -> submissions.Answer:
-        holder = self.holder.view.members.get(decided.gateway)
-        if holder is None or holder.incarnation != decided.incarnation:
-            return lose_answer(submission.name)
-        future = self._answers.expect(decided.submission)
-        request = messages.AttachSubmission(decided.submission, decided.incarnation)
-        self._links.send(holder.address, request)
-        left_ms = submission.deadline_ms - self.clock.read_monotonic()
-        done, _ = await asyncio.wait([future], timeout=left_ms / 1000)
-        return future.result() if done else lose_answer(submission.name)
-
-    def find_answer(self, name: str) -> asyncio.Future[submissions.Answer] | None:
-        """Return the future of a submission's answer, none if not kept here."""
-        return self._answers.find(name)
+        return await self._keys.submit(submission, key)
+
+    async def find_job(self, name: str, account: str) -> submissions.Answer | None:
+        """Return the answer of a job, with outcome ``running`` if it goes on.
+
+        Args:
+            name: Submission id.
+            account: Account that asks.
+
+        Returns:
+            The answer; none if no gateway holds such a job for the account.
+        """
+        if not self._is_local(name):
+            return await self._attachments.fetch(
+                name, account, wait=False, timeout_ms=REMOTE_TIMEOUT_MS
+            )
+        kept = self._answers.find(name)
+        if kept is None or kept.account != account:
+            return None
+        if kept.future.done():
+            return kept.future.result()
+        return submissions.Answer(name, attachments.RUNNING, [])
+
+    def cancel_job(self, name: str, account: str) -> bool:
+        """Cancel a job; one that has ended stays as it is.
+
+        Args:
+            name: Submission id.
+            account: Account that asks.
+
+        Returns:
+            Whether a gateway that may hold the job was told.
+        """
+        if not self._is_local(name):
+            return self._attachments.cancel(name, account)
+        kept = self._answers.find(name)
+        if kept is None or kept.account != account:
+            return False
+        self.handle(dispatcher.Cancelled(name))
+        return True
 
     def forget_answer(self, name: str) -> None:
         """Drop an answer that nobody will ask for again."""
         self._answers.forget(name)
 
+    def _is_local(self, name: str) -> bool:
+        origin = attachments.read_origin(name)
+        member = self.holder.member
+        return origin is None or origin.process == member.process
+
     def handle(self, event: dispatcher.Event) -> None:
         """Give the dispatcher an event and carry out what follows.
 
@@ -206,31 +220,22 @@
             match message:
                 case messages.LeaseGranted() | messages.LeaseDenied():
                     self._act(self.holder.handle(message, now_ms))
-                case messages.ReportResults() | messages.GrantCredits():
+                case (
+                    messages.ReportResults()
+                    | messages.GrantCredits()
+                    | messages.ReportSettled()
+                ):
                     sender = (frame.sender, frame.incarnation)
                     self.handle(dispatcher.Received(*sender, message))
                 case messages.AttachSubmission():
-                    self._serve_attachment(frame.address, message)
+                    self._attachments.serve(frame.address, message)
                 case messages.SubmissionAnswered():
-                    self._settle(_restore_answer(message))
+                    self._attachments.settle(message)
+                case messages.CancelSubmission():
+                    self.cancel_job(message.submission, message.account)
                 case _:
                     self.control.handle(message)
 
-    def _serve_attachment(
-        self, address: str, request: messages.AttachSubmission
-    ) -> None:
-        future = self._answers.find(request.submission)
-        if future is None:
-            self._send_answer(address, lose_answer(request.submission))
-            return
-        future.add_done_callback(lambda done: self._send_answer(address, done.result()))
-
-    def _send_answer(self, address: str, answer: submissions.Answer) -> None:
-        message = messages.SubmissionAnswered(
-            answer.submission, answer.outcome, answer.results, answer.reason
-        )
-        self._links.send(address, message)
-
     def _settle(self, answer: submissions.Answer) -> None:
         self._answers.settle(answer, self.clock.read_monotonic())
 
@@ -249,17 +254,3 @@
                     self.handle(dispatcher.ViewChanged())
                 case leaseholder.LeaseLost():
                     self._log.error("another incarnation took over")
-
-
-def lose_answer(submission: str) -> submissions.Answer:
-    """Return the answer of a submission whose own answer is gone.
-
-    Args:
-        submission: Submission id.
-    """
-    reason = "the answer is no longer held; the submission may have run"
-    return submissions.Answer(submission, submissions.UNKNOWN, [], reason)
-
-
-def _restore_answer(kept: messages.SubmissionAnswered) -> submissions.Answer:
-    return submissions.Answer(kept.submission, kept.outcome, kept.results, kept.reason)
--- /dev/null
+++ b/amaranthspar/keys.py
@@ -0,0 +1,118 @@
+"""Keyed submissions: each key runs at most once over all gateways."""
+
+import asyncio
+from collections.abc import Callable
+
+from amaranthspar import (
+    answers,
+    attachments,
+    clock,
+    control,
+    intake,
+    leaseholder,
+    messages,
+    submissions,
+)
+
+CLAIM_TRIES = 3
+UNCLAIMED_RETRY_MS = 1000
+RELEASE_PAUSE_MS = 100
+
+Submit = Callable[[submissions.Submission], asyncio.Future[submissions.Answer]]
+
+
+class Keys:
+    """Claims keys for submissions and attaches resends to their holders.
+
+    Args:
+        holder: Lease of this gateway.
+        controllers: Requests to the controllers.
+        held: Answers of this gateway.
+        remote: Answers of other gateways.
+        submit: Admits a submission whose key is claimed.
+    """
+
+    def __init__(
+        self,
+        holder: leaseholder.LeaseHolder,
+        controllers: control.Control,
+        held: answers.Answers,
+        remote: attachments.Attachments,
+        submit: Submit,
+    ) -> None:
+        self._holder = holder
+        self._control = controllers
+        self._held = held
+        self._remote = remote
+        self._submit = submit
+        self._clock = clock.Clock()
+
+    async def submit(
+        self, submission: submissions.Submission, key: intake.Key
+    ) -> submissions.Answer | answers.KeyConflict:
+        """Run a submission under its key, or attach to the one that holds it.
+
+        Args:
+            submission: Request or job.
+            key: Key of the submission.
+        """
+        # Another gateway may learn of the claim first and ask for its answer.
+        future = self._held.expect(submission.name, submission.account)
+        for _ in range(CLAIM_TRIES):
+            try:
+                decided = await self._claim(submission, key)
+            except control.ControlUnavailableError:
+                break
+            if decided.submission == submission.name:
+                answer = await self._submit(submission)
+                self._release_unused(key, answer)
+                return answer
+            if decided.fingerprint != key.fingerprint:
+                self._held.forget(submission.name)
+                return answers.KeyConflict()
+            answer = await self._attach(decided, submission)
+            if answer.outcome != submissions.NOT_RUN:
+                self._held.forget(submission.name)
+                return answer
+            self._release_unused(key, answer)
+            await asyncio.sleep(RELEASE_PAUSE_MS / 1000)
+        answer = submission.fail("key could not be claimed", UNCLAIMED_RETRY_MS)
+        self._held.settle(answer, self._clock.read_monotonic())
+        return await asyncio.shield(future)
+
+    async def _claim(
+        self, submission: submissions.Submission, key: intake.Key
+    ) -> messages.ClaimDecided:
+        member = self._holder.member
+        claim = messages.ClaimSubmission(
+            key.name,
+            key.fingerprint,
+            submission.name,
+            member.process,
+            member.incarnation,
+        )
+        return await self._control.claim(claim)
+
+    async def _attach(
+        self, decided: messages.ClaimDecided, submission: submissions.Submission
+    ) -> submissions.Answer:
+        name = decided.submission
+        left_ms = submission.deadline_ms - self._clock.read_monotonic()
+        if decided.gateway == self._holder.member.process:
+            kept = self._held.find(name)
+            if kept is None or left_ms <= 0:
+                return attachments.lose_answer(name)
+            await asyncio.wait([kept.future], timeout=left_ms / 1000)
+            if not kept.future.done():
+                return attachments.lose_answer(name)
+            return kept.future.result()
+        answer = await self._remote.fetch(
+            name, submission.account, wait=True, timeout_ms=left_ms
+        )
+        return answer or attachments.lose_answer(name)
+
+    def _release_unused(self, key: intake.Key, answer: submissions.Answer) -> None:
+        """Free the key of a submission that certainly did not run."""
+        if answer.outcome == submissions.NOT_RUN:
+            release = messages.ReleaseClaim(key.name, answer.submission)
+            self._control.tell(release)
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -260,6 +260,19 @@
     incarnation: int
 
 
+@attrs.frozen(slots=True)
+class ReleaseClaim:
+    """Gives up the claim of a submission that certainly did not run.
+
+    Attributes:
+        key: Account, service and idempotency key, hashed.
+        submission: Submission that holds the key.
+    """
+
+    key: str
+    submission: str
+
+
 @attrs.frozen(slots=True)
 class ClaimDecided:
     """Tells who holds a keyed submission.
@@ -285,11 +298,28 @@
 
     Attributes:
         submission: Submission id.
-        incarnation: Gateway incarnation that claimed it.
+        incarnation: Gateway incarnation that admitted it.
+        account: Account that asks.
+        wait: Whether to answer only once the submission has ended.
     """
 
     submission: str
     incarnation: int
+    account: str
+    wait: bool
+
+
+@attrs.frozen(slots=True)
+class CancelSubmission:
+    """Asks the gateway that holds a submission to cancel it.
+
+    Attributes:
+        submission: Submission id.
+        account: Account that asks.
+    """
+
+    submission: str
+    account: str
 
 
 @attrs.frozen(slots=True)
@@ -428,6 +458,30 @@
     acknowledged: int
 
 
+@attrs.frozen(slots=True)
+class InquireSettled:
+    """Asks a sidecar whether it has settled the moves of desks up to a version.
+
+    Attributes:
+        target: Sidecar incarnation asked.
+    """
+
+    target: int
+
+
+@attrs.frozen(slots=True)
+class ReportSettled:
+    """States up to which version a sidecar has settled the moves of desks.
+
+    Attributes:
+        target: Gateway incarnation that asked.
+        version: Configuration version; no task of a desk that it moved away runs here.
+    """
+
+    target: int
+    version: int
+
+
 @attrs.frozen(slots=True)
 class CancelTasks:
     """Stops tasks of a submission.
@@ -832,7 +886,7 @@
 
     Attributes:
         submission: Submission id.
-        outcome: `done`, `not-run` or `unknown`.
+        outcome: `done`, `not-run`, `unknown`, or `running` for one that has not ended, or `missing`.
         results: Results in task order; empty for a failure.
         reason: Why the submission failed; empty for a whole answer.
     """
--- a/amaranthspar/registry.py
+++ b/amaranthspar/registry.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from amaranthspar import codec, configuration, errors, messages
+from amaranthspar import codec, configuration, desks, errors, messages
 
 KEPT_VERSIONS = 128
 KEPT_CHANGES = 10_000
@@ -85,6 +85,9 @@
                 return [MembersApplied(self._change_members(command))]
             case messages.RecordClaims() as command:
                 return self._record_claims(command)
+            case messages.ReleaseClaim() as command:
+                self._release_claim(command)
+                return []
             case _:
                 raise errors.DecisionError(f"unknown entry kind {entry.kind!r}")
 
@@ -176,6 +179,7 @@
         for section in sections:
             newest[section.name] = section
         self.version += 1
+        newest = desks.carry_moves(self._versions[-1], newest, self.version)
         self._versions.append(newest)
         if len(self._versions) > KEPT_VERSIONS:
             del self._versions[0]
@@ -284,9 +288,16 @@
             result.append(ClaimApplied(claim, kept.claim))
         return result
 
+    def _release_claim(self, command: messages.ReleaseClaim) -> None:
+        kept = self.claims.get(command.key)
+        if kept is not None and kept.claim.submission == command.submission:
+            del self.claims[command.key]
+
     def _expire_claims(self, before_ms: int) -> None:
         while self._expiry and self._expiry[0].decided_ms < before_ms:
-            del self.claims[self._expiry.popleft().claim.key]
+            kept = self._expiry.popleft()
+            if self.claims.get(kept.claim.key) is kept:
+                del self.claims[kept.claim.key]
 
     # Snapshots.
 
--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -92,6 +92,7 @@
         self._joins: dict[str, messages.Member] = {}
         self._removals: dict[str, messages.MemberRemoval] = {}
         self._claims: list[messages.ClaimSubmission] = []
+        self._releases: list[messages.ReleaseClaim] = []
         self._changes: list[messages.AcceptConfiguration] = []
         self._renewing: dict[str, _Waiting] = {}
         self._claiming: dict[str, list[_Waiting]] = {}
@@ -114,6 +115,7 @@
         self._joins.clear()
         self._removals.clear()
         self._claims.clear()
+        self._releases.clear()
         self._changes.clear()
 
     def take(self, request: Request, standing: Standing) -> list[effects.Send]:
@@ -139,6 +141,10 @@
                 return self._propose(request, message, standing)
             case messages.ClaimSubmission() as message:
                 return self._claim(request, message, standing)
+            case messages.ReleaseClaim() as message:
+                if not standing.leading:
+                    return _forward(request, standing)
+                self._releases.append(message)
             case messages.LeaveMembership() as message:
                 if not standing.leading:
                     return _forward(request, standing)
@@ -151,7 +157,7 @@
         Args:
             wall_ms: Wall clock in ms.
         """
-        found: list[codec.Message] = list(self._changes)
+        found: list[codec.Message] = [*self._changes, *self._releases]
         joins = list(self._joins.values())
         removals = list(self._removals.values())
         for start in range(0, max(len(joins), len(removals)), MAX_BATCH):
@@ -164,6 +170,7 @@
         self._joins.clear()
         self._removals.clear()
         self._claims.clear()
+        self._releases.clear()
         return [encode_command(command) for command in found]
 
     def note_outcomes(
--- a/amaranthspar/starts.py
+++ b/amaranthspar/starts.py
@@ -71,6 +71,8 @@
         return Refusal.UNKNOWN_SERVICE
     if known.find_home(message.desk) != announcement.group:
         return Refusal.WRONG_HOME
+    if message.configuration_version < known.find_move(message.desk):
+        return Refusal.OLD_CONFIGURATION
     if message.deadline_ms <= 0:
         return Refusal.DEADLINE_PASSED
     return None
--- a/amaranthspar/view.py
+++ b/amaranthspar/view.py
@@ -93,6 +93,15 @@
         entry = self.settings.desks.get(desk)
         return "main" if entry is None else entry.home
 
+    def find_move(self, desk: str) -> int:
+        """Return the version at which a desk's home last changed, 0 for never.
+
+        Args:
+            desk: Desk name.
+        """
+        entry = self.settings.desks.get(desk)
+        return 0 if entry is None else entry.moved_version
+
     def list_sidecars(self) -> list[messages.Member]:
         """Return the members that stand beside an upstream."""
         return [
--- a/amaranthspar/web.py
+++ b/amaranthspar/web.py
@@ -12,8 +12,8 @@
 from amaranthspar import (
     _httpserver,
     answers,
+    attachments,
     control,
-    dispatcher,
     entries,
     intake,
     messages,
@@ -194,7 +194,7 @@
             if not draft.is_job:
                 self._gateway.forget_answer(draft.name)
             return answer
-        keyed = await self._gateway.submit_keyed(draft, key.name, key.fingerprint)
+        keyed = await self._gateway.submit_keyed(draft, key)
         match keyed:
             case answers.KeyConflict():
                 detail = "the Idempotency-Key was used before with another body"
@@ -203,22 +203,19 @@
                 return keyed
 
     async def _show_job(self, request: Any, job: str) -> response.HTTPResponse:
-        self._authorize(request)
-        future = self._gateway.find_answer(job)
-        if future is None:
-            detail = f"no job {job!r} is held here"
-            raise problems.ProblemError(404, "unknown-job", detail, "unknown")
-        if not future.done():
+        account = self._authorize(request)
+        answer = await self._gateway.find_job(job, account.name)
+        if answer is None:
+            raise _refuse_unknown_job(job)
+        if answer.outcome == attachments.RUNNING:
             body = msgspec.json.encode({"job": job, "state": "running"})
             return response.raw(body, 200, content_type=JSON)
-        return _answer_job(future.result())
+        return _answer_job(answer)
 
     async def _cancel_job(self, request: Any, job: str) -> response.HTTPResponse:
-        self._authorize(request)
-        if self._gateway.find_answer(job) is None:
-            detail = f"no job {job!r} is held here"
-            raise problems.ProblemError(404, "unknown-job", detail, "unknown")
-        self._gateway.handle(dispatcher.Cancelled(job))
+        account = self._authorize(request)
+        if not self._gateway.cancel_job(job, account.name):
+            raise _refuse_unknown_job(job)
         return response.empty(204)
 
     async def _show_configuration(self, request: Any) -> response.HTTPResponse:
@@ -271,6 +268,11 @@
         return response.raw(msgspec.json.encode(status), content_type=JSON)
 
 
+def _refuse_unknown_job(job: str) -> problems.ProblemError:
+    detail = f"no job {job!r} is held"
+    return problems.ProblemError(404, "unknown-job", detail, submissions.UNKNOWN)
+
+
 def _refuse_unready(detail: str) -> problems.ProblemError:
     return problems.ProblemError(503, "unavailable", detail, retry_after_ms=1000)
 
