Split the dispatcher by job

Cause: one module of 400 lines held admission, queues, demand reports and the handling of silent sidecars.

Change: admission (may this be admitted), backlog (queues of waiting tasks), demand (reports to sidecars) and doubts (silent and gone sidecars) are modules of their own; the dispatcher composes them. Behaviour is unchanged.

--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -1,22 +1,22 @@
 """State machine of a gateway: admission, queue, dispatch and answers."""
 
+import collections
+
 import attrs
 
 from amaranthspar import (
+    admission,
+    backlog,
+    demand,
+    doubts,
     effects,
-    fairqueue,
     leaseholder,
     messages,
     routing,
     submissions,
 )
 
-DEFAULT_EXPECTED_MS = 200
-DEMAND_INTERVAL_MS = 100
 KEEP_ALIVE_MS = 1000
-SILENT_MS = 1500
-INQUIRE_INTERVAL_MS = 1500
-UNAVAILABLE_RETRY_MS = 1000
 
 
 @attrs.frozen(slots=True)
@@ -51,14 +51,6 @@
 Effect = effects.Send | submissions.Answer
 
 
-@attrs.frozen(slots=True)
-class _Waiting:
-    """A task in the queue."""
-
-    submission: submissions.Submission
-    task: submissions.Task
-
-
 class Dispatcher:
     """Admits submissions and sends their tasks to sidecars.
 
@@ -68,14 +60,15 @@
     """
 
     def __init__(self, holder: leaseholder.LeaseHolder, near_domain: str) -> None:
-        self.counts: dict[str, int] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
         self.submissions: dict[str, submissions.Submission] = {}
         self.routes: dict[str, routing.Route] = {}
         self._holder = holder
         self._near_domain = near_domain
-        self._queues: dict[routing.Needs, fairqueue.FairQueue[_Waiting]] = {}
-        self._queued: dict[str, int] = {}
-        self._oldest_ms: dict[str, int] = {}
+        self._backlog = backlog.Backlog()
+        self._admission = admission.Admission(holder, self._backlog, self.routes)
+        self._demand = demand.Demand(self._backlog)
+        self._doubts = doubts.Doubts(holder)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -104,63 +97,38 @@
         result: list[Effect] = []
         for submission in list(self.submissions.values()):
             if now_ms >= submission.deadline_ms:
-                self._count("submissions.overdue")
+                self.counts["submissions.overdue"] += 1
                 result += self._end(submission, submission.fail("deadline passed"))
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
         return result + self._pump(now_ms)
 
+    def count_queued(self) -> int:
+        """Return how many tasks wait."""
+        return len(self._backlog)
+
     def _admit(self, submission: submissions.Submission, now_ms: int) -> list[Effect]:
-        refusal = self._judge_admission(submission, now_ms)
-        if refusal:
-            self._count("submissions.refused")
-            retry_ms = 0 if refusal.startswith("can never") else UNAVAILABLE_RETRY_MS
-            return [submission.fail(refusal, retry_ms)]
-        self._count("submissions.admitted")
+        refusal = self._admission.judge(submission, now_ms)
+        if refusal is not None:
+            self.counts["submissions.refused"] += 1
+            return [refusal]
+        self.counts["submissions.admitted"] += 1
         self.submissions[submission.name] = submission
         for task in submission.tasks:
             self._enqueue(submission, task)
         return []
 
-    def _judge_admission(self, submission: submissions.Submission, now_ms: int) -> str:
-        if not self._holder.is_valid(now_ms):
-            return "gateway holds no lease"
-        if now_ms >= submission.deadline_ms:
-            return "deadline passed"
-        service = self._holder.view.settings.services[submission.service]
-        waiting = sum(self._queued.values())
-        if waiting + len(submission.tasks) > service.queue_limit:
-            return "queue full"
-        announcements = [item.announcement for item in self.routes.values()]
-        for needs in {self._read_needs(submission, task) for task in submission.tasks}:
-            if not any(routing.is_feasible(needs, item) for item in announcements):
-                return "can never run: no upstream has what it needs"
-        return ""
-
-    def _read_needs(
-        self, submission: submissions.Submission, task: submissions.Task
-    ) -> routing.Needs:
-        group = self._holder.view.find_home(submission.desk)
-        wanted = (task.cores, task.memory_mb, task.accelerators)
-        return routing.Needs(submission.service, group, *wanted)
-
     def _enqueue(
         self, submission: submissions.Submission, task: submissions.Task
     ) -> None:
-        task.state = submissions.TaskState.QUEUED
-        task.sidecar = ""
-        needs = self._read_needs(submission, task)
-        queue = self._queues.setdefault(needs, fairqueue.FairQueue())
-        path = (submission.team, submission.caller, submission.name)
-        cost_ms = task.expected_ms or DEFAULT_EXPECTED_MS
-        queue.push(path, _Waiting(submission, task), cost_ms)
-        self._queued[submission.name] = self._queued.get(submission.name, 0) + 1
+        needs = routing.read_needs(submission, task, self._holder.view)
+        self._backlog.push(needs, backlog.Waiting(submission, task))
 
     def _cancel(self, name: str) -> list[Effect]:
         submission = self.submissions.get(name)
         if submission is None:
             return []
-        self._count("submissions.cancelled")
+        self.counts["submissions.cancelled"] += 1
         return self._end(submission, submission.fail("cancelled"))
 
     def _end(
@@ -168,7 +136,7 @@
     ) -> list[Effect]:
         submission.over = True
         del self.submissions[submission.name]
-        self._queued.pop(submission.name, None)
+        self._backlog.drop(submission.name)
         result: list[Effect] = [answer]
         held: dict[str, list[int]] = {}
         for task in submission.list_sent():
@@ -182,7 +150,7 @@
 
     def _pump(self, now_ms: int) -> list[Effect]:
         """Send what waits to the sidecars that have room."""
-        if not self._holder.is_valid(now_ms) or not self._queued:
+        if not self._holder.is_valid(now_ms) or not len(self._backlog):
             return []
         known = self._holder.view
         routes = [
@@ -190,38 +158,33 @@
             for route in self.routes.values()
             if route.credits > 0 and routing.is_open(route, known)
         ]
-        batches: dict[tuple[str, str], list[_Waiting]] = {}
-        for needs in list(self._queues):
+        batches: dict[tuple[str, str], list[backlog.Waiting]] = {}
+        for needs in self._backlog.list_needs():
             self._assign(needs, routes, batches)
         result: list[Effect] = []
         for (sidecar, _), batch in batches.items():
             result.append(self._send_batch(self.routes[sidecar], batch, now_ms))
-        return result + self._report_demand(now_ms)
+        return result + self._demand.report(self.routes.values(), now_ms)
 
     def _assign(
         self,
         needs: routing.Needs,
         routes: list[routing.Route],
-        batches: dict[tuple[str, str], list[_Waiting]],
+        batches: dict[tuple[str, str], list[backlog.Waiting]],
     ) -> None:
-        queue = self._queues[needs]
-        while len(queue):
+        while True:
             route = routing.choose_route(needs, routes, self._near_domain)
             if route is None:
                 return
-            waiting = queue.pop()
-            if waiting.submission.over:
-                continue
-            name = waiting.submission.name
+            waiting = self._backlog.pop(needs)
+            if waiting is None:
+                return
             route.sent += 1
-            self._queued[name] -= 1
-            if not self._queued[name]:
-                del self._queued[name]
-            batches.setdefault((route.member.process, name), []).append(waiting)
-        del self._queues[needs]
+            name = (route.member.process, waiting.submission.name)
+            batches.setdefault(name, []).append(waiting)
 
     def _send_batch(
-        self, route: routing.Route, batch: list[_Waiting], now_ms: int
+        self, route: routing.Route, batch: list[backlog.Waiting], now_ms: int
     ) -> effects.Send:
         submission = batch[0].submission
         starts = []
@@ -246,49 +209,18 @@
             content_type=submission.content_type,
             deadline_ms=submission.deadline_ms - now_ms,
             traceparent=submission.traceparent,
-            queued=self.count_queued(),
-            oldest_wait_ms=self._measure_oldest_wait(now_ms),
+            queued=len(self._backlog),
+            oldest_wait_ms=self._backlog.measure_oldest_wait(now_ms),
             sent=route.sent,
             acknowledged=route.acknowledged,
             tasks=starts,
         )
         return effects.Send(route.member.address, message)
 
-    def count_queued(self) -> int:
-        """Return how many tasks wait."""
-        return sum(self._queued.values())
-
-    def _measure_oldest_wait(self, now_ms: int) -> int:
-        if not self._queued:
-            return 0
-        oldest = self.submissions[next(iter(self._queued))]
-        return now_ms - oldest.admitted_ms
-
-    def _report_demand(self, now_ms: int) -> list[Effect]:
-        """Tell sidecars of work that waits without credits."""
-        if not self._queued:
-            return []
-        return [
-            self._state_demand(route, now_ms)
-            for route in self.routes.values()
-            if now_ms - route.demand_ms >= DEMAND_INTERVAL_MS
-        ]
-
-    def _state_demand(self, route: routing.Route, now_ms: int) -> effects.Send:
-        route.demand_ms = now_ms
-        demand = messages.ReportDemand(
-            route.member.incarnation,
-            self.count_queued(),
-            self._measure_oldest_wait(now_ms),
-            route.sent,
-            route.acknowledged,
-        )
-        return effects.Send(route.member.address, demand)
-
     def _receive(self, event: Received, now_ms: int) -> list[Effect]:
         route = self.routes.get(event.sidecar)
         if route is None or route.member.incarnation != event.incarnation:
-            self._count("messages.stale")
+            self.counts["messages.stale"] += 1
             return []
         route.heard_ms = now_ms
         match event.message:
@@ -297,7 +229,7 @@
             case messages.GrantCredits():
                 return self._take_credits(route, event.message, now_ms)
             case _:
-                self._count("messages.unexpected")
+                self.counts["messages.unexpected"] += 1
                 return []
 
     def _take_credits(
@@ -310,7 +242,7 @@
         if not returned:
             return []
         route.sent += returned
-        return [self._state_demand(route, now_ms)]
+        return [self._demand.state(route, now_ms)]
 
     def _take_results(
         self, route: routing.Route, report: messages.ReportResults, now_ms: int
@@ -332,10 +264,10 @@
         task = route.in_flight.pop((item.submission, item.index), None)
         submission = self.submissions.get(item.submission)
         if task is None or submission is None:
-            self._count("results.late")
+            self.counts["results.late"] += 1
             return []
         if item.outcome == submissions.NOT_RUN:
-            self._count("tasks.refused")
+            self.counts["tasks.refused"] += 1
             self._enqueue(submission, task)
             return []
         submission.end_task(task, item)
@@ -358,43 +290,28 @@
                 self.routes[name].member = member
                 continue
             self.routes[name] = routing.Route(member, heard_ms=now_ms)
-            result.append(self._state_demand(self.routes[name], now_ms))
+            result.append(self._demand.state(self.routes[name], now_ms))
         return result
 
     def _give_up(self, route: routing.Route) -> list[Effect]:
-        """End the tasks of a sidecar that is gone; retry where that is allowed."""
         result: list[Effect] = []
-        services = self._holder.view.settings.services
-        for (name, index), task in route.in_flight.items():
-            submission = self.submissions.get(name)
-            if submission is None:
+        for verdict in self._doubts.give_up(route, self.submissions):
+            submission = verdict.submission
+            if submission.over:
                 continue
-            service = services.get(submission.service)
-            retry = service is not None and service.idempotent
-            if retry and not submission.is_job and task.attempts == 1:
-                self._count("tasks.retried")
-                self._enqueue(submission, task)
-                continue
-            lost = messages.TaskResult(name, index, "unknown", "sidecar lost")
-            submission.end_task(task, lost)
-            result += self._end(submission, submission.conclude())
+            match verdict:
+                case doubts.Retry():
+                    self.counts["tasks.retried"] += 1
+                    self._enqueue(submission, verdict.task)
+                case doubts.Lost():
+                    submission.end_task(verdict.task, verdict.result)
+                    result += self._end(submission, submission.conclude())
         return result
 
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
         if now_ms - route.demand_ms >= KEEP_ALIVE_MS:
-            result.append(self._state_demand(route, now_ms))
-        silent = now_ms - route.heard_ms > SILENT_MS
-        asked = now_ms - route.inquired_ms < INQUIRE_INTERVAL_MS
-        if not route.in_flight or not silent or asked:
-            return result
-        route.inquired_ms = now_ms
-        self._count("inquiries.sent")
-        doubtful = [messages.TaskReference(*name) for name in route.in_flight]
-        inquiry = messages.InquireTasks(
-            route.member.incarnation, route.sequence, doubtful
-        )
-        return [*result, effects.Send(route.member.address, inquiry)]
-
-    def _count(self, name: str, amount: int = 1) -> None:
-        self.counts[name] = self.counts.get(name, 0) + amount
+            result.append(self._demand.state(route, now_ms))
+        inquiries = self._doubts.inquire(route, now_ms)
+        self.counts["inquiries.sent"] += len(inquiries)
+        return result + inquiries
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -60,6 +60,21 @@
     accelerators: int = 0
 
 
+def read_needs(
+    submission: submissions.Submission, task: submissions.Task, known: view.View
+) -> Needs:
+    """Return what a task asks of an upstream.
+
+    Args:
+        submission: Submission of the task.
+        task: Task.
+        known: Configuration held by the gateway.
+    """
+    group = known.find_home(submission.desk)
+    wanted = (task.cores, task.memory_mb, task.accelerators)
+    return Needs(submission.service, group, *wanted)
+
+
 def is_feasible(needs: Needs, announcement: messages.Announcement) -> bool:
     """Return whether an upstream could ever run a task.
 
