Keep a moving desk from running in two homes at once

Cause: after a desk's move its requests could start at the new home while older ones still ran at the old one. Change: the gateway holds a desk's tasks until every sidecar of the other homes reports that it has settled the move; asked for only while such tasks wait.

--- a/amaranthspar/admission.py
+++ b/amaranthspar/admission.py
@@ -52,7 +52,8 @@
             return "queue full"
         announcements = [item.announcement for item in self._routes.values()]
         wanted = {
-            routing.read_needs(submission, task, known) for task in submission.tasks
+            routing.resolve_home(routing.read_needs(submission, task, known), known)
+            for task in submission.tasks
         }
         for needs in wanted:
             if not any(routing.is_feasible(needs, item) for item in announcements):
--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -68,12 +68,14 @@
         folder: Folder for the controllers' data.
         token: Token of the account.
         ports: HTTP ports of the gateways.
+        ledger_upstreams: Further upstreams, in the group ``ledger``.
         record: Starts of each task.
     """
 
     folder: pathlib.Path
     token: str
     ports: list[int]
+    ledger_upstreams: int = 0
     record: standin.StartRecord = attrs.field(factory=standin.StartRecord)
     controllers: list[controller.Controller] = attrs.field(factory=list)
     gateways: list[gateway.Gateway] = attrs.field(factory=list)
@@ -84,7 +86,7 @@
         """Start every role and wait until each gateway is ready."""
         addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS)]
         await self._start_controllers(addresses)
-        for number in range(UPSTREAMS):
+        for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
         for number, port in enumerate(self.ports):
             await self._start_gateway(number, port, addresses)
@@ -133,6 +135,7 @@
             upstream,
             worker=f"worker-{number + 1}",
             rack=f"rack-{number // 3 + 1}",
+            group="main" if number < UPSTREAMS else "ledger",
             services=SERVICES,
             slots=SLOTS,
             connections=CONNECTIONS,
--- a/amaranthspar/desks.py
+++ b/amaranthspar/desks.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from amaranthspar import configuration, entries, messages, view
+from amaranthspar import configuration, effects, entries, messages, view
 
 INQUIRE_INTERVAL_MS = 100
 KIND = "desk"
@@ -93,6 +93,7 @@
 
     def __init__(self) -> None:
         self._settled: dict[tuple[str, int], int] = {}
+        self._opened: dict[str, int] = {}
         self._asked_ms = 0
 
     def note(self, process: str, incarnation: int, version: int) -> None:
@@ -112,7 +113,14 @@
             desk: Desk name; empty for none.
             known: View that the gateway holds.
         """
-        return not self.list_unsettled(desk, known)
+        moved_version = known.find_move(desk)
+        if self._opened.get(desk, 0) >= moved_version:
+            return True
+        if self.list_unsettled(desk, known):
+            return False
+        # Sidecars that join later hold at least this version from the start.
+        self._opened[desk] = moved_version
+        return True
 
     def list_unsettled(self, desk: str, known: view.View) -> list[messages.Member]:
         """Return the sidecars that a desk still waits for.
@@ -132,10 +140,10 @@
             and self._find_version(member) < entry.moved_version
         ]
 
-    def choose_inquiries(
+    def inquire(
         self, wanted: Iterable[str], known: view.View, now_ms: int
-    ) -> list[messages.Member]:
-        """Return the sidecars to ask now, none if they were asked just before.
+    ) -> list[effects.Send]:
+        """Ask the sidecars that desks wait for, unless they were asked just before.
 
         Args:
             wanted: Desks whose tasks wait.
@@ -147,11 +155,15 @@
         members = {
             member.process: member
             for desk in wanted
+            if not self.is_open(desk, known)
             for member in self.list_unsettled(desk, known)
         }
         if members:
             self._asked_ms = now_ms
-        return list(members.values())
+        return [
+            effects.Send(member.address, messages.InquireSettled(member.incarnation))
+            for member in members.values()
+        ]
 
     def forget_absent(self, known: view.View) -> None:
         """Drop what is known of sidecars that are no longer members.
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -8,6 +8,7 @@
     admission,
     backlog,
     demand,
+    desks,
     doubts,
     effects,
     leaseholder,
@@ -69,6 +70,7 @@
         self._admission = admission.Admission(holder, self._backlog, self.routes)
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder)
+        self._barrier = desks.Barrier()
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -101,6 +103,8 @@
                 result += self._end(submission, submission.fail("deadline passed"))
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
+        waiting = (needs.desk for needs in self._backlog.list_needs())
+        result += self._barrier.inquire(waiting, self._holder.view, now_ms)
         return result + self._pump(now_ms)
 
     def count_queued(self) -> int:
@@ -172,8 +176,12 @@
         routes: list[routing.Route],
         batches: dict[tuple[str, str], list[backlog.Waiting]],
     ) -> None:
+        known = self._holder.view
+        if not self._barrier.is_open(needs.desk, known):
+            return
+        resolved = routing.resolve_home(needs, known)
         while True:
-            route = routing.choose_route(needs, routes, self._near_domain)
+            route = routing.choose_route(resolved, routes, self._near_domain)
             if route is None:
                 return
             waiting = self._backlog.pop(needs)
@@ -228,6 +236,11 @@
                 return self._take_results(route, event.message, now_ms)
             case messages.GrantCredits():
                 return self._take_credits(route, event.message, now_ms)
+            case messages.ReportSettled():
+                self._barrier.note(
+                    event.sidecar, event.incarnation, event.message.version
+                )
+                return []
             case _:
                 self.counts["messages.unexpected"] += 1
                 return []
@@ -279,6 +292,7 @@
 
     def _follow_membership(self, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
+        self._barrier.forget_absent(self._holder.view)
         current = {item.process: item for item in self._holder.view.list_sidecars()}
         for name, route in list(self.routes.items()):
             member = current.get(name)
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -47,7 +47,8 @@
 
     Attributes:
         service: Service name.
-        group: Upstream group.
+        group: Upstream group; empty where the desk's home decides.
+        desk: Desk with an entry in the configuration; empty for any other.
         cores: Processor cores.
         memory_mb: Memory in MB.
         accelerators: Accelerators.
@@ -55,6 +56,7 @@
 
     service: str
     group: str
+    desk: str = ""
     cores: int = 0
     memory_mb: int = 0
     accelerators: int = 0
@@ -70,9 +72,22 @@
         task: Task.
         known: Configuration held by the gateway.
     """
-    group = known.find_home(submission.desk)
+    desk = submission.desk if submission.desk in known.settings.desks else ""
+    group = "" if desk else known.find_home(submission.desk)
     wanted = (task.cores, task.memory_mb, task.accelerators)
-    return Needs(submission.service, group, *wanted)
+    return Needs(submission.service, group, desk, *wanted)
+
+
+def resolve_home(needs: Needs, known: view.View) -> Needs:
+    """Return needs with the upstream group that serves the desk now.
+
+    Args:
+        needs: What a task asks for.
+        known: Configuration held by the gateway.
+    """
+    if not needs.desk:
+        return needs
+    return attrs.evolve(needs, group=known.find_home(needs.desk))
 
 
 def is_feasible(needs: Needs, announcement: messages.Announcement) -> bool:
--- a/amaranthspar/standin.py
+++ b/amaranthspar/standin.py
@@ -10,10 +10,11 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, upstream
+from amaranthspar import _httpserver, clock, upstream
 
 JSON = "application/json"
 MAX_BODY_BYTES = 64 * 1024 * 1024
+RECORDED_SPANS = 10_000
 
 
 @attrs.frozen(slots=True)
@@ -41,10 +42,26 @@
     starts: int
 
 
+@attrs.frozen(slots=True)
+class Span:
+    """Time in which one task ran.
+
+    Attributes:
+        upstream: Name of the upstream.
+        started_ms: Monotonic time of the start.
+        ended_ms: Monotonic time of the end.
+    """
+
+    upstream: str
+    started_ms: int
+    ended_ms: int
+
+
 class StartRecord:
     """Starts of each task over all stand-ins of a process."""
 
     def __init__(self) -> None:
+        self.spans: collections.deque[Span] = collections.deque(maxlen=RECORDED_SPANS)
         self.starts: collections.Counter[tuple[str, str]] = collections.Counter()
         self.started = 0
 
@@ -69,7 +86,8 @@
     """
 
     def __init__(self, name: str, failure_domain: str, record: StartRecord) -> None:
-        self._name = name
+        self.name = name
+        self._clock = clock.Clock()
         self._failure_domain = failure_domain
         self._record = record
         self._server = _httpserver.HttpServer(MAX_BODY_BYTES)
@@ -95,7 +113,10 @@
         submission = request.headers.get(upstream.SUBMISSION_HEADER, "")
         task = request.headers.get(upstream.TASK_HEADER, "")
         starts = self._record.note(submission, task)
+        started_ms = self._clock.read_monotonic()
         await asyncio.sleep(work.sleep_ms / 1000)
-        done = Done(work.echo, self._name, self._failure_domain, starts)
+        span = Span(self.name, started_ms, self._clock.read_monotonic())
+        self._record.spans.append(span)
+        done = Done(work.echo, self.name, self._failure_domain, starts)
         status = 500 if work.fail else 200
         return response.raw(msgspec.json.encode(done), status, content_type=JSON)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -12,8 +12,11 @@
 Scenario = Callable[[cluster.Cluster, client.Client], Awaitable[None]]
 
 
-def run_scenario(folder: pathlib.Path, scenario: Scenario) -> cluster.Cluster:
-    running = cluster.Cluster(folder, "secret", cluster.find_ports(2))
+def run_scenario(
+    folder: pathlib.Path, scenario: Scenario, ledger_upstreams: int = 0
+) -> cluster.Cluster:
+    ports = cluster.find_ports(2)
+    running = cluster.Cluster(folder, "secret", ports, ledger_upstreams)
 
     async def run() -> None:
         await running.start()
