Fuzz the replicas against an oracle and replace replicas one at a time

The fuzzer found that a handover to a dead replica blocked proposals for good: it is now given up after one election timeout.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+SECONDS ?= 60
+SEED ?=
 
 .PHONY: demo test ci format lint types layers generate fuzz binary clean
 
@@ -32,5 +34,8 @@
 generate: $(VENV)/.ready
 	$(BIN)/python -m tools.generate
 
+fuzz: $(VENV)/.ready
+	$(BIN)/python -m tools.fuzz --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
 clean:
 	rm -rf $(VENV) build dist
--- a/amaranthspar/consensus.py
+++ b/amaranthspar/consensus.py
@@ -15,6 +15,7 @@
     journal,
     leadership,
     messages,
+    replacement,
     replicas,
     transitions,
 )
@@ -28,7 +29,7 @@
     Args:
         identity: Who this replica is.
         first: First set of replicas, for a cluster that is not formed yet.
-        timing: Timeouts.
+        settings: Timeouts and limits.
         chance: Source of random election timeouts.
         stored: What the data folder holds.
         now_ms: Current time in ms.
@@ -38,14 +39,14 @@
         self,
         identity: transitions.Identity,
         first: messages.ChangeReplicas,
-        timing: transitions.Timing,
+        settings: transitions.Settings,
         chance: random.Random,
         stored: transitions.Stored,
         now_ms: int,
     ) -> None:
         self.replica = identity.replica
         self.folder = identity.folder
-        self.journal = journal.Journal(first, stored)
+        self.journal = journal.Journal(first, stored, settings.trailing_entries)
         self.commit_index = self.journal.log.base_index
         self.role = "follower"
         self.leader = ""
@@ -53,11 +54,11 @@
         self.rejected_folders = 0
         self.follower = following.Follower(self.replica, self.folder, chance)
         self._view_ms = -1
-        self._timing = timing
+        self._settings = settings
         self._chance = chance
-        self._votes: dict[str, int] = {}
+        self.votes: dict[str, int] = {}
         self._vote_number = 0
-        self._heard_ms = now_ms - timing.election_ms
+        self._heard_ms = now_ms - settings.election_ms
         self._deadline_ms = 0
         self._reset_deadline(now_ms)
 
@@ -117,7 +118,9 @@
             case transitions.Confirm():
                 self._broadcast(now_ms)
             case transitions.HandOver():
-                self._hand_over()
+                self._hand_over(now_ms)
+            case transitions.Replace():
+                self._replace(event, now_ms)
         return self.journal.end_step()
 
     def _tick(self, now_ms: int) -> None:
@@ -126,11 +129,13 @@
                 self._start_pre_vote(now_ms)
             return
         self._confirm_view(now_ms)
+        if now_ms >= self.leading.target_until_ms:
+            self.leading.target = ""
         confirmed_ms = max(
             self.leading.find_confirmed_ms(self.journal.members, now_ms),
             self.leading.elected_ms,
         )
-        if now_ms - confirmed_ms > QUORUM_LOST_ELECTIONS * self._timing.election_ms:
+        if now_ms - confirmed_ms > QUORUM_LOST_ELECTIONS * self._settings.election_ms:
             self._follow(self.term, "", now_ms)
         elif now_ms >= self.leading.next_heartbeat_ms:
             self._broadcast(now_ms)
@@ -168,7 +173,7 @@
     # Elections.
 
     def _reset_deadline(self, now_ms: int) -> None:
-        election_ms = self._timing.election_ms
+        election_ms = self._settings.election_ms
         self._deadline_ms = now_ms + self._chance.randint(election_ms, 2 * election_ms)
 
     def _may_campaign(self) -> bool:
@@ -183,7 +188,7 @@
         if not self._may_campaign():
             return
         self.role = "pre_candidate"
-        self._votes = {}
+        self.votes = {}
         self._ask_votes(self.term + 1, pre_vote=True, transfer=False)
         self._count_vote(self.replica, self.folder, now_ms)
 
@@ -193,7 +198,7 @@
         self._reset_deadline(now_ms)
         self._change_leader("")
         self.role = "candidate"
-        self._votes = {}
+        self.votes = {}
         self._vote_number = self.journal.save_vote(self.term + 1, self.replica)
         self._ask_votes(self.term, pre_vote=False, transfer=transfer)
 
@@ -240,9 +245,9 @@
 
     def _hears_leader(self, now_ms: int) -> bool:
         if self.leading is None:
-            return now_ms - self._heard_ms < self._timing.election_ms
+            return now_ms - self._heard_ms < self._settings.election_ms
         confirmed_ms = self.leading.find_confirmed_ms(self.journal.members, now_ms)
-        return now_ms - confirmed_ms < self._timing.election_ms
+        return now_ms - confirmed_ms < self._settings.election_ms
 
     def _take_vote(self, message: messages.Vote, now_ms: int) -> None:
         if message.term > self.term and not message.granted:
@@ -256,9 +261,9 @@
             self._count_vote(message.voter, message.folder, now_ms)
 
     def _count_vote(self, voter: str, folder: int, now_ms: int) -> None:
-        self._votes[voter] = folder
+        self.votes[voter] = folder
         members = self.journal.members
-        if not replicas.win_election(members, self._votes, self.journal.formed):
+        if not replicas.win_election(members, self.votes, self.journal.formed):
             return
         if self.role == "pre_candidate":
             self._campaign(False, now_ms)
@@ -274,10 +279,8 @@
         self._change_leader(self.replica)
         first = transitions.Command("", b"")
         if not self.journal.formed:
-            bound = replicas.bind_folders(self.journal.members, self._votes)
-            first = transitions.Command(
-                journal.REPLICAS_KIND, codec.encode_message(bound)
-            )
+            bound = replicas.bind_folders(self.journal.members, self.votes)
+            first = _encode_change(bound)
         self._propose([first], now_ms)
 
     def _follow(self, term: int, leader: str, now_ms: int) -> None:
@@ -312,7 +315,7 @@
         if self.leading is None:
             return
         self.leading.start_round(now_ms)
-        self.leading.next_heartbeat_ms = now_ms + self._timing.heartbeat_ms
+        self.leading.next_heartbeat_ms = now_ms + self._settings.heartbeat_ms
         for peer in self.journal.members.replicas:
             if peer.id != self.replica:
                 self._replicate(peer, now_ms)
@@ -327,7 +330,9 @@
         self.journal.emit(effects.Send(peer.address, append))
         snapshot = self.journal.snapshot
         if progress.next <= log.base_index and snapshot is not None:
-            chunk = self.leading.build_chunk(progress, snapshot)
+            chunk = self.leading.build_chunk(
+                progress, snapshot, self._settings.chunk_bytes
+            )
             self.journal.emit(effects.Send(peer.address, chunk))
 
     def _take_answer(self, message: messages.Appended, now_ms: int) -> None:
@@ -345,6 +350,7 @@
         self._confirm_view(now_ms)
         if self.leading is not None:
             self._finish_hand_over(peer, progress)
+            self._promote(peer, progress, now_ms)
             if moved and self.journal.log.base_index < progress.next <= last_index:
                 self._replicate(peer, now_ms)
 
@@ -381,13 +387,14 @@
             self._replicate(peer, now_ms)
             self._advance_commit(now_ms)
 
-    def _hand_over(self) -> None:
+    def _hand_over(self, now_ms: int) -> None:
         if self.leading is None:
             return
         target = self.leading.choose_target(self.journal.members)
         peer = replicas.find_replica(self.journal.members, target)
         if peer is not None:
             self.leading.target = target
+            self.leading.target_until_ms = now_ms + self._settings.election_ms
             self._finish_hand_over(peer, self.leading.peers[target])
 
     def _finish_hand_over(
@@ -399,6 +406,40 @@
             transfer = messages.TransferLeadership(self.term, self.replica)
             self.journal.emit(effects.Send(peer.address, transfer))
 
+    def _replace(self, event: transitions.Replace, now_ms: int) -> None:
+        if not self._may_change_members():
+            reason = "no leader here, or an earlier change is not yet committed"
+            self.journal.emit(transitions.Refuse(reason))
+            return
+        members = self.journal.members
+        try:
+            change = replacement.plan_replacement(
+                members, event.removed, event.added, event.address
+            )
+        except replacement.RefusedError as error:
+            self.journal.emit(transitions.Refuse(str(error)))
+            return
+        self._propose([_encode_change(change)], now_ms)
+
+    def _may_change_members(self) -> bool:
+        return (
+            self.leading is not None
+            and not self.leading.target
+            and self.commit_index >= self.leading.first_index
+            and self.commit_index >= self.journal.members_index
+        )
+
+    def _promote(
+        self, peer: messages.Replica, progress: leadership.Progress, now_ms: int
+    ) -> None:
+        caught_up = progress.match >= self.commit_index
+        if peer.voter or not caught_up or not self._may_change_members():
+            return
+        change = replacement.plan_promotion(
+            self.journal.members, peer.id, progress.folder
+        )
+        self._propose([_encode_change(change)], now_ms)
+
     # Followers.
 
     def _accept_leader(self, term: int, leader: str, now_ms: int) -> bool:
@@ -453,3 +494,7 @@
         if self.role == "candidate" and number >= self._vote_number:
             self._count_vote(self.replica, self.folder, now_ms)
         self._advance_commit(now_ms)
+
+
+def _encode_change(change: messages.ChangeReplicas) -> transitions.Command:
+    return transitions.Command(journal.REPLICAS_KIND, codec.encode_message(change))
--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -125,7 +125,7 @@
         self._machine = consensus.Consensus(
             transitions.Identity(self._options.replica, folder.folder),
             first,
-            transitions.Timing(self._options.election_ms, self._options.heartbeat_ms),
+            transitions.Settings(self._options.election_ms, self._options.heartbeat_ms),
             random.Random(secrets.randbits(64)),
             folder.stored,
             self._clock.read_monotonic(),
--- a/amaranthspar/journal.py
+++ b/amaranthspar/journal.py
@@ -5,7 +5,6 @@
 from amaranthspar import codec, effects, messages, replicalog, transitions
 
 REPLICAS_KIND = "ChangeReplicas"
-TRAILING_ENTRIES = 256
 
 
 @attrs.define(slots=True)
@@ -44,11 +43,16 @@
     Args:
         first: First set of replicas, for a cluster that is not formed yet.
         stored: What the data folder holds.
+        trailing_entries: Entries kept in memory before the snapshot's end.
     """
 
     def __init__(
-        self, first: messages.ChangeReplicas, stored: transitions.Stored
+        self,
+        first: messages.ChangeReplicas,
+        stored: transitions.Stored,
+        trailing_entries: int,
     ) -> None:
+        self._trailing_entries = trailing_entries
         self.term = stored.state.term
         self.vote = stored.state.vote
         self.snapshot = stored.snapshot
@@ -135,7 +139,7 @@
             return
         self.snapshot = messages.LogSnapshot(index, term, self._find_set(index), state)
         self._step.saved = self.snapshot
-        kept = index - TRAILING_ENTRIES
+        kept = index - self._trailing_entries
         if kept > self.log.base_index:
             self.log.compact(kept)
 
--- a/amaranthspar/leadership.py
+++ b/amaranthspar/leadership.py
@@ -13,7 +13,6 @@
 
 MAX_APPEND_BYTES = 256 * 1024
 MAX_APPEND_ENTRIES = 512
-SNAPSHOT_CHUNK_BYTES = 64 * 1024
 KEPT_ROUNDS = 256
 
 
@@ -39,6 +38,14 @@
     offset: int = 0
     snapshot_index: int = 0
 
+    def rank(self, replica: str) -> tuple[int, int, str]:
+        """Return by what candidates for a handover compare, the id last.
+
+        Args:
+            replica: Replica id of this follower.
+        """
+        return self.acknowledged_ms, self.match, replica
+
 
 @attrs.define(slots=True)
 class Leadership:
@@ -52,6 +59,7 @@
         peers: Progress by replica id.
         round: Number of the newest round.
         target: Replica that leadership is handed to; empty for none.
+        target_until_ms: Time at which the handover is given up in ms.
     """
 
     term: int
@@ -62,6 +70,7 @@
     round: int = 0
     round_sent_ms: dict[int, int] = attrs.field(factory=dict)
     target: str = ""
+    target_until_ms: int = 0
     next_heartbeat_ms: int = 0
     encoded_index: int = 0
     encoded: bytes = b""
@@ -178,13 +187,14 @@
         )
 
     def build_chunk(
-        self, progress: Progress, snapshot: messages.LogSnapshot
+        self, progress: Progress, snapshot: messages.LogSnapshot, size: int
     ) -> messages.InstallSnapshot:
         """Return the next chunk of a snapshot for a follower.
 
         Args:
             progress: Progress of the follower.
             snapshot: Newest snapshot.
+            size: Most bytes in the chunk.
         """
         if progress.snapshot_index != snapshot.index:
             progress.snapshot_index = snapshot.index
@@ -192,7 +202,7 @@
         if self.encoded_index != snapshot.index:
             self.encoded_index = snapshot.index
             self.encoded = codec.encode_message(snapshot)
-        end = progress.offset + SNAPSHOT_CHUNK_BYTES
+        end = progress.offset + size
         return messages.InstallSnapshot(
             self.term,
             self.replica,
@@ -231,9 +241,12 @@
         Args:
             members: Current set of replicas.
         """
-        voters = replicas.list_voters(members)
-        known = [voter for voter in voters if voter in self.peers]
-        return max(known, key=lambda voter: self.peers[voter].match, default="")
+        known = [
+            self.peers[voter].rank(voter)
+            for voter in replicas.list_voters(members)
+            if voter in self.peers and self.peers[voter].acknowledged_ms >= 0
+        ]
+        return max(known)[-1] if known else ""
 
 
 def _limit_entries(log: replicalog.ReplicaLog, first: int) -> list[messages.LogEntry]:
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -805,6 +805,44 @@
     inode: int
 
 
+@attrs.frozen(slots=True)
+class ReplaceReplica:
+    """Removes a replica, adds a new one as learner, or both; with neither it asks for the set.
+
+    Attributes:
+        request: Number that the reply carries.
+        removed: Replica id to remove; empty for none.
+        added: Replica id to add; empty for none.
+        address: Address of the added replica.
+        operator: Name of the operator's account.
+    """
+
+    request: int
+    removed: str
+    added: str
+    address: str
+    operator: str
+
+
+@attrs.frozen(slots=True)
+class ReplicasChanged:
+    """Answers with the set of replicas.
+
+    Attributes:
+        request: Copied from the request.
+        outcome: `accepted` or `refused`.
+        reason: Why it was refused.
+        replicas: Replicas by the leader's log.
+        leader: Replica id of the leader.
+    """
+
+    request: int
+    outcome: str
+    reason: str
+    replicas: list[Replica]
+    leader: str
+
+
 @attrs.frozen(slots=True)
 class Section:
     """One section of the configuration in INI terms.
--- /dev/null
+++ b/amaranthspar/replacement.py
@@ -0,0 +1,59 @@
+"""Plans changes of the set of replicas, one voter at a time."""
+
+import attrs
+
+from amaranthspar import errors, messages
+
+
+class RefusedError(errors.DecisionError):
+    """A change of the set of replicas is not allowed now."""
+
+
+def plan_replacement(
+    members: messages.ChangeReplicas, removed: str, added: str, address: str
+) -> messages.ChangeReplicas:
+    """Return the set after removing a replica and adding another as learner.
+
+    A learner has no vote, so at most one voter changes.
+
+    Args:
+        members: Current set.
+        removed: Replica id to remove; empty for none.
+        added: Replica id to add; empty for none.
+        address: Address of the added replica.
+
+    Raises:
+        RefusedError: The change names an unknown or a used id, or leaves no voter.
+    """
+    kept = [item for item in members.replicas if item.id != removed]
+    if removed and len(kept) == len(members.replicas):
+        raise RefusedError(f"replica {removed} is not in the set")
+    used = [item.id for item in members.replicas] + members.retired
+    if added in used:
+        raise RefusedError(f"replica id {added} was used before; choose a new one")
+    if added and not address:
+        raise RefusedError(f"replica {added} has no address")
+    if not any(item.voter for item in kept):
+        raise RefusedError("no voter would be left")
+    if added:
+        kept.append(messages.Replica(added, address, False))
+    retired = [*members.retired, removed] if removed else members.retired
+    reason = f"removed {removed or 'none'}, added {added or 'none'}"
+    return messages.ChangeReplicas(kept, retired, reason)
+
+
+def plan_promotion(
+    members: messages.ChangeReplicas, learner: str, folder: int
+) -> messages.ChangeReplicas:
+    """Return the set in which a learner votes, bound to its data folder.
+
+    Args:
+        members: Current set.
+        learner: Replica id of a learner that has caught up.
+        folder: Random number of its data folder.
+    """
+    changed = [
+        attrs.evolve(item, voter=True, folder=folder) if item.id == learner else item
+        for item in members.replicas
+    ]
+    return messages.ChangeReplicas(changed, members.retired, f"promoted {learner}")
--- a/amaranthspar/transitions.py
+++ b/amaranthspar/transitions.py
@@ -67,7 +67,22 @@
     """The leader is to hand leadership to another voter."""
 
 
-Event = Tick | Received | Propose | Persisted | Compact | Confirm | HandOver
+@attrs.frozen(slots=True)
+class Replace:
+    """The set of replicas is to change.
+
+    Attributes:
+        removed: Replica id to remove; empty for none.
+        added: Replica id to add as a learner; empty for none.
+        address: Address of the added replica.
+    """
+
+    removed: str
+    added: str
+    address: str
+
+
+Event = Tick | Received | Propose | Persisted | Compact | Confirm | HandOver | Replace
 
 
 @attrs.frozen(slots=True)
@@ -133,8 +148,26 @@
     term: int
 
 
+@attrs.frozen(slots=True)
+class Refuse:
+    """`Replace` is not possible now.
+
+    Attributes:
+        reason: Why.
+    """
+
+    reason: str
+
+
 Effect = (
-    Persist | SaveSnapshot | Apply | Restore | NoteSeen | ChangeLeader | effects.Send
+    Persist
+    | SaveSnapshot
+    | Apply
+    | Restore
+    | NoteSeen
+    | ChangeLeader
+    | Refuse
+    | effects.Send
 )
 
 
@@ -161,13 +194,17 @@
 
 
 @attrs.frozen(slots=True)
-class Timing:
-    """Timeouts of a replica.
+class Settings:
+    """Timeouts and limits of a replica.
 
     Attributes:
         election_ms: Shortest election timeout in ms; the longest is twice that.
         heartbeat_ms: Interval between heartbeat rounds in ms.
+        trailing_entries: Entries kept in memory before the snapshot's end.
+        chunk_bytes: Size of the chunks in which snapshots are sent.
     """
 
     election_ms: int = 600
     heartbeat_ms: int = 100
+    trailing_entries: int = 256
+    chunk_bytes: int = 65_536
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,297 @@
+"""Named failures of replicas, brought about step by step."""
+
+import random
+
+import pytest
+
+from amaranthspar import codec, consensus, journal, messages, transitions
+from tools import simulation
+
+
+def build_cluster(names=("a", "b", "c"), seed=1):
+    cluster = simulation.Simulation(seed, names)
+    cluster.heal(500)
+    return cluster
+
+
+def find_leader(cluster):
+    (leader,) = cluster.list_leaders()
+    return leader
+
+
+def list_others(cluster, name):
+    return [other for other in cluster.nodes if other != name]
+
+
+def isolate(cluster, name):
+    cluster.cut |= {frozenset((name, other)) for other in cluster.nodes}
+
+
+def run_cut(cluster, duration_ms):
+    """Let time pass without healing the cuts."""
+    for _ in range(duration_ms // 5):
+        cluster.settle()
+        cluster.advance(5)
+
+
+def test_leader_killed_before_sync_loses_nothing_that_was_committed():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    cluster.propose(leader)
+    before = dict(cluster.committed)
+    cluster.crash(leader)
+    cluster.heal(800)
+    cluster.propose(find_leader(cluster))
+    cluster.heal(100)
+    assert before.items() <= cluster.committed.items()
+    assert cluster.nodes[leader].applied == max(cluster.committed)
+
+
+def test_leader_killed_mid_commit_keeps_what_a_follower_has_synced():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    follower = list_others(cluster, leader)[0]
+    cluster.propose(leader)
+    for _ in range(len(cluster.packets)):
+        cluster.deliver(0)
+    cluster.sync(follower, 10)
+    cluster.sync(leader, 10)
+    for _ in range(len(cluster.packets)):
+        cluster.deliver(0)
+    accepted = max(cluster.committed)
+    cluster.crash(leader)
+    isolate(cluster, leader)
+    run_cut(cluster, 800)
+    cluster.cut.clear()
+    cluster.heal(300)
+    assert cluster.nodes[follower].state.version == 1
+    assert cluster.committed[accepted].kind == "AcceptConfiguration"
+
+
+def test_partitioned_leader_accepts_nothing_and_its_view_ages():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    isolate(cluster, leader)
+    cluster.propose(leader)
+    run_cut(cluster, 1_000)
+    node = cluster.nodes[leader]
+    assert node.machine.leading is None
+    assert node.machine.read_view_age(cluster.read_clock(node)) > 800
+    (elected,) = cluster.list_leaders()
+    cluster.propose(elected)
+    run_cut(cluster, 100)
+    term = cluster.nodes[elected].machine.term
+    cluster.heal(500)
+    assert find_leader(cluster) == elected
+    assert cluster.nodes[elected].machine.term == term
+    assert node.state.version == 1
+
+
+def test_partitioned_minority_of_five_accepts_nothing():
+    cluster = build_cluster(tuple("abcde"))
+    leader = find_leader(cluster)
+    near = list_others(cluster, leader)[0]
+    minority = {leader, near}
+    for one in minority:
+        for other in set(cluster.nodes) - minority:
+            cluster.cut.add(frozenset((one, other)))
+    before = cluster.nodes[near].machine.commit_index
+    for _ in range(5):
+        cluster.propose(leader)
+    run_cut(cluster, 1_500)
+    assert cluster.nodes[near].machine.commit_index == before
+    assert set(cluster.list_leaders()).isdisjoint(minority)
+
+
+def test_wiped_replica_never_votes_under_its_former_id():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    wiped, other = list_others(cluster, leader)
+    cluster.propose(leader)
+    cluster.heal(100)
+    cluster.wipe(wiped)
+    cluster.start(wiped)
+    cluster.crash(leader)
+    run_cut(cluster, 3_000)
+    assert cluster.list_leaders() == []
+    assert cluster.nodes[other].machine.rejected_folders > 0
+
+
+def test_second_host_lost_right_after_repair_loses_no_accepted_change():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    lost, other = list_others(cluster, leader)
+    for _ in range(20):
+        cluster.propose(leader)
+    cluster.heal(100)
+    cluster.crash(lost)
+    cluster.add_host("d")
+    cluster.replace(leader, lost, "d")
+    del cluster.nodes[lost]
+    cluster.heal(300)
+    cluster.propose(leader)
+    cluster.heal(100)
+    accepted = dict(cluster.committed)
+    cluster.wipe(leader)
+    run_cut(cluster, 1_000)
+    (elected,) = cluster.list_leaders()
+    assert elected in (other, "d")
+    assert cluster.nodes[elected].applied >= max(accepted)
+    assert cluster.installed > 0
+
+
+@pytest.mark.parametrize(("removed", "added"), [("x", "d"), ("a", "b"), ("", "a")])
+def test_replacement_with_an_unknown_or_used_id_is_refused(removed, added):
+    cluster = build_cluster()
+    node = cluster.nodes[find_leader(cluster)]
+    event = transitions.Replace(removed, added, added)
+    effects = node.machine.step(event, cluster.read_clock(node))
+    assert isinstance(effects[0], transitions.Refuse)
+
+
+def test_removed_id_is_refused_for_good():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    removed = list_others(cluster, leader)[0]
+    cluster.replace(leader, removed, "")
+    cluster.heal(100)
+    node = cluster.nodes[leader]
+    event = transitions.Replace("", removed, removed)
+    effects = node.machine.step(event, cluster.read_clock(node))
+    assert isinstance(effects[0], transitions.Refuse)
+
+
+def test_handover_to_a_dead_replica_is_given_up():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    for other in list_others(cluster, leader):
+        cluster.cut.add(frozenset((leader, other)))
+    cluster.hand_over(leader)
+    run_cut(cluster, 120)
+    assert cluster.nodes[leader].machine.accepts_proposals
+
+
+def test_handover_elects_another_leader_without_a_timeout():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    cluster.hand_over(leader)
+    for _ in range(6):
+        cluster.settle()
+    assert find_leader(cluster) != leader
+
+
+def test_answers_wait_for_the_disk():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    follower = cluster.nodes[list_others(cluster, leader)[0]]
+    cluster.packets.clear()
+    log = follower.machine.journal.log
+    entry = messages.LogEntry(log.last_index + 1, follower.machine.term, "", b"")
+    append = messages.AppendEntries(
+        follower.machine.term,
+        leader,
+        log.last_index,
+        log.last_term,
+        0,
+        999,
+        0,
+        0,
+        [entry],
+    )
+    cluster.step(follower, transitions.Received(leader, append))
+    assert cluster.packets == []
+    cluster.sync(follower.name, 1)
+    (packet,) = cluster.packets
+    assert packet.message.match_index == entry.index
+
+
+def test_late_snapshot_does_not_undo_what_is_committed():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    for _ in range(10):
+        cluster.propose(leader)
+    cluster.heal(100)
+    source = cluster.nodes[leader].machine
+    target = cluster.nodes[list_others(cluster, leader)[0]]
+    snapshot = source.journal.snapshot
+    cluster.propose(leader)
+    cluster.heal(100)
+    applied = target.applied
+    data = simulation.encode_snapshot(snapshot)
+    chunk = messages.InstallSnapshot(
+        source.term, leader, snapshot.index, snapshot.term, 0, data, True
+    )
+    cluster.step(target, transitions.Received(leader, chunk))
+    assert target.applied == applied
+    assert target.machine.commit_index == applied
+
+
+def build_entry(index, term):
+    return messages.LogEntry(index, term, "", b"")
+
+
+def build_stored(term, *terms):
+    """Return a disk whose first entry binds three replicas to folders."""
+    members = messages.ChangeReplicas(
+        [messages.Replica(name, name, True, 7) for name in ("a", "b", "c")], []
+    )
+    payload = codec.encode_message(members)
+    first = messages.LogEntry(1, 1, "ChangeReplicas", payload)
+    entries = [build_entry(index, item) for index, item in enumerate(terms, 2)]
+    state = messages.ReplicaState(term, "")
+    return transitions.Stored(state, None, [first, *entries])
+
+
+def build_replica(stored):
+    identity = transitions.Identity("a", 7)
+    first = messages.ChangeReplicas([], [])
+    settings = transitions.Settings(100, 20)
+    return consensus.Consensus(identity, first, settings, random.Random(1), stored, 0)
+
+
+def test_entries_of_an_older_term_commit_only_with_one_of_the_own_term():
+    machine = build_replica(build_stored(2, 1, 2))
+    now_ms = 1_000
+    machine.step(transitions.Tick(), now_ms)
+    granted = messages.Vote(3, "b", True, True, 7)
+    machine.step(transitions.Received("b", granted), now_ms)
+    machine.step(transitions.Persisted(1), now_ms)
+    granted = messages.Vote(3, "b", True, False, 7)
+    machine.step(transitions.Received("b", granted), now_ms)
+    assert machine.leading.first_index == 4
+    answer = messages.Appended(3, "b", True, 3, 1, 1, [], 7)
+    machine.step(transitions.Received("b", answer), now_ms)
+    machine.step(transitions.Persisted(2), now_ms)
+    assert machine.commit_index == 0
+    answer = messages.Appended(3, "b", True, 4, 1, 2, [], 7)
+    machine.step(transitions.Received("b", answer), now_ms)
+    assert machine.commit_index == 4
+
+
+def test_synced_write_counts_only_up_to_a_later_truncation():
+    members = messages.ChangeReplicas([], [])
+    state = journal.Journal(members, build_stored(1, 1), 10)
+    state.append([build_entry(3, 1), build_entry(4, 1)])
+    state.end_step()
+    state.truncate(3)
+    state.append([build_entry(3, 2), build_entry(4, 2)])
+    state.end_step()
+    state.note_persisted(1)
+    assert state.durable_index == 2
+    state.note_persisted(2)
+    assert state.durable_index == 4
+
+
+def test_leader_counts_its_own_entries_only_once_synced():
+    machine = build_replica(build_stored(1, 1))
+    machine.step(transitions.Tick(), 1_000)
+    for number, pre_vote in ((1, True), (2, False)):
+        granted = messages.Vote(2, "b", True, pre_vote, 7)
+        machine.step(transitions.Received("b", granted), 1_000)
+        if pre_vote:
+            machine.step(transitions.Persisted(number), 1_000)
+    answer = messages.Appended(2, "b", True, 3, 1, 1, [], 7)
+    machine.step(transitions.Received("b", answer), 1_000)
+    assert machine.commit_index == 0
+    machine.step(transitions.Persisted(2), 1_000)
+    assert machine.commit_index == 3
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,196 @@
+"""Drives the simulation of replicas at random until the time is over.
+
+Run it as ``python -m tools.fuzz --seconds 600 --seed 1``. Each seed gives one
+run, and a failure prints the seed that repeats it.
+"""
+
+import argparse
+import random
+import secrets
+import sys
+import time
+
+from tools import simulation
+
+STEPS = 1_500
+HEAL_MS = 2_000
+
+
+class Driver:
+    """One run of random actions.
+
+    Args:
+        seed: Seed of the run.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        names = self.random.choice((("a", "b", "c"), tuple("abcde")))
+        self.simulation = simulation.Simulation(seed, names)
+        self.wiped: set[str] = set()
+        self.removed: set[str] = set()
+        self.hosts = len(names)
+        self.faults = self.random.choice((0.05, 0.2, 0.5, 0.8))
+        self.slow_disk = self.random.choice(names)
+
+    def run(self) -> None:
+        """Act at random, then heal and check that the cluster makes progress.
+
+        Raises:
+            simulation.Violation: A rule was broken.
+        """
+        if self.random.random() < 0.9:
+            self.simulation.heal(600)
+        for step in range(STEPS):
+            self._act()
+            if step % 50 == 0:
+                self.simulation.check_logs()
+        self._finish()
+
+    def _act(self) -> None:
+        name = self.random.choice(list(self.simulation.nodes))
+        if self.random.random() < self.faults / 10:
+            self._fail(name)
+            return
+        match self.random.randrange(10):
+            case 0 | 1:
+                self.simulation.advance(self.random.choice((1, 5, 5, 20, 60)))
+            case 2 | 3:
+                if name != self.slow_disk or self.random.random() < 0.1:
+                    self.simulation.sync(name, self.random.randint(1, 3))
+            case 4:
+                for leader in self.simulation.list_leaders():
+                    self.simulation.propose(leader)
+            case 5:
+                self.simulation.renew(name)
+            case 6 if self.random.random() < 0.3:
+                self.simulation.settle()
+            case 6 if self.random.random() < 0.1:
+                self.simulation.hand_over(name)
+            case _:
+                self._move_packet()
+
+    def _move_packet(self) -> None:
+        total = len(self.simulation.packets)
+        if not total:
+            return
+        oldest = self.random.random() > self.faults
+        position = 0 if oldest else self.random.randrange(total)
+        if self.random.random() < self.faults / 4:
+            self.simulation.packets.pop(position)
+            return
+        keep = self.random.random() < self.faults / 4
+        self.simulation.deliver(position, keep)
+
+    def _fail(self, name: str) -> None:
+        node = self.simulation.nodes[name]
+        if node.machine is None:
+            self.simulation.start(name)
+            return
+        match self.random.randrange(7):
+            case 0 | 1:
+                self.simulation.crash(name, self.random.randint(0, 2))
+            case 2:
+                other = self.random.choice(list(self.simulation.nodes))
+                self.simulation.cut.add(frozenset((name, other)))
+            case 3:
+                for other in self.simulation.nodes:
+                    self.simulation.cut.add(frozenset((name, other)))
+            case 4:
+                self.simulation.cut.clear()
+            case 5:
+                self._wipe(name)
+            case _:
+                self._replace()
+
+    def _wipe(self, name: str) -> None:
+        members = self._find_members()
+        lost = self.wiped & members
+        if len(lost | {name}) <= (len(members) - 1) // 2 and not self.wiped - lost:
+            self.wiped.add(name)
+            self.simulation.wipe(name)
+
+    def _find_members(self) -> set[str]:
+        """Return the voters by the newest change that was committed."""
+        found = self.simulation.find_committed_members()
+        return {item.id for item in found.replicas if item.voter}
+
+    def _replace(self) -> None:
+        for leader in self.simulation.list_leaders():
+            members = sorted(self._find_members())
+            lost = sorted(self.wiped & set(members)) or members
+            self.hosts += 1
+            added = f"n{self.hosts}"
+            self.simulation.add_host(added)
+            self.simulation.replace(leader, self.random.choice(lost), added)
+            return
+
+    def _finish(self) -> None:
+        self.simulation.heal(HEAL_MS)
+        self.simulation.check_logs()
+        leaders = self.simulation.list_leaders()
+        if not leaders:
+            if not self.wiped:
+                raise simulation.Violation("no leader after all faults healed")
+            return
+        before = len(self.simulation.committed)
+        self.simulation.propose(leaders[-1])
+        self.simulation.heal(HEAL_MS // 4)
+        if len(self.simulation.committed) <= before:
+            raise simulation.Violation("nothing is committed after all healed")
+        for name in self.simulation.nodes:
+            self.simulation.renew(name)
+
+
+def run_seed(seed: int) -> simulation.Simulation:
+    """Run one seed.
+
+    Args:
+        seed: Seed of the run.
+
+    Returns:
+        The simulation after the run.
+
+    Raises:
+        simulation.Violation: A rule was broken.
+    """
+    driver = Driver(seed)
+    driver.run()
+    return driver.simulation
+
+
+def main() -> int:
+    """Run seeds until the time is over.
+
+    Returns:
+        0 if no rule was broken, 1 otherwise.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--seed", type=int, default=None, help="first seed")
+    parser.add_argument("--runs", type=int, default=0, help="most runs; 0 for any")
+    arguments = parser.parse_args()
+    seed = arguments.seed if arguments.seed is not None else secrets.randbits(32)
+    print(f"first seed {seed}", flush=True)
+    end_s = time.monotonic() + arguments.seconds
+    runs = entries = views = leaders = installed = 0
+    while time.monotonic() < end_s and (not arguments.runs or runs < arguments.runs):
+        try:
+            done = run_seed(seed + runs)
+        except AssertionError as error:
+            print(f"seed {seed + runs}: {error}")
+            return 1
+        runs += 1
+        entries += len(done.committed)
+        views += done.granted
+        leaders += len(done.leaders)
+        installed += done.installed
+    print(
+        f"{runs} runs, {entries} entries, {views} views, {leaders} elections, "
+        f"{installed} snapshots installed: ok"
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/simulation.py
@@ -0,0 +1,449 @@
+"""Replicas over a network and disks that fail, with an oracle.
+
+The simulation runs the machines of the product. The oracle raises `Violation`
+where a rule is broken; each rule is stated where it is checked.
+"""
+
+import random
+
+import attrs
+
+from amaranthspar import (
+    codec,
+    consensus,
+    effects,
+    leases,
+    messages,
+    registry,
+    replicas,
+    requests,
+    transitions,
+)
+
+ELECTION_MS = 100
+HEARTBEAT_MS = 20
+LEASE_MS = 600
+MAX_DRIFT = 0.1
+ROUNDING_MS = 3
+SNAPSHOT_ENTRIES = 6
+SETTINGS = transitions.Settings(
+    ELECTION_MS, HEARTBEAT_MS, trailing_entries=2, chunk_bytes=200
+)
+
+
+class Violation(AssertionError):
+    """A rule of the oracle is broken."""
+
+
+@attrs.define
+class Disk:
+    """What survives a crash, and the writes that are not yet synced."""
+
+    folder: int
+    stored: transitions.Stored = attrs.field(factory=transitions.Stored)
+    pending: list[transitions.Persist | transitions.SaveSnapshot] = attrs.field(
+        factory=list
+    )
+
+    def sync(self, count: int) -> int:
+        """Bring the oldest writes to the disk.
+
+        Args:
+            count: Number of writes.
+
+        Returns:
+            Number of the last write that is on disk; 0 for none.
+        """
+        number = 0
+        for change in self.pending[:count]:
+            self._write(change)
+            number = change.number
+        del self.pending[:count]
+        return number
+
+    def _write(self, change: transitions.Persist | transitions.SaveSnapshot) -> None:
+        if isinstance(change, transitions.SaveSnapshot):
+            self.stored = transitions.Stored(
+                change.state, change.snapshot, list(change.entries)
+            )
+            return
+        entries = self.stored.entries
+        if change.truncate_from:
+            entries = [item for item in entries if item.index < change.truncate_from]
+        self.stored = transitions.Stored(
+            change.state, self.stored.snapshot, entries + change.entries
+        )
+
+
+@attrs.define
+class Node:
+    """One replica on one host."""
+
+    name: str
+    disk: Disk
+    rate: float
+    offset_ms: int
+    machine: consensus.Consensus | None = None
+    state: registry.Registry = attrs.field(factory=registry.Registry)
+    applied: int = 0
+
+
+@attrs.frozen
+class Packet:
+    """A message on its way."""
+
+    sender: str
+    receiver: str
+    message: object
+
+
+class Simulation:
+    """Replicas, network and oracle.
+
+    Args:
+        seed: Seed of all that is random in the machines.
+        names: First replicas.
+    """
+
+    def __init__(self, seed: int, names: tuple[str, ...] = ("a", "b", "c")) -> None:
+        self.now_ms = 1_000
+        self.random = random.Random(seed)
+        self.packets: list[Packet] = []
+        self.cut: set[frozenset[str]] = set()
+        self.nodes: dict[str, Node] = {}
+        self.first = messages.ChangeReplicas(
+            [messages.Replica(name, name, True) for name in names], []
+        )
+        self.committed: dict[int, messages.LogEntry] = {}
+        self.commit_times: list[tuple[int, int]] = []
+        self.leaders: dict[int, str] = {}
+        self.versions: dict[int, str] = {}
+        self.grants = leases.Leases(LEASE_MS, LEASE_MS)
+        self.proposed = 0
+        self.granted = 0
+        self.installed = 0
+        for name in names:
+            self.add_host(name)
+
+    # Actions.
+
+    def add_host(self, name: str) -> None:
+        """Start a replica with an empty folder.
+
+        Args:
+            name: Replica id, which is its address also.
+        """
+        rate = 1 + self.random.choice((-MAX_DRIFT, 0, MAX_DRIFT))
+        offset_ms = self.random.randrange(100_000)
+        folder = self.random.getrandbits(48) | 1
+        self.nodes[name] = Node(name, Disk(folder), rate, offset_ms)
+        self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a replica from its disk.
+
+        Args:
+            name: Replica id.
+        """
+        node = self.nodes[name]
+        stored = node.disk.stored
+        node.machine = consensus.Consensus(
+            transitions.Identity(name, node.disk.folder),
+            self.first,
+            SETTINGS,
+            random.Random(self.random.getrandbits(64)),
+            stored,
+            self.read_clock(node),
+        )
+        node.state = registry.Registry()
+        node.applied = 0
+        if stored.snapshot is not None:
+            node.state.restore(stored.snapshot.state)
+            node.applied = stored.snapshot.index
+
+    def crash(self, name: str, synced: int = 0) -> None:
+        """Stop a replica; writes that were not synced are lost.
+
+        Args:
+            name: Replica id.
+            synced: Writes that reached the disk before their confirmation.
+        """
+        node = self.nodes[name]
+        node.disk.sync(synced)
+        node.disk.pending.clear()
+        node.machine = None
+
+    def wipe(self, name: str) -> None:
+        """Stop a replica and lose its folder.
+
+        Args:
+            name: Replica id.
+        """
+        self.crash(name)
+        self.nodes[name].disk = Disk(self.random.getrandbits(48) | 1)
+
+    def sync(self, name: str, count: int) -> None:
+        """Bring writes to the disk and confirm them.
+
+        Args:
+            name: Replica id.
+            count: Number of writes.
+        """
+        node = self.nodes[name]
+        number = node.disk.sync(count)
+        if number and node.machine is not None:
+            self.step(node, transitions.Persisted(number))
+
+    def advance(self, duration_ms: int) -> None:
+        """Let time pass and tick every replica.
+
+        Args:
+            duration_ms: True time in ms.
+        """
+        self.now_ms += duration_ms
+        for node in self.nodes.values():
+            self.step(node, transitions.Tick())
+
+    def deliver(self, position: int, keep: bool = False) -> None:
+        """Deliver one message.
+
+        Args:
+            position: Position among those on their way.
+            keep: Whether it arrives once more later.
+        """
+        if not self.packets:
+            return
+        position %= len(self.packets)
+        packet = self.packets[position] if keep else self.packets.pop(position)
+        if frozenset((packet.sender, packet.receiver)) in self.cut:
+            return
+        node = self.nodes.get(packet.receiver)
+        if node is not None:
+            self.step(node, transitions.Received(packet.sender, packet.message))
+
+    def propose(self, name: str) -> bool:
+        """Propose a change of the configuration on a replica.
+
+        Args:
+            name: Replica id.
+
+        Returns:
+            Whether the replica took it.
+        """
+        node = self.nodes[name]
+        if node.machine is None or not node.machine.accepts_proposals:
+            return False
+        self.proposed += 1
+        command = messages.AcceptConfiguration(
+            f"c{self.proposed}", node.state.version, "", "", self.now_ms, [], []
+        )
+        self.step(node, transitions.Propose([requests.encode_command(command)]))
+        return True
+
+    def renew(self, name: str) -> None:
+        """Ask a replica for the freshness of its view and check it.
+
+        Args:
+            name: Replica id.
+        """
+        node = self.nodes[name]
+        if node.machine is None:
+            return
+        age_ms = node.machine.read_view_age(self.read_clock(node))
+        if age_ms < 0:
+            return
+        self.granted += 1
+        # Rule: a view shows all that was committed anywhere before now - age.
+        longest_ms = int(age_ms / (1 - MAX_DRIFT)) + ROUNDING_MS
+        needed = [at for at, ms in self.commit_times if ms < self.now_ms - longest_ms]
+        if needed and node.applied < max(needed):
+            raise Violation(
+                f"{name} with a view of age {age_ms} applied {node.applied}, "
+                f"but {max(needed)} was committed before"
+            )
+
+    def hand_over(self, name: str) -> None:
+        """Ask a replica to hand leadership over.
+
+        Args:
+            name: Replica id.
+        """
+        self.step(self.nodes[name], transitions.HandOver())
+
+    def replace(self, name: str, removed: str, added: str) -> None:
+        """Ask a replica to replace another.
+
+        Args:
+            name: Replica id of the leader asked.
+            removed: Replica id to remove; empty for none.
+            added: Replica id to add; empty for none.
+        """
+        node = self.nodes[name]
+        self.step(node, transitions.Replace(removed, added, added))
+
+    def heal(self, duration_ms: int) -> None:
+        """Run without faults.
+
+        Args:
+            duration_ms: True time in ms.
+        """
+        self.cut.clear()
+        for name, node in self.nodes.items():
+            if node.machine is None:
+                self.start(name)
+        for _ in range(duration_ms // 5):
+            self.settle()
+            self.advance(5)
+
+    def settle(self) -> None:
+        """Sync every disk and deliver all that was on its way at the start."""
+        for name in self.nodes:
+            self.sync(name, 100)
+        for _ in range(len(self.packets)):
+            self.deliver(0)
+
+    def find_committed_members(self) -> messages.ChangeReplicas:
+        """Return the set of replicas by the newest committed change."""
+        for entry in reversed(self.committed.values()):
+            if entry.kind == "ChangeReplicas":
+                change = codec.decode_message(entry.kind, entry.payload)
+                assert isinstance(change, messages.ChangeReplicas)
+                return change
+        return self.first
+
+    def list_leaders(self) -> list[str]:
+        """Return the replicas that lead, in any term."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.machine is not None and node.machine.leading is not None
+        ]
+
+    # Effects.
+
+    def read_clock(self, node: Node) -> int:
+        """Return the monotonic clock of a host in ms.
+
+        Args:
+            node: Replica on that host.
+        """
+        return int(self.now_ms * node.rate) + node.offset_ms
+
+    def step(self, node: Node, event: transitions.Event) -> None:
+        """Give one event to a replica and carry out the effects.
+
+        Args:
+            node: Replica.
+            event: What happened.
+        """
+        if node.machine is None:
+            return
+        for effect in node.machine.step(event, self.read_clock(node)):
+            match effect:
+                case transitions.Persist() | transitions.SaveSnapshot():
+                    node.disk.pending.append(effect)
+                case transitions.Apply(entries=entries):
+                    self._apply(node, entries)
+                case transitions.Restore(state=state):
+                    self.installed += 1
+                    node.state.restore(state)
+                    node.applied = node.machine.commit_index
+                case transitions.ChangeLeader(leader=leader, term=term):
+                    if leader == node.name:
+                        self._check_leader(node, term)
+                case effects.Send(peer=peer, message=message):
+                    if frozenset((node.name, peer)) not in self.cut:
+                        self.packets.append(Packet(node.name, peer, message))
+                case _:
+                    pass
+        self._compact(node)
+
+    def _apply(self, node: Node, entries: list[messages.LogEntry]) -> None:
+        for entry in entries:
+            # Rule: entries are applied in order and once.
+            if entry.index != node.applied + 1:
+                raise Violation(f"{node.name} applied {entry.index} out of order")
+            known = self.committed.setdefault(entry.index, entry)
+            # Rule: what was committed at an index never changes.
+            if known != entry:
+                raise Violation(f"{node.name} applied {entry}, others {known}")
+            if known is entry:
+                self.commit_times.append((entry.index, self.now_ms))
+            node.applied = entry.index
+            node.state.apply(entry)
+
+    def _compact(self, node: Node) -> None:
+        machine = node.machine
+        if machine is None:
+            return
+        snapshot = machine.journal.snapshot
+        covered = snapshot.index if snapshot is not None else 0
+        if machine.commit_index - covered < SNAPSHOT_ENTRIES:
+            return
+        event = transitions.Compact(node.state.save())
+        for effect in machine.step(event, self.read_clock(node)):
+            if isinstance(effect, transitions.SaveSnapshot):
+                node.disk.pending.append(effect)
+
+    # Oracle.
+
+    def _check_leader(self, node: Node, term: int) -> None:
+        machine = node.machine
+        if machine is None:
+            return
+        # Rule: one leader a term.
+        if self.leaders.setdefault(term, node.name) != node.name:
+            raise Violation(f"{node.name} and {self.leaders[term]} lead term {term}")
+        # Rule: a leader holds all that was committed.
+        log = machine.journal.log
+        for index, entry in self.committed.items():
+            held = log.read_term(index)
+            if index > log.last_index or held not in (None, entry.term):
+                raise Violation(f"{node.name} leads term {term} without {index}")
+        # Rule: a replica has voted only once its vote is on its present disk.
+        for voter, folder in machine.votes.items():
+            disk = self.nodes[voter].disk
+            if disk.folder == folder and disk.stored.state.term < term:
+                raise Violation(f"{voter} voted in {term} without a synced vote")
+            self._check_folder(machine, voter, folder)
+
+    def _check_folder(
+        self, machine: consensus.Consensus, voter: str, folder: int
+    ) -> None:
+        # Rule: no vote counts from a folder that the cluster is not bound to.
+        if not machine.journal.formed:
+            return
+        known = replicas.find_replica(machine.journal.members, voter)
+        if known is None or known.folder != folder:
+            raise Violation(f"a vote of {voter} counted from a foreign folder")
+
+    def check_logs(self) -> None:
+        """Check that equal index and term mean equal logs up to there."""
+        running = [node.machine for node in self.nodes.values() if node.machine]
+        for one in running:
+            for other in running:
+                _compare_logs(one, other)
+
+
+def _compare_logs(one: consensus.Consensus, other: consensus.Consensus) -> None:
+    first = one.journal.log
+    second = other.journal.log
+    matching = False
+    lowest = max(first.base_index, second.base_index) + 1
+    for index in range(min(first.last_index, second.last_index), lowest - 1, -1):
+        mine = first.slice(index, index)[0]
+        theirs = second.slice(index, index)[0]
+        if matching and mine != theirs:
+            raise Violation(f"{one.replica} and {other.replica} differ at {index}")
+        matching = matching or mine.term == theirs.term
+        if matching and mine != theirs:
+            raise Violation(f"{one.replica} and {other.replica} differ at {index}")
+
+
+def encode_snapshot(snapshot: messages.LogSnapshot) -> bytes:
+    """Return a snapshot as the bytes that its chunks carry.
+
+    Args:
+        snapshot: Snapshot to encode.
+    """
+    return codec.encode_message(snapshot)
