Let operators replace a replica through any controller

Cause: A lost host must be replaced while the cluster runs. Change: ReplaceReplica is answered by the leader once the change is committed; the new replica is promoted by the leader when it has caught up. Conclusion: A test loses a second host right after the repair and reads back every accepted change.

--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -9,6 +9,7 @@
 import structlog
 
 from amaranthspar import (
+    administration,
     clock,
     codec,
     configuration,
@@ -130,6 +131,7 @@
             folder.stored,
             self._clock.read_monotonic(),
         )
+        self._administration = administration.Administration(self._machine)
         try:
             await self._links.open()
         except errors.LinkError:
@@ -183,8 +185,18 @@
                 continue
             request = _unwrap(frame, message)
             if request is not None:
-                self._send(self.requests.take(request, self._find_standing()))
-                self._plan_flush()
+                self._take(request)
+
+    def _take(self, request: requests.Request) -> None:
+        standing = self._find_standing()
+        message = request.message
+        if isinstance(message, messages.ReplaceReplica) and standing.leading:
+            found = self._administration.take(request.address, message, standing.now_ms)
+            for effect in found:
+                self._carry_out(effect)
+            return
+        self._send(self.requests.take(request, standing))
+        self._plan_flush()
 
     def _pass_seen(self) -> None:
         if not self.leading:
@@ -249,8 +261,8 @@
             self._bytes += len(entry.payload)
             outcomes = self._registry.apply(entry)
             self._send(self.requests.note_outcomes(outcomes, standing))
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self._follow_up)
+        self._send(self._administration.answer_committed())
+        asyncio.get_running_loop().call_soon(self._follow_up)
 
     def _follow_up(self) -> None:
         """Propose the first configuration and take snapshots when they are due."""
--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -139,6 +139,8 @@
                 return self._propose(request, message, standing)
             case messages.ClaimSubmission() as message:
                 return self._claim(request, message, standing)
+            case messages.ReplaceReplica():
+                return _forward(request, standing)
             case messages.LeaveMembership() as message:
                 if not standing.leading:
                     return _forward(request, standing)
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -89,6 +89,7 @@
     def __init__(self, folder: pathlib.Path, names=("a", "b", "c"), **changes) -> None:
         self.folder = folder
         self.addresses = {name: find_address() for name in names}
+        self.first = names
         self.changes = changes
         self.running: dict[str, controller.Controller] = {}
         self.bootstrap = folder / "first.ini"
@@ -99,7 +100,7 @@
         return list(self.addresses.values())
 
     def build(self, name: str) -> controller.Controller:
-        replicas = [f"{key}={value}" for key, value in self.addresses.items()]
+        replicas = [f"{key}={self.addresses[key]}" for key in self.first]
         process = options.ProcessOptions(
             name, self.addresses[name], self.targets, "gyor"
         )
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -195,3 +195,33 @@
             await cluster.build("a").start()
 
     run(scenario, tmp_path)
+
+
+def test_lost_host_is_replaced_and_then_a_second_host_is_lost(tmp_path):
+    async def scenario(cluster, client):
+        leader = await cluster.find_leader()
+        lost, kept = [name for name in cluster.running if name != leader]
+        cluster.kill(lost)
+        cluster.addresses["d"] = builders_control.find_address()
+        await cluster.start("d")
+        target = [cluster.addresses[leader]]
+        change = messages.ReplaceReplica(1, lost, "d", cluster.addresses["d"], "ops")
+        answer = await client.ask(target, change, messages.ReplicasChanged)
+        assert (answer.outcome, answer.reason) == ("accepted", "")
+        added = cluster.running["d"]
+        while not any(
+            item.id == "d" and item.voter
+            for item in added.machine.journal.members.replicas
+        ):
+            await asyncio.sleep(0.01)
+        kind = messages.ConfigurationDecided
+        decided = await client.ask(target, build_proposal(), kind)
+        assert decided.outcome == "accepted"
+        cluster.kill(leader)
+        await cluster.find_leader()
+        targets = [cluster.addresses[name] for name in (kept, "d")]
+        fetch = messages.FetchConfiguration(1, 0)
+        fetched = await client.ask(targets, fetch, messages.ConfigurationFetched)
+        assert fetched.version == 2
+
+    run(scenario, tmp_path)
