--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -145,6 +145,8 @@
                 if not standing.leading:
                     return _forward(request, standing)
                 self._releases.append(message)
+            case messages.ReplaceReplica():
+                return _forward(request, standing)
             case messages.LeaveMembership() as message:
                 if not standing.leading:
                     return _forward(request, standing)
