--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -26,6 +26,7 @@
 SERVICES = ["lookup", "recalculate", "hold"]
 HOST = "127.0.0.1"
 READY_POLL_MS = 20
+DRAIN_MS = 200
 
 
 def find_ports(count: int) -> list[int]:
@@ -153,7 +154,7 @@
             f"gateway-{number + 1}", listen, controllers, domain
         )
         section = options.GatewayOptions(
-            f"{HOST}:{port}", tokens.hash_token(self.token)
+            f"{HOST}:{port}", tokens.hash_token(self.token), DRAIN_MS
         )
         role = gateway.Gateway(process, options.LinkOptions(), section)
         await role.start()
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,113 @@
+"""Tests of keyed submissions and of jobs over several gateways."""
+
+import asyncio
+import json
+import pathlib
+
+from amaranthspar import attachments, client, cluster, intake
+from tests import test_cluster
+
+KEY = {"Idempotency-Key": "k"}
+ASYNC = {"Prefer": "respond-async"}
+
+
+def open_other(running: cluster.Cluster) -> client.Client:
+    return client.Client(f"http://{cluster.HOST}:{running.ports[1]}", "secret")
+
+
+async def wait_for_job(asker: client.Client, location: str) -> client.Reply:
+    while True:
+        reply = await asker.call("GET", location)
+        if reply.status != 200 or json.loads(reply.body)["state"] != "running":
+            return reply
+        await asyncio.sleep(0.02)
+
+
+def test_origin_of_a_submission_is_read_from_its_name() -> None:
+    expected = attachments.Origin("gateway-1.a", 255)
+    assert attachments.read_origin("gateway-1.a.ff.1") == expected
+    assert attachments.read_origin("gateway-1") is None
+    assert attachments.read_origin("a.zz.1") is None
+
+
+def test_resend_after_the_gateway_died_is_told_the_truth(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        other = open_other(running)
+        body = test_cluster.encode({"sleep_ms": 9_000})
+        first = asyncio.ensure_future(caller.send_request("hold", body, KEY))
+        while not running.record.started:
+            await asyncio.sleep(0.01)
+        dead = running.gateways.pop(0)
+        await dead.close()
+        reply = await other.send_request("hold", body, KEY)
+        assert reply.status == 502
+        assert reply.outcome == "unknown"
+        await asyncio.gather(first, return_exceptions=True)
+        await other.close()
+
+    running = test_cluster.run_scenario(tmp_path, scenario)
+    assert running.record.started == 1
+
+
+def test_key_that_did_not_run_can_be_sent_again(tmp_path: pathlib.Path) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        other = open_other(running)
+        body = test_cluster.encode({"echo": 1})
+        fetched = await caller.fetch_configuration()
+        out = fetched.text
+        for domain in cluster.DOMAINS:
+            out = out.replace(f"[domain {domain}]", f"[domain {domain}]\nstate = out")
+        await caller.submit_configuration(out, fetched.version, "all-out")
+        await asyncio.sleep(2)
+        deadline = {intake.DEADLINE_HEADER: "300"}
+        refused = await caller.send_request("hold", body, KEY | deadline)
+        assert refused.outcome == "not-run"
+        assert not running.record.started
+        await caller.submit_configuration(fetched.text, fetched.version + 1, "all-in")
+        await asyncio.sleep(2)
+        reply = await other.send_request("hold", body, KEY)
+        assert reply.status == 200
+        assert reply.outcome == "done"
+        await other.close()
+
+    running = test_cluster.run_scenario(tmp_path, scenario)
+    assert running.record.started == 1
+
+
+def test_key_with_another_body_is_refused(tmp_path: pathlib.Path) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        other = open_other(running)
+        first = await caller.send_request("hold", test_cluster.encode({"echo": 1}), KEY)
+        second = await other.send_request("hold", test_cluster.encode({"echo": 2}), KEY)
+        assert (first.status, second.status) == (200, 422)
+        assert second.outcome == "not-run"
+        await other.close()
+
+    running = test_cluster.run_scenario(tmp_path, scenario)
+    assert running.record.started == 1
+
+
+def test_jobs_are_shown_and_cancelled_at_any_gateway(tmp_path: pathlib.Path) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        other = open_other(running)
+        tasks = [{"payload": {"sleep_ms": 50, "echo": n}} for n in range(5)]
+        body = test_cluster.encode({"tasks": tasks})
+        accepted = await caller.submit_job("recalculate", body, ASYNC)
+        assert accepted.status == 202
+        done = await wait_for_job(other, accepted.location)
+        answers = json.loads(done.body)["answers"]
+        assert [item["echo"] for item in answers] == list(range(5))
+        tasks = [{"payload": {"sleep_ms": 10_000}}]
+        body = test_cluster.encode({"tasks": tasks})
+        accepted = await caller.submit_job("recalculate", body, ASYNC)
+        deleted = await other.call("DELETE", accepted.location)
+        assert deleted.status == 204
+        cancelled = await wait_for_job(other, accepted.location)
+        assert cancelled.status == 502
+        missing = await other.call("GET", "/v1/jobs/gateway-1.1.1")
+        assert missing.status in (404, 502)
+        await other.close()
+
+    test_cluster.run_scenario(tmp_path, scenario)
