--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -59,6 +59,7 @@
         self._links = links.Links(
             process.name, incarnation, process.listen, self._receive, link.heartbeat_ms
         )
+        self._links.controllers = frozenset(process.controllers)
         self.control = control.Control(self._links, process.controllers)
         self._answers = answers.Answers()
         self._numbers = itertools.count(1)
@@ -198,6 +199,7 @@
                 kept_ms = now_ms
                 self._answers.expire(now_ms)
                 self._metrics.report(self.dispatcher.counts)
+                self._metrics.report(self._links.counts)
             await asyncio.sleep(TICK_MS / 1000)
 
     def _receive(self, frame: codec.Frame) -> None:
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -79,6 +79,8 @@
         self.rejected_frames = 0
         self.dropped_messages = 0
         self.redials = 0
+        self.controllers: frozenset[str] = frozenset()
+        self.counts: dict[str, int] = {}
         self._receive = receive
         self._heartbeat_ms = heartbeat_ms
         self._peers: dict[str, _Peer] = {}
@@ -132,10 +134,16 @@
             self.dropped_messages += 1
             return
         peer.queue.append(message)
+        self._count(address, message)
         if not peer.flushing:
             peer.flushing = True
             asyncio.get_running_loop().call_soon(self._flush, peer)
 
+    def _count(self, address: str, message: codec.Message) -> None:
+        kind = "control" if address in self.controllers else "peer"
+        name = f"sent.{kind}.{type(message).__name__}"
+        self.counts[name] = self.counts.get(name, 0) + 1
+
     def forget(self, address: str) -> None:
         """Close the link to a peer.
 
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -59,6 +59,7 @@
         self._links = links.Links(
             process.name, incarnation, process.listen, self._receive, link.heartbeat_ms
         )
+        self._links.controllers = frozenset(process.controllers)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
         self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
@@ -114,6 +115,7 @@
             if now_ms - reported_ms >= METRICS_MS:
                 reported_ms = now_ms
                 self._metrics.report(self.executor.counts)
+                self._metrics.report(self._links.counts)
             await asyncio.sleep(TICK_MS / 1000)
 
     def _receive(self, frame: codec.Frame) -> None:
--- a/amaranthspar/standin.py
+++ b/amaranthspar/standin.py
@@ -10,10 +10,11 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, upstream
+from amaranthspar import _httpserver, clock, upstream
 
 JSON = "application/json"
 MAX_BODY_BYTES = 64 * 1024 * 1024
+STUCK_MS = 60_000
 
 
 @attrs.frozen(slots=True)
@@ -41,12 +42,55 @@
     starts: int
 
 
+@attrs.define(slots=True)
+class Run:
+    """One start of a task.
+
+    Attributes:
+        submission: Submission id.
+        task: Position in the submission.
+        upstream: Name of the upstream.
+        failure_domain: Failure domain of the upstream.
+        started_ms: Monotonic time of the start.
+        ended_ms: Monotonic time of the end; 0 while it runs.
+        cut: Whether the caller went away before the end.
+    """
+
+    submission: str
+    task: str
+    upstream: str
+    failure_domain: str
+    started_ms: int
+    ended_ms: int = 0
+    cut: bool = False
+
+
+@attrs.define(slots=True)
+class Behaviour:
+    """How a stand-in works, for faults.
+
+    Attributes:
+        slow_factor: Factor on each run time.
+        failing: Whether each task fails at once.
+        stuck_ratio: Share of starts, by counting, that take a minute longer.
+    """
+
+    slow_factor: float = 1.0
+    failing: bool = False
+    stuck_ratio: float = 0.0
+
+
 class StartRecord:
-    """Starts of each task over all stand-ins of a process."""
+    """Starts of each task over all stand-ins of a process.
 
-    def __init__(self) -> None:
+    Args:
+        keeps_runs: Whether to keep each run with its times.
+    """
+
+    def __init__(self, keeps_runs: bool = False) -> None:
         self.starts: collections.Counter[tuple[str, str]] = collections.Counter()
         self.started = 0
+        self.runs: list[Run] | None = [] if keeps_runs else None
 
     def note(self, submission: str, task: str) -> int:
         """Count a start and return the starts of that task so far."""
@@ -66,12 +110,20 @@
         name: Name of the upstream.
         failure_domain: Failure domain that it reports.
         record: Where starts are counted.
+        slots: Tasks that run at once, the others wait; 0 for no limit.
     """
 
-    def __init__(self, name: str, failure_domain: str, record: StartRecord) -> None:
+    def __init__(
+        self, name: str, failure_domain: str, record: StartRecord, slots: int = 0
+    ) -> None:
+        self.behaviour = Behaviour()
+        self.waited = 0
         self._name = name
         self._failure_domain = failure_domain
         self._record = record
+        self._clock = clock.Clock()
+        self._slots = asyncio.Semaphore(slots) if slots else None
+        self._stuck = 0.0
         self._server = _httpserver.HttpServer(MAX_BODY_BYTES)
 
     async def open(self, address: str) -> None:
@@ -94,8 +146,39 @@
             return response.raw(msgspec.json.encode(str(error)), 400, content_type=JSON)
         submission = request.headers.get(upstream.SUBMISSION_HEADER, "")
         task = request.headers.get(upstream.TASK_HEADER, "")
+        if self._slots is None:
+            return await self._work(work, submission, task)
+        if self._slots.locked():
+            self.waited += 1
+        async with self._slots:
+            return await self._work(work, submission, task)
+
+    async def _work(
+        self, work: Work, submission: str, task: str
+    ) -> response.HTTPResponse:
         starts = self._record.note(submission, task)
-        await asyncio.sleep(work.sleep_ms / 1000)
+        now_ms = self._clock.read_monotonic()
+        run = Run(submission, task, self._name, self._failure_domain, now_ms)
+        if self._record.runs is not None:
+            self._record.runs.append(run)
+        failing = work.fail or self.behaviour.failing
+        try:
+            await asyncio.sleep(self._choose_sleep(work) / 1000)
+        except asyncio.CancelledError:
+            run.cut = True
+            raise
+        finally:
+            run.ended_ms = self._clock.read_monotonic()
         done = Done(work.echo, self._name, self._failure_domain, starts)
-        status = 500 if work.fail else 200
+        status = 500 if failing else 200
         return response.raw(msgspec.json.encode(done), status, content_type=JSON)
+
+    def _choose_sleep(self, work: Work) -> float:
+        if self.behaviour.failing:
+            return 0.0
+        sleep_ms = work.sleep_ms * self.behaviour.slow_factor
+        self._stuck += self.behaviour.stuck_ratio
+        if self._stuck >= 1:
+            self._stuck -= 1
+            sleep_ms += STUCK_MS
+        return sleep_ms
--- /dev/null
+++ b/benchmarks/counters.py
@@ -0,0 +1,49 @@
+"""StatsD listener that adds up the counters of the roles."""
+
+import asyncio
+import collections
+
+from benchmarks import ports
+
+
+class Counters(asyncio.DatagramProtocol):
+    """Totals by process and metric name."""
+
+    def __init__(self) -> None:
+        self.totals: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.address = ports.reserve()[0]
+        self._transport: asyncio.BaseTransport | None = None
+
+    async def open(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Add up the counters of one datagram."""
+        for line in data.decode().splitlines():
+            name, _, rest = line.partition(":")
+            value, _, kind = rest.partition("|")
+            parts = name.split(".", 2)
+            if kind == "c" and len(parts) == 3:
+                self.totals[parts[1], parts[2]] += int(value)
+
+    def sum_metric(self, prefix: str) -> collections.Counter[str]:
+        """Return totals over all processes of metrics with a prefix.
+
+        Args:
+            prefix: Start of the metric's name, cut off in the result.
+        """
+        result: collections.Counter[str] = collections.Counter()
+        for (_, name), value in self.totals.items():
+            if name.startswith(prefix):
+                result[name.removeprefix(prefix)] += value
+        return result
--- /dev/null
+++ b/benchmarks/driver.py
@@ -0,0 +1,155 @@
+"""Open-loop driver: sends each arrival at its time, whatever came back so far."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import msgspec
+import tqdm
+
+from amaranthspar import client
+from benchmarks import timing, workloads
+
+SPIN_MS = 1.0
+
+
+@attrs.frozen(slots=True)
+class Sample:
+    """What became of one arrival.
+
+    Attributes:
+        arrival: The arrival.
+        lag_ms: Delay of the driver itself against the intended time.
+        response_ms: Time from the intended arrival to the whole answer.
+        status: HTTP status; 0 if no answer arrived.
+        outcome: What the gateway stated.
+        own: Whether a 200 carried the whole answer to this request.
+        ended_ms: Monotonic time of the answer.
+        detail: Start of the body of an answer that is not 200.
+    """
+
+    arrival: workloads.Arrival
+    lag_ms: float
+    response_ms: float
+    status: int
+    outcome: str
+    own: bool
+    ended_ms: float
+    detail: str = ""
+
+
+class Driver:
+    """Sends arrivals to gateways in turn.
+
+    Args:
+        urls: URLs of the gateways.
+        token: Bearer token.
+    """
+
+    def __init__(self, urls: Sequence[str], token: str) -> None:
+        self.clients = [client.Client(url, token) for url in urls]
+        self.started_ms = 0.0
+        self.samples: list[Sample] = []
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for call in self._calls:
+            call.cancel()
+        for item in self.clients:
+            await item.close()
+
+    async def run(self, arrivals: Sequence[workloads.Arrival], title: str) -> None:
+        """Send all arrivals and wait for all answers.
+
+        Args:
+            arrivals: Arrivals in order.
+            title: Text of the progress bar.
+        """
+        hidden = not sys.stderr.isatty()
+        bar: tqdm.tqdm[Any] = tqdm.tqdm(
+            total=len(arrivals), desc=title, unit="answer", disable=hidden
+        )
+        self.started_ms = timing.read_ms()
+        loop = asyncio.get_running_loop()
+        with bar:
+            for arrival in arrivals:
+                await self._wait_until(self.started_ms + arrival.at_ms)
+                call = loop.create_task(self._send(arrival, bar))
+                self._calls.add(call)
+                call.add_done_callback(self._calls.discard)
+            while self._calls:
+                await asyncio.wait(set(self._calls))
+
+    async def _wait_until(self, due_ms: float) -> None:
+        # Timers of the loop are whole ms, so the last part is polled.
+        while True:
+            left_ms = due_ms - timing.read_ms()
+            if left_ms <= 0:
+                return
+            pause_ms = left_ms - SPIN_MS
+            await asyncio.sleep(pause_ms / 1000 if pause_ms > SPIN_MS else 0)
+
+    async def _send(self, arrival: workloads.Arrival, bar: tqdm.tqdm[Any]) -> None:
+        due_ms = self.started_ms + arrival.at_ms
+        lag_ms = timing.read_ms() - due_ms
+        target = self.clients[arrival.number % len(self.clients)]
+        try:
+            reply = await send_arrival(target, arrival)
+        except client.ClientError as error:
+            reply = client.Reply(0, "unknown", str(error).encode())
+        ended_ms = timing.read_ms()
+        own = reply.status == 200 and _is_own(arrival, reply.body)
+        detail = "" if reply.status == 200 else reply.body[:300].decode("utf-8", "?")
+        self.samples.append(
+            Sample(
+                arrival,
+                lag_ms,
+                ended_ms - due_ms,
+                reply.status,
+                reply.outcome,
+                own,
+                ended_ms,
+                detail,
+            )
+        )
+        bar.update()
+
+
+async def send_arrival(
+    target: client.Client, arrival: workloads.Arrival
+) -> client.Reply:
+    """Send one submission.
+
+    Args:
+        target: Gateway.
+        arrival: What to send.
+
+    Raises:
+        client.ClientError: No whole answer arrived.
+    """
+    headers: dict[str, str] = {}
+    if arrival.key:
+        headers["Idempotency-Key"] = arrival.key
+    if arrival.desk:
+        headers["Amaranthspar-Desk"] = arrival.desk
+    bodies = [
+        {"sleep_ms": sleep_ms, "echo": [arrival.number, index]}
+        for index, sleep_ms in enumerate(arrival.sleeps_ms)
+    ]
+    if not arrival.is_job:
+        body = msgspec.json.encode(bodies[0])
+        return await target.send_request(arrival.service, body, headers)
+    tasks = {"tasks": [{"payload": item} for item in bodies]}
+    return await target.submit_job(arrival.service, msgspec.json.encode(tasks), headers)
+
+
+def _is_own(arrival: workloads.Arrival, body: bytes) -> bool:
+    answer = msgspec.json.decode(body)
+    answers = answer["answers"] if arrival.is_job else [answer]
+    expected = [[arrival.number, index] for index in range(len(arrival.sleeps_ms))]
+    return [item["echo"] for item in answers] == expected
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,323 @@
+"""Roles of the product and stand-ins as plain processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import secrets
+import signal
+import subprocess
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import msgspec
+import psutil
+
+from amaranthspar import client, configuration, options, tokens
+from benchmarks import ports, workloads
+
+CONTROLLERS = 3
+GATEWAYS = 2
+READY_SECONDS = 30
+READY_POLL_SECONDS = 0.05
+STOP_SECONDS = 20
+DEADLINE_MS = 120_000
+
+
+class FleetError(Exception):
+    """The processes did not do what the experiment needs."""
+
+
+@attrs.define(slots=True)
+class Process:
+    """One started process.
+
+    Attributes:
+        name: Process name.
+        popen: Handle of the operating system's process.
+        address: Address for links, HTTP or control.
+    """
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    address: str = ""
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        self.popen.send_signal(number)
+
+    def read_cpu(self) -> float:
+        """Return the CPU time spent so far in s."""
+        times = psutil.Process(self.popen.pid).cpu_times()
+        return float(times.user + times.system)
+
+    def read_memory(self) -> float:
+        """Return the resident memory in MB."""
+        return float(psutil.Process(self.popen.pid).memory_info().rss) / 2**20
+
+
+@attrs.define(slots=True)
+class Fleet:
+    """Processes of one experiment.
+
+    Attributes:
+        firm: Settings of the firm.
+        folder: Folder for settings, logs and the controllers' data.
+        statsd: Address of the StatsD listener; empty for none.
+        gateways: Number of gateways.
+        controllers: Number of controllers.
+    """
+
+    firm: workloads.Firm
+    folder: pathlib.Path
+    statsd: str = ""
+    gateways: int = GATEWAYS
+    controllers: int = CONTROLLERS
+    heartbeat_ms: int = 500
+    desks: dict[str, str] = attrs.field(factory=dict)
+    groups: dict[int, str] = attrs.field(factory=dict)
+    token: str = attrs.field(factory=lambda: secrets.token_hex(16))
+    processes: dict[str, Process] = attrs.field(factory=dict)
+    urls: list[str] = attrs.field(factory=list)
+    places: list[str] = attrs.field(factory=list)
+    control: str = ""
+    link_addresses: dict[str, str] = attrs.field(factory=dict)
+    controller_addresses: list[str] = attrs.field(factory=list)
+    sidecar_controllers: list[str] = attrs.field(factory=list)
+
+    async def start(self) -> None:
+        """Start every role and wait until all gateways see all sidecars.
+
+        Raises:
+            FleetError: They did not become ready in time.
+        """
+        self.start_upstreams()
+        self.start_controllers()
+        for number in range(self.firm.upstreams):
+            self.start_sidecar(number)
+        for number in range(self.gateways):
+            self.start_gateway(number)
+        await self.wait_ready(self.firm.upstreams)
+
+    def start_upstreams(self) -> None:
+        """Start the process with all stand-in upstreams."""
+        addresses = ports.reserve(self.firm.upstreams + 1)
+        self.control = addresses.pop()
+        self.places = [
+            f"{name_upstream(number)}={self.firm.find_domain(number)}={address}"
+            for number, address in enumerate(addresses)
+        ]
+        words = ["-m", "benchmarks.upstreams", "--control", self.control]
+        words += ["--slots", str(self.firm.slots), *self.places]
+        self.spawn("upstreams", words, self.control)
+
+    def start_controllers(self) -> None:
+        """Start the controllers with a first configuration."""
+        bootstrap = self.folder / "bootstrap.ini"
+        bootstrap.write_text(str(self.build_configuration()))
+        self.controller_addresses = ports.reserve(self.controllers)
+        addresses = enumerate(self.controller_addresses)
+        replicas = [f"c{number + 1}={item}" for number, item in addresses]
+        for number, address in enumerate(self.controller_addresses):
+            name = f"controller-{number + 1}"
+            section = options.ControllerOptions(
+                f"c{number + 1}", replicas, str(self.folder / name), str(bootstrap)
+            )
+            self._start_role(name, "controller", number, section, address)
+
+    def start_sidecar(self, number: int) -> None:
+        """Start the sidecar of an upstream by its number."""
+        section = options.SidecarOptions(
+            self.places[number].split("=")[2],
+            worker=f"worker-{number + 1}",
+            rack=f"rack-{number // 3 + 1}",
+            services=[kind.service for kind in self.firm.kinds],
+            group=self.groups.get(number, "main"),
+            slots=self.firm.slots,
+            connections=workloads.CONNECTIONS,
+            cores=self.firm.cores,
+            memory_mb=self.firm.memory_mb,
+        )
+        self._start_role(f"sidecar-{number + 1}", "sidecar", number, section)
+
+    def start_gateway(self, number: int) -> None:
+        """Start a gateway by its number."""
+        name = f"gateway-{number + 1}"
+        if number >= len(self.urls):
+            self.urls.append(f"http://{ports.reserve()[0]}")
+        http = self.urls[number].removeprefix("http://")
+        section = options.GatewayOptions(http, tokens.hash_token(self.token), 100)
+        self._start_role(name, "gateway", number, section)
+
+    def build_configuration(self) -> configuration.Configuration:
+        """Return the first configuration."""
+        result = configuration.Configuration()
+        for kind in self.firm.kinds:
+            result.add_service(
+                kind.service, idempotent=kind.idempotent, deadline_ms=DEADLINE_MS
+            )
+        for domain in self.firm.domains:
+            result.add_domain(domain)
+        for desk, home in self.desks.items():
+            result.add_desk(desk, home=home)
+        result.add_team("field")
+        digest = tokens.hash_token(self.token)
+        return result.add_account(
+            "field", team="field", token_hash=digest, operator=True
+        )
+
+    def start_naive(self) -> str:
+        """Start the naive dispatcher over the same upstreams.
+
+        Returns:
+            Its URL.
+        """
+        address = ports.reserve()[0]
+        words = ["-m", "benchmarks.naive", "--http", address, *self.places]
+        self.spawn("naive", words, address)
+        return f"http://{address}"
+
+    async def wait_ready(self, sidecars: int) -> None:
+        """Wait until each gateway is ready and sees a number of sidecars."""
+        for url in self.urls:
+            caller = client.Client(url, self.token)
+            try:
+                async with asyncio.timeout(READY_SECONDS):
+                    while not await _is_ready(caller, sidecars):
+                        await asyncio.sleep(READY_POLL_SECONDS)
+            except TimeoutError as error:
+                text = f"{url} not ready in {READY_SECONDS} s, see {self.folder}"
+                raise FleetError(text) from error
+            finally:
+                await caller.close()
+
+    async def wait_http(self, url: str) -> None:
+        """Wait until a URL answers 200 at ``/readyz``."""
+        caller = client.Client(url, self.token)
+        async with asyncio.timeout(READY_SECONDS):
+            while True:
+                try:
+                    if (await caller.call("GET", "/readyz")).status == 200:
+                        break
+                except client.ClientError:
+                    pass
+                await asyncio.sleep(READY_POLL_SECONDS)
+        await caller.close()
+
+    def spawn(self, name: str, words: Sequence[str], address: str) -> Process:
+        """Start a Python process with its output in a file of the folder."""
+        environment = os.environ | {"UV_USE_IO_URING": "0"}
+        with (self.folder / f"{name}.log").open("ab") as output:
+            popen = subprocess.Popen(
+                [sys.executable, *words],
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                env=environment,
+                start_new_session=True,
+            )
+        self.processes[name] = Process(name, popen, address)
+        return self.processes[name]
+
+    def list_processes(self, prefix: str) -> list[Process]:
+        """Return the processes whose name has a prefix."""
+        return [
+            item for name, item in self.processes.items() if name.startswith(prefix)
+        ]
+
+    async def stop(self) -> dict[str, int]:
+        """End every process by its id, gateways first.
+
+        Returns:
+            Exit code of each process.
+        """
+        codes: dict[str, int] = {}
+        order = ("naive", "gateway", "sidecar", "controller", "")
+        try:
+            for prefix in order:
+                batch = self.list_processes(prefix)
+                for item in batch:
+                    if item.popen.poll() is None:
+                        item.send_signal(signal.SIGCONT)
+                        item.send_signal(signal.SIGTERM)
+                for item in batch:
+                    codes[item.name] = await _wait_exit(item)
+                    del self.processes[item.name]
+        finally:
+            self.kill()
+        return codes
+
+    def kill(self) -> None:
+        """End every process at once, by its id."""
+        for item in self.processes.values():
+            if item.popen.poll() is None:
+                item.popen.kill()
+            item.popen.wait()
+        self.processes.clear()
+
+    def _start_role(
+        self, name: str, role: str, number: int, section: Any, listen: str = ""
+    ) -> Process:
+        domain = self.firm.domains[number % len(self.firm.domains)]
+        listen = listen or self.link_addresses.get(name) or ports.reserve()[0]
+        self.link_addresses[name] = listen
+        controllers = self.controller_addresses
+        if role == "sidecar" and self.sidecar_controllers:
+            controllers = self.sidecar_controllers
+        process = options.ProcessOptions(
+            name, listen, controllers, domain, statsd=self.statsd
+        )
+        link = options.LinkOptions(self.heartbeat_ms)
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            format_settings({"process": process, "links": link, role: section})
+        )
+        words = ["-m", "amaranthspar", role, "--settings", str(path)]
+        return self.spawn(name, words, listen)
+
+
+def name_upstream(number: int) -> str:
+    """Return the name of an upstream by its number."""
+    return f"upstream-{number + 1}"
+
+
+def format_settings(sections: dict[str, Any]) -> str:
+    """Return option classes as the INI text of a settings file.
+
+    Args:
+        sections: Options by section name.
+    """
+    lines: list[str] = []
+    for name, section in sections.items():
+        lines.append(f"[{name}]")
+        for field in attrs.fields(type(section)):
+            value = getattr(section, field.name)
+            text = ", ".join(value) if isinstance(value, list) else str(value)
+            lines.append(f"{field.name} = {text}")
+        lines.append("")
+    return "\n".join(lines)
+
+
+async def _is_ready(caller: client.Client, sidecars: int) -> bool:
+    try:
+        if (await caller.call("GET", "/readyz")).status != 200:
+            return False
+        reply = await caller.call("GET", "/v1/status")
+    except client.ClientError:
+        return False
+    if reply.status != 200:
+        return False
+    return len(msgspec.json.decode(reply.body)["running"]) >= sidecars
+
+
+async def _wait_exit(item: Process) -> int:
+    for _ in range(STOP_SECONDS * 50):
+        code = item.popen.poll()
+        if code is not None:
+            return code
+        await asyncio.sleep(0.02)
+    item.popen.kill()
+    return item.popen.wait()
--- /dev/null
+++ b/benchmarks/response.py
@@ -0,0 +1,146 @@
+"""Response time against the clairvoyant queue."""
+
+from __future__ import annotations
+
+import attrs
+
+from benchmarks import driver, histograms, ideal, outcomes, trials, workloads
+
+TARGETS = {50.0: 1.05, 99.0: 1.10, 99.9: 1.25}
+BASELINE = "naive round robin"
+
+
+@attrs.define(slots=True)
+class Pool:
+    """Times of all seeds at one load.
+
+    Attributes:
+        measured_ms: Response times of the product or the baseline.
+        ideal_ms: Response times of the clairvoyant queue.
+        lags_ms: Lag of the driver.
+        failures: Arrivals without a whole answer of their own.
+    """
+
+    measured_ms: list[float] = attrs.field(factory=list)
+    ideal_ms: list[float] = attrs.field(factory=list)
+    lags_ms: list[float] = attrs.field(factory=list)
+    failures: int = 0
+
+    def add(self, samples: list[driver.Sample], best: ideal.Schedule) -> None:
+        """Add the samples of one run."""
+        for sample in samples:
+            self.measured_ms.append(sample.response_ms)
+            self.ideal_ms.append(best.responses_ms[sample.arrival.number])
+            self.lags_ms.append(sample.lag_ms)
+        self.failures += trials.count_failures(samples)
+
+    def compare(self, percentile: float) -> float:
+        """Return the ratio of a percentile to the ideal one."""
+        measured = histograms.collect(self.measured_ms).read_percentile(percentile)
+        best = histograms.collect(self.ideal_ms).read_percentile(percentile)
+        return measured / best
+
+
+async def run(options: trials.Options) -> outcomes.Outcome:
+    """Measure both firms at each load.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("response", options.seed, options.seconds)
+    for firm in options.firms:
+        rows: list[tuple[object, ...]] = []
+        curves: dict[str, outcomes.Curve] = {}
+        async with trials.open_trial(firm) as trial:
+            for load in options.loads:
+                pool = await _measure(trial, trial.driver, options, load)
+                rows.append(_describe(firm, load, "amaranthspar", pool))
+                _add_measures(outcome, firm, load, pool)
+                _add_points(curves, load, "amaranthspar", pool)
+            if options.baseline:
+                async with trials.open_naive(trial) as sender:
+                    for load in options.loads:
+                        pool = await _measure(trial, sender, options, load)
+                        rows.append(_describe(firm, load, BASELINE, pool))
+                        _add_points(curves, load, BASELINE, pool)
+        _add_results(outcome, firm, rows, curves)
+    return outcome
+
+
+async def _measure(
+    trial: trials.Trial, sender: driver.Driver, options: trials.Options, load: float
+) -> Pool:
+    pool = Pool()
+    firm = trial.fleet.firm
+    for seed in range(options.seed, options.seed + options.repeats):
+        arrivals = workloads.generate(firm, seed, options.seconds, load)
+        sender.samples.clear()
+        await sender.run(arrivals, f"{firm.name} {load:.0%} seed {seed}")
+        pool.add(sender.samples, ideal.schedule(arrivals, firm.total_slots))
+    return pool
+
+
+def _add_measures(
+    outcome: outcomes.Outcome, firm: workloads.Firm, load: float, pool: Pool
+) -> None:
+    place = f"{firm.name} {load:.0%}"
+    for percentile, target in TARGETS.items():
+        name = f"{place} p{percentile:g} / ideal"
+        measure = outcomes.Measure(name, pool.compare(percentile), target)
+        outcome.measures.append(measure)
+    lags = histograms.collect(pool.lags_ms)
+    outcome.measures.append(outcomes.Measure(f"{place} failures", pool.failures, 0))
+    name = f"{place} driver lag p99 ms"
+    outcome.measures.append(outcomes.Measure(name, lags.read_percentile(99)))
+
+
+def _describe(
+    firm: workloads.Firm, load: float, label: str, pool: Pool
+) -> tuple[object, ...]:
+    measured = histograms.collect(pool.measured_ms)
+    best = histograms.collect(pool.ideal_ms)
+    cells: list[object] = []
+    for percentile in TARGETS:
+        cells += [
+            measured.read_percentile(percentile),
+            best.read_percentile(percentile),
+        ]
+        cells.append(pool.compare(percentile))
+    count = len(pool.measured_ms)
+    return (firm.name, f"{load:.0%}", label, count, *cells, pool.failures)
+
+
+def _add_points(
+    curves: dict[str, outcomes.Curve], load: float, label: str, pool: Pool
+) -> None:
+    for name, times in ((label, pool.measured_ms), ("ideal queue", pool.ideal_ms)):
+        times_seen = histograms.collect(times)
+        for percentile in (50.0, 99.0):
+            key = f"{name}, p{percentile:g}"
+            curve = curves.setdefault(key, outcomes.Curve(key, [], []))
+            if load * 100 not in curve.x:
+                curve.x.append(load * 100)
+                curve.y.append(times_seen.read_percentile(percentile))
+
+
+def _add_results(
+    outcome: outcomes.Outcome,
+    firm: workloads.Firm,
+    rows: list[tuple[object, ...]],
+    curves: dict[str, outcomes.Curve],
+) -> None:
+    headers = ["firm", "load", "dispatcher", "answers"]
+    for percentile in TARGETS:
+        name = f"p{percentile:g}"
+        headers += [f"{name} ms", f"ideal {name} ms", "ratio"]
+    headers.append("failures")
+    title = f"Response time, {firm.name}"
+    outcome.tables.append(outcomes.Table(title, tuple(headers), rows))
+    plot = outcomes.Plot(
+        f"{title}, by load",
+        "load (% of all slots)",
+        "response time (ms)",
+        list(curves.values()),
+        log_y=True,
+    )
+    outcome.plots.append(plot)
--- /dev/null
+++ b/benchmarks/trials.py
@@ -0,0 +1,197 @@
+"""One fleet with its driver and counters, ended whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import attrs
+import msgspec
+
+from amaranthspar import configuration, messages, standin
+from benchmarks import counters, driver, fleet, timing, workloads
+
+WARM_UP_SECONDS = 2.0
+WARM_UP_LOAD = 0.3
+STATSD_SECONDS = 1.3
+
+
+@attrs.frozen(slots=True)
+class Options:
+    """Options of a run.
+
+    Attributes:
+        seed: Seed of all chance.
+        seconds: Length of each measured part in s.
+        firms: Firms to measure.
+        loads: Loads to measure as shares of all slots.
+        repeats: Seeds to run one after another, from `seed` up.
+        baseline: Whether the naive dispatcher runs as well.
+    """
+
+    seed: int
+    seconds: float
+    firms: tuple[workloads.Firm, ...]
+    loads: tuple[float, ...]
+    repeats: int = 1
+    baseline: bool = True
+
+
+@attrs.define(slots=True)
+class Trial:
+    """A running fleet.
+
+    Attributes:
+        fleet: Processes.
+        driver: Driver with a connection to each gateway.
+        counters: Counters of the roles.
+        folder: Folder of settings and logs.
+    """
+
+    fleet: fleet.Fleet
+    driver: driver.Driver
+    counters: counters.Counters
+    folder: pathlib.Path
+
+    async def read_runs(self, first: int = 0) -> list[standin.Run]:
+        """Return the stand-ins' record of runs.
+
+        Args:
+            first: Number of older runs to leave out.
+        """
+        body = await self._call_upstreams("GET", f"/runs?from={first}")
+        return msgspec.json.decode(body, type=list[standin.Run])
+
+    async def read_waited(self) -> int:
+        """Return how many tasks found every slot of their upstream taken."""
+        return int(msgspec.json.decode(await self._call_upstreams("GET", "/waited")))
+
+    async def set_behaviour(self, upstream: int, **changes: Any) -> None:
+        """Change how an upstream works."""
+        body = msgspec.json.encode(standin.Behaviour(**changes))
+        name = fleet.name_upstream(upstream)
+        await self._call_upstreams("PUT", f"/behaviour/{name}", body)
+
+    async def change_domain(self, name: str, state: str) -> float:
+        """Take a failure domain out or in.
+
+        Returns:
+            Monotonic time in ms at which the change was known to be accepted.
+        """
+        return await self.change_configuration(
+            lambda current: current.add_domain(name, state=state)
+        )
+
+    async def change_configuration(self, change: Any) -> float:
+        """Change the newest configuration.
+
+        Args:
+            change: Called with the configuration; it changes it in place.
+
+        Returns:
+            Monotonic time in ms at which the change was known to be accepted.
+
+        Raises:
+            fleet.FleetError: It was not accepted.
+        """
+        operator = self.driver.clients[0]
+        fetched = await operator.fetch_configuration()
+        current = configuration.parse_text(fetched.text)
+        change(current)
+        decided: messages.ConfigurationDecided = await operator.submit_configuration(
+            str(current), fetched.version, str(uuid.uuid4())
+        )
+        if decided.outcome != "accepted":
+            raise fleet.FleetError(f"configuration {decided.outcome}")
+        return timing.read_ms()
+
+    async def settle_counters(self) -> None:
+        """Wait until the counters of all that happened have arrived."""
+        await asyncio.sleep(STATSD_SECONDS)
+
+    async def _call_upstreams(self, method: str, path: str, body: bytes = b"") -> bytes:
+        url = f"http://{self.fleet.control}{path}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, data=body) as answer,
+        ):
+            answer.raise_for_status()
+            return await answer.read()
+
+
+@contextlib.asynccontextmanager
+async def open_trial(
+    firm: workloads.Firm, warm: bool = True, **settings: Any
+) -> AsyncIterator[Trial]:
+    """Run a fleet for the length of a block.
+
+    Args:
+        firm: Settings of the firm.
+        warm: Whether to warm up with a light load.
+        settings: More settings of `fleet.Fleet`.
+    """
+    with tempfile.TemporaryDirectory(prefix="bench-") as name:
+        folder = pathlib.Path(name)
+        statsd = counters.Counters()
+        await statsd.open()
+        group = fleet.Fleet(firm, folder, statsd.address, **settings)
+        sender: driver.Driver | None = None
+        try:
+            await group.start()
+            sender = driver.Driver(group.urls, group.token)
+            trial = Trial(group, sender, statsd, folder)
+            if warm:
+                await warm_up(trial)
+            yield trial
+            await sender.close()
+            codes = await group.stop()
+            if any(codes.values()):
+                print(f"exit codes: {codes}")
+        finally:
+            group.kill()
+            statsd.close()
+
+
+async def warm_up(trial: Trial, sender: driver.Driver | None = None) -> None:
+    """Send a light load and forget its samples."""
+    sender = sender or trial.driver
+    firm = trial.fleet.firm
+    arrivals = [
+        attrs.evolve(arrival, key=f"warm-{arrival.key}" if arrival.key else "")
+        for arrival in workloads.generate(firm, 0, WARM_UP_SECONDS, WARM_UP_LOAD)
+    ]
+    await sender.run(arrivals, "warm-up")
+    sender.samples.clear()
+
+
+@contextlib.asynccontextmanager
+async def open_naive(trial: Trial) -> AsyncIterator[driver.Driver]:
+    """Run the naive dispatcher over the trial's upstreams."""
+    url = trial.fleet.start_naive()
+    await trial.fleet.wait_http(url)
+    sender = driver.Driver([url], trial.fleet.token)
+    try:
+        await warm_up(trial, sender)
+        yield sender
+    finally:
+        await sender.close()
+
+
+def count_failures(samples: list[driver.Sample]) -> int:
+    """Return how many arrivals got no whole answer of their own."""
+    return sum(not sample.own for sample in samples)
+
+
+def describe_failures(samples: list[driver.Sample]) -> list[str]:
+    """Return the first few failures as lines."""
+    failed = [sample for sample in samples if not sample.own]
+    return [
+        f"- {item.arrival.service} {item.status} {item.outcome} {item.detail}"
+        for item in failed[:5]
+    ]
--- /dev/null
+++ b/benchmarks/waste.py
@@ -0,0 +1,102 @@
+"""Messages among gateways and sidecars beyond the least possible."""
+
+from __future__ import annotations
+
+import collections
+
+from benchmarks import driver, outcomes, trials, workloads
+
+TARGET = 0.05
+LEAST_MESSAGES = 2
+SENT = "sent.peer."
+LIVENESS = ("Heartbeat", "HeartbeatReply")
+
+Counts = collections.Counter[str]
+
+
+async def run(options: trials.Options) -> outcomes.Outcome:
+    """Count messages by kind at each load.
+
+    The least is one start message and one result message for a request, and
+    for each batch of a job's tasks that a sidecar was sent at once.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("waste", options.seed, options.seconds)
+    for firm in options.firms:
+        bars: dict[str, Counts] = {}
+        rows: list[tuple[object, ...]] = []
+        async with trials.open_trial(firm) as trial:
+            for load in options.loads:
+                counts, tasks, lag = await _measure(trial, options, load)
+                label = f"{firm.name} {load:.0%}"
+                bars[label] = counts
+                rows += _list_rows(label, counts, tasks)
+                _add_measures(outcome, label, counts, tasks)
+                name = f"{label} driver lag p99 ms"
+                outcome.measures.append(outcomes.Measure(name, lag))
+        headers = ("load", "message", "sent", "a task")
+        title = f"Messages by kind, {firm.name}"
+        outcome.tables.append(outcomes.Table(title, headers, rows))
+        outcome.plots.append(_plot(title, bars))
+    return outcome
+
+
+async def _measure(
+    trial: trials.Trial, options: trials.Options, load: float
+) -> tuple[Counts, int, float]:
+    firm = trial.fleet.firm
+    await trial.settle_counters()
+    before = _read(trial)
+    tasks = 0
+    for seed in range(options.seed, options.seed + options.repeats):
+        arrivals = workloads.generate(firm, seed, options.seconds, load)
+        await trial.driver.run(arrivals, f"{firm.name} {load:.0%} seed {seed}")
+        tasks += sum(len(arrival.sleeps_ms) for arrival in arrivals)
+    await trial.settle_counters()
+    lag = measure_lag(trial.driver.samples)
+    trial.driver.samples.clear()
+    return _read(trial) - before, tasks, lag
+
+
+def measure_lag(samples: list[driver.Sample]) -> float:
+    """Return the driver's lag at the 99th percentile in ms."""
+    lags = sorted(sample.lag_ms for sample in samples)
+    return lags[int(len(lags) * 0.99)] if lags else 0.0
+
+
+def _read(trial: trials.Trial) -> Counts:
+    return collections.Counter(trial.counters.sum_metric(SENT))
+
+
+def _add_measures(
+    outcome: outcomes.Outcome, label: str, counts: Counts, tasks: int
+) -> None:
+    total = sum(counts.values())
+    liveness = sum(counts[kind] for kind in LIVENESS)
+    least = LEAST_MESSAGES * counts["StartTasks"]
+    figures = {
+        "messages a task": total / tasks,
+        "heartbeats a task": liveness / tasks,
+        "wasted a task without heartbeats": (total - liveness - least) / tasks,
+    }
+    wasted = outcomes.Measure(f"{label} wasted a task", (total - least) / tasks, TARGET)
+    outcome.measures.append(wasted)
+    for name, figure in figures.items():
+        outcome.measures.append(outcomes.Measure(f"{label} {name}", figure))
+
+
+def _list_rows(label: str, counts: Counts, tasks: int) -> list[tuple[object, ...]]:
+    return [
+        (label, kind, count, count / tasks) for kind, count in sorted(counts.items())
+    ]
+
+
+def _plot(title: str, bars: dict[str, Counts]) -> outcomes.Plot:
+    kinds = tuple(sorted({kind for counts in bars.values() for kind in counts}))
+    curves = [
+        outcomes.Curve(label, [], [float(counts[kind]) for kind in kinds])
+        for label, counts in bars.items()
+    ]
+    return outcomes.Plot(title, "messages", "", curves, bars=kinds)
