--- a/amaranthspar/standin.py
+++ b/amaranthspar/standin.py
@@ -14,6 +14,7 @@
 
 JSON = "application/json"
 MAX_BODY_BYTES = 64 * 1024 * 1024
+RECORDED_SPANS = 10_000
 STUCK_MS = 60_000
 
 
@@ -43,8 +44,8 @@
 
 
 @attrs.define(slots=True)
-class Run:
-    """One start of a task.
+class Span:
+    """Time in which one task ran.
 
     Attributes:
         submission: Submission id.
@@ -84,13 +85,13 @@
     """Starts of each task over all stand-ins of a process.
 
     Args:
-        keeps_runs: Whether to keep each run with its times.
+        recorded_spans: Spans to keep; none for all.
     """
 
-    def __init__(self, keeps_runs: bool = False) -> None:
+    def __init__(self, recorded_spans: int | None = RECORDED_SPANS) -> None:
+        self.spans: collections.deque[Span] = collections.deque(maxlen=recorded_spans)
         self.starts: collections.Counter[tuple[str, str]] = collections.Counter()
         self.started = 0
-        self.runs: list[Run] | None = [] if keeps_runs else None
 
     def note(self, submission: str, task: str) -> int:
         """Count a start and return the starts of that task so far."""
@@ -118,7 +119,7 @@
     ) -> None:
         self.behaviour = Behaviour()
         self.waited = 0
-        self._name = name
+        self.name = name
         self._failure_domain = failure_domain
         self._record = record
         self._clock = clock.Clock()
@@ -158,18 +159,17 @@
     ) -> response.HTTPResponse:
         starts = self._record.note(submission, task)
         now_ms = self._clock.read_monotonic()
-        run = Run(submission, task, self._name, self._failure_domain, now_ms)
-        if self._record.runs is not None:
-            self._record.runs.append(run)
+        span = Span(submission, task, self.name, self._failure_domain, now_ms)
+        self._record.spans.append(span)
         failing = work.fail or self.behaviour.failing
         try:
             await asyncio.sleep(self._choose_sleep(work) / 1000)
         except asyncio.CancelledError:
-            run.cut = True
+            span.cut = True
             raise
         finally:
-            run.ended_ms = self._clock.read_monotonic()
-        done = Done(work.echo, self._name, self._failure_domain, starts)
+            span.ended_ms = self._clock.read_monotonic()
+        done = Done(work.echo, self.name, self._failure_domain, starts)
         status = 500 if failing else 200
         return response.raw(msgspec.json.encode(done), status, content_type=JSON)
 
--- a/benchmarks/domain.py
+++ b/benchmarks/domain.py
@@ -114,7 +114,7 @@
 ) -> Result:
     firm = trial.fleet.firm
     arrivals = workloads.generate(firm, seed, options.seconds, LOAD)
-    earlier = len(await trial.read_runs())
+    earlier = len(await trial.read_spans())
     sender.samples.clear()
 
     async def change() -> Span:
@@ -125,7 +125,7 @@
 
     driving = sender.run(arrivals, f"{firm.name} seed {seed}")
     _, (out_ms, in_ms) = await asyncio.gather(driving, change())
-    runs = await trial.read_runs(earlier)
+    runs = await trial.read_spans(earlier)
     return _evaluate(firm, arrivals, sender, runs, (out_ms, in_ms))
 
 
@@ -133,7 +133,7 @@
     firm: workloads.Firm,
     arrivals: Sequence[workloads.Arrival],
     sender: driver.Driver,
-    runs: list[standin.Run],
+    runs: list[standin.Span],
     times: Span,
 ) -> Result:
     start_ms = sender.started_ms
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -83,8 +83,9 @@
     for number, curve in enumerate(plot.curves):
         places = [index + number * height for index in range(len(curve.y))]
         drawn = area.barh(places, curve.y, height, label=curve.label)
-        area.bar_label(drawn, fmt="%.3g", fontsize=7, padding=2)
+        area.bar_label(drawn, fmt="%.0f", fontsize=7, padding=2)
     middle = 0.4 - height / 2
     area.set_yticks([index + middle for index in range(len(plot.bars))])
     area.set_yticklabels(plot.bars)
+    area.margins(x=0.1)
     area.invert_yaxis()
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -59,14 +59,14 @@
     counters: counters.Counters
     folder: pathlib.Path
 
-    async def read_runs(self, first: int = 0) -> list[standin.Run]:
-        """Return the stand-ins' record of runs.
+    async def read_spans(self, first: int = 0) -> list[standin.Span]:
+        """Return the spans on the stand-ins.
 
         Args:
-            first: Number of older runs to leave out.
+            first: Number of older spans to leave out.
         """
-        body = await self._call_upstreams("GET", f"/runs?from={first}")
-        return msgspec.json.decode(body, type=list[standin.Run])
+        body = await self._call_upstreams("GET", f"/spans?from={first}")
+        return msgspec.json.decode(body, type=list[standin.Span])
 
     async def read_waited(self) -> int:
         """Return how many tasks found every slot of their upstream taken."""
--- a/benchmarks/upstreams.py
+++ b/benchmarks/upstreams.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import itertools
 import signal
 from typing import Any
 
@@ -28,7 +29,7 @@
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
-        self._record = standin.StartRecord(keeps_runs=True)
+        self._record = standin.StartRecord(recorded_spans=None)
         self._stand_ins: dict[str, standin.StandIn] = {}
         self._server = _httpserver.HttpServer(MAX_BODY_BYTES)
 
@@ -44,7 +45,7 @@
             stand_in = standin.StandIn(name, domain, self._record, self._slots)
             await stand_in.open(address)
             self._stand_ins[name] = stand_in
-        self._server.add("GET", "/runs", self._show_runs)
+        self._server.add("GET", "/spans", self._show_spans)
         self._server.add("GET", "/waited", self._show_waited)
         self._server.add("PUT", "/behaviour/<name:str>", self._change)
         await self._server.open(control)
@@ -55,10 +56,10 @@
             await stand_in.close()
         await self._server.close()
 
-    async def _show_runs(self, request: Any) -> response.HTTPResponse:
+    async def _show_spans(self, request: Any) -> response.HTTPResponse:
         first = int(request.args.get("from", "0"))
-        runs = self._record.runs or []
-        return response.raw(msgspec.json.encode(runs[first:]), content_type=JSON)
+        spans = list(itertools.islice(self._record.spans, first, None))
+        return response.raw(msgspec.json.encode(spans), content_type=JSON)
 
     async def _show_waited(self, request: Any) -> response.HTTPResponse:
         waited = sum(item.waited for item in self._stand_ins.values())
