Add the operators' commands

Change: one module a first word, imported only when called; access by arguments, environment or INI file; several gateways are asked in turn; domain out and in are a compare-and-set loop whose changes are asked for again under one change id; config submit checks locally and lists every fault. [DEFAULT] in an INI file is an unknown section now.

--- /dev/null
+++ b/amaranthspar/access.py
@@ -0,0 +1,118 @@
+"""Where an operator's commands find the system, and with which token."""
+
+import argparse
+import pathlib
+from collections.abc import Mapping
+
+import attrs
+
+from amaranthspar import _sections, errors, inifiles, options
+
+GATEWAY_VARIABLE = "AMARANTHSPAR_GATEWAY"
+TOKEN_VARIABLE = "AMARANTHSPAR_TOKEN"
+ACCESS_VARIABLE = "AMARANTHSPAR_ACCESS"
+SECTION = "access"
+HELP = f"""\
+access to the system, the first that is given counts:
+  --gateway URL and --token TOKEN (more --gateway are tried in turn);
+  {GATEWAY_VARIABLE} (URLs with commas between) and {TOKEN_VARIABLE};
+  an INI file, by --access FILE or {ACCESS_VARIABLE}:
+    [access]
+    gateways = http://127.0.0.1:8080, http://127.0.0.1:8081
+    token = TOKEN
+
+exit codes: 0 done, 1 refused, 2 bad input, 3 outcome unknown
+"""
+
+
+@attrs.frozen(slots=True)
+class Access:
+    """Gateways and a token.
+
+    Attributes:
+        gateways: URLs, tried in turn.
+        token: Bearer token.
+    """
+
+    gateways: list[str]
+    token: str = attrs.field(repr=False)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments that give access; they stand before or after a command.
+
+    Args:
+        parser: Parser of the program or of a command.
+    """
+    # Without a default a command leaves what stands before it as it is.
+    kept = argparse.SUPPRESS
+    group = parser.add_argument_group("access")
+    group.add_argument(
+        "--gateway", action="append", default=kept, metavar="URL", help="gateway"
+    )
+    group.add_argument("--token", default=kept, metavar="TOKEN", help="bearer token")
+    group.add_argument(
+        "--access",
+        type=pathlib.Path,
+        default=kept,
+        metavar="FILE",
+        help="INI file with both",
+    )
+
+
+def find_access(
+    arguments: argparse.Namespace, environment: Mapping[str, str]
+) -> Access:
+    """Return the access that arguments, environment and file give.
+
+    Args:
+        arguments: Parsed command line.
+        environment: Variables of the process.
+
+    Raises:
+        errors.SettingsError: A gateway or the token is missing or malformed.
+    """
+    path = getattr(arguments, "access", None) or environment.get(ACCESS_VARIABLE)
+    stored = _load_access(pathlib.Path(path)) if path else options.AccessOptions()
+    gateways = (
+        getattr(arguments, "gateway", None)
+        or _split(environment.get(GATEWAY_VARIABLE, ""))
+        or stored.gateways
+    )
+    token = (
+        getattr(arguments, "token", None)
+        or environment.get(TOKEN_VARIABLE, "")
+        or stored.token
+    )
+    faults = []
+    if not gateways:
+        faults.append(f"no gateway: give --gateway URL or set {GATEWAY_VARIABLE}")
+    if not token:
+        faults.append(f"no token: give --token TOKEN or set {TOKEN_VARIABLE}")
+    faults += [
+        f"gateway {url!r}: expected http://HOST:PORT"
+        for url in gateways
+        if not url.startswith(("http://", "https://"))
+    ]
+    if faults:
+        raise errors.SettingsError(faults)
+    return Access(list(gateways), token)
+
+
+def _load_access(path: pathlib.Path) -> options.AccessOptions:
+    parser = inifiles.load_file(path)
+    faults = [
+        f"{path}: [{name}]: unknown section, expected [{SECTION}]"
+        for name in parser.sections()
+        if name != SECTION
+    ]
+    values = parser[SECTION] if parser.has_section(SECTION) else {}
+    reading = _sections.read_section(SECTION, values, options.AccessOptions)
+    faults += [f"{path}: {fault}" for fault in reading.faults]
+    if faults or reading.entry is None:
+        raise errors.SettingsError(faults)
+    return reading.entry
+
+
+def _split(text: str) -> list[str]:
+    return [item.strip() for item in text.split(",") if item.strip()]
--- /dev/null
+++ b/amaranthspar/bodies.py
@@ -0,0 +1,66 @@
+"""JSON bodies that a gateway answers with."""
+
+from typing import Any
+
+import attrs
+import msgspec
+
+from amaranthspar import messages
+
+
+@attrs.frozen(slots=True)
+class JobState:
+    """A job that has not ended.
+
+    Attributes:
+        job: Job id.
+        state: ``accepted`` or ``running``.
+    """
+
+    job: str
+    state: str
+
+
+@attrs.frozen(slots=True)
+class JobAnswers:
+    """A job of which every task is done.
+
+    Attributes:
+        job: Job id.
+        answers: The upstreams' JSON bodies in task order.
+        state: ``complete``.
+    """
+
+    job: str
+    answers: list[msgspec.Raw]
+    state: str = "complete"
+
+
+@attrs.frozen(slots=True)
+class Status:
+    """What a gateway knows of the system.
+
+    Attributes:
+        configuration_version: Configuration version in force here.
+        membership_revision: Membership revision known here.
+        domains: State of each failure domain, ``in`` or ``out``.
+        members: Gateways and sidecars.
+        running: Tasks that this gateway runs, by sidecar.
+        queued: Tasks that wait in this gateway.
+    """
+
+    configuration_version: int
+    membership_revision: int
+    domains: dict[str, str]
+    members: list[messages.Member]
+    running: dict[str, int]
+    queued: int
+
+
+def encode_body(body: Any) -> bytes:
+    """Return a body as JSON.
+
+    Args:
+        body: Instance of a class of this module or of ``messages``.
+    """
+    return msgspec.json.encode(body)
--- a/amaranthspar/client.py
+++ b/amaranthspar/client.py
@@ -1,14 +1,40 @@
 """HTTP client for callers and operators of a gateway."""
 
+import urllib.parse
+from typing import TypeVar
+
 import aiohttp
 import attrs
 import msgspec
 
-from amaranthspar import errors, messages
+from amaranthspar import bodies, errors, messages, problems
+
+Body = TypeVar("Body")
+
+CONNECT_SECONDS = 5
+CONFLICT = 409
+INVALID = 422
+DECIDED_STATUSES = (200, CONFLICT, INVALID)
 
 
 class ClientError(errors.InputOutputError):
-    """A gateway gave no answer, so the outcome is unknown."""
+    """A gateway gave no whole answer, so the outcome is unknown."""
+
+
+class NotSentError(ClientError):
+    """No connection was made, so nothing was sent."""
+
+
+class RefusedError(ClientError):
+    """A gateway answered with a problem document.
+
+    Args:
+        problem: The document.
+    """
+
+    def __init__(self, problem: problems.Problem) -> None:
+        super().__init__(f"{problem.title}: {problem.detail}")
+        self.problem = problem
 
 
 @attrs.frozen(slots=True)
@@ -27,6 +53,17 @@
     body: bytes
     location: str = ""
 
+    def read_problem(self) -> problems.Problem:
+        """Return the problem document that the body holds."""
+        try:
+            return msgspec.json.decode(self.body, type=problems.Problem)
+        except msgspec.MsgspecError:
+            detail = self.body[:200].decode(errors="replace")
+            outcome = self.outcome or "unknown"
+            return problems.Problem(
+                "about:blank", f"HTTP {self.status}", self.status, detail, outcome
+            )
+
 
 class Client:
     """Connection to one gateway.
@@ -34,13 +71,15 @@
     Args:
         gateway: URL as in ``http://127.0.0.1:8000``.
         token: Bearer token.
+        timeout_ms: Longest time for a whole answer in ms; none for no limit.
     """
 
-    def __init__(self, gateway: str, token: str) -> None:
+    def __init__(self, gateway: str, token: str, timeout_ms: int | None = None) -> None:
         self._gateway = gateway.rstrip("/")
         headers = {"Authorization": f"Bearer {token}"}
         connector = aiohttp.TCPConnector(limit=0)
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=5)
+        total = None if timeout_ms is None else timeout_ms / 1000
+        timeout = aiohttp.ClientTimeout(total=total, sock_connect=CONNECT_SECONDS)
         self._session = aiohttp.ClientSession(
             headers=headers, connector=connector, timeout=timeout
         )
@@ -62,7 +101,7 @@
         Raises:
             ClientError: No whole answer arrived.
         """
-        path = f"/v1/services/{service}/requests"
+        path = f"/v1/services/{quote(service)}/requests"
         return await self.call("POST", path, body, headers)
 
     async def submit_job(
@@ -78,7 +117,8 @@
         Raises:
             ClientError: No whole answer arrived.
         """
-        return await self.call("POST", f"/v1/services/{service}/jobs", body, headers)
+        path = f"/v1/services/{quote(service)}/jobs"
+        return await self.call("POST", path, body, headers)
 
     async def fetch_configuration(
         self, version: int = 0
@@ -92,9 +132,18 @@
             ClientError: The gateway refused or gave no answer.
         """
         reply = await self.call("GET", f"/v1/configuration?version={version}")
-        if reply.status != 200:
-            raise ClientError(reply.body.decode(errors="replace"))
-        return msgspec.json.decode(reply.body, type=messages.ConfigurationFetched)
+        _expect_status(reply, (200,))
+        return _decode(reply.body, messages.ConfigurationFetched)
+
+    async def fetch_status(self) -> bodies.Status:
+        """Fetch what the gateway knows of the system.
+
+        Raises:
+            ClientError: The gateway refused or gave no answer.
+        """
+        reply = await self.call("GET", "/v1/status")
+        _expect_status(reply, (200,))
+        return _decode(reply.body, bodies.Status)
 
     async def submit_configuration(
         self, text: str, base_version: int, change_id: str
@@ -107,13 +156,13 @@
             change_id: Unique name of the change; a resend carries the same.
 
         Raises:
-            ClientError: The outcome is unknown.
+            ClientError: The gateway refused, or the outcome is unknown.
         """
-        query = f"base_version={base_version}&change_id={change_id}"
-        reply = await self.call("PUT", f"/v1/configuration?{query}", text.encode())
-        if reply.status not in (200, 409, 422):
-            raise ClientError(reply.body.decode(errors="replace"))
-        return msgspec.json.decode(reply.body, type=messages.ConfigurationDecided)
+        values = {"base_version": base_version, "change_id": change_id}
+        path = f"/v1/configuration?{urllib.parse.urlencode(values)}"
+        reply = await self.call("PUT", path, text.encode())
+        _expect_status(reply, DECIDED_STATUSES)
+        return _decode(reply.body, messages.ConfigurationDecided)
 
     async def call(
         self,
@@ -138,5 +187,30 @@
                     await response.read(),
                     response.headers.get("Location", ""),
                 )
-        except aiohttp.ClientError as error:
+        except aiohttp.ClientConnectorError as error:
+            raise NotSentError(f"cannot reach {self._gateway}: {error}") from error
+        except aiohttp.InvalidURL as error:
+            raise NotSentError(f"{self._gateway}: not a URL") from error
+        except (aiohttp.ClientError, TimeoutError) as error:
             raise ClientError(f"{type(error).__name__}: {error}") from error
+
+
+def quote(name: str) -> str:
+    """Return a name as one part of a path.
+
+    Args:
+        name: Service or job.
+    """
+    return urllib.parse.quote(name, safe="")
+
+
+def _expect_status(reply: Reply, expected: tuple[int, ...]) -> None:
+    if reply.status not in expected:
+        raise RefusedError(reply.read_problem())
+
+
+def _decode(body: bytes, kind: type[Body]) -> Body:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise ClientError(f"the answer is no {kind.__name__}: {error}") from error
--- /dev/null
+++ b/amaranthspar/commands_role.py
@@ -0,0 +1,66 @@
+"""Commands ``gateway``, ``sidecar`` and ``controller``."""
+
+import argparse
+import pathlib
+from typing import Any
+
+from amaranthspar import errors, exits, loop, settings, stopping
+
+EXAMPLES = """\
+examples:
+  amaranthspar settings check {role}.ini
+  amaranthspar {role} --settings {role}.ini     # stops in order on SIGTERM
+"""
+
+
+def fill_parser(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments.
+
+    Args:
+        parser: Parser of the first word, which is the role.
+    """
+    role = parser.prog.split()[-1]
+    parser.epilog = EXAMPLES.format(role=role)
+    parser.add_argument("--settings", required=True, type=pathlib.Path, metavar="FILE")
+    parser.set_defaults(run=_run_role, role=role)
+
+
+def _run_role(arguments: argparse.Namespace) -> int:
+    loaded = settings.load_settings(arguments.settings)
+    if loaded.role != arguments.role:
+        fault = f"[{loaded.role}]: expected the settings of a {arguments.role}"
+        raise errors.SettingsError([f"{arguments.settings}: {fault}"])
+    return loop.run_loop(_serve_role(loaded, arguments.settings))
+
+
+async def _serve_role(loaded: settings.Settings, path: pathlib.Path) -> int:
+    stop = stopping.watch_signals()
+    role = _build_role(loaded)
+    try:
+        await role.start()
+    except errors.SettingsError as error:
+        faults = [f"{path}: {fault}" for fault in error.faults]
+        raise errors.SettingsError(faults) from error
+    except errors.LinkError as error:
+        fault = f"{path}: [process] listen = {loaded.process.listen}: {error}"
+        raise errors.SettingsError([fault]) from error
+    except errors.InputOutputError as error:
+        raise errors.SettingsError([f"{path}: [{loaded.role}]: {error}"]) from error
+    await stop.wait()
+    await role.stop()
+    return exits.DONE
+
+
+def _build_role(loaded: settings.Settings) -> Any:
+    if loaded.gateway is not None:
+        from amaranthspar import gateway
+
+        return gateway.Gateway(loaded.process, loaded.links, loaded.gateway)
+    if loaded.sidecar is not None:
+        from amaranthspar import sidecar
+
+        return sidecar.Sidecar(loaded.process, loaded.links, loaded.sidecar)
+    assert loaded.controller is not None
+    from amaranthspar import controller
+
+    return controller.Controller(loaded.process, loaded.links, loaded.controller)
--- /dev/null
+++ b/amaranthspar/commands_settings.py
@@ -0,0 +1,39 @@
+"""Command ``settings check``."""
+
+import argparse
+import pathlib
+
+from amaranthspar import commands, errors, exits, settings
+
+EXAMPLES = """\
+examples:
+  amaranthspar settings check /etc/amaranthspar/gateway.ini
+
+exit codes: 0 good, 2 faults, one line each with file, section and key
+"""
+
+
+def fill_parser(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments.
+
+    Args:
+        parser: Parser of the first word.
+    """
+    verbs = parser.add_subparsers(title="commands", required=True)
+    summary = "Check the settings file of a gateway, sidecar or controller."
+    check = commands.add_parser(verbs, "check", summary, EXAMPLES)
+    check.add_argument("files", type=pathlib.Path, nargs="+", metavar="FILE")
+    check.set_defaults(run=_check)
+
+
+def _check(arguments: argparse.Namespace) -> int:
+    code = exits.DONE
+    for path in arguments.files:
+        try:
+            loaded = settings.load_settings(path)
+        except errors.SettingsError as error:
+            commands.print_faults(error.faults)
+            code = exits.BAD_INPUT
+            continue
+        print(f"{path}: good settings of {loaded.role} {loaded.process.name}")
+    return code
--- /dev/null
+++ b/amaranthspar/commands_status.py
@@ -0,0 +1,124 @@
+"""Command ``status``."""
+
+import argparse
+from collections.abc import Iterable
+
+import tabulate
+
+from amaranthspar import bodies, commands, commands_operator, exits, messages, operators
+
+EXAMPLES = """\
+  amaranthspar status
+  amaranthspar status --json
+"""
+
+
+def fill_parser(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments.
+
+    Args:
+        parser: Parser of the first word.
+    """
+    commands_operator.fill_parser(parser, _show, EXAMPLES)
+    commands.add_json(parser)
+
+
+def _show(arguments: argparse.Namespace) -> int:
+    async def run(operator: operators.Operator) -> int:
+        status = await operator.repeat(lambda item: item.fetch_status())
+        if arguments.json:
+            commands.print_json(status)
+        else:
+            print(format_status(status))
+        return exits.DONE
+
+    return commands_operator.run_operator(arguments, run)
+
+
+def format_status(status: bodies.Status) -> str:
+    """Return a status as tables.
+
+    Args:
+        status: What a gateway knows of the system.
+    """
+    sidecars = [item for item in status.members if item.announcement is not None]
+    gateways = [item for item in status.members if item.announcement is None]
+    head = (
+        f"configuration version {status.configuration_version}, "
+        f"membership revision {status.membership_revision}, "
+        f"{status.queued} tasks wait in this gateway"
+    )
+    parts = [
+        head,
+        _format_domains(status, sidecars),
+        _format_sidecars(status, sidecars),
+        _format_gateways(gateways),
+    ]
+    return "\n\n".join(parts)
+
+
+def _format_domains(status: bodies.Status, sidecars: Iterable[messages.Member]) -> str:
+    slots: dict[str, int] = {}
+    running: dict[str, int] = {}
+    for item in sidecars:
+        if item.announcement is None:
+            continue
+        name = item.announcement.failure_domain
+        slots[name] = slots.get(name, 0) + item.announcement.slots
+        tasks = status.running.get(item.process, 0)
+        running[name] = running.get(name, 0) + tasks
+    rows = [
+        (
+            name,
+            status.domains.get(name, "not configured"),
+            slots.get(name, 0),
+            running.get(name, 0),
+        )
+        for name in sorted({*status.domains, *slots})
+    ]
+    headers = ("failure domain", "state", "slots", "running")
+    return tabulate.tabulate(rows, headers=headers)
+
+
+def _format_sidecars(status: bodies.Status, sidecars: Iterable[messages.Member]) -> str:
+    rows = [
+        (
+            item.process,
+            item.announcement.failure_domain,
+            item.announcement.worker,
+            item.announcement.group,
+            ", ".join(item.announcement.services),
+            item.announcement.slots,
+            status.running.get(item.process, 0),
+            _describe_state(item),
+        )
+        for item in sorted(sidecars, key=_read_name)
+        if item.announcement is not None
+    ]
+    headers = (
+        "sidecar",
+        "failure domain",
+        "worker",
+        "group",
+        "services",
+        "slots",
+        "running",
+        "state",
+    )
+    return tabulate.tabulate(rows, headers=headers)
+
+
+def _format_gateways(gateways: Iterable[messages.Member]) -> str:
+    rows = [
+        (item.process, item.address, _describe_state(item))
+        for item in sorted(gateways, key=_read_name)
+    ]
+    return tabulate.tabulate(rows, headers=("gateway", "links", "state"))
+
+
+def _read_name(item: messages.Member) -> str:
+    return item.process
+
+
+def _describe_state(item: messages.Member) -> str:
+    return "leaving" if item.leaving else "serving"
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from amaranthspar import _sections, entries, errors, messages
+from amaranthspar import _sections, entries, errors, inifiles, messages
 
 Entry = entries.Service | entries.Domain | entries.Desk | entries.Team | entries.Account
 KINDS: dict[str, type[Entry]] = {
@@ -105,7 +105,7 @@
     Args:
         sections: Sections in the order in which they are printed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = inifiles.build_parser()
     for section in sections:
         parser[section.name] = {item.key: item.value for item in section.settings}
     text = io.StringIO()
@@ -122,7 +122,7 @@
     Raises:
         ConfigurationError: The text has faults; all are listed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = inifiles.build_parser()
     try:
         parser.read_string(text)
     except configparser.Error as error:
--- /dev/null
+++ b/amaranthspar/exits.py
@@ -0,0 +1,6 @@
+"""Exit codes of the program."""
+
+DONE = 0
+REFUSED = 1
+BAD_INPUT = 2
+UNKNOWN = 3
--- a/amaranthspar/options.py
+++ b/amaranthspar/options.py
@@ -114,3 +114,16 @@
     lease_ms: int = 3000
     election_ms: int = 600
     heartbeat_ms: int = 100
+
+
+@attrs.frozen(slots=True)
+class AccessOptions:
+    """Section `access` of an operator's file.
+
+    Attributes:
+        gateways: URLs of the gateways.
+        token: Bearer token.
+    """
+
+    gateways: list[str] = attrs.field(factory=list)
+    token: str = ""
--- a/amaranthspar/settings.py
+++ b/amaranthspar/settings.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from amaranthspar import _sections, errors, options
+from amaranthspar import _sections, errors, inifiles, options
 
 KINDS: dict[str, type] = {
     "process": options.ProcessOptions,
@@ -48,14 +48,7 @@
     Raises:
         errors.SettingsError: The file has faults; all are listed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        with path.open(encoding="utf-8") as file:
-            parser.read_file(file)
-    except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        line = " ".join(str(error).split())
-        raise errors.SettingsError([f"{path}: {line}"]) from error
-    return _build_settings(parser, str(path))
+    return _build_settings(inifiles.load_file(path), str(path))
 
 
 def _build_settings(parser: configparser.ConfigParser, source: str) -> Settings:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,17 @@
+"""Fixtures that several test modules share."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from tests import builders_shell
+
+
+@pytest.fixture(scope="session")
+def served() -> Iterator[builders_shell.Served]:
+    running = builders_shell.Served()
+    try:
+        running.wait_ready()
+        yield running
+    finally:
+        running.stop()
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,159 @@
+"""Tests of the operators' commands, run as processes against a served demo."""
+
+import json
+import pathlib
+
+import pytest
+
+from amaranthspar import configuration
+from tests import builders_shell
+
+JOB = json.dumps({"tasks": [{"payload": {"echo": number}} for number in range(3)]})
+
+
+def read_version(served: builders_shell.Served) -> int:
+    return json.loads(served.run("config", "show", "--json").stdout)["version"]
+
+
+def test_shown_configuration_is_accepted_again_on_its_version(served) -> None:
+    shown = served.run("config", "show").stdout
+    version = read_version(served)
+    assert shown.startswith(f"; version {version}\n")
+    words = ("config", "submit", "-", "--base-version", str(version))
+    changed = configuration.parse_text(shown).add_team("submitted", weight=3)
+    accepted = served.run(*words, "--change-id", "one", text=str(changed))
+    assert (accepted.returncode, accepted.stderr) == (0, "")
+    assert accepted.stdout == f"accepted as version {version + 1}\n"
+    again = served.run(*words, "--change-id", "one", text=str(changed))
+    assert (again.returncode, again.stdout) == (0, accepted.stdout)
+    late = served.run(*words, "--change-id", "two", text=str(changed))
+    assert late.returncode == 1
+    assert f"version {version + 1} is in force" in late.stderr
+    history = json.loads(served.run("config", "history", "--json").stdout)
+    assert history[-1]["change_id"] == "one"
+    assert "one" in served.run("config", "history").stdout
+    older = served.run("config", "show", "--version", str(version))
+    assert older.stdout == shown
+    assert served.run("config", "show", "--version", "9999").returncode == 1
+
+
+def test_bad_configuration_is_listed_and_changes_nothing(
+    served, tmp_path: pathlib.Path
+) -> None:
+    path = tmp_path / "bad.ini"
+    path.write_text("[service a]\nidempotent = maybe\n[shop b]\n[domain c]\nx = 1\n")
+    version = read_version(served)
+    result = served.run("config", "submit", str(path), "--base-version", "1")
+    assert result.returncode == 2
+    lines = result.stderr.splitlines()
+    assert len(lines) == 3
+    assert all(line.startswith(f"{path}: [") for line in lines)
+    assert "[service a] idempotent" in lines[0]
+    assert read_version(served) == version
+
+
+def test_domain_goes_out_and_in(served) -> None:
+    version = read_version(served)
+    assert served.run("domain", "out", "pecs").returncode == 0
+    assert served.run("domain", "out", "pecs").returncode == 0
+    status = json.loads(served.run("status", "--json").stdout)
+    assert status["domains"]["pecs"] == "out"
+    assert served.run("domain", "in", "pecs").returncode == 0
+    assert read_version(served) == version + 2
+    unknown = served.run("domain", "out", "nowhere")
+    assert unknown.returncode == 2
+    assert "gyor, pecs, veszprem" in unknown.stderr
+
+
+def test_status_is_a_table(served) -> None:
+    result = served.run("status")
+    assert result.returncode == 0
+    for name in ("gyor", "sidecar-9", "gateway-2", "running"):
+        assert name in result.stdout
+
+
+def test_job_is_submitted_shown_and_cancelled(served) -> None:
+    whole = served.run("job", "submit", "recalculate", "-", text=JOB)
+    assert whole.returncode == 0
+    answers = json.loads(whole.stdout)["answers"]
+    assert [item["echo"] for item in answers] == [0, 1, 2]
+    slow = json.dumps({"tasks": [{"payload": {"sleep_ms": 20_000}}]})
+    words = ("job", "submit", "recalculate", "-", "--async")
+    accepted = served.run(*words, text=slow)
+    job = json.loads(accepted.stdout)["job"]
+    assert json.loads(served.run("job", "show", job).stdout)["state"] == "running"
+    assert served.run("job", "cancel", job).returncode == 0
+    assert served.run("job", "show", job).returncode in (1, 3)
+
+
+def test_refused_jobs_have_their_exit_codes(served) -> None:
+    never = json.dumps({"tasks": [{"payload": {}, "accelerators": 99}]})
+    refused = served.run("job", "submit", "recalculate", "-", text=never)
+    assert refused.returncode == 1
+    malformed = served.run("job", "submit", "recalculate", "-", text="{")
+    assert malformed.returncode == 2
+    unknown = served.run("job", "submit", "nothing", "-", text=JOB)
+    assert unknown.returncode == 2
+    failed = json.dumps({"tasks": [{"payload": {"fail": True}}]})
+    assert served.run("job", "submit", "recalculate", "-", text=failed).returncode == 1
+
+
+def test_access_comes_from_arguments_or_file(served, tmp_path) -> None:
+    url, token = served.urls[0], builders_shell.TOKEN
+    given = builders_shell.run_program(
+        "status", "--gateway", url, "--token", token, "--json"
+    )
+    assert given.returncode == 0
+    before = builders_shell.run_program(
+        "--gateway", url, "--token", token, "status", "--json"
+    )
+    assert before.returncode == 0
+    path = tmp_path / "access.ini"
+    path.write_text(f"[access]\ngateways = {url}\ntoken = {token}\n")
+    stored = builders_shell.run_program("status", "--json", "--access", str(path))
+    assert stored.returncode == 0
+    wrong = builders_shell.run_program("status", "--gateway", url, "--token", "wrong")
+    assert wrong.returncode == 1
+    missing = builders_shell.run_program("status")
+    assert missing.returncode == 2
+    assert len(missing.stderr.splitlines()) == 2
+    path.write_text("[access]\ngate = 1\n")
+    assert (
+        "[access] gate"
+        in builders_shell.run_program("status", "--access", str(path)).stderr
+    )
+
+
+def test_next_gateway_is_asked_and_silence_is_unknown(served) -> None:
+    dead = f"http://127.0.0.1:{builders_shell.find_port_pair()}"
+    token = ("--token", builders_shell.TOKEN)
+    words = ("config", "show", "--gateway", dead)
+    over = builders_shell.run_program(*words, "--gateway", served.urls[1], *token)
+    assert over.returncode == 0
+    lost = builders_shell.run_program(*words, *token, "--timeout-ms", "300")
+    assert lost.returncode == 3
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        (),
+        ("config",),
+        ("config", "submit", "office.ini"),
+        ("config", "submit", "missing.ini", "--base-version", "1"),
+        ("config", "submit", "-", "--base-version", "x"),
+        ("domain", "sideways", "gyor"),
+        ("gateway",),
+        ("demo", "--port", "x"),
+    ],
+)
+def test_bad_words_exit_with_two(words: tuple[str, ...]) -> None:
+    assert builders_shell.run_program(*words).returncode == 2
+
+
+def test_help_teaches_by_examples() -> None:
+    for words in (("config", "submit"), ("domain", "out"), ("job", "submit")):
+        text = builders_shell.run_program(*words, "--help").stdout
+        assert "examples:" in text
+        assert "exit codes:" in text
+    assert builders_shell.run_program("--version").stdout == "amaranthspar 0.1.0\n"
