--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-from amaranthspar import program
+from amaranthspar import loop
 from benchmarks import outcomes, trials, workloads
 
 NAMES = ("response", "waste", "domain")
@@ -35,7 +35,7 @@
         arguments.repeats,
         not arguments.no_baseline,
     )
-    return program.run_loop(_run(arguments, options))
+    return loop.run_loop(_run(arguments, options))
 
 
 def _build_parser() -> argparse.ArgumentParser:
