Start the cluster's gateways once every sidecar is registered

Cause: /readyz of the demonstration answered 200 with 4 of 9 upstreams known. Change: gateways start after every sidecar holds a lease. Conclusion: ready means all upstreams of the demonstration.

--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -8,6 +8,7 @@
 import attrs
 
 from amaranthspar import (
+    clock,
     configuration,
     controller,
     gateway,
@@ -89,6 +90,9 @@
         await self._start_controllers(addresses)
         for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
+        # A gateway that is ready shall know every upstream.
+        while not self.is_registered:
+            await asyncio.sleep(READY_POLL_MS / 1000)
         for number, port in enumerate(self.ports):
             await self._start_gateway(number, port, addresses)
         while not self.is_ready:
@@ -102,6 +106,12 @@
             for item in self.gateways
         )
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether every sidecar holds a lease."""
+        now_ms = clock.Clock().read_monotonic()
+        return all(item.holder.is_valid(now_ms) for item in self.sidecars)
+
     async def stop(self) -> None:
         """Stop every role in order, cutting off nothing."""
         await asyncio.gather(*(item.stop() for item in self.gateways))
