Answer every HTTP edge with a problem document

Cause: bad queries gave 500, headers that are no text broke frames between processes, amounts beyond 64 bits could not be encoded, a refused body reset the connection, an empty text could be accepted as a configuration without accounts, and a resent asynchronous job was given an id that is found nowhere.

Headers, queries and amounts are checked before anything starts; too large bodies are read and dropped so that the refusal arrives; refusals of changes are problem documents with the decision. Tokens are compared in constant time in all places.

--- a/amaranthspar/_httpserver.py
+++ b/amaranthspar/_httpserver.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import sanic
-from sanic import response
+from sanic import exceptions, response
 
 from amaranthspar import errors
 
@@ -13,9 +13,38 @@
 
 RESPONSE_TIMEOUT_SECONDS = 3700
 KEEP_ALIVE_SECONDS = 120
+DRAINED_BYTES = 64 * 1024 * 1024
 _numbers = itertools.count(1)
 
 
+class _Request(sanic.Request):
+    """Request whose body is limited.
+
+    A body that is too large is read to its end and dropped, so that the client,
+    which still sends, gets the refusal instead of a reset connection.
+    """
+
+    async def receive_body(self) -> None:
+        """Read the body.
+
+        Raises:
+            exceptions.PayloadTooLarge: It exceeds the limit.
+        """
+        limit_bytes = self.app.ctx.max_body_bytes
+        parts: list[bytes] = []
+        size_bytes = 0
+        stream: Any = self.stream
+        async for part in stream:
+            size_bytes += len(part)
+            if size_bytes <= limit_bytes:
+                parts.append(part)
+            else:
+                parts.clear()
+        if size_bytes > limit_bytes:
+            raise exceptions.PayloadTooLarge(f"the body exceeds {limit_bytes} bytes")
+        self.body = b"".join(parts)
+
+
 class HttpServer:
     """HTTP server of one role.
 
@@ -24,13 +53,15 @@
     """
 
     def __init__(self, max_body_bytes: int) -> None:
+        name = f"amaranthspar-{next(_numbers)}"
         self.app: Any = sanic.Sanic(
-            f"amaranthspar-{next(_numbers)}", configure_logging=False
+            name, configure_logging=False, request_class=_Request
         )
+        self.app.ctx.max_body_bytes = max_body_bytes
         self.app.config.MOTD = False
         self.app.config.TOUCHUP = False
         self.app.config.NOISY_EXCEPTIONS = False
-        self.app.config.REQUEST_MAX_SIZE = max_body_bytes
+        self.app.config.REQUEST_MAX_SIZE = max_body_bytes + DRAINED_BYTES
         self.app.config.RESPONSE_TIMEOUT = RESPONSE_TIMEOUT_SECONDS
         self.app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_SECONDS
         self._server: Any = None
@@ -44,7 +75,7 @@
             handler: Coroutine function that answers.
         """
         name = handler.__name__.strip("_")
-        self.app.add_route(handler, path, methods=[method], name=name)
+        self.app.add_route(handler, path, methods=[method], name=name, unquote=True)
 
     async def open(self, address: str) -> None:
         """Listen.
@@ -65,6 +96,11 @@
         except OSError as error:
             raise errors.InputOutputError(f"cannot listen on {address}") from error
 
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
     async def close(self) -> None:
         """Stop listening and close the connections."""
         if self._server is None:
--- a/amaranthspar/bodies.py
+++ b/amaranthspar/bodies.py
@@ -5,7 +5,7 @@
 import attrs
 import msgspec
 
-from amaranthspar import messages
+from amaranthspar import errors, messages
 
 
 @attrs.frozen(slots=True)
@@ -64,3 +64,26 @@
         body: Instance of a class of this module or of ``messages``.
     """
     return msgspec.json.encode(body)
+
+
+def read_raw(body: bytes) -> msgspec.Raw:
+    """Return a body that is JSON as it is.
+
+    Args:
+        body: Body of an upstream's answer.
+
+    Raises:
+        errors.SchemaError: It is no JSON in UTF-8.
+    """
+    try:
+        body.decode()
+        return _raw_decoder.decode(body)
+    except UnicodeDecodeError as error:
+        raise errors.SchemaError("expected UTF-8") from error
+    except RecursionError as error:
+        raise errors.SchemaError("nested too deeply") from error
+    except msgspec.MsgspecError as error:
+        raise errors.SchemaError(str(error)) from error
+
+
+_raw_decoder = msgspec.json.Decoder(msgspec.Raw)
--- a/amaranthspar/client.py
+++ b/amaranthspar/client.py
@@ -12,9 +12,7 @@
 Body = TypeVar("Body")
 
 CONNECT_SECONDS = 5
-CONFLICT = 409
-INVALID = 422
-DECIDED_STATUSES = (200, CONFLICT, INVALID)
+REFUSED_CHANGE_STATUSES = (409, 422)
 
 
 class ClientError(errors.InputOutputError):
@@ -161,7 +159,9 @@
         values = {"base_version": base_version, "change_id": change_id}
         path = f"/v1/configuration?{urllib.parse.urlencode(values)}"
         reply = await self.call("PUT", path, text.encode())
-        _expect_status(reply, DECIDED_STATUSES)
+        if reply.status in REFUSED_CHANGE_STATUSES:
+            return _decode(reply.body, problems.ChangeProblem).decision
+        _expect_status(reply, (200,))
         return _decode(reply.body, messages.ConfigurationDecided)
 
     async def call(
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -127,6 +127,8 @@
         parser.read_string(text)
     except configparser.Error as error:
         raise ConfigurationError([" ".join(str(error).split())]) from error
+    if not parser.sections():
+        raise ConfigurationError(["the configuration has no sections"])
     sections = [
         messages.Section(
             name, [messages.Setting(key, value) for key, value in parser[name].items()]
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -48,6 +48,7 @@
         self.clock = clock.Clock()
         self.options = gateway
         self.draining = False
+        self.closing = False
         self._process = process
         self._log = logs.get_logger(process.name)
         self._metrics = metrics.Metrics(process.name, process.statsd)
@@ -98,6 +99,8 @@
         self._log.info("draining")
         self.draining = True
         await asyncio.sleep(self.options.drain_ms / 1000)
+        self.closing = True
+        self._web.stop_listening()
         while self.dispatcher.submissions or self._web.open_requests:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         incarnation = self.holder.member.incarnation
--- a/amaranthspar/intake.py
+++ b/amaranthspar/intake.py
@@ -1,6 +1,8 @@
 """Reading of callers' requests into submissions."""
 
+import re
 from collections.abc import Mapping
+from typing import Annotated
 
 import attrs
 import msgspec
@@ -11,9 +13,18 @@
 DEADLINE_HEADER = "amaranthspar-deadline-ms"
 DESK_HEADER = "amaranthspar-desk"
 KEY_HEADER = "idempotency-key"
+CONTENT_TYPE_HEADER = "content-type"
+TRACE_HEADER = "traceparent"
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
 MAX_DEADLINE_MS = 3_600_000
 MAX_TASKS = 10_000
-MAX_KEY_LENGTH = 255
+MAX_WORD_LENGTH = 255
+UNREADABLE = "\N{REPLACEMENT CHARACTER}"
+MAX_NUMBER = 2**53
+MAX_AMOUNT = 2**31
+TRACE_PATTERN = re.compile(r"(?!ff)[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
 
 @attrs.frozen(slots=True)
@@ -21,17 +32,17 @@
     """One task as a caller states it."""
 
     payload: msgspec.Raw
-    cores: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    expected_ms: int = 0
+    cores: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
+    expected_ms: Amount = 0
 
 
 @attrs.frozen(slots=True)
 class JobBody:
     """A job as a caller states it."""
 
-    tasks: list[TaskBody]
+    tasks: Annotated[list[TaskBody], msgspec.Meta(min_length=1, max_length=MAX_TASKS)]
 
 
 _job_decoder = msgspec.json.Decoder(JobBody)
@@ -50,38 +61,85 @@
     fingerprint: str
 
 
-def read_job(body: bytes) -> list[submissions.Task]:
+@attrs.frozen(slots=True)
+class Heading:
+    """What a request states besides its body.
+
+    Attributes:
+        account: Account that calls.
+        service: Service asked for.
+        desk: Desk name; empty for none.
+        content_type: Content type of the body.
+        deadline_ms: Time that the request may take in ms.
+        traceparent: W3C trace context; empty for none.
+    """
+
+    account: entries.Account
+    service: entries.Service
+    desk: str
+    content_type: str
+    deadline_ms: int
+    traceparent: str
+
+
+def read_heading(
+    headers: Mapping[str, str], account: entries.Account, service: entries.Service
+) -> Heading:
+    """Return what the headers of a request state.
+
+    Args:
+        headers: HTTP headers with lower-case names.
+        account: Account that calls.
+        service: Service asked for.
+
+    Raises:
+        problems.ProblemError: A header is malformed.
+    """
+    trace = headers.get(TRACE_HEADER, "")
+    return Heading(
+        account,
+        service,
+        _read_header(headers, DESK_HEADER),
+        _read_header(headers, CONTENT_TYPE_HEADER) or DEFAULT_CONTENT_TYPE,
+        read_deadline(headers, service),
+        trace if TRACE_PATTERN.fullmatch(trace) else "",
+    )
+
+
+def read_job(body: bytes, max_payload_bytes: int) -> list[submissions.Task]:
     """Return the tasks of a job's body.
 
     Args:
         body: JSON as sent by the caller.
+        max_payload_bytes: Largest payload of a task in bytes.
 
     Raises:
         problems.ProblemError: The body is not a job.
     """
+    read_text(body)
     try:
         job = _job_decoder.decode(body)
     except msgspec.MsgspecError as error:
-        raise problems.ProblemError(400, "malformed-body", str(error)) from error
-    if not 0 < len(job.tasks) <= MAX_TASKS:
-        detail = f"expected 1 to {MAX_TASKS} tasks, got {len(job.tasks)}"
-        raise problems.ProblemError(400, "malformed-body", detail)
+        raise problems.refuse_malformed(str(error)) from error
+    except RecursionError as error:
+        raise problems.refuse_malformed("the body is nested too deeply") from error
+    tasks = []
     for index, task in enumerate(job.tasks):
-        wanted = (task.cores, task.memory_mb, task.accelerators, task.expected_ms)
-        if min(wanted) < 0:
-            detail = f"tasks[{index}]: negative amounts are not allowed"
-            raise problems.ProblemError(400, "malformed-body", detail)
-    return [
-        submissions.Task(
-            index,
-            bytes(task.payload),
-            task.expected_ms,
-            task.cores,
-            task.memory_mb,
-            task.accelerators,
+        payload = bytes(task.payload)
+        if len(payload) > max_payload_bytes:
+            detail = f"tasks[{index}]: the payload exceeds {max_payload_bytes} bytes"
+            raise problems.ProblemError(413, "body-too-large", detail)
+        tasks.append(
+            submissions.Task(
+                index,
+                payload,
+                task.expected_ms,
+                task.cores,
+                task.memory_mb,
+                task.accelerators,
+            )
         )
-        for index, task in enumerate(job.tasks)
-    ]
+    return tasks
 
 
 def read_deadline(headers: Mapping[str, str], service: entries.Service) -> int:
@@ -97,15 +155,17 @@
     text = headers.get(DEADLINE_HEADER)
     if text is None:
         return service.deadline_ms
-    try:
-        deadline_ms = int(text)
-    except ValueError as error:
+    digits = text.removeprefix("-")
+    if not (digits.isascii() and digits.isdigit()):
         detail = f"Amaranthspar-Deadline-Ms: expected whole ms, got {text!r}"
-        raise problems.ProblemError(400, "malformed-header", detail) from error
-    if deadline_ms <= 0:
-        detail = "the deadline has passed"
+        raise problems.ProblemError(400, "malformed-header", detail)
+    significant = digits.lstrip("0")
+    if digits != text or not significant:
+        detail = "Amaranthspar-Deadline-Ms: the deadline has passed"
         raise problems.ProblemError(400, "deadline-passed", detail)
-    return min(deadline_ms, MAX_DEADLINE_MS)
+    if len(significant) > len(str(MAX_DEADLINE_MS)):
+        return MAX_DEADLINE_MS
+    return min(int(significant), MAX_DEADLINE_MS)
 
 
 def read_key(
@@ -122,15 +182,82 @@
     Raises:
         problems.ProblemError: The service needs a key, or the key is not valid.
     """
-    text = headers.get(KEY_HEADER, "")
+    text = _read_header(headers, KEY_HEADER)
     if not text:
         if not service.idempotent:
             detail = f"service {service.name} needs an Idempotency-Key"
             raise problems.ProblemError(400, "key-required", detail)
         return None
-    if len(text) > MAX_KEY_LENGTH:
-        detail = f"Idempotency-Key: longer than {MAX_KEY_LENGTH} characters"
-        raise problems.ProblemError(400, "malformed-header", detail)
     name = "\n".join((account, service.name, text))
     digest = xxhash.xxh3_128_hexdigest(name.encode())
     return Key(digest, xxhash.xxh3_128_hexdigest(body))
+
+
+def read_number(text: str, name: str) -> int:
+    """Return a whole number of a query.
+
+    Args:
+        text: Value as sent by the caller.
+        name: Name of the value.
+
+    Raises:
+        problems.ProblemError: It is no number from 0 to 2 to the power of 53.
+    """
+    plain = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_NUMBER))
+    if not plain or int(text) > MAX_NUMBER:
+        detail = f"{name}: expected a whole number, got {text[:40]!r}"
+        raise problems.ProblemError(400, "malformed-query", detail)
+    return int(text)
+
+
+def read_word(text: str, name: str) -> str:
+    """Return a name that a query gives.
+
+    Args:
+        text: Value as sent by the caller.
+        name: Name of the value.
+
+    Raises:
+        problems.ProblemError: It is missing, too long or not printable.
+    """
+    if not text:
+        raise problems.ProblemError(400, "malformed-query", f"{name}: missing")
+    if not is_word(text):
+        raise problems.ProblemError(400, "malformed-query", f"{name}: {_EXPECTED}")
+    return text
+
+
+def read_text(body: bytes) -> str:
+    """Return a body as text.
+
+    Args:
+        body: Body as sent by the caller.
+
+    Raises:
+        problems.ProblemError: It is not UTF-8.
+    """
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise problems.refuse_malformed(f"expected UTF-8: {error}") from error
+
+
+def is_word(text: str) -> bool:
+    """Return whether a text may be handed on in headers and messages.
+
+    Args:
+        text: Text as sent by a caller.
+    """
+    readable = text.isprintable() and UNREADABLE not in text
+    return readable and len(text) <= MAX_WORD_LENGTH
+
+
+_EXPECTED = f"expected at most {MAX_WORD_LENGTH} printable characters in UTF-8"
+
+
+def _read_header(headers: Mapping[str, str], name: str) -> str:
+    text = headers.get(name, "")
+    if not is_word(text):
+        detail = f"{name.title()}: {_EXPECTED}"
+        raise problems.ProblemError(400, "malformed-header", detail)
+    return text
--- a/amaranthspar/keys.py
+++ b/amaranthspar/keys.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from amaranthspar import (
     answers,
     attachments,
@@ -72,7 +74,7 @@
                 return answers.KeyConflict()
             answer = await self._attach(decided, submission)
             if answer.outcome != submissions.NOT_RUN:
-                self._held.forget(submission.name)
+                self._keep_attached(submission, answer)
                 return answer
             self._release_unused(key, answer)
             await asyncio.sleep(RELEASE_PAUSE_MS / 1000)
@@ -111,6 +113,16 @@
         )
         return answer or attachments.lose_answer(name)
 
+    def _keep_attached(
+        self, submission: submissions.Submission, answer: submissions.Answer
+    ) -> None:
+        """Keep the answer of a resent job under the id that the resend was given."""
+        if not submission.is_job:
+            self._held.forget(submission.name)
+            return
+        kept = attrs.evolve(answer, submission=submission.name)
+        self._held.settle(kept, self._clock.read_monotonic())
+
     def _release_unused(self, key: intake.Key, answer: submissions.Answer) -> None:
         """Free the key of a submission that certainly did not run."""
         if answer.outcome == submissions.NOT_RUN:
--- a/amaranthspar/problems.py
+++ b/amaranthspar/problems.py
@@ -3,7 +3,12 @@
 import attrs
 import msgspec
 
+from amaranthspar import messages
+
 CONTENT_TYPE = "application/problem+json"
+OUTCOME_HEADER = "Amaranthspar-Outcome"
+RETRY_STATUSES = (429, 503)
+UNREADY_RETRY_MS = 1000
 
 
 @attrs.frozen(slots=True)
@@ -25,6 +30,27 @@
     outcome: str
 
 
+@attrs.frozen(slots=True)
+class ChangeProblem:
+    """Body of a refused change of the configuration.
+
+    Attributes:
+        type: URI reference of the kind of problem.
+        title: Kind of problem in a few words.
+        status: HTTP status.
+        detail: What happened this time.
+        outcome: ``not-run``.
+        decision: What the controllers decided.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: str
+    decision: messages.ConfigurationDecided
+
+
 class ProblemError(Exception):
     """Ends the handling of an HTTP request with a problem document.
 
@@ -45,10 +71,14 @@
         retry_after_ms: int = 0,
     ) -> None:
         super().__init__(detail)
+        # What a caller sent may hold bytes that are no text.
+        detail = detail.encode(errors="replace").decode()
         self.retry_after_ms = retry_after_ms
         title = name.replace("-", " ").capitalize()
         kind = f"urn:amaranthspar:{name}"
-        self.problem = Problem(kind, title, status, detail, outcome)
+        self.problem: Problem | ChangeProblem = Problem(
+            kind, title, status, detail, outcome
+        )
 
     def encode(self) -> bytes:
         """Return the body of the problem document."""
@@ -56,8 +86,50 @@
 
     def build_headers(self) -> dict[str, str]:
         """Return the headers that go with the problem document."""
-        headers = {"Amaranthspar-Outcome": self.problem.outcome}
-        if self.problem.status in (429, 503):
+        headers = {OUTCOME_HEADER: self.problem.outcome}
+        if self.problem.status in RETRY_STATUSES:
             seconds = max(1, -(-self.retry_after_ms // 1000))
             headers["Retry-After"] = str(seconds)
         return headers
+
+
+class ChangeError(ProblemError):
+    """Refuses a change of the configuration.
+
+    Args:
+        status: HTTP status.
+        name: Kind of problem, the last part of its type.
+        detail: What happened this time.
+        decision: What the controllers decided.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        name: str,
+        detail: str,
+        decision: messages.ConfigurationDecided,
+    ) -> None:
+        super().__init__(status, name, detail)
+        base = self.problem
+        self.problem = ChangeProblem(
+            base.type, base.title, status, detail, base.outcome, decision
+        )
+
+
+def refuse_unready(detail: str) -> ProblemError:
+    """Return the refusal of a gateway that cannot serve now.
+
+    Args:
+        detail: Why it cannot.
+    """
+    return ProblemError(503, "unavailable", detail, retry_after_ms=UNREADY_RETRY_MS)
+
+
+def refuse_malformed(detail: str) -> ProblemError:
+    """Return the refusal of a request whose body or query is malformed.
+
+    Args:
+        detail: What was expected.
+    """
+    return ProblemError(400, "malformed-body", detail)
--- /dev/null
+++ b/amaranthspar/replies.py
@@ -0,0 +1,138 @@
+"""HTTP responses of a gateway."""
+
+from typing import Any
+
+from sanic import exceptions, response
+
+from amaranthspar import bodies, errors, problems, submissions
+
+JSON = "application/json"
+DONE_HEADERS = {problems.OUTCOME_HEADER: submissions.DONE}
+# How a job goes on is not known before it has ended.
+OPEN_HEADERS = {problems.OUTCOME_HEADER: submissions.UNKNOWN}
+
+
+def build_json(
+    body: Any, status: int = 200, outcome: str = submissions.DONE
+) -> response.HTTPResponse:
+    """Return a response with a typed JSON body.
+
+    Args:
+        body: Instance of a class of the schema or of ``bodies``.
+        status: HTTP status.
+        outcome: Value of the header ``Amaranthspar-Outcome``.
+    """
+    headers = {problems.OUTCOME_HEADER: outcome}
+    return response.raw(bodies.encode_body(body), status, headers, JSON)
+
+
+def build_text(text: str, status: int = 200) -> response.HTTPResponse:
+    """Return a response with a line of text.
+
+    Args:
+        text: The line.
+        status: HTTP status.
+    """
+    headers = dict(DONE_HEADERS)
+    if status in problems.RETRY_STATUSES:
+        headers["Retry-After"] = "1"
+    return response.text(text, status, headers)
+
+
+def build_problem(problem: problems.ProblemError) -> response.HTTPResponse:
+    """Return a response with a problem document.
+
+    Args:
+        problem: What went wrong.
+    """
+    return response.raw(
+        problem.encode(),
+        problem.problem.status,
+        problem.build_headers(),
+        problems.CONTENT_TYPE,
+    )
+
+
+def build_exception(error: Exception) -> response.HTTPResponse:
+    """Return the response to an exception that a handler let through.
+
+    Args:
+        error: What was raised before or in a handler.
+    """
+    match error:
+        case problems.ProblemError():
+            return build_problem(error)
+        case exceptions.SanicException():
+            status, detail = _judge_exception(error), str(error)
+        case _:
+            status, detail = 500, type(error).__name__
+    name = _NAMES.get(status, f"http-{status}")
+    # A handler never runs for these, so nothing was started.
+    outcome = submissions.NOT_RUN if status < 500 else submissions.UNKNOWN
+    return build_problem(problems.ProblemError(status, name, detail, outcome))
+
+
+def _judge_exception(error: exceptions.SanicException) -> int:
+    if isinstance(error, exceptions.PayloadTooLarge) and "header" in str(error):
+        return 431
+    return error.status_code or 500
+
+
+_NAMES = {
+    400: "malformed-request",
+    404: "unknown-path",
+    405: "unknown-method",
+    408: "request-timeout",
+    413: "body-too-large",
+    431: "headers-too-large",
+    417: "expectation-failed",
+}
+
+
+def build_failure(answer: submissions.Answer) -> response.HTTPResponse:
+    """Return the response to a submission that has failed.
+
+    Args:
+        answer: Its answer.
+    """
+    status, name = 502, "failed"
+    if answer.outcome == submissions.NOT_RUN:
+        status, name = 503, "not-run"
+        if answer.reason.startswith("can never run"):
+            status, name = 422, "can-never-run"
+    elif answer.reason == "deadline passed":
+        status, name = 504, "deadline-passed"
+    problem = problems.ProblemError(
+        status, name, answer.reason, answer.outcome, answer.retry_after_ms
+    )
+    return build_problem(problem)
+
+
+def build_request(answer: submissions.Answer) -> response.HTTPResponse:
+    """Return the response to a single request: the upstream's status and body.
+
+    Args:
+        answer: Its answer.
+    """
+    if not answer.results:
+        return build_failure(answer)
+    result = answer.results[0]
+    headers = {problems.OUTCOME_HEADER: answer.outcome}
+    return response.raw(result.body, result.status, headers, result.content_type)
+
+
+def build_job(answer: submissions.Answer) -> response.HTTPResponse:
+    """Return the response to a job: all answers in task order, or a failure.
+
+    Args:
+        answer: Its answer.
+    """
+    if not answer.results:
+        return build_failure(answer)
+    try:
+        parts = [bodies.read_raw(result.body) for result in answer.results]
+    except errors.SchemaError as error:
+        detail = f"an upstream's answer is no JSON: {error}"
+        problem = problems.ProblemError(502, "failed", detail, answer.outcome)
+        return build_problem(problem)
+    return build_json(bodies.JobAnswers(answer.submission, parts))
--- a/amaranthspar/tokens.py
+++ b/amaranthspar/tokens.py
@@ -5,7 +5,7 @@
 
 from amaranthspar import configuration, entries
 
-SCHEME = "Bearer "
+SCHEME = "bearer"
 
 
 def hash_token(token: str) -> str:
@@ -14,7 +14,28 @@
     Args:
         token: Bearer token.
     """
-    return hashlib.sha256(token.encode()).hexdigest()
+    return hashlib.sha256(token.encode(errors="surrogateescape")).hexdigest()
+
+
+def is_token(header: str, token_hash: str) -> bool:
+    """Return whether an ``Authorization`` header holds one certain token.
+
+    Args:
+        header: Value of the header.
+        token_hash: SHA-256 of the token in hex; empty for none.
+    """
+    digest = _hash_header(header)
+    return bool(digest and token_hash) and is_equal(token_hash, digest)
+
+
+def is_equal(token_hash: str, digest: str) -> bool:
+    """Compare two hashes in a time that tells nothing of them.
+
+    Args:
+        token_hash: Hash from the settings, in either case of letters.
+        digest: Hash of the caller's token.
+    """
+    return hmac.compare_digest(token_hash.lower().encode(), digest.encode())
 
 
 def find_account(
@@ -26,11 +47,19 @@
         header: Value of the header.
         settings: Configuration that holds the accounts.
     """
-    if not header.startswith(SCHEME):
+    digest = _hash_header(header)
+    if not digest:
         return None
-    digest = hash_token(header[len(SCHEME) :].strip())
     found: entries.Account | None = None
     for account in settings.accounts.values():
-        if hmac.compare_digest(account.token_hash, digest):
+        if is_equal(account.token_hash, digest):
             found = account
     return found
+
+
+def _hash_header(header: str) -> str:
+    scheme, _, token = header.partition(" ")
+    token = token.strip()
+    if scheme.lower() != SCHEME or not token:
+        return ""
+    return hash_token(token)
--- /dev/null
+++ b/amaranthspar/web_operators.py
@@ -0,0 +1,88 @@
+"""Operators' side of a gateway's HTTP interface: configuration and status."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from amaranthspar import bodies, control, intake, messages, problems, replies
+
+if TYPE_CHECKING:
+    from sanic import response
+
+    from amaranthspar import authorization, gateway
+
+ACCEPTED = "accepted"
+CONFLICT = "conflict"
+
+
+class Operators:
+    """Shows and changes the configuration, and shows the system's status.
+
+    Args:
+        owner: Gateway that is served.
+        checked: Who may call.
+    """
+
+    def __init__(
+        self, owner: gateway.Gateway, checked: authorization.Authorization
+    ) -> None:
+        self._gateway = owner
+        self._authorization = checked
+
+    async def show_configuration(self, request: Any) -> response.HTTPResponse:
+        """Answer with a configuration and the latest changes."""
+        self._authorization.find_operator(request.headers)
+        version = intake.read_number(request.args.get("version", "0"), "version")
+        try:
+            fetched = await self._gateway.control.fetch(version)
+        except control.ControlUnavailableError as error:
+            raise problems.refuse_unready(str(error)) from error
+        return replies.build_json(fetched)
+
+    async def change_configuration(self, request: Any) -> response.HTTPResponse:
+        """Propose a configuration and answer with the decision."""
+        operator = self._authorization.find_operator(request.headers)
+        proposal = messages.ProposeConfiguration(
+            intake.read_word(request.args.get("change_id", ""), "change_id"),
+            intake.read_number(request.args.get("base_version", ""), "base_version"),
+            operator,
+            intake.read_text(request.body),
+        )
+        try:
+            decided = await self._gateway.control.propose(proposal)
+        except control.ControlUnavailableError as error:
+            detail = f"{error}; send the same change id again"
+            raise problems.ProblemError(
+                503, "unavailable", detail, "unknown", problems.UNREADY_RETRY_MS
+            ) from error
+        if decided.outcome == ACCEPTED:
+            return replies.build_json(decided)
+        return replies.build_problem(_refuse_change(decided))
+
+    async def show_status(self, request: Any) -> response.HTTPResponse:
+        """Answer with what this gateway knows of the system."""
+        self._authorization.find_operator(request.headers)
+        view = self._gateway.holder.view
+        dispatcher = self._gateway.dispatcher
+        domains = view.settings.domains.items()
+        running = {
+            route.member.process: len(route.in_flight)
+            for route in dispatcher.routes.values()
+        }
+        status = bodies.Status(
+            view.configuration_version,
+            view.membership_revision,
+            {name: domain.state for name, domain in domains},
+            list(view.members.values()),
+            running,
+            dispatcher.count_queued(),
+        )
+        return replies.build_json(status)
+
+
+def _refuse_change(decided: messages.ConfigurationDecided) -> problems.ProblemError:
+    if decided.outcome == CONFLICT:
+        detail = f"version {decided.version} is in force"
+        return problems.ChangeError(409, "conflict", detail, decided)
+    detail = "; ".join(decided.errors) or decided.outcome
+    return problems.ChangeError(422, "invalid-configuration", detail, decided)
--- a/tests/builders_shell.py
+++ b/tests/builders_shell.py
@@ -123,6 +123,11 @@
             time.sleep(0.05)
         raise AssertionError("not ready in time")
 
+    def wait_version(self, url: str, version: int) -> None:
+        """Wait until a gateway has a configuration version in force."""
+        while call(f"{url}/v1/status").decode()["configuration_version"] < version:
+            time.sleep(0.05)
+
     def run(self, *words: str, text: str | None = None):
         """Run an operator's command against both gateways."""
         access = {
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -56,6 +56,7 @@
     version = read_version(served)
     assert served.run("domain", "out", "pecs").returncode == 0
     assert served.run("domain", "out", "pecs").returncode == 0
+    served.wait_version(served.urls[0], version + 1)
     status = json.loads(served.run("status", "--json").stdout)
     assert status["domains"]["pecs"] == "out"
     assert served.run("domain", "in", "pecs").returncode == 0
