Let a leader that removed itself stand again until the removal is committed

Change: A replica that the committed set still lists as a voter may stand. The oracle judges the votes of listed voters only, since no others count.

--- a/amaranthspar/consensus.py
+++ b/amaranthspar/consensus.py
@@ -177,10 +177,13 @@
         self._deadline_ms = now_ms + self._chance.randint(election_ms, 2 * election_ms)
 
     def _may_campaign(self) -> bool:
-        known = replicas.find_replica(self.journal.members, self.replica)
-        if known is None or not known.voter:
-            return False
-        return known.folder in (0, self.folder)
+        # A leader that removed itself is needed until the removal is committed.
+        committed = self.journal.find_members(self.commit_index)
+        for members in (self.journal.members, committed):
+            known = replicas.find_replica(members, self.replica)
+            if known is not None and known.voter:
+                return known.folder in (0, self.folder)
+        return False
 
     def _start_pre_vote(self, now_ms: int) -> None:
         self._reset_deadline(now_ms)
--- a/amaranthspar/journal.py
+++ b/amaranthspar/journal.py
@@ -85,6 +85,15 @@
         """Whether the log holds any entry."""
         return self.log.last_index > 0
 
+    def find_members(self, index: int) -> messages.ChangeReplicas:
+        """Return the set of replicas as of an index.
+
+        Args:
+            index: Position in the log, not before the snapshot.
+        """
+        found = [change for at, change in self._changes if at <= index]
+        return found[-1]
+
     def save_vote(self, term: int, vote: str) -> int:
         """Change term and vote.
 
@@ -137,7 +146,9 @@
         covered = self.snapshot.index if self.snapshot is not None else 0
         if index <= covered or term is None:
             return
-        self.snapshot = messages.LogSnapshot(index, term, self._find_set(index), state)
+        self.snapshot = messages.LogSnapshot(
+            index, term, self.find_members(index), state
+        )
         self._step.saved = self.snapshot
         kept = index - self._trailing_entries
         if kept > self.log.base_index:
@@ -223,7 +234,3 @@
                 change = codec.decode_message(entry.kind, entry.payload)
                 if isinstance(change, messages.ChangeReplicas):
                     self._changes.append((entry.index, change))
-
-    def _find_set(self, index: int) -> messages.ChangeReplicas:
-        found = [change for at, change in self._changes if at <= index]
-        return found[-1]
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -161,6 +161,22 @@
     assert isinstance(effects[0], transitions.Refuse)
 
 
+def test_leader_that_removed_itself_still_gets_the_removal_committed():
+    cluster = build_cluster()
+    leader = find_leader(cluster)
+    first, other = list_others(cluster, leader)
+    cluster.replace(leader, other, "")
+    cluster.heal(100)
+    del cluster.nodes[other]
+    isolate(cluster, leader)
+    cluster.replace(leader, leader, "")
+    cluster.sync(leader, 10)
+    cluster.crash(leader)
+    cluster.heal(2_000)
+    assert find_leader(cluster) == first
+    assert cluster.find_committed_members().retired == [other, leader]
+
+
 def test_handover_to_a_dead_replica_is_given_up():
     cluster = build_cluster()
     leader = find_leader(cluster)
--- a/tools/simulation.py
+++ b/tools/simulation.py
@@ -414,7 +414,7 @@
         if not machine.journal.formed:
             return
         known = replicas.find_replica(machine.journal.members, voter)
-        if known is None or known.folder != folder:
+        if known is not None and known.voter and known.folder != folder:
             raise Violation(f"a vote of {voter} counted from a foreign folder")
 
     def check_logs(self) -> None:
