Make starts, results and credits survive lost, late and reordered messages

Cause: a joint simulation of gateways and sidecars, and a reading of both machines, showed: a gateway that was silent for 5 s lost its start watermark, so a late start message could start a task already called "not-run"; a late or doubled refusal freed a task that had been sent again (double start); a message for an older sidecar incarnation acknowledged results and wrote credit totals of the newer one; a result for a dead gateway incarnation went to the next one; a sidecar granted credits while draining, lapsed or out of service; a lost grant or start message was never noticed while other messages flowed; a retried request that then failed was called "not-run"; a route made anew for the same incarnation restarted its sequences; a superseded process could get its lease back by a late grant; an incarnation from a clock set back never joined; a call cancelled before its first step leaked its slot; digests were never checked.

`Refusal.OLD_CONFIGURATION` is gone: the sidecar judges by its own view, which its lease keeps as fresh as the promises ask, so a gateway's version adds nothing. Small changes outside this area: registry (floors of expired members), leases, dispatcher, demand, routing, submissions, gateway.

--- a/amaranthspar/demand.py
+++ b/amaranthspar/demand.py
@@ -48,5 +48,6 @@
             self._backlog.measure_oldest_wait(now_ms),
             route.sent,
             route.acknowledged,
+            route.limit,
         )
         return effects.Send(route.member.address, demand)
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -67,8 +67,9 @@
         self._near_domain = near_domain
         self._backlog = backlog.Backlog()
         self._admission = admission.Admission(holder, self._backlog, self.routes)
+        self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
-        self._doubts = doubts.Doubts(holder)
+        self._doubts = doubts.Doubts(holder, self.counts)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -187,6 +188,8 @@
         self, route: routing.Route, batch: list[backlog.Waiting], now_ms: int
     ) -> effects.Send:
         submission = batch[0].submission
+        route.sequence += 1
+        self._doubts.note_start(route, now_ms)
         starts = []
         for waiting in batch:
             task = waiting.task
@@ -194,10 +197,10 @@
             task.sidecar = route.member.process
             task.sent_ms = now_ms
             task.attempts += 1
+            task.sequence = route.sequence
             route.in_flight[submission.name, task.index] = task
             wanted = (task.cores, task.memory_mb, task.accelerators)
             starts.append(messages.TaskStart(task.index, task.payload, *wanted))
-        route.sequence += 1
         route.demand_ms = now_ms
         message = messages.StartTasks(
             sequence=route.sequence,
@@ -238,6 +241,7 @@
         if grant.target != self._holder.member.incarnation:
             return []
         route.limit = max(route.limit, grant.credit_limit)
+        self._doubts.note_received(route, grant.received, now_ms)
         returned = min(grant.recalled, max(0, route.credits))
         if not returned:
             return []
@@ -250,22 +254,18 @@
         if report.target != self._holder.member.incarnation:
             return []
         route.limit = max(route.limit, report.credit_limit)
-        if report.first_sequence <= route.acknowledged + 1:
-            last = report.first_sequence + len(report.results) - 1
-            route.acknowledged = max(route.acknowledged, last)
+        self._doubts.note_received(route, report.received, now_ms)
         result: list[Effect] = []
-        for item in report.results:
-            result += self._take_result(route, item, now_ms)
+        for receipt in self._doubts.take_report(route, report):
+            submission = self.submissions.get(receipt.result.submission)
+            if submission is not None:
+                result += self._take_result(submission, receipt)
         return result
 
     def _take_result(
-        self, route: routing.Route, item: messages.TaskResult, now_ms: int
+        self, submission: submissions.Submission, receipt: doubts.Receipt
     ) -> list[Effect]:
-        task = route.in_flight.pop((item.submission, item.index), None)
-        submission = self.submissions.get(item.submission)
-        if task is None or submission is None:
-            self.counts["results.late"] += 1
-            return []
+        task, item = receipt.task, receipt.result
         if item.outcome == submissions.NOT_RUN:
             self.counts["tasks.refused"] += 1
             self._enqueue(submission, task)
@@ -283,16 +283,28 @@
         for name, route in list(self.routes.items()):
             member = current.get(name)
             if member is None or member.incarnation != route.member.incarnation:
-                del self.routes[name]
+                self._parted[name] = self.routes.pop(name)
                 result += self._give_up(route)
         for name, member in current.items():
             if name in self.routes:
                 self.routes[name].member = member
                 continue
-            self.routes[name] = routing.Route(member, heard_ms=now_ms)
+            self.routes[name] = self._open_route(member, now_ms)
             result.append(self._demand.state(self.routes[name], now_ms))
         return result
 
+    def _open_route(self, member: messages.Member, now_ms: int) -> routing.Route:
+        """Return a new route, or the former one to the same incarnation.
+
+        Its sequences and totals go on, as the sidecar remembers them.
+        """
+        route = self._parted.pop(member.process, None)
+        if route is None or route.member.incarnation != member.incarnation:
+            return routing.Route(member, heard_ms=now_ms)
+        route.member = member
+        route.heard_ms = now_ms
+        return route
+
     def _give_up(self, route: routing.Route) -> list[Effect]:
         result: list[Effect] = []
         for verdict in self._doubts.give_up(route, self.submissions):
--- a/amaranthspar/doubts.py
+++ b/amaranthspar/doubts.py
@@ -1,13 +1,15 @@
-"""Decisions on tasks whose sidecar is silent or gone."""
+"""Decisions on tasks in doubt: lost messages and sidecars that are gone."""
 
+import collections
 from collections.abc import Mapping
 
 import attrs
+import xxhash
 
 from amaranthspar import effects, leaseholder, messages, routing, submissions
 
-SILENT_MS = 1500
-INQUIRE_INTERVAL_MS = 1500
+DOUBT_MS = 1000
+INQUIRE_INTERVAL_MS = 1000
 
 
 @attrs.frozen(slots=True)
@@ -30,34 +32,106 @@
 Verdict = Retry | Lost
 
 
+@attrs.frozen(slots=True)
+class Receipt:
+    """The answer to a task that this gateway waits for."""
+
+    task: submissions.Task
+    result: messages.TaskResult
+
+
 class Doubts:
     """Asks silent sidecars and judges what gone sidecars held.
 
     Args:
         holder: Lease of this gateway.
+        counts: Counters of the gateway.
     """
 
-    def __init__(self, holder: leaseholder.LeaseHolder) -> None:
+    def __init__(
+        self,
+        holder: leaseholder.LeaseHolder,
+        counts: collections.Counter[str],
+    ) -> None:
         self._holder = holder
+        self.counts = counts
+
+    def note_start(self, route: routing.Route, now_ms: int) -> None:
+        """Note that a start message goes out; the route's sequence counts it.
+
+        Args:
+            route: Sidecar.
+            now_ms: Monotonic time in ms.
+        """
+        if route.received == route.sequence - 1:
+            route.doubt_ms = now_ms
+
+    def note_received(self, route: routing.Route, sequence: int, now_ms: int) -> None:
+        """Note which start messages a sidecar accounts for.
+
+        Args:
+            route: Sidecar.
+            sequence: Start sequence that it stated; 0 if it is not certain.
+            now_ms: Monotonic time in ms.
+        """
+        if sequence > route.received:
+            route.doubt_ms = now_ms
+        route.received = sequence
 
     def inquire(self, route: routing.Route, now_ms: int) -> list[effects.Send]:
-        """Ask a silent sidecar what became of the tasks that it was sent.
+        """Ask what became of tasks that a sidecar has not accounted for.
 
         Args:
             route: Sidecar.
             now_ms: Monotonic time in ms.
         """
-        silent = now_ms - route.heard_ms > SILENT_MS
-        asked = now_ms - route.inquired_ms < INQUIRE_INTERVAL_MS
-        if not route.in_flight or not silent or asked:
+        if route.received >= route.sequence or not route.in_flight:
+            return []
+        if now_ms - route.doubt_ms < DOUBT_MS:
+            return []
+        if now_ms - route.inquired_ms < INQUIRE_INTERVAL_MS:
             return []
         route.inquired_ms = now_ms
-        doubtful = [messages.TaskReference(*name) for name in route.in_flight]
+        doubtful = [
+            messages.TaskReference(*name, task.sequence)
+            for name, task in route.in_flight.items()
+        ]
         inquiry = messages.InquireTasks(
             route.member.incarnation, route.sequence, doubtful
         )
         return [effects.Send(route.member.address, inquiry)]
 
+    def take_report(
+        self, route: routing.Route, report: messages.ReportResults
+    ) -> list[Receipt]:
+        """Take results off a route and acknowledge them.
+
+        A result counts only for the start message that it answers or an
+        earlier one: a late refusal must not free a task sent again since. A
+        damaged result is not acknowledged, so that the sidecar repeats it.
+
+        Args:
+            route: Sidecar that reports.
+            report: Results in their sequence.
+        """
+        if report.dropped > route.acknowledged:
+            route.acknowledged = report.dropped
+        taken: list[Receipt] = []
+        for sequence, item in enumerate(report.results, report.first_sequence):
+            if not is_intact(item):
+                self.counts["results.damaged"] += 1
+                continue
+            if sequence == route.acknowledged + 1:
+                route.acknowledged = sequence
+            name = (item.submission, item.index)
+            task = route.in_flight.get(name)
+            if task is None or item.start < task.sequence:
+                self.counts["results.late"] += 1
+                continue
+            del route.in_flight[name]
+            taken.append(Receipt(task, item))
+        return taken
+
     def give_up(
         self,
         route: routing.Route,
@@ -70,7 +144,8 @@
             admitted: Submissions that are not over, by id.
         """
         result: list[Verdict] = []
-        for (name, _), task in route.in_flight.items():
+        held, route.in_flight = route.in_flight, {}
+        for (name, _), task in held.items():
             submission = admitted.get(name)
             if submission is not None:
                 result.append(self._judge(submission, task))
@@ -82,8 +157,21 @@
         service = self._holder.view.settings.services.get(submission.service)
         idempotent = service is not None and service.idempotent
         if idempotent and not submission.is_job and task.attempts == 1:
+            task.may_have_run = True
             return Retry(submission, task)
         lost = messages.TaskResult(
             submission.name, task.index, "unknown", "sidecar lost"
         )
         return Lost(submission, task, lost)
+
+
+def is_intact(result: messages.TaskResult) -> bool:
+    """Return whether a result's body is the one that its sidecar received."""
+    if not result.body and not result.digest:
+        return True
+    return digest_body(result.body) == result.digest
+
+
+def digest_body(body: bytes) -> int:
+    """Return the digest that goes with an upstream's body."""
+    return xxhash.xxh3_64_intdigest(body) >> 1
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -1,11 +1,13 @@
 """State machine of a sidecar: starts, results, credits and drain."""
 
+import collections
+
 import attrs
 
-from amaranthspar import effects, leaseholder, messages, slots, starts
+from amaranthspar import deliveries, effects, leaseholder, messages, slots, starts
 
-RESEND_RESULTS_MS = 1500
 GATEWAY_SILENT_MS = 5000
+RETAIN_MS = 30000
 
 
 @attrs.frozen(slots=True)
@@ -33,7 +35,7 @@
 
 @attrs.frozen(slots=True)
 class StopTask:
-    """Stops a started task."""
+    """Asks the upstream to stop a started task."""
 
     submission: str
     index: int
@@ -51,27 +53,50 @@
 
 @attrs.frozen(slots=True)
 class TaskEnded:
-    """A started task has ended."""
+    """A started task has ended.
+
+    Attributes:
+        result: How it ended; ``not-run`` only if nothing was sent upstream.
+    """
 
     result: messages.TaskResult
 
 
 Effect = effects.Send | RunTask | StopTask
 
+_GATEWAY_MESSAGES = (
+    messages.StartTasks,
+    messages.ReportDemand,
+    messages.CancelTasks,
+    messages.InquireTasks,
+)
+
 
 @attrs.define(slots=True)
 class _Gateway:
-    """What the sidecar knows of one gateway incarnation."""
+    """What the sidecar knows of the newest incarnation of one gateway.
+
+    The sequences outlive a silence of the gateway, so that a start message
+    which was under way for long starts nothing.
+    """
 
     name: str
     incarnation: int
     address: str
     heard_ms: int
+    results: deliveries.Deliveries
     last_sequence: int = 0
-    result_sequence: int = 0
-    unacknowledged: dict[int, messages.TaskResult] = attrs.field(factory=dict)
-    ready: list[messages.TaskResult] = attrs.field(factory=list)
-    reported_ms: int = 0
+    received: int = 0
+    started: starts.TaskMemory = attrs.field(factory=starts.TaskMemory)
+    parted: slots.Share | None = None
+
+
+@attrs.frozen(slots=True)
+class _Running:
+    """A started task and the start message that carried it."""
+
+    gateway: _Gateway
+    sequence: int
 
 
 class Executor:
@@ -85,18 +110,21 @@
         if holder.member.announcement is None:
             raise ValueError("a sidecar's member needs an announcement")
         self.leaving = False
-        self.counts: dict[str, int] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
         self._holder = holder
         self._announcement = holder.member.announcement
         self.slots = slots.Slots(self._announcement.slots)
         self._gateways: dict[str, _Gateway] = {}
-        self._running: dict[tuple[str, int], str] = {}
-        self._started = starts.TaskMemory()
+        self._running: dict[tuple[str, int], _Running] = {}
+        self._open = False
 
     @property
     def is_idle(self) -> bool:
-        """Whether no task runs and every result was acknowledged."""
-        waiting = any(item.unacknowledged for item in self._gateways.values())
+        """Whether no task runs and every gateway that is heard has its results."""
+        waiting = any(
+            item.parted is None and not item.results.is_empty
+            for item in self._gateways.values()
+        )
         return not self._running and not waiting
 
     def handle(self, event: Received | TaskEnded, now_ms: int) -> list[Effect]:
@@ -113,20 +141,25 @@
                 return self._end(event.result, now_ms)
 
     def tick(self, now_ms: int) -> list[Effect]:
-        """Resend unacknowledged results and drop gateways that are gone.
+        """Resend results, part with silent gateways and follow the lease.
 
         Args:
             now_ms: Monotonic time in ms.
         """
         result: list[Effect] = []
-        for gateway in list(self._gateways.values()):
-            if now_ms - gateway.heard_ms > GATEWAY_SILENT_MS:
-                self._drop_gateway(gateway)
+        for gateway in self._gateways.values():
+            silent_ms = now_ms - gateway.heard_ms
+            if silent_ms > RETAIN_MS and not gateway.results.is_empty:
+                self.counts["results.dropped"] += gateway.results.drop()
+                gateway.received = 0
+            if silent_ms > GATEWAY_SILENT_MS:
+                self._part(gateway)
                 continue
-            overdue = now_ms - gateway.reported_ms > RESEND_RESULTS_MS
-            if gateway.unacknowledged and overdue:
-                result.append(self._report(gateway, now_ms, resend=True))
-        return result + self._grant(self.slots.distribute())
+            result += self._resend(gateway, now_ms)
+        was_open, self._open = self._open, self._may_start(now_ms)
+        if was_open and not self._open:
+            return result + self._take_credits_back()
+        return result + self._grant(self._redistribute())
 
     def drain(self, now_ms: int) -> list[Effect]:
         """Refuse new work from now on.
@@ -135,34 +168,54 @@
             now_ms: Monotonic time in ms.
         """
         self.leaving = True
+        self._open = False
         return self._take_credits_back()
 
+    def _may_start(self, now_ms: int) -> bool:
+        domain = self._announcement.failure_domain
+        return (
+            not self.leaving
+            and self._holder.is_valid(now_ms)
+            and self._holder.view.is_domain_in(domain)
+        )
+
     def _receive(self, event: Received, now_ms: int) -> list[Effect]:
+        if not isinstance(event.message, _GATEWAY_MESSAGES):
+            self.counts["messages.unexpected"] += 1
+            return []
         gateway = self._find_gateway(event, now_ms)
         if gateway is None:
             return []
+        if isinstance(event.message, messages.CancelTasks):
+            return self._cancel(event.message)
+        if event.message.target != self._holder.member.incarnation:
+            self.counts["messages.stale"] += 1
+            return []
+        self._open = self._may_start(now_ms)
         match event.message:
             case messages.StartTasks():
                 return self._start(gateway, event.message, now_ms)
             case messages.ReportDemand():
                 return self._note_demand(gateway, event.message)
-            case messages.CancelTasks():
-                return self._cancel(event.message)
             case messages.InquireTasks():
                 return self._answer_inquiry(gateway, event.message, now_ms)
-            case _:
-                self._count("messages.unexpected")
-                return []
+        return []
 
     def _find_gateway(self, event: Received, now_ms: int) -> _Gateway | None:
         gateway = self._gateways.get(event.gateway)
         if gateway is not None and event.incarnation < gateway.incarnation:
-            self._count("messages.stale")
+            self.counts["messages.stale"] += 1
             return None
         if gateway is None or event.incarnation > gateway.incarnation:
-            gateway = _Gateway(event.gateway, event.incarnation, event.address, now_ms)
+            results = deliveries.Deliveries(event.incarnation)
+            gateway = _Gateway(
+                event.gateway, event.incarnation, event.address, now_ms, results
+            )
             self._gateways[event.gateway] = gateway
             self.slots.add_gateway(event.gateway)
+        if gateway.parted is not None:
+            self.slots.shares[gateway.name] = gateway.parted
+            gateway.parted = None
         gateway.heard_ms = now_ms
         gateway.address = event.address
         return gateway
@@ -180,31 +233,30 @@
         )
         refusal = starts.judge_message(message, situation)
         if refusal is starts.Refusal.STALE_MESSAGE:
-            self._count("starts.stale")
+            self.counts["starts.stale"] += 1
             return []
-        if refusal is not starts.Refusal.WRONG_INCARNATION:
-            gateway.last_sequence = message.sequence
-        self._acknowledge(gateway, message.acknowledged)
-        share = self.slots.shares[gateway.name]
-        share.queued = message.queued
-        share.oldest_wait_ms = message.oldest_wait_ms
-        share.used = max(share.used, message.sent)
+        if gateway.received == message.sequence - 1:
+            gateway.received = message.sequence
+        gateway.last_sequence = message.sequence
+        gateway.results.acknowledge(message.acknowledged)
+        self._note_share(gateway, message)
         result: list[Effect] = []
         for task in message.tasks:
-            reason = refusal or self._judge_task(message.submission, task)
-            if reason is not None:
-                self._refuse(gateway, message.submission, task.index, reason)
+            name = (message.submission, task.index)
+            reason = refusal or self._judge_task(gateway, name)
+            if reason is None:
+                result.append(self._run(gateway, message, task))
                 continue
-            result.append(self._run(gateway, message, task))
-        if gateway.ready:
+            self._refuse(gateway, name, message.sequence, reason)
+        if gateway.results.is_ready:
             self._redistribute(gateway.name)
-            result.append(self._report(gateway, now_ms))
+            result += self._report(gateway, now_ms)
         return result
 
     def _judge_task(
-        self, submission: str, task: messages.TaskStart
+        self, gateway: _Gateway, name: tuple[str, int]
     ) -> starts.Refusal | None:
-        if (submission, task.index) in self._started:
+        if name in gateway.started:
             return starts.Refusal.DUPLICATE
         if self.slots.running >= self.slots.count:
             return starts.Refusal.NO_SLOT
@@ -216,10 +268,11 @@
         message: messages.StartTasks,
         task: messages.TaskStart,
     ) -> RunTask:
-        self._started.note(message.submission, task.index)
-        self._running[message.submission, task.index] = gateway.name
+        name = (message.submission, task.index)
+        gateway.started.note(name, message.sequence)
+        self._running[name] = _Running(gateway, message.sequence)
         self.slots.running += 1
-        self._count("tasks.started")
+        self.counts["tasks.started"] += 1
         return RunTask(
             message.submission,
             task.index,
@@ -231,77 +284,89 @@
         )
 
     def _refuse(
-        self, gateway: _Gateway, submission: str, index: int, reason: starts.Refusal
+        self,
+        gateway: _Gateway,
+        name: tuple[str, int],
+        sequence: int,
+        reason: starts.Refusal,
     ) -> None:
         if reason is starts.Refusal.DUPLICATE:
-            self._count("starts.duplicate")
+            self.counts["starts.duplicate"] += 1
             return
-        self._count("tasks.refused")
-        refused = messages.TaskResult(submission, index, "not-run", reason.value)
-        gateway.ready.append(refused)
+        self.counts["tasks.refused"] += 1
+        refused = messages.TaskResult(*name, "not-run", reason.value, start=sequence)
+        gateway.results.add(refused)
 
     def _end(self, ended: messages.TaskResult, now_ms: int) -> list[Effect]:
-        name = self._running.pop((ended.submission, ended.index), None)
-        if name is None:
+        name = (ended.submission, ended.index)
+        running = self._running.pop(name, None)
+        if running is None:
             return []
         self.slots.running -= 1
-        gateway = self._gateways.get(name)
-        grown = self._redistribute(name)
-        result = self._grant([other for other in grown if other != name])
-        if gateway is None:
-            self._count("results.undeliverable")
+        gateway = running.gateway
+        if ended.outcome == "not-run":
+            gateway.started.remove(name)
+        current = self._gateways[gateway.name] is gateway
+        grown = self._redistribute(gateway.name)
+        if not current:
+            self.counts["results.undeliverable"] += 1
+            return self._grant(grown)
+        gateway.results.add(attrs.evolve(ended, start=running.sequence))
+        result = self._grant([other for other in grown if other != gateway.name])
+        if gateway.parted is not None:
             return result
-        gateway.ready.append(ended)
-        return [self._report(gateway, now_ms), *result]
-
-    def _report(
-        self, gateway: _Gateway, now_ms: int, resend: bool = False
-    ) -> effects.Send:
-        if resend:
-            first = min(gateway.unacknowledged)
-            results = list(gateway.unacknowledged.values())
-            self._count("results.resent", len(results))
-        else:
-            first = gateway.result_sequence + 1
-            results = gateway.ready
-            gateway.ready = []
-            for item in results:
-                gateway.result_sequence += 1
-                gateway.unacknowledged[gateway.result_sequence] = item
-        gateway.reported_ms = now_ms
-        limit = self.slots.shares[gateway.name].limit
-        report = messages.ReportResults(gateway.incarnation, first, results, limit)
-        return effects.Send(gateway.address, report)
+        self._limit_results(gateway)
+        return self._report(gateway, now_ms) + result
 
-    def _acknowledge(self, gateway: _Gateway, sequence: int) -> None:
-        while gateway.unacknowledged:
-            first = next(iter(gateway.unacknowledged))
-            if first > sequence:
-                return
-            del gateway.unacknowledged[first]
+    def _limit_results(self, gateway: _Gateway) -> None:
+        if gateway.results.retained_bytes > deliveries.RETAINED_BYTES:
+            self.counts["results.dropped"] += gateway.results.drop_bodies()
 
-    def _note_demand(
-        self, gateway: _Gateway, message: messages.ReportDemand
+    def _report(self, gateway: _Gateway, now_ms: int) -> list[Effect]:
+        limit = self.slots.shares[gateway.name].limit
+        reports = gateway.results.report(limit, gateway.received, now_ms)
+        return [effects.Send(gateway.address, item) for item in reports]
+
+    def _resend(
+        self, gateway: _Gateway, now_ms: int, at_once: bool = False
     ) -> list[Effect]:
-        if message.target != self._holder.member.incarnation:
-            return []
-        self._acknowledge(gateway, message.acknowledged)
+        result: list[Effect] = []
+        if at_once or gateway.results.is_overdue(now_ms):
+            limit = self.slots.shares[gateway.name].limit
+            for report in gateway.results.resend(limit, gateway.received, now_ms):
+                self.counts["results.resent"] += len(report.results)
+                result.append(effects.Send(gateway.address, report))
+        if gateway.results.is_ready:
+            result += self._report(gateway, now_ms)
+        return result
+
+    def _note_share(
+        self, gateway: _Gateway, message: messages.StartTasks | messages.ReportDemand
+    ) -> None:
         share = self.slots.shares[gateway.name]
         share.queued = message.queued
         share.oldest_wait_ms = message.oldest_wait_ms
         if message.sent > share.used:
             share.recalled = max(0, share.recalled - (message.sent - share.used))
             share.used = message.sent
+
+    def _note_demand(
+        self, gateway: _Gateway, message: messages.ReportDemand
+    ) -> list[Effect]:
+        gateway.results.acknowledge(message.acknowledged)
+        self._note_share(gateway, message)
+        share = self.slots.shares[gateway.name]
         grown = self._redistribute()
-        if share.limit == 0 and gateway.name not in grown:
+        behind = 0 <= message.limit < share.limit or share.limit == 0
+        if behind and gateway.name not in grown:
             grown.append(gateway.name)
         result = self._grant(grown)
-        if not self.leaving:
+        if self._open:
             result += self._grant(self.slots.recall())
         return result
 
     def _redistribute(self, freed_for: str = "") -> list[str]:
-        if self.leaving:
+        if not self._open:
             return []
         return self.slots.distribute(freed_for)
 
@@ -311,14 +376,18 @@
             gateway = self._gateways[name]
             share = self.slots.shares[name]
             grant = messages.GrantCredits(
-                share.limit, gateway.incarnation, share.recalled, self.slots.count
+                share.limit,
+                gateway.incarnation,
+                share.recalled,
+                self.slots.count,
+                gateway.received,
             )
             result.append(effects.Send(gateway.address, grant))
         return result
 
     def _take_credits_back(self) -> list[Effect]:
         for share in self.slots.shares.values():
-            share.recalled = share.unused
+            share.recalled = max(0, share.unused)
         return self._grant(list(self.slots.shares))
 
     def _cancel(self, message: messages.CancelTasks) -> list[Effect]:
@@ -331,32 +400,28 @@
     def _answer_inquiry(
         self, gateway: _Gateway, message: messages.InquireTasks, now_ms: int
     ) -> list[Effect]:
-        if message.target != self._holder.member.incarnation:
-            return []
         gateway.last_sequence = max(gateway.last_sequence, message.sequence)
-        held = {
-            (item.submission, item.index) for item in gateway.unacknowledged.values()
-        }
         for task in message.tasks:
             name = (task.submission, task.index)
-            if name in self._running or name in held:
+            if name in self._running or gateway.results.holds(task):
                 continue
-            if name in self._started:
-                lost = messages.TaskResult(*name, "unknown", "result no longer held")
-                gateway.ready.append(lost)
+            if gateway.started.may_hold(task):
+                lost = messages.TaskResult(*name, "", start=message.sequence)
+                gateway.results.add(deliveries.lose_result(lost))
                 continue
-            self._refuse(gateway, *name, starts.Refusal.STALE_MESSAGE)
-        result: list[Effect] = []
-        if gateway.unacknowledged:
-            result.append(self._report(gateway, now_ms, resend=True))
-        if gateway.ready:
-            result.append(self._report(gateway, now_ms))
-        return result
-
-    def _drop_gateway(self, gateway: _Gateway) -> None:
-        self._count("gateways.dropped")
-        del self._gateways[gateway.name]
+            self._refuse(gateway, name, message.sequence, starts.Refusal.NOT_RECEIVED)
+        gateway.received = max(gateway.received, message.sequence)
+        result = self._resend(gateway, now_ms, at_once=True)
+        return result or self._grant([gateway.name])
+
+    def _part(self, gateway: _Gateway) -> None:
+        """Take back the credits of a silent gateway."""
+        if gateway.parted is not None:
+            return
+        self.counts["gateways.silent"] += 1
+        share = self.slots.shares[gateway.name]
+        share.used = max(share.used, share.limit)
+        share.queued = 0
+        share.recalled = 0
+        gateway.parted = share
         self.slots.remove_gateway(gateway.name)
-
-    def _count(self, name: str, amount: int = 1) -> None:
-        self.counts[name] = self.counts.get(name, 0) + amount
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -247,6 +247,8 @@
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
                     self.handle(dispatcher.ViewChanged())
+                case leaseholder.IncarnationChanged():
+                    self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
                     self._log.error("another incarnation took over")
 
--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -10,12 +10,13 @@
 
 import attrs
 
-from amaranthspar import effects, messages, view
+from amaranthspar import effects, errors, messages, view
 
 RENEW_MS = 1000
 RETRY_MS = 300
 DRIFT_RATIO = 0.1
 JITTER_RATIO = 0.1
+INCARNATION_STEP = 1000
 
 
 @attrs.frozen(slots=True)
@@ -28,7 +29,12 @@
     """Tells that another incarnation took this process's place."""
 
 
-Effect = effects.Send | ViewChanged | LeaseLost
+@attrs.frozen(slots=True)
+class IncarnationChanged:
+    """Tells that a new process took a higher incarnation than its clock gave."""
+
+
+Effect = effects.Send | ViewChanged | LeaseLost | IncarnationChanged
 
 
 class LeaseHolder:
@@ -57,6 +63,9 @@
         self._expires_ms = started_ms
         self._next_ms = started_ms
         self._unanswered = False
+        self.rejected_configurations = 0
+        self._granted = False
+        self._lost = False
 
     def is_valid(self, now_ms: int) -> bool:
         """Return whether the lease is in force.
@@ -76,7 +85,7 @@
         Args:
             now_ms: Monotonic time in ms.
         """
-        if now_ms < self._next_ms:
+        if self._lost or now_ms < self._next_ms:
             return []
         if self._unanswered:
             self._target = (self._target + 1) % len(self._controllers)
@@ -107,17 +116,40 @@
             case messages.LeaseGranted():
                 return self._accept(message, now_ms)
             case messages.LeaseDenied(reason="superseded"):
-                self._expires_ms = now_ms
-                return [LeaseLost()]
+                return self._yield_place(message, now_ms)
             case _:
                 return []
 
+    def _yield_place(self, denial: messages.LeaseDenied, now_ms: int) -> list[Effect]:
+        """Give up, or raise the incarnation of a process that never had a lease.
+
+        The wall clock from which incarnations come may have been set back
+        since the last start of this process.
+        """
+        if self._lost or denial.incarnation < self.member.incarnation:
+            return []
+        if not self._granted:
+            step = self._chance.randint(1, INCARNATION_STEP)
+            incarnation = denial.incarnation + step
+            member = attrs.evolve(self.member, incarnation=incarnation)
+            self._started_ms = now_ms
+            return [IncarnationChanged(), *self.announce(member, now_ms)]
+        self._lost = True
+        self._expires_ms = now_ms
+        return [LeaseLost()]
+
     def _accept(self, grant: messages.LeaseGranted, now_ms: int) -> list[Effect]:
         if grant.sent_ms < self._started_ms or grant.sent_ms > now_ms:
             return []
+        if self._lost:
+            return []
         changed = False
         if grant.configuration is not None:
-            changed |= self.view.apply_configuration(grant.configuration)
+            try:
+                changed |= self.view.apply_configuration(grant.configuration)
+            except errors.DecisionError:
+                self.rejected_configurations += 1
+                return []
         if grant.membership is not None:
             changed |= self.view.apply_membership(grant.membership)
         self._extend(grant, now_ms)
@@ -131,6 +163,7 @@
         if expires_ms <= self._expires_ms:
             return
         self._expires_ms = expires_ms
+        self._granted = True
         self._unanswered = False
         jitter_ms = self._chance.uniform(-JITTER_RATIO, JITTER_RATIO) * RENEW_MS
         self._next_ms = max(now_ms, grant.sent_ms + RENEW_MS + int(jitter_ms))
--- a/amaranthspar/leases.py
+++ b/amaranthspar/leases.py
@@ -45,7 +45,8 @@
         if not 0 <= age_ms <= self._max_age_ms:
             return messages.LeaseDenied(renewal.sent_ms, "no_quorum")
         if state.is_superseded(renewal.member):
-            return messages.LeaseDenied(renewal.sent_ms, "superseded")
+            known = state.find_incarnation(renewal.member.process)
+            return messages.LeaseDenied(renewal.sent_ms, "superseded", known)
         if not state.is_current(renewal.member):
             return None
         sidecar = renewal.member.role == "sidecar"
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -156,10 +156,12 @@
     Attributes:
         sent_ms: Copied from the renewal.
         reason: `no_quorum`, `unregistered` or `superseded`.
+        incarnation: Newest incarnation known of a superseded process.
     """
 
     sent_ms: int
     reason: str
+    incarnation: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -362,6 +364,7 @@
         body: Body of the upstream.
         digest: Digest of the body.
         run_ms: Run time in ms.
+        start: Sequence of the start message or inquiry that it answers.
     """
 
     submission: str
@@ -373,6 +376,7 @@
     body: bytes = b""
     digest: int = 0
     run_ms: int = 0
+    start: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -384,12 +388,16 @@
         first_sequence: Sequence of the first result on this link.
         results: Results.
         credit_limit: Total of tasks that the gateway may have sent.
+        received: Start sequence up to which every task is accounted for; 0 if uncertain.
+        dropped: Result sequence up to which none is held any more.
     """
 
     target: int
     first_sequence: int
     results: list[TaskResult]
     credit_limit: int
+    received: int = 0
+    dropped: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -401,12 +409,14 @@
         target: Gateway incarnation that holds the credits.
         recalled: Unused credits that the sidecar wants back.
         slots: Slots of the upstream.
+        received: Start sequence up to which every task is accounted for; 0 if uncertain.
     """
 
     credit_limit: int
     target: int
     recalled: int = 0
     slots: int = 0
+    received: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -419,6 +429,7 @@
         oldest_wait_ms: Wait in ms of the oldest of them.
         sent: Total of tasks sent or credits handed back.
         acknowledged: Sequence up to which results arrived.
+        limit: Credit limit that the gateway knows; -1 if not stated.
     """
 
     target: int
@@ -426,6 +437,7 @@
     oldest_wait_ms: int
     sent: int
     acknowledged: int
+    limit: int = -1
 
 
 @attrs.frozen(slots=True)
@@ -448,10 +460,12 @@
     Attributes:
         submission: Submission id.
         index: Position in the submission.
+        sequence: Sequence of the start message that carried it.
     """
 
     submission: str
     index: int
+    sequence: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/registry.py
+++ b/amaranthspar/registry.py
@@ -62,7 +62,7 @@
         self._floor_revision = 0
         self._joined: list[tuple[int, str]] = []
         self._tombstones: list[messages.MemberTombstone] = []
-        self._stopped: dict[str, int] = {}
+        self._floors: dict[str, int] = {}
 
     def apply(self, entry: messages.LogEntry) -> list[Outcome]:
         """Apply one committed entry.
@@ -192,7 +192,17 @@
         known = self.members.get(member.process)
         if known is not None and known.incarnation > member.incarnation:
             return True
-        return self._stopped.get(member.process, -1) >= member.incarnation
+        return self._floors.get(member.process, -1) >= member.incarnation
+
+    def find_incarnation(self, process: str) -> int:
+        """Return an incarnation that no known one of a process exceeds.
+
+        Args:
+            process: Process name.
+        """
+        known = self.members.get(process)
+        highest = self._floors.get(process, -1) + 1
+        return highest if known is None else max(highest, known.incarnation)
 
     def is_current(self, member: messages.Member) -> bool:
         """Return whether a process is registered just as it states itself.
@@ -255,8 +265,7 @@
         if known is None or known.incarnation != removal.incarnation:
             return False
         del self.members[removal.process]
-        if removal.stopped:
-            self._stopped[removal.process] = removal.incarnation
+        self._floors[removal.process] = _read_floor(removal)
         self._tombstones.append(messages.MemberTombstone(self.revision, removal))
         return True
 
@@ -264,8 +273,8 @@
         while len(self._tombstones) > KEPT_TOMBSTONES:
             oldest = self._tombstones.pop(0)
             self._floor_revision = oldest.revision
-            if self._stopped.get(oldest.removal.process) == oldest.removal.incarnation:
-                del self._stopped[oldest.removal.process]
+            if self._floors.get(oldest.removal.process) == _read_floor(oldest.removal):
+                del self._floors[oldest.removal.process]
         if len(self._joined) > KEPT_TOMBSTONES + 2 * len(self.members):
             current = {(item.revision, name) for name, item in self.members.items()}
             self._joined = sorted(current)
@@ -329,10 +338,8 @@
         self._floor_revision = saved.floor_revision
         self._tombstones = list(saved.tombstones)
         self._joined = sorted((item.revision, item.process) for item in saved.members)
-        self._stopped = {
-            item.removal.process: item.removal.incarnation
-            for item in saved.tombstones
-            if item.removal.stopped
+        self._floors = {
+            item.removal.process: _read_floor(item.removal) for item in saved.tombstones
         }
         self.claims = {kept.claim.key: kept for kept in saved.claims}
         self._expiry = collections.deque(saved.claims)
@@ -361,3 +368,11 @@
     return messages.ConfigurationChange(
         base_version, base_version + 1, sections, removed
     )
+
+
+def _read_floor(removal: messages.MemberRemoval) -> int:
+    """Return the highest incarnation that may not join after a removal.
+
+    One that has stopped is over; one that was not seen may come back.
+    """
+    return removal.incarnation if removal.stopped else removal.incarnation - 1
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -17,6 +17,8 @@
         acknowledged: Sequence up to which results arrived.
         in_flight: Tasks sent and not ended.
         heard_ms: Monotonic time of the last message.
+        doubt_ms: Monotonic time since which a start is not accounted for.
+        received: Start sequence that the sidecar accounts for.
     """
 
     member: messages.Member
@@ -27,6 +29,8 @@
     heard_ms: int = 0
     demand_ms: int = 0
     inquired_ms: int = 0
+    doubt_ms: int = 0
+    received: int = 0
     in_flight: dict[tuple[str, int], submissions.Task] = attrs.field(factory=dict)
 
     @property
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -1,6 +1,7 @@
 """Role of a sidecar: the only starter of tasks on its upstream."""
 
 import asyncio
+import functools
 import random
 
 from amaranthspar import (
@@ -61,7 +62,7 @@
         )
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
-        self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
         self._ticking: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -134,24 +135,38 @@
                 case effects.Send():
                     self._links.send(effect.peer, effect.message)
                 case executor.RunTask():
-                    call = asyncio.get_running_loop().create_task(self._run(effect))
-                    self._calls[effect.submission, effect.index] = call
+                    self._run(effect)
                 case executor.StopTask():
-                    self._calls[effect.submission, effect.index].cancel()
+                    call = self._calls.get((effect.submission, effect.index))
+                    if call is not None:
+                        call.cancel()
                 case leaseholder.ViewChanged():
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
+                case leaseholder.IncarnationChanged():
+                    self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
                     self._log.error("another incarnation took over")
 
-    async def _run(self, run: executor.RunTask) -> None:
+    def _run(self, run: executor.RunTask) -> None:
         assert self._upstream is not None
+        call = asyncio.get_running_loop().create_task(self._upstream.call(run))
         name = (run.submission, run.index)
-        try:
-            result = await self._upstream.call(run)
-        except asyncio.CancelledError:
-            result = messages.TaskResult(*name, "unknown", "cancelled")
+        self._calls[name] = call
+        call.add_done_callback(functools.partial(self._end, name))
+
+    def _end(
+        self, name: tuple[str, int], call: asyncio.Task[messages.TaskResult]
+    ) -> None:
+        """Report how a call ended, also one that was cancelled before it began."""
         self._calls.pop(name, None)
+        if call.cancelled():
+            result = messages.TaskResult(*name, "unknown", "cancelled")
+        elif (error := call.exception()) is not None:
+            self._log.error("call failed", error=repr(error))
+            result = messages.TaskResult(*name, "unknown", "call failed")
+        else:
+            result = call.result()
         ended = executor.TaskEnded(result)
         self._act(self.executor.handle(ended, self._clock.read_monotonic()))
 
--- a/amaranthspar/starts.py
+++ b/amaranthspar/starts.py
@@ -6,7 +6,7 @@
 
 from amaranthspar import messages, view
 
-REMEMBERED_TASKS = 65536
+REMEMBERED_TASKS = 1024
 
 
 class Refusal(enum.Enum):
@@ -17,10 +17,10 @@
     LEAVING = "upstream leaving"
     WRONG_INCARNATION = "wrong incarnation"
     STALE_MESSAGE = "stale message"
+    NOT_RECEIVED = "start message not received"
     DUPLICATE = "duplicate"
     UNKNOWN_SERVICE = "unknown service"
     WRONG_HOME = "desk served elsewhere"
-    OLD_CONFIGURATION = "older configuration"
     DEADLINE_PASSED = "deadline passed"
     NO_SLOT = "no free slot"
 
@@ -77,21 +77,45 @@
 
 
 class TaskMemory:
-    """Remembers the tasks that this incarnation started or refused.
+    """Remembers the tasks that were started for one incarnation of a gateway.
 
     The message sequence is what keeps late and doubled messages from starting
     a task; this memory answers inquiries and is a second check.
+
+    Args:
+        capacity: Tasks remembered; the oldest are forgotten first.
     """
 
-    def __init__(self) -> None:
-        self._tasks: dict[tuple[str, int], None] = {}
+    def __init__(self, capacity: int = REMEMBERED_TASKS) -> None:
+        self._capacity = capacity
+        self._tasks: dict[tuple[str, int], int] = {}
+        self._forgotten = 0
 
     def __contains__(self, task: tuple[str, int]) -> bool:
-        """Return whether a task was started here."""
+        """Return whether a task is known to have been started."""
         return task in self._tasks
 
-    def note(self, submission: str, index: int) -> None:
-        """Remember a task; the oldest is forgotten when the memory is full."""
-        self._tasks[submission, index] = None
-        if len(self._tasks) > REMEMBERED_TASKS:
-            del self._tasks[next(iter(self._tasks))]
+    def may_hold(self, task: messages.TaskReference) -> bool:
+        """Return whether a task was started or may have been and is forgotten.
+
+        Args:
+            task: Task and the sequence of the start message that carried it.
+        """
+        name = (task.submission, task.index)
+        return name in self._tasks or task.sequence <= self._forgotten
+
+    def note(self, task: tuple[str, int], sequence: int) -> None:
+        """Remember a task.
+
+        Args:
+            task: Submission id and position of the task.
+            sequence: Sequence of the start message that carried it.
+        """
+        self._tasks[task] = sequence
+        if len(self._tasks) > self._capacity:
+            oldest = self._tasks.pop(next(iter(self._tasks)))
+            self._forgotten = max(self._forgotten, oldest)
+
+    def remove(self, task: tuple[str, int]) -> None:
+        """Forget a task of which nothing reached the upstream."""
+        self._tasks.pop(task, None)
--- a/amaranthspar/submissions.py
+++ b/amaranthspar/submissions.py
@@ -49,6 +49,8 @@
         cores: Declared processor cores.
         memory_mb: Declared memory in MB.
         accelerators: Declared accelerators.
+        sequence: Sequence of the start message that last carried it.
+        may_have_run: Whether a sidecar that had it is gone.
     """
 
     index: int
@@ -61,6 +63,8 @@
     sidecar: str = ""
     sent_ms: int = 0
     attempts: int = 0
+    sequence: int = 0
+    may_have_run: bool = False
     result: messages.TaskResult | None = None
 
 
@@ -136,6 +140,8 @@
             outcome = "" if task.result is None else task.result.outcome
             if task.state is TaskState.SENT or outcome == UNKNOWN:
                 return UNKNOWN
+            if task.may_have_run and outcome != DONE:
+                return UNKNOWN
             started |= outcome == DONE
         return DONE if started else NOT_RUN
 
--- a/amaranthspar/upstream.py
+++ b/amaranthspar/upstream.py
@@ -1,9 +1,8 @@
 """Calls of an upstream over HTTP."""
 
 import aiohttp
-import xxhash
 
-from amaranthspar import clock, executor, messages
+from amaranthspar import clock, doubts, executor, messages
 
 SUBMISSION_HEADER = "Amaranthspar-Submission"
 TASK_HEADER = "Amaranthspar-Task"
@@ -63,6 +62,6 @@
             status=status,
             content_type=content_type,
             body=body,
-            digest=xxhash.xxh3_64_intdigest(body) >> 1,
+            digest=doubts.digest_body(body),
             run_ms=self._clock.read_monotonic() - started_ms,
         )
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,193 @@
+"""Tests of the sidecar's state machine."""
+
+import random
+
+import pytest
+
+from amaranthspar import (
+    deliveries,
+    effects,
+    executor,
+    leaseholder,
+    messages,
+    starts,
+)
+from tests import builders_dispatch
+
+NOW_MS = 10_000
+
+
+def build_holder() -> leaseholder.LeaseHolder:
+    member = builders_dispatch.build_sidecar_member("s1", 7)
+    holder = leaseholder.LeaseHolder(member, ["c"], NOW_MS, random.Random(1))
+    authority = builders_dispatch.Authority(builders_dispatch.build_text())
+    renewal = holder.tick(NOW_MS)[0].message
+    holder.handle(authority.handle(renewal, NOW_MS), NOW_MS)
+    return holder
+
+
+@pytest.fixture
+def sidecar() -> executor.Executor:
+    return executor.Executor(build_holder())
+
+
+def build_start(sequence=1, indexes=(0,), sent=1, acknowledged=0, target=7):
+    tasks = [messages.TaskStart(index, b"{}") for index in indexes]
+    return messages.StartTasks(
+        sequence,
+        target,
+        1,
+        "job",
+        "hold",
+        "json",
+        4000,
+        0,
+        0,
+        sent,
+        acknowledged,
+        tasks,
+    )
+
+
+def receive(sidecar, message, now_ms=NOW_MS, incarnation=1, gateway="g1"):
+    event = executor.Received(gateway, incarnation, gateway, message)
+    return sidecar.handle(event, now_ms)
+
+
+def list_runs(performed):
+    return [item.index for item in performed if isinstance(item, executor.RunTask)]
+
+
+def list_results(performed):
+    return [
+        result
+        for item in performed
+        if isinstance(item, effects.Send)
+        and isinstance(item.message, messages.ReportResults)
+        for result in item.message.results
+    ]
+
+
+def end(sidecar, index=0, outcome="done", body=b"", now_ms=NOW_MS):
+    result = messages.TaskResult("job", index, outcome, body=body)
+    return sidecar.handle(executor.TaskEnded(result), now_ms)
+
+
+def test_late_start_of_silent_gateway_starts_nothing(sidecar):
+    inquiry = messages.InquireTasks(7, 3, [messages.TaskReference("job", 0, 3)])
+    refused = list_results(receive(sidecar, inquiry))
+    assert [item.outcome for item in refused] == ["not-run"]
+    later_ms = NOW_MS + executor.RETAIN_MS + 1
+    sidecar.tick(later_ms)
+    assert not list_runs(receive(sidecar, build_start(sequence=3), later_ms))
+
+
+def test_start_for_older_incarnation_changes_nothing(sidecar):
+    receive(sidecar, build_start())
+    end(sidecar)
+    receive(sidecar, build_start(sequence=9, sent=100, acknowledged=50, target=6))
+    assert not sidecar.is_idle
+    assert sidecar.slots.shares["g1"].used == 1
+
+
+def test_result_of_older_gateway_is_not_given_to_newer(sidecar):
+    receive(sidecar, build_start())
+    receive(sidecar, messages.ReportDemand(7, 0, 0, 0, 0), incarnation=2)
+    assert not list_results(end(sidecar))
+    assert sidecar.counts["results.undeliverable"] == 1
+
+
+def test_draining_sidecar_grants_nothing(sidecar):
+    demand = messages.ReportDemand(7, 5, 10, 0, 0)
+    receive(sidecar, demand)
+    sidecar.drain(NOW_MS)
+    limit = sidecar.slots.shares["g1"].limit
+    receive(sidecar, messages.ReportDemand(7, 5, 10, limit, 0))
+    sidecar.tick(NOW_MS + 100)
+    assert sidecar.slots.shares["g1"].limit == limit
+
+
+def test_lapsed_sidecar_takes_credits_back_and_grants_none(sidecar):
+    receive(sidecar, messages.ReportDemand(7, 5, 10, 0, 0))
+    sidecar.tick(NOW_MS)
+    lapsed_ms = NOW_MS + builders_dispatch.LEASE_MS
+    recalled = [item.message.recalled for item in sidecar.tick(lapsed_ms)]
+    assert recalled == [builders_dispatch.SLOTS]
+    receive(sidecar, messages.ReportDemand(7, 5, 10, 3, 0), lapsed_ms)
+    assert sidecar.slots.shares["g1"].limit == builders_dispatch.SLOTS
+
+
+def test_lost_grant_is_repeated(sidecar):
+    receive(sidecar, messages.ReportDemand(7, 5, 10, 0, 0))
+    again = receive(sidecar, messages.ReportDemand(7, 5, 10, 0, 0, limit=1))
+    assert [item.message.credit_limit for item in again] == [builders_dispatch.SLOTS]
+
+
+def test_dead_gateway_does_not_hold_a_drain_up(sidecar):
+    receive(sidecar, build_start())
+    end(sidecar)
+    sidecar.drain(NOW_MS)
+    assert not sidecar.is_idle
+    sidecar.tick(NOW_MS + executor.GATEWAY_SILENT_MS + 1)
+    assert sidecar.is_idle
+
+
+def test_result_is_repeated_until_acknowledged(sidecar):
+    receive(sidecar, build_start())
+    end(sidecar)
+    overdue_ms = NOW_MS + deliveries.RESEND_RESULTS_MS
+    assert len(list_results(sidecar.tick(overdue_ms))) == 1
+    receive(sidecar, messages.ReportDemand(7, 0, 0, 1, 1), overdue_ms)
+    assert not list_results(sidecar.tick(2 * overdue_ms))
+
+
+def test_refused_connection_lets_the_task_come_again(sidecar):
+    receive(sidecar, build_start())
+    assert list_results(end(sidecar, outcome="not-run"))[0].start == 1
+    assert list_runs(receive(sidecar, build_start(sequence=2, sent=2))) == [0]
+
+
+def test_held_bodies_are_bounded(sidecar):
+    body = b"x" * (deliveries.RETAINED_BYTES // 2)
+    receive(sidecar, build_start(indexes=(0, 1, 2), sent=3))
+    for index in range(3):
+        end(sidecar, index, body=body)
+    resent = list_results(sidecar.tick(NOW_MS + deliveries.RESEND_RESULTS_MS))
+    assert sum(len(item.body) for item in resent) <= deliveries.RETAINED_BYTES
+    assert [item.outcome for item in resent] == ["unknown", "unknown", "done"]
+
+
+def test_large_results_go_in_several_messages(sidecar):
+    receive(sidecar, build_start(indexes=(0, 1, 2), sent=3))
+    for index in range(3):
+        end(sidecar, index, body=b"x" * (deliveries.REPORT_BYTES // 2 + 1))
+    resent = sidecar.tick(NOW_MS + deliveries.RESEND_RESULTS_MS)
+    assert [item.message.first_sequence for item in resent] == [1, 2, 3]
+
+
+def test_forgotten_task_is_never_called_not_run():
+    memory = starts.TaskMemory(capacity=1)
+    memory.note(("job", 0), 1)
+    memory.note(("job", 1), 2)
+    assert ("job", 0) not in memory
+    assert memory.may_hold(messages.TaskReference("job", 0, 1))
+    assert not memory.may_hold(messages.TaskReference("job", 5, 3))
+
+
+def test_superseded_process_never_acts_again():
+    holder = build_holder()
+    lost = holder.handle(messages.LeaseDenied(NOW_MS, "superseded", 8), NOW_MS)
+    assert lost == [leaseholder.LeaseLost()]
+    late = messages.LeaseGranted(NOW_MS + 1, 3000, 0, 1, 1)
+    holder.handle(late, NOW_MS + 2)
+    assert not holder.is_valid(NOW_MS + 2)
+    assert holder.tick(NOW_MS + 5000) == []
+
+
+def test_new_process_with_a_clock_set_back_takes_a_higher_incarnation():
+    member = builders_dispatch.build_sidecar_member("s1", 7)
+    holder = leaseholder.LeaseHolder(member, ["c"], NOW_MS, random.Random(1))
+    holder.tick(NOW_MS)
+    changed = holder.handle(messages.LeaseDenied(NOW_MS, "superseded", 90), NOW_MS)
+    assert isinstance(changed[0], leaseholder.IncarnationChanged)
+    assert changed[1].message.member.incarnation > 90
--- /dev/null
+++ b/tools/fuzz_dispatch.py
@@ -0,0 +1,108 @@
+"""Drives gateways and sidecars together at random until the time is over.
+
+Run it as ``python -m tools.fuzz_dispatch --seconds 600 --seed 1``. Each seed
+gives one run, and a failure prints the seed that repeats it.
+"""
+
+import argparse
+import random
+import secrets
+import sys
+import time
+
+from tests import builders_dispatch
+
+STEPS = 80
+
+
+def act(world: builders_dispatch.World, chance: random.Random) -> None:
+    """Carry out one random action.
+
+    Args:
+        world: Simulated system.
+        chance: Source of chance.
+    """
+    gateway = chance.choice(builders_dispatch.GATEWAYS)
+    sidecar = chance.choice(list(builders_dispatch.SIDECARS))
+    names = [*builders_dispatch.GATEWAYS, *builders_dispatch.SIDECARS]
+    name = chance.choice(names)
+    match chance.randrange(22):
+        case 0 | 1 | 2 | 3 | 4:
+            service = chance.choice(list(builders_dispatch.SERVICES))
+            desk = chance.choice(("", builders_dispatch.DESK))
+            count = chance.randint(1, 15) if service == "recalculate" else 1
+            world.submit(
+                gateway, service, count, desk, chance.choice((500, 4000, 20_000))
+            )
+        case 5 if world.oracle.runs:
+            world.cancel(chance.choice(list(world.oracle.runs)))
+        case 6:
+            world.crash(name)
+        case 7 | 8:
+            world.crash(name)
+            world.start_process(name)
+        case 9 | 10:
+            for other in names:
+                world.start_process(other)
+        case 11:
+            world.drain(sidecar)
+        case 12:
+            peer = chance.choice((*names, builders_dispatch.CONTROLLER))
+            world.cut_link(name, peer, chance.random() < 0.5)
+        case 13:
+            world.cut.clear()
+        case 14:
+            domain = chance.choice(("gyor", "pecs"))
+            world.set_domain(domain, chance.choice(("in", "out")))
+        case 15:
+            world.move_desk(chance.choice(("main", "ledger")))
+        case 16:
+            world.authority.available = chance.random() < 0.7
+        case 17:
+            world.faults = chance.choice((0.0, 0.02, 0.2, 0.5))
+        case _:
+            world.advance(chance.choice((1, 10, 60, 400, 2000, 6500)))
+
+
+def run(seed: int) -> builders_dispatch.World:
+    """Carry out one run.
+
+    Args:
+        seed: Seed of the run.
+
+    Raises:
+        builders_dispatch.Violation: A promise was broken.
+    """
+    chance = random.Random(seed)
+    world = builders_dispatch.World(seed)
+    world.advance(500)
+    for _ in range(STEPS):
+        act(world, chance)
+    world.settle()
+    return world
+
+
+def main() -> int:
+    """Run until the time is over and print the seeds that failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60)
+    parser.add_argument("--seed", type=int, default=None)
+    options = parser.parse_args()
+    seed = secrets.randbelow(2**31) if options.seed is None else options.seed
+    print(f"first seed {seed}")
+    until = time.monotonic() + options.seconds
+    runs = failures = starts = 0
+    while time.monotonic() < until:
+        runs += 1
+        try:
+            starts += len(run(seed).oracle.starts)
+        except Exception as error:
+            failures += 1
+            print(f"seed {seed}: {type(error).__name__}: {error}")
+        seed += 1
+    print(f"{runs} runs, {starts} tasks started, {failures} failures")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
