--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -26,6 +26,7 @@
 SERVICES = ["lookup", "recalculate", "hold"]
 HOST = "127.0.0.1"
 READY_POLL_MS = 20
+DRAIN_MS = 200
 
 
 def find_ports(count: int) -> list[int]:
@@ -68,12 +69,14 @@
         folder: Folder for the controllers' data.
         token: Token of the account.
         ports: HTTP ports of the gateways.
+        ledger_upstreams: Further upstreams, in the group ``ledger``.
         record: Starts of each task.
     """
 
     folder: pathlib.Path
     token: str
     ports: list[int]
+    ledger_upstreams: int = 0
     record: standin.StartRecord = attrs.field(factory=standin.StartRecord)
     controllers: list[controller.Controller] = attrs.field(factory=list)
     gateways: list[gateway.Gateway] = attrs.field(factory=list)
@@ -84,7 +87,7 @@
         """Start every role and wait until each gateway is ready."""
         addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS)]
         await self._start_controllers(addresses)
-        for number in range(UPSTREAMS):
+        for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
         for number, port in enumerate(self.ports):
             await self._start_gateway(number, port, addresses)
@@ -133,6 +136,7 @@
             upstream,
             worker=f"worker-{number + 1}",
             rack=f"rack-{number // 3 + 1}",
+            group="main" if number < UPSTREAMS else "ledger",
             services=SERVICES,
             slots=SLOTS,
             connections=CONNECTIONS,
@@ -150,7 +154,7 @@
             f"gateway-{number + 1}", listen, controllers, domain
         )
         section = options.GatewayOptions(
-            f"{HOST}:{port}", tokens.hash_token(self.token)
+            f"{HOST}:{port}", tokens.hash_token(self.token), DRAIN_MS
         )
         role = gateway.Gateway(process, options.LinkOptions(), section)
         await role.start()
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -18,7 +18,7 @@
 
 import attrs
 
-from amaranthspar import _sections, entries, errors, messages
+from amaranthspar import _sections, entries, errors, inifiles, messages
 
 Entry = entries.Service | entries.Domain | entries.Desk | entries.Team | entries.Account
 KINDS: dict[str, type[Entry]] = {
@@ -89,7 +89,7 @@
     def list_sections(self) -> list[messages.Section]:
         """Return every entry as a section, in a fixed order."""
         return [
-            _format_section(kind, entry)
+            format_section(kind, entry)
             for kind in KINDS
             for _, entry in sorted(self.select_kind(kind).items())
         ]
@@ -105,7 +105,7 @@
     Args:
         sections: Sections in the order in which they are printed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = inifiles.build_parser()
     for section in sections:
         parser[section.name] = {item.key: item.value for item in section.settings}
     text = io.StringIO()
@@ -122,7 +122,7 @@
     Raises:
         ConfigurationError: The text has faults; all are listed.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = inifiles.build_parser()
     try:
         parser.read_string(text)
     except configparser.Error as error:
@@ -179,7 +179,13 @@
     return changed, [name for name in old if name not in new]
 
 
-def _format_section(kind: str, entry: Entry) -> messages.Section:
+def format_section(kind: str, entry: Entry) -> messages.Section:
+    """Return an entry as a section.
+
+    Args:
+        kind: Kind of the entry, as in ``service``.
+        entry: Entry to print.
+    """
     settings = [
         messages.Setting(field.name, _format_value(getattr(entry, field.name)))
         for field in attrs.fields(type(entry))
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-from amaranthspar import deliveries, effects, leaseholder, messages, slots, starts
+from amaranthspar import (
+    deliveries,
+    desks,
+    effects,
+    leaseholder,
+    messages,
+    slots,
+    starts,
+)
 
 GATEWAY_SILENT_MS = 5000
 RETAIN_MS = 30000
@@ -69,6 +77,7 @@
     messages.ReportDemand,
     messages.CancelTasks,
     messages.InquireTasks,
+    messages.InquireSettled,
 )
 
 
@@ -97,6 +106,7 @@
 
     gateway: _Gateway
     sequence: int
+    task: desks.RunningTask
 
 
 class Executor:
@@ -197,6 +207,8 @@
                 return self._start(gateway, event.message, now_ms)
             case messages.ReportDemand():
                 return self._note_demand(gateway, event.message)
+            case messages.InquireSettled():
+                return self._report_settled(gateway)
             case messages.InquireTasks():
                 return self._answer_inquiry(gateway, event.message, now_ms)
         return []
@@ -270,7 +282,9 @@
     ) -> RunTask:
         name = (message.submission, task.index)
         gateway.started.note(name, message.sequence)
-        self._running[name] = _Running(gateway, message.sequence)
+        version = self._holder.view.configuration_version
+        running = desks.RunningTask(gateway.name, message.desk, version)
+        self._running[name] = _Running(gateway, message.sequence, running)
         self.slots.running += 1
         self.counts["tasks.started"] += 1
         return RunTask(
@@ -397,6 +411,17 @@
             if (message.submission, index) in self._running
         ]
 
+    def _report_settled(self, gateway: _Gateway) -> list[Effect]:
+        known = self._holder.view
+        version = desks.find_settled_version(
+            known.configuration_version,
+            (item.task for item in self._running.values()),
+            self._announcement.group,
+            known,
+        )
+        report = messages.ReportSettled(gateway.incarnation, version)
+        return [effects.Send(gateway.address, report)]
+
     def _answer_inquiry(
         self, gateway: _Gateway, message: messages.InquireTasks, now_ms: int
     ) -> list[Effect]:
--- a/amaranthspar/starts.py
+++ b/amaranthspar/starts.py
@@ -21,6 +21,7 @@
     DUPLICATE = "duplicate"
     UNKNOWN_SERVICE = "unknown service"
     WRONG_HOME = "desk served elsewhere"
+    OLD_CONFIGURATION = "older configuration"
     DEADLINE_PASSED = "deadline passed"
     NO_SLOT = "no free slot"
 
@@ -71,6 +72,8 @@
         return Refusal.UNKNOWN_SERVICE
     if known.find_home(message.desk) != announcement.group:
         return Refusal.WRONG_HOME
+    if message.configuration_version < known.find_move(message.desk):
+        return Refusal.OLD_CONFIGURATION
     if message.deadline_ms <= 0:
         return Refusal.DEADLINE_PASSED
     return None
--- a/tests/builders_dispatch.py
+++ b/tests/builders_dispatch.py
@@ -14,6 +14,7 @@
 
 from amaranthspar import (
     configuration,
+    desks,
     dispatcher,
     doubts,
     effects,
@@ -110,11 +111,14 @@
         self.homes: list[tuple[int, str]] = [(0, "main")]
         self._seen_ms: dict[str, int] = {}
         self._floors: dict[str, int] = {}
+        self._sections: dict[str, messages.Section] = {}
         self.accept(text)
 
     def accept(self, text: str) -> None:
         self.version += 1
-        self._sections = configuration.parse_text(text).list_sections()
+        wanted = configuration.parse_text(text).list_sections()
+        named = {item.name: item for item in wanted}
+        self._sections = desks.carry_moves(self._sections, named, self.version)
 
     def handle(self, message: object, now_ms: int) -> object:
         """Return the answer to a message, none if there is none."""
@@ -167,7 +171,9 @@
             0,
             self.version,
             self.revision,
-            messages.ConfigurationChange(0, self.version, self._sections, []),
+            messages.ConfigurationChange(
+                0, self.version, list(self._sections.values()), []
+            ),
             messages.MembershipChange(
                 0, self.revision, list(self.members.values()), []
             ),
@@ -502,6 +508,20 @@
         desk = self.oracle.runs[run.submission].submission.desk
         if desk and group not in self._list_homes():
             raise Violation(f"{process.name} started for a desk served elsewhere")
+        if desk:
+            self._check_other_homes(desk, group)
+
+    def _check_other_homes(self, desk: str, group: str) -> None:
+        for name in SIDECARS:
+            process = self.processes.get(name)
+            member = self.authority.members.get(name)
+            if process is None or member is None or SIDECARS[name][1] == group:
+                continue
+            if member.incarnation != process.incarnation:
+                continue
+            for submission, _ in process.running:
+                if self.oracle.runs[submission].submission.desk == desk:
+                    raise Violation(f"{desk} runs at two homes")
 
     def _list_homes(self) -> set[str]:
         homes = set()
