--- a/tools/fuzz_dispatch.py
+++ b/tools/fuzz_dispatch.py
@@ -15,19 +15,32 @@
 STEPS = 80
 
 
-def act(world: builders_dispatch.World, chance: random.Random) -> None:
-    """Carry out one random action.
+def choose_actions(chance: random.Random) -> list[int]:
+    """Return the actions of one run; runs differ, so that rare mixes occur.
+
+    Args:
+        chance: Source of chance.
+    """
+    submitting = [0] * chance.choice((1, 3, 10))
+    faulty = [number for number in range(5, 18) if chance.random() < 0.5]
+    advancing = [18] * chance.choice((3, 6, 20))
+    return [*submitting, *faulty, *advancing]
+
+
+def act(world: builders_dispatch.World, action: int, chance: random.Random) -> None:
+    """Carry out one action.
 
     Args:
         world: Simulated system.
+        action: Number of the action.
         chance: Source of chance.
     """
     gateway = chance.choice(builders_dispatch.GATEWAYS)
     sidecar = chance.choice(list(builders_dispatch.SIDECARS))
     names = [*builders_dispatch.GATEWAYS, *builders_dispatch.SIDECARS]
     name = chance.choice(names)
-    match chance.randrange(22):
-        case 0 | 1 | 2 | 3 | 4:
+    match action:
+        case 0:
             service = chance.choice(list(builders_dispatch.SERVICES))
             desk = chance.choice(("", builders_dispatch.DESK))
             count = chance.randint(1, 15) if service == "recalculate" else 1
@@ -76,8 +89,10 @@
     chance = random.Random(seed)
     world = builders_dispatch.World(seed)
     world.advance(500)
+    actions = choose_actions(chance)
+    world.faults = chance.choice((0.0, 0.0, 0.02, 0.2, 0.5))
     for _ in range(STEPS):
-        act(world, chance)
+        act(world, chance.choice(actions), chance)
     world.settle()
     return world
 
