--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -156,10 +156,12 @@
     Attributes:
         sent_ms: Copied from the renewal.
         reason: `no_quorum`, `unregistered` or `superseded`.
+        incarnation: Newest incarnation known of a superseded process.
     """
 
     sent_ms: int
     reason: str
+    incarnation: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -392,6 +394,7 @@
         body: Body of the upstream.
         digest: Digest of the body.
         run_ms: Run time in ms.
+        start: Sequence of the start message or inquiry that it answers.
     """
 
     submission: str
@@ -403,6 +406,7 @@
     body: bytes = b""
     digest: int = 0
     run_ms: int = 0
+    start: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -414,12 +418,16 @@
         first_sequence: Sequence of the first result on this link.
         results: Results.
         credit_limit: Total of tasks that the gateway may have sent.
+        received: Start sequence up to which every task is accounted for; 0 if uncertain.
+        dropped: Result sequence up to which none is held any more.
     """
 
     target: int
     first_sequence: int
     results: list[TaskResult]
     credit_limit: int
+    received: int = 0
+    dropped: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -431,12 +439,14 @@
         target: Gateway incarnation that holds the credits.
         recalled: Unused credits that the sidecar wants back.
         slots: Slots of the upstream.
+        received: Start sequence up to which every task is accounted for; 0 if uncertain.
     """
 
     credit_limit: int
     target: int
     recalled: int = 0
     slots: int = 0
+    received: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -449,6 +459,7 @@
         oldest_wait_ms: Wait in ms of the oldest of them.
         sent: Total of tasks sent or credits handed back.
         acknowledged: Sequence up to which results arrived.
+        limit: Credit limit that the gateway knows; -1 if not stated.
     """
 
     target: int
@@ -456,6 +467,7 @@
     oldest_wait_ms: int
     sent: int
     acknowledged: int
+    limit: int = -1
 
 
 @attrs.frozen(slots=True)
@@ -502,10 +514,12 @@
     Attributes:
         submission: Submission id.
         index: Position in the submission.
+        sequence: Sequence of the start message that carried it.
     """
 
     submission: str
     index: int
+    sequence: int = 0
 
 
 @attrs.frozen(slots=True)
