--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -119,6 +119,9 @@
         body = test_cluster.encode({"echo": 1})
         held = await other.send_request("hold", body, KEY)
         members = running.gateways[0].holder.view.members
+        while "gateway-2" not in members:
+            await asyncio.sleep(0.01)
+            members = running.gateways[0].holder.view.members
         joining = members.pop("gateway-2")
         asked = asyncio.ensure_future(caller.send_request("hold", body, KEY))
         await asyncio.sleep(0.3)
