Let a leaving gateway confirm its results

Cause: sidecars of a stopping cluster waited 4.8 s for acknowledgements of a gateway that had left (measured with one request, then a stop in order). Change: a gateway confirms all results before it leaves.

--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -108,6 +108,14 @@
         result += self._barrier.inquire(waiting, self._holder.view, now_ms)
         return result + self._pump(now_ms)
 
+    def sign_off(self, now_ms: int) -> list[Effect]:
+        """Confirm every result, so that no sidecar waits for this gateway.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        return [self._demand.state(route, now_ms) for route in self.routes.values()]
+
     def count_queued(self) -> int:
         """Return how many tasks wait."""
         return len(self._backlog)
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -104,6 +104,7 @@
         self._web.stop_listening()
         while self.dispatcher.submissions or self._web.open_requests:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
+        self._act(self.dispatcher.sign_off(self.clock.read_monotonic()))
         incarnation = self.holder.member.incarnation
         message = messages.LeaveMembership(self._process.name, incarnation, True)
         for address in self._process.controllers:
