Measure failover, removal of a domain and changes of the configuration

Cause: The times that leases and consensus promise need figures. Change: python -m benchmarks failover|removal|config start three controllers as processes; one process stands in for up to 2,500 holders of leases.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,8 @@
 from amaranthspar import loop
 from benchmarks import outcomes, trials, workloads
 
-NAMES = ("response", "waste", "domain")
+CONTROL_NAMES = ("failover", "removal", "config")
+NAMES = ("response", "waste", "domain", *CONTROL_NAMES)
 LOADS = (0.5, 0.8, 0.95)
 
 
@@ -60,8 +61,11 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
-    module = importlib.import_module(f"benchmarks.{arguments.name}")
-    outcome: outcomes.Outcome = await module.run(options)
+    control = arguments.name in CONTROL_NAMES
+    name = "control" if control else arguments.name
+    module = importlib.import_module(f"benchmarks.{name}")
+    run = getattr(module, f"run_{arguments.name}" if control else "run")
+    outcome: outcomes.Outcome = await run(options)
     print(outcome.format_tables("simple"))
     for note in outcome.notes:
         print(note)
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,433 @@
+"""Measurements of the controllers: failover, removal of a domain, changes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import statistics
+import tempfile
+import time
+from collections.abc import AsyncIterator
+
+import attrs
+
+from amaranthspar import (
+    clock,
+    codec,
+    disk,
+    effects,
+    files,
+    leaseholder,
+    links,
+    messages,
+    registry,
+)
+from benchmarks import fleet, holders, outcomes, ports, trials
+
+LEASES = 500
+KILLS = 5
+REMOVALS = 5
+CHANGES = 1_000
+CLAIMS = 2_000
+CONCURRENT = 64
+PROBE_MS = 10
+SETTLE_SECONDS = 4.0
+SLOPE_SECONDS = 4.0
+SLOPE_COUNTS = (0, 250, 500, 1_000, 2_500)
+REMOVAL_TARGET_MS = 3_000
+RESTART_TARGET_MS = 1_000
+SYNCS = 200
+
+
+@attrs.define(slots=True)
+class Cluster:
+    """Three controllers as processes, and a client of them.
+
+    Attributes:
+        fleet: Their processes.
+        client: Asks them.
+    """
+
+    fleet: fleet.Fleet
+    client: Client
+
+    @property
+    def addresses(self) -> list[str]:
+        """Addresses of the controllers."""
+        return self.fleet.controller_addresses
+
+    async def find_leader(self) -> int:
+        """Return the position of the leader."""
+        request = messages.ReplaceReplica(0, "", "", "", "")
+        while True:
+            for address in self.addresses:
+                answer = await self.client.ask(address, request)
+                if isinstance(answer, messages.ReplicasChanged) and answer.leader:
+                    return int(answer.leader.removeprefix("c")) - 1
+
+    async def propose(self, change_id: str, text: str, base: int) -> int:
+        """Return the version after an accepted change."""
+        proposal = messages.ProposeConfiguration(change_id, base, "benchmark", text)
+        while True:
+            for address in self.addresses:
+                answer = await self.client.ask(address, proposal)
+                if isinstance(answer, messages.ConfigurationDecided):
+                    if answer.outcome == "accepted":
+                        return answer.version
+                    if answer.outcome != "unavailable":
+                        raise fleet.FleetError(f"{change_id}: {answer}")
+
+    def restart(self, position: int) -> None:
+        """Start a controller that was killed."""
+        name = f"controller-{position + 1}"
+        path = self.fleet.folder / f"{name}.ini"
+        words = ["-m", "amaranthspar", "controller", "--settings", str(path)]
+        self.fleet.spawn(name, words, self.addresses[position])
+
+
+class Client:
+    """Sends requests and hands out the answers by what they answer."""
+
+    def __init__(self) -> None:
+        self.decided_ms: list[float] = []
+        self._waiting: dict[object, asyncio.Future[codec.Message]] = {}
+        address = ports.reserve()[0]
+        self.links = links.Links("benchmark", 1, address, self._receive)
+
+    async def ask(
+        self, address: str, request: codec.Message, wait_s: float = 0.7
+    ) -> codec.Message | None:
+        """Return the answer to a request, nothing after a timeout."""
+        key = _find_key(request)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[key] = future
+        self.links.send(address, request)
+        try:
+            return await asyncio.wait_for(future, wait_s)
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting.pop(key, None)
+
+    def _receive(self, frame: codec.Frame) -> None:
+        for message in frame.messages:
+            if isinstance(message, messages.ClaimDecided) and message.submission:
+                self.decided_ms.append(time.monotonic() * 1000)
+            future = self._waiting.get(_find_key(message))
+            if future is not None and not future.done():
+                future.set_result(message)
+
+
+def _find_key(message: codec.Message) -> object:
+    match message:
+        case messages.ProposeConfiguration() | messages.ConfigurationDecided():
+            return message.change_id
+        case messages.ClaimSubmission() | messages.ClaimDecided():
+            return message.key
+        case messages.ReplaceReplica() | messages.ReplicasChanged():
+            return "replicas"
+    return type(message).__name__
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(options: trials.Options) -> AsyncIterator[Cluster]:
+    """Start three controllers and end them whatever happens.
+
+    Args:
+        options: Options of the run; the first firm gives the configuration.
+    """
+    with tempfile.TemporaryDirectory(dir=os.environ.get("TMPDIR")) as folder:
+        started = fleet.Fleet(options.firms[0], pathlib.Path(folder))
+        cluster = Cluster(started, Client())
+        await cluster.client.links.open()
+        try:
+            started.start_controllers()
+            async with asyncio.timeout(30):
+                await cluster.find_leader()
+            yield cluster
+        finally:
+            cluster.client.links.close()
+            started.kill()
+
+
+async def run_failover(options: trials.Options) -> outcomes.Outcome:
+    """Kill the leader again and again while leases are held.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("failover", options.seed, options.seconds)
+    async with open_cluster(options) as cluster:
+        held = holders.Holders(LEASES, cluster.addresses, options.seed)
+        await held.open()
+        await asyncio.sleep(SETTLE_SECONDS)
+        gaps = [await _measure_kill(cluster, number) for number in range(KILLS)]
+        held.close()
+        lapses = held.lapses
+    median, longest = statistics.median(gaps), max(gaps)
+    outcome.measures += [
+        outcomes.Measure("leases lapsed", lapses, 0),
+        outcomes.Measure("without leader, median ms", median),
+        outcomes.Measure("without leader, longest ms", longest),
+        outcomes.Measure("leases held", LEASES),
+        outcomes.Measure("leaders killed", KILLS),
+    ]
+    return outcome
+
+
+async def _measure_kill(cluster: Cluster, number: int) -> float:
+    """Return the longest time in ms between two accepted claims around a kill."""
+    leader = await cluster.find_leader()
+    others = [item for item in cluster.addresses if item != cluster.addresses[leader]]
+    cluster.client.decided_ms.clear()
+    killed = cluster.fleet.processes[f"controller-{leader + 1}"]
+    for step in range(int(SETTLE_SECONDS * 1000 / PROBE_MS)):
+        if step == 1000 // PROBE_MS:
+            killed.popen.kill()
+            killed.popen.wait()
+        key = f"kill-{number}-{step}"
+        claim = messages.ClaimSubmission(key, "", key, "benchmark", 1)
+        for address in others:
+            cluster.client.links.send(address, claim)
+        await asyncio.sleep(PROBE_MS / 1000)
+    times = cluster.client.decided_ms
+    cluster.restart(leader)
+    await asyncio.sleep(SETTLE_SECONDS)
+    return max(b - a for a, b in zip(times, times[1:], strict=False))
+
+
+async def run_removal(options: trials.Options) -> outcomes.Outcome:
+    """Take a failure domain out while its holders are cut off.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("removal", options.seed, options.seconds)
+    last: list[float] = []
+    spread: list[float] = []
+    async with open_cluster(options) as cluster:
+        held = holders.Holders(LEASES, cluster.addresses, options.seed)
+        await held.open()
+        text = str(cluster.fleet.build_configuration())
+        version = 1
+        for number in range(REMOVALS):
+            changed = text.replace("[domain gyor]", "[domain gyor]\nstate = out")
+            cut = _Cut(cluster.addresses, options.seed + number)
+            await cut.hold_and_cut()
+            version = await cluster.propose(f"out-{number}", changed, version)
+            accepted_ms = time.monotonic() * 1000
+            last.append(cut.find_last_start() - accepted_ms)
+            spread.append(await _wait_version(held, version, accepted_ms))
+            cut.close()
+            version = await cluster.propose(f"in-{number}", text, version)
+            await asyncio.sleep(1.5)
+        held.close()
+    outcome.measures += [
+        outcomes.Measure("last start allowed, worst ms", max(last), REMOVAL_TARGET_MS),
+        outcomes.Measure("last start allowed, median ms", statistics.median(last)),
+        outcomes.Measure("in force everywhere, worst ms", max(spread), 3_000),
+        outcomes.Measure("removals", REMOVALS),
+        outcomes.Measure("leases held", LEASES),
+    ]
+    return outcome
+
+
+async def _wait_version(
+    held: holders.Holders, version: int, accepted_ms: float
+) -> float:
+    while not all(item.version >= version for item in held.holders):
+        await asyncio.sleep(0.005)
+    return time.monotonic() * 1000 - accepted_ms
+
+
+class _Cut:
+    """Real lease holders of a domain that lose their links silently."""
+
+    def __init__(self, controllers: list[str], seed: int) -> None:
+        self._clock = clock.Clock()
+        now_ms = self._clock.read_monotonic()
+        self._pairs: list[tuple[leaseholder.LeaseHolder, links.Links]] = []
+        self._cut = False
+        for number, address in enumerate(ports.reserve(6)):
+            name = f"cut-{seed}-{number}"
+            member = holders.build_member(name, address)
+            chance = random.Random(seed * 10 + number)
+            holder = leaseholder.LeaseHolder(member, controllers, now_ms, chance)
+            link = links.Links(name, 1, address, self._build_receiver(holder))
+            self._pairs.append((holder, link))
+
+    def _build_receiver(self, holder: leaseholder.LeaseHolder) -> links.Receive:
+        def receive(frame: codec.Frame) -> None:
+            for message in frame.messages:
+                if not self._cut:
+                    holder.handle(message, self._clock.read_monotonic())
+
+        return receive
+
+    async def hold_and_cut(self) -> None:
+        """Hold leases for two renewals, then hear and send no more."""
+        for _, link in self._pairs:
+            await link.open()
+        for _ in range(220):
+            for holder, link in self._pairs:
+                for effect in holder.tick(self._clock.read_monotonic()):
+                    if isinstance(effect, effects.Send):
+                        link.send(effect.peer, effect.message)
+            await asyncio.sleep(holders.TICK_MS / 1000)
+        self._cut = True
+
+    def find_last_start(self) -> float:
+        """Return the time in ms at which the last of the leases ends."""
+        now_ms = self._clock.read_monotonic()
+        left = max(holder.count_remaining(now_ms) for holder, _ in self._pairs)
+        return time.monotonic() * 1000 + left
+
+    def close(self) -> None:
+        """Close the links."""
+        for _, link in self._pairs:
+            link.close()
+
+
+async def run_config(options: trials.Options) -> outcomes.Outcome:
+    """Measure changes, claims, renewals, a synced write and a restart.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("config", options.seed, options.seconds)
+    async with open_cluster(options) as cluster:
+        sync_ms = _measure_sync(cluster.fleet.folder)
+        await _measure_slope(cluster, options, outcome)
+        changes = await _measure_changes(cluster)
+        singles = await _measure_claims(cluster, "single", 1, CLAIMS // 8)
+        batched = await _measure_claims(cluster, "batched", CONCURRENT, CLAIMS)
+        leader = await cluster.find_leader()
+        name = f"controller-{leader + 1}"
+        process = cluster.fleet.processes[name].popen
+        process.kill()
+        process.wait()
+        folder = str(cluster.fleet.folder / name)
+        restart_ms = _measure_restart(folder, f"c{leader + 1}")
+    outcome.measures += [
+        outcomes.Measure("synced write, median ms", sync_ms),
+        outcomes.Measure("configuration changes a second", 1000 / changes[0]),
+        outcomes.Measure("configuration change, median ms", changes[1]),
+        outcomes.Measure("claims a second, one at a time", 1000 / singles[0]),
+        outcomes.Measure("claim, one at a time, median ms", singles[1]),
+        outcomes.Measure("claims a second, 64 at once", 1000 / batched[0]),
+        outcomes.Measure("claim, 64 at once, median ms", batched[1]),
+        outcomes.Measure(
+            f"restart after {CHANGES} changes, ms", restart_ms, RESTART_TARGET_MS
+        ),
+    ]
+    return outcome
+
+
+def _measure_sync(folder: pathlib.Path) -> float:
+    """Return the median time in ms of a small write that is synced."""
+    content = files.Files(str(folder / "sync"))
+    times = []
+    for _ in range(SYNCS):
+        begin = time.perf_counter()
+        content.append("log", b"x" * 300)
+        content.sync("log")
+        times.append((time.perf_counter() - begin) * 1000)
+    content.close()
+    return statistics.median(times)
+
+
+async def _measure_changes(cluster: Cluster) -> tuple[float, float]:
+    """Return the mean and the median time in ms of one change after another."""
+    built = cluster.fleet.build_configuration()
+    times = []
+    version = 1
+    begin = time.perf_counter()
+    for number in range(CHANGES):
+        built.add_team(f"team-{number % 250}", weight=number + 1)
+        started = time.perf_counter()
+        version = await cluster.propose(f"change-{number}", str(built), version)
+        times.append((time.perf_counter() - started) * 1000)
+    mean = (time.perf_counter() - begin) * 1000 / CHANGES
+    return mean, statistics.median(times)
+
+
+async def _measure_claims(
+    cluster: Cluster, name: str, concurrent: int, count: int
+) -> tuple[float, float]:
+    leader = cluster.addresses[await cluster.find_leader()]
+    times: list[float] = []
+    numbers = iter(range(count))
+
+    async def work() -> None:
+        for number in numbers:
+            key = f"{name}-{number}"
+            claim = messages.ClaimSubmission(key, "", key, "benchmark", 1)
+            started = time.perf_counter()
+            await cluster.client.ask(leader, claim)
+            times.append((time.perf_counter() - started) * 1000)
+
+    begin = time.perf_counter()
+    await asyncio.gather(*(work() for _ in range(concurrent)))
+    mean = (time.perf_counter() - begin) * 1000 / count
+    return mean, statistics.median(times)
+
+
+async def _measure_slope(
+    cluster: Cluster, options: trials.Options, outcome: outcomes.Outcome
+) -> None:
+    rows: list[tuple[object, ...]] = []
+    for count in SLOPE_COUNTS:
+        held = holders.Holders(count, cluster.addresses, options.seed + count)
+        await held.open()
+        await asyncio.sleep(1.5)
+        processes = cluster.fleet.list_processes("controller")
+        before = [item.read_cpu() for item in processes]
+        grants, begin = held.grants, time.monotonic()
+        await asyncio.sleep(SLOPE_SECONDS)
+        elapsed = time.monotonic() - begin
+        spent = sum(item.read_cpu() for item in processes) - sum(before)
+        rate = (held.grants - grants) / elapsed
+        memory = max(item.read_memory() for item in processes)
+        rows.append((count, rate, spent / elapsed * 100, memory, held.lapses))
+        held.close()
+    first, last = rows[0], rows[-1]
+    cost = (float(str(last[2])) - float(str(first[2]))) / float(str(last[1]))
+    headers = ("leases", "renewals/s", "CPU % of a core, all three", "MB", "lapses")
+    outcome.tables.append(outcomes.Table("Renewals", headers, rows))
+    outcome.measures += [
+        outcomes.Measure("renewal, CPU of all controllers us", cost * 10_000),
+        outcomes.Measure("renewal, bytes asked", _count_renewal_bytes()),
+        outcomes.Measure("renewal, bytes granted", _count_grant_bytes()),
+    ]
+
+
+def _count_renewal_bytes() -> int:
+    member = holders.build_member("holder-1-1000", "127.0.0.1:20000")
+    renewal = messages.RenewLease(member, 1_000_000_000, 6_200, 2_500)
+    frame = codec.Frame("holder-1-1000", 1, "127.0.0.1:20000", [renewal])
+    return len(codec.encode_frame(frame))
+
+
+def _count_grant_bytes() -> int:
+    grant = messages.LeaseGranted(1_000_000_000, 3_000, 150, 6_200, 2_500)
+    frame = codec.Frame("controller-1", 1, "127.0.0.1:20000", [grant])
+    return len(codec.encode_frame(frame))
+
+
+def _measure_restart(folder: str, replica: str) -> float:
+    """Return the time in ms to read a data folder and apply all that it holds."""
+    begin = time.perf_counter()
+    opened = disk.open_folder(files.Files(folder), replica, 1)
+    state = registry.Registry()
+    if opened.stored.snapshot is not None:
+        state.restore(opened.stored.snapshot.state)
+    for entry in opened.stored.entries:
+        state.apply(entry)
+    elapsed = (time.perf_counter() - begin) * 1000
+    opened.close()
+    if state.version < CHANGES:
+        raise fleet.FleetError(f"only {state.version} versions after the restart")
+    return elapsed
