Recover from the loss of the majority, stop on a failed disk, test the registry

Cause: Operators need a confirmed and recorded way back when the majority is lost for good; a controller with a failed disk must end with the error. Change: recovery.assess_recovery and recover_majority; the role command ends when a role stops by itself; elections have a module of their own; tests of registry, leases and requests. Conclusion: Saved and restored registries act alike over random commands.

--- a/amaranthspar/commands_role.py
+++ b/amaranthspar/commands_role.py
@@ -1,6 +1,7 @@
 """Commands ``gateway``, ``sidecar`` and ``controller``."""
 
 import argparse
+import asyncio
 import pathlib
 from typing import Any
 
@@ -46,11 +47,24 @@
         raise errors.SettingsError([fault]) from error
     except errors.InputOutputError as error:
         raise errors.SettingsError([f"{path}: [{loaded.role}]: {error}"]) from error
-    await stop.wait()
+    await _wait_stop(role, stop)
     await role.stop()
+    failure = getattr(role, "failure", None)
+    if failure is not None:
+        raise failure
     return exits.DONE
 
 
+async def _wait_stop(role: Any, stop: asyncio.Event) -> None:
+    """Wait for a signal, or for a role that stops by itself after a failure."""
+    waits = [asyncio.ensure_future(stop.wait())]
+    if isinstance(getattr(role, "stopped", None), asyncio.Event):
+        waits.append(asyncio.ensure_future(role.stopped.wait()))
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 def _build_role(loaded: settings.Settings) -> Any:
     if loaded.gateway is not None:
         from amaranthspar import gateway
--- /dev/null
+++ b/amaranthspar/elections.py
@@ -0,0 +1,196 @@
+"""Election of a leader: when a replica stands, votes, leads and follows."""
+
+import abc
+import random
+
+from amaranthspar import (
+    following,
+    journal,
+    leadership,
+    messages,
+    replicas,
+    transitions,
+)
+
+
+class Elector(abc.ABC):
+    """State of one replica and its part in elections.
+
+    Args:
+        identity: Who this replica is.
+        first: First set of replicas, for a cluster that is not formed yet.
+        settings: Timeouts and limits.
+        chance: Source of random election timeouts.
+        stored: What the data folder holds.
+        now_ms: Current time in ms.
+    """
+
+    def __init__(
+        self,
+        identity: transitions.Identity,
+        first: messages.ChangeReplicas,
+        settings: transitions.Settings,
+        chance: random.Random,
+        stored: transitions.Stored,
+        now_ms: int,
+    ) -> None:
+        self.replica = identity.replica
+        self.folder = identity.folder
+        self.journal = journal.Journal(first, stored, settings.trailing_entries)
+        self.commit_index = self.journal.log.base_index
+        self.role = "follower"
+        self.leader = ""
+        self.leading: leadership.Leadership | None = None
+        self.rejected_folders = 0
+        self.follower = following.Follower(self.replica, self.folder, chance)
+        self._view_ms = -1
+        self._settings = settings
+        self._chance = chance
+        self.votes: dict[str, int] = {}
+        self._vote_number = 0
+        self._heard_ms = now_ms - settings.election_ms
+        self._deadline_ms = 0
+        self._reset_deadline(now_ms)
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.journal.term
+
+    def _trust(self, replica: str, folder: int) -> bool:
+        if replicas.trust_folder(self.journal.members, replica, folder):
+            return True
+        self.rejected_folders += 1
+        return False
+
+    def _reset_deadline(self, now_ms: int) -> None:
+        election_ms = self._settings.election_ms
+        self._deadline_ms = now_ms + self._chance.randint(election_ms, 2 * election_ms)
+
+    def _may_campaign(self) -> bool:
+        # A leader that removed itself is needed until the removal is committed.
+        committed = self.journal.find_members(self.commit_index)
+        for members in (self.journal.members, committed):
+            known = replicas.find_replica(members, self.replica)
+            if known is not None and known.voter:
+                return known.folder in (0, self.folder)
+        return False
+
+    def _start_pre_vote(self, now_ms: int) -> None:
+        self._reset_deadline(now_ms)
+        self._change_leader("")
+        if not self._may_campaign():
+            return
+        self.role = "pre_candidate"
+        self.votes = {}
+        self._ask_votes(self.term + 1, pre_vote=True, transfer=False)
+        self._count_vote(self.replica, self.folder, now_ms)
+
+    def _campaign(self, transfer: bool, now_ms: int) -> None:
+        if not self._may_campaign() or self.leading is not None:
+            return
+        self._reset_deadline(now_ms)
+        self._change_leader("")
+        self.role = "candidate"
+        self.votes = {}
+        self._vote_number = self.journal.save_vote(self.term + 1, self.replica)
+        self._ask_votes(self.term, pre_vote=False, transfer=transfer)
+
+    def _ask_votes(self, term: int, pre_vote: bool, transfer: bool) -> None:
+        log = self.journal.log
+        request = messages.RequestVote(
+            term,
+            self.replica,
+            log.last_index,
+            log.last_term,
+            pre_vote,
+            transfer,
+            self.folder,
+        )
+        for peer in self.journal.members.replicas:
+            if peer.voter and peer.id != self.replica:
+                self.journal.answer(peer.address, request)
+
+    def _give_vote(
+        self, address: str, message: messages.RequestVote, now_ms: int
+    ) -> None:
+        if not message.transfer and self._hears_leader(now_ms):
+            return
+        log = self.journal.log
+        current = (message.last_term, message.last_index) >= (
+            log.last_term,
+            log.last_index,
+        )
+        if message.pre_vote:
+            granted = current and message.term > self.term
+            term = message.term if granted else self.term
+            vote = messages.Vote(term, self.replica, granted, True, self.folder)
+            self.journal.answer(address, vote)
+            return
+        if message.term > self.term:
+            self._follow(message.term, "", now_ms)
+        free = self.journal.vote in ("", message.candidate)
+        granted = message.term == self.term and free and current
+        if granted:
+            self.journal.save_vote(self.term, message.candidate)
+            self._reset_deadline(now_ms)
+        vote = messages.Vote(self.term, self.replica, granted, False, self.folder)
+        self.journal.answer(address, vote)
+
+    def _hears_leader(self, now_ms: int) -> bool:
+        if self.leading is None:
+            return now_ms - self._heard_ms < self._settings.election_ms
+        confirmed_ms = self.leading.find_confirmed_ms(self.journal.members, now_ms)
+        return now_ms - confirmed_ms < self._settings.election_ms
+
+    def _take_vote(self, message: messages.Vote, now_ms: int) -> None:
+        if message.term > self.term and not message.granted:
+            self._follow(message.term, "", now_ms)
+            return
+        if not message.granted:
+            return
+        wanted = self.term + 1 if message.pre_vote else self.term
+        asking = "pre_candidate" if message.pre_vote else "candidate"
+        if self.role == asking and message.term == wanted:
+            self._count_vote(message.voter, message.folder, now_ms)
+
+    def _count_vote(self, voter: str, folder: int, now_ms: int) -> None:
+        self.votes[voter] = folder
+        members = self.journal.members
+        if not replicas.win_election(members, self.votes, self.journal.formed):
+            return
+        if self.role == "pre_candidate":
+            self._campaign(False, now_ms)
+        elif self._vote_number <= self.journal.done:
+            self._lead(now_ms)
+
+    def _lead(self, now_ms: int) -> None:
+        log = self.journal.log
+        self.role = "leader"
+        self.leading = leadership.Leadership(
+            self.term, self.replica, log.last_index + 1, now_ms
+        )
+        self._change_leader(self.replica)
+        first = transitions.Command("", b"")
+        if not self.journal.formed:
+            bound = replicas.bind_folders(self.journal.members, self.votes)
+            first = journal.encode_change(bound)
+        self._propose([first], now_ms)
+
+    def _follow(self, term: int, leader: str, now_ms: int) -> None:
+        if term > self.term:
+            self.journal.save_vote(term, "")
+        if self.role != "follower":
+            self._reset_deadline(now_ms)
+        self.role = "follower"
+        self.leading = None
+        self._change_leader(leader)
+
+    def _change_leader(self, leader: str) -> None:
+        if leader != self.leader:
+            self.leader = leader
+            self.journal.emit(transitions.ChangeLeader(leader, self.term))
+
+    @abc.abstractmethod
+    def _propose(self, commands: list[transitions.Command], now_ms: int) -> None:
+        """Replicate commands; does nothing unless this replica leads."""
--- a/amaranthspar/journal.py
+++ b/amaranthspar/journal.py
@@ -234,3 +234,12 @@
                 change = codec.decode_message(entry.kind, entry.payload)
                 if isinstance(change, messages.ChangeReplicas):
                     self._changes.append((entry.index, change))
+
+
+def encode_change(change: messages.ChangeReplicas) -> transitions.Command:
+    """Return a set of replicas as a command for the log.
+
+    Args:
+        change: Set of replicas.
+    """
+    return transitions.Command(REPLICAS_KIND, codec.encode_message(change))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,7 +5,7 @@
 import pytest
 import uvloop
 
-from amaranthspar import disk, messages
+from amaranthspar import disk, errors, messages, recovery
 from tests import builders_control
 
 
@@ -225,3 +225,61 @@
         assert fetched.version == 2
 
     run(scenario, tmp_path)
+
+
+def test_recovery_after_loss_of_the_majority_is_confirmed_and_recorded(tmp_path):
+    async def scenario(cluster, client):
+        kind = messages.ConfigurationDecided
+        leader = await cluster.find_leader()
+        targets = [cluster.addresses[leader]]
+        decided = await client.ask(targets, build_proposal(), kind)
+        assert decided.outcome == "accepted"
+        data = str(cluster.folder / leader)
+        with pytest.raises(disk.LockedError):
+            recovery.assess_recovery(data, leader)
+        cluster.close()
+        assessment = recovery.assess_recovery(data, leader)
+        assert assessment.version == 2
+        with pytest.raises(recovery.RecoveryRefusedError, match="not confirmed"):
+            recovery.recover_majority(data, leader, "ops", "yes")
+        text = assessment.confirmation
+        recovery.recover_majority(data, leader, "ops", text)
+        with pytest.raises(recovery.RecoveryRefusedError, match="only voter"):
+            recovery.recover_majority(data, leader, "ops", text)
+        await cluster.start(leader)
+        assert await cluster.find_leader() == leader
+        decided = await client.ask(targets, build_proposal("c2", 2), kind)
+        assert (decided.outcome, decided.version) == ("accepted", 3)
+        members = cluster.running[leader].machine.journal.members
+        assert sorted(members.retired) == sorted(assessment.lost)
+        assert "recovered by ops" in members.reason
+
+    run(scenario, tmp_path)
+
+
+def test_controller_stops_when_its_disk_fails(tmp_path, monkeypatch):
+    async def scenario(cluster, client):
+        leader = await cluster.find_leader()
+        failing = cluster.running[leader]
+
+        def fail(changes):
+            raise disk.FullError("no space left")
+
+        monkeypatch.setattr(failing._folder.__class__, "write", fail_for(failing, fail))
+        client.send(cluster.addresses[leader], build_proposal())
+        await asyncio.wait_for(failing.stopped.wait(), builders_control.WAIT_S)
+        assert isinstance(failing.failure, errors.DiskError)
+        del cluster.running[leader]
+        await cluster.find_leader()
+
+    def fail_for(failing, fail):
+        original = disk.Folder.write
+
+        def write(folder, changes):
+            if folder is failing._folder:
+                fail(changes)
+            original(folder, changes)
+
+        return write
+
+    run(scenario, tmp_path)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,178 @@
+"""The replicated state: versions, change ids, members, claims and snapshots."""
+
+import random
+
+from amaranthspar import leases, messages, registry, requests
+from tests import builders_control
+
+
+def build_section(name, value):
+    return messages.Section(name, [messages.Setting("weight", str(value))])
+
+
+def apply(state, command, index=1):
+    encoded = requests.encode_command(command)
+    entry = messages.LogEntry(index, 1, encoded.kind, encoded.payload)
+    return state.apply(entry)
+
+
+def accept(state, change_id, base, sections=(), removed=(), fingerprint="f"):
+    command = messages.AcceptConfiguration(
+        change_id, base, "ops", fingerprint, 5, list(sections), list(removed)
+    )
+    return apply(state, command)[0].decision
+
+
+def join(state, *members):
+    apply(state, messages.ChangeMembers(list(members), []))
+
+
+def remove(state, process, incarnation=1, stopped=False):
+    removal = messages.MemberRemoval(process, incarnation, stopped)
+    apply(state, messages.ChangeMembers([], [removal]))
+
+
+def copy(state):
+    other = registry.Registry()
+    other.restore(state.save())
+    return other
+
+
+def build_busy(seed):
+    """Return a state after many random commands."""
+    chance = random.Random(seed)
+    state = registry.Registry()
+    for number in range(400):
+        match chance.randrange(5):
+            case 0 | 1:
+                name = f"team t{chance.randrange(20)}"
+                section = build_section(name, number)
+                accept(state, f"c{number}", state.version, [section])
+            case 2:
+                process = f"p{chance.randrange(12)}"
+                member = builders_control.build_member(
+                    process, incarnation=chance.randrange(4)
+                )
+                join(state, member)
+            case 3:
+                process = f"p{chance.randrange(12)}"
+                remove(state, process, chance.randrange(4), chance.random() < 0.5)
+            case _:
+                key = f"k{chance.randrange(30)}"
+                claim = messages.ClaimSubmission(key, "f", f"s{number}", "g", 1)
+                apply(state, messages.RecordClaims([claim], number * 10, 500))
+    return state
+
+
+def test_restored_state_acts_like_the_one_that_was_saved():
+    for seed in range(10):
+        state = build_busy(seed)
+        other = copy(state)
+        assert other.save() == state.save()
+        members = [
+            builders_control.build_member(f"p{n}", incarnation=i)
+            for n in range(12)
+            for i in range(4)
+        ]
+        for member in members:
+            assert other.is_superseded(member) == state.is_superseded(member)
+            assert other.is_current(member) == state.is_current(member)
+        for version in range(state.version + 1):
+            assert other.read_sections(version) == state.read_sections(version)
+
+
+def test_deltas_lead_to_the_same_members_as_a_snapshot():
+    for seed in range(10):
+        state = build_busy(seed)
+        whole = leases.build_membership_change(state, 0, False)
+        held = {}
+        replay = registry.Registry()
+        revision = 0
+        chance = random.Random(seed)
+        for number in range(60):
+            process = f"p{chance.randrange(8)}"
+            if chance.random() < 0.6:
+                join(replay, builders_control.build_member(process, incarnation=number))
+            elif process in replay.members:
+                remove(replay, process, replay.members[process].incarnation)
+            if chance.random() < 0.3:
+                change = leases.build_membership_change(replay, revision, False)
+                if change.base_revision == 0:
+                    held.clear()
+                held.update((item.process, item) for item in change.members)
+                for name in change.removed:
+                    held.pop(name, None)
+                revision = change.revision
+                assert held == replay.members
+        assert whole.base_revision == 0
+        assert {item.process for item in whole.members} == set(state.members)
+
+
+def test_change_id_is_answered_again_after_a_snapshot():
+    state = registry.Registry()
+    first = accept(state, "c1", 0, [build_section("team a", 1)])
+    accept(state, "c2", 1, [build_section("team a", 2)])
+    other = copy(state)
+    assert accept(other, "c1", 0) == first
+    assert other.version == 2
+
+
+def test_change_id_of_another_change_is_invalid():
+    state = registry.Registry()
+    accept(state, "c1", 0)
+    assert accept(state, "c1", 0, fingerprint="other").outcome == "invalid"
+
+
+def test_equal_base_versions_have_one_winner():
+    state = registry.Registry()
+    assert accept(state, "c1", 0).outcome == "accepted"
+    decision = accept(state, "c2", 0)
+    assert (decision.outcome, decision.version) == ("conflict", 1)
+
+
+def test_old_versions_are_forgotten_and_then_sent_whole(monkeypatch):
+    monkeypatch.setattr(registry, "KEPT_VERSIONS", 4)
+    state = registry.Registry()
+    for number in range(10):
+        accept(state, f"c{number}", number, [build_section(f"team t{number}", 1)])
+    recent = leases.build_configuration_change(state, 8, False)
+    assert (recent.base_version, len(recent.sections)) == (8, 2)
+    older = leases.build_configuration_change(state, 3, False)
+    assert (older.base_version, len(older.sections)) == (0, 10)
+    assert state.fetch(messages.FetchConfiguration(1, 3)).version == 0
+
+
+def test_claim_is_forgotten_after_its_retention_only():
+    state = registry.Registry()
+
+    def claim(submission, now_ms):
+        item = messages.ClaimSubmission("k", "f", submission, "g", 1)
+        return apply(state, messages.RecordClaims([item], now_ms, 100))[0].holder
+
+    assert claim("one", 1_000).submission == "one"
+    assert claim("two", 1_100).submission == "one"
+    assert claim("three", 1_101).submission == "three"
+
+
+def test_sidecars_get_no_teams_and_no_accounts():
+    state = registry.Registry()
+    names = ("team a", "account b", "service c", "domain d", "desk e")
+    accept(state, "c1", 0, [messages.Section(name, []) for name in names])
+    change = leases.build_configuration_change(state, 0, True)
+    assert [item.name for item in change.sections] == [
+        "service c",
+        "domain d",
+        "desk e",
+    ]
+
+
+def test_lease_is_denied_from_an_old_view_and_carries_the_age_of_a_fresh_one():
+    state = registry.Registry()
+    member = builders_control.build_member()
+    join(state, member)
+    renewal = messages.RenewLease(member, 9, 0, 1)
+    grants = leases.Leases(3_000, 2_000)
+    assert grants.decide(state, renewal, 2_001).reason == "no_quorum"
+    assert grants.decide(state, renewal, -1).reason == "no_quorum"
+    granted = grants.decide(state, renewal, 2_000)
+    assert (granted.age_ms, granted.sent_ms, granted.membership) == (2_000, 9, None)
