Keep claims by a clock of their own, and equal after forgotten removals

Cause: The retention of claims went by the leader's wall clock: one that is an hour fast would forget every claim, and a resend could run twice. Change: Claims are stamped by a clock that goes on from the log while there is a leader; a floor is forgotten with the removal that set it. Claims and proposals have modules of their own. Conclusion: A test for each.

--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -222,7 +222,7 @@
         self._flushing = False
         if self.stopped.is_set() or not self._machine.accepts_proposals:
             return
-        commands = self.requests.collect_commands(self._clock.read_wall())
+        commands = self.requests.collect_commands(self._clock.read_monotonic())
         if commands:
             self._step(transitions.Propose(commands))
         elif self.requests.reading:
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -758,7 +758,7 @@
 
     Attributes:
         claims: Claims in order.
-        decided_ms: Wall clock of the leader in ms.
+        decided_ms: Time of the claims in ms; goes on while there is a leader.
         retention_ms: Time for which a claim is kept in ms.
     """
 
@@ -772,7 +772,7 @@
     """A claim and when it was decided.
 
     Attributes:
-        decided_ms: Wall clock of the leader in ms.
+        decided_ms: Time of the claims in ms; goes on while there is a leader.
         claim: Claim that holds the key.
     """
 
--- a/amaranthspar/registry.py
+++ b/amaranthspar/registry.py
@@ -5,11 +5,10 @@
 """
 
 import bisect
-import collections
 
 import attrs
 
-from amaranthspar import codec, configuration, desks, errors, messages
+from amaranthspar import claims, codec, configuration, desks, errors, messages
 
 KEPT_VERSIONS = 128
 KEPT_CHANGES = 10_000
@@ -54,15 +53,14 @@
         self.version = 0
         self.revision = 0
         self.members: dict[str, messages.Member] = {}
-        self.claims: dict[str, messages.KeptClaim] = {}
-        self._expiry: collections.deque[messages.KeptClaim] = collections.deque()
+        self.claims = claims.Claims()
         self._oldest_version = 0
         self._versions: list[dict[str, messages.Section]] = [{}]
         self._changes: dict[str, messages.KeptChange] = {}
         self._floor_revision = 0
         self._joined: list[tuple[int, str]] = []
         self._tombstones: list[messages.MemberTombstone] = []
-        self._floors: dict[str, int] = {}
+        self._floors: dict[str, messages.MemberTombstone] = {}
 
     def apply(self, entry: messages.LogEntry) -> list[Outcome]:
         """Apply one committed entry.
@@ -84,9 +82,11 @@
             case messages.ChangeMembers() as command:
                 return [MembersApplied(self._change_members(command))]
             case messages.RecordClaims() as command:
-                return self._record_claims(command)
+                holders = self.claims.record(command)
+                pairs = zip(command.claims, holders, strict=True)
+                return [ClaimApplied(claim, holder) for claim, holder in pairs]
             case messages.ReleaseClaim() as command:
-                self._release_claim(command)
+                self.claims.release(command)
                 return []
             case _:
                 raise errors.DecisionError(f"unknown entry kind {entry.kind!r}")
@@ -196,7 +196,7 @@
         known = self.members.get(member.process)
         if known is not None and known.incarnation > member.incarnation:
             return True
-        return self._floors.get(member.process, -1) >= member.incarnation
+        return self._find_floor(member.process) >= member.incarnation
 
     def find_incarnation(self, process: str) -> int:
         """Return an incarnation that no known one of a process exceeds.
@@ -205,7 +205,7 @@
             process: Process name.
         """
         known = self.members.get(process)
-        highest = self._floors.get(process, -1) + 1
+        highest = self._find_floor(process) + 1
         return highest if known is None else max(highest, known.incarnation)
 
     def is_current(self, member: messages.Member) -> bool:
@@ -269,45 +269,32 @@
         if known is None or known.incarnation != removal.incarnation:
             return False
         del self.members[removal.process]
-        self._floors[removal.process] = _read_floor(removal)
-        self._tombstones.append(messages.MemberTombstone(self.revision, removal))
+        tombstone = messages.MemberTombstone(self.revision, removal)
+        self._floors[removal.process] = tombstone
+        self._tombstones.append(tombstone)
         return True
 
+    def _find_floor(self, process: str) -> int:
+        """Return the highest incarnation that may not join after a removal.
+
+        One that has stopped is over; one that was not seen may come back.
+        """
+        tombstone = self._floors.get(process)
+        if tombstone is None:
+            return -1
+        removal = tombstone.removal
+        return removal.incarnation if removal.stopped else removal.incarnation - 1
+
     def _forget_old_revisions(self) -> None:
         while len(self._tombstones) > KEPT_TOMBSTONES:
             oldest = self._tombstones.pop(0)
             self._floor_revision = oldest.revision
-            if self._floors.get(oldest.removal.process) == _read_floor(oldest.removal):
+            if self._floors.get(oldest.removal.process) is oldest:
                 del self._floors[oldest.removal.process]
         if len(self._joined) > KEPT_TOMBSTONES + 2 * len(self.members):
             current = {(item.revision, name) for name, item in self.members.items()}
             self._joined = sorted(current)
 
-    # Claims.
-
-    def _record_claims(self, command: messages.RecordClaims) -> list[Outcome]:
-        self._expire_claims(command.decided_ms - command.retention_ms)
-        result: list[Outcome] = []
-        for claim in command.claims:
-            kept = self.claims.get(claim.key)
-            if kept is None:
-                kept = messages.KeptClaim(command.decided_ms, claim)
-                self.claims[claim.key] = kept
-                self._expiry.append(kept)
-            result.append(ClaimApplied(claim, kept.claim))
-        return result
-
-    def _release_claim(self, command: messages.ReleaseClaim) -> None:
-        kept = self.claims.get(command.key)
-        if kept is not None and kept.claim.submission == command.submission:
-            del self.claims[command.key]
-
-    def _expire_claims(self, before_ms: int) -> None:
-        while self._expiry and self._expiry[0].decided_ms < before_ms:
-            kept = self._expiry.popleft()
-            if self.claims.get(kept.claim.key) is kept:
-                del self.claims[kept.claim.key]
-
     # Snapshots.
 
     def save(self) -> bytes:
@@ -326,7 +313,7 @@
                 self.revision,
                 self._floor_revision,
                 self._tombstones,
-                list(self.claims.values()),
+                list(self.claims.kept.values()),
             )
         )
 
@@ -349,11 +336,8 @@
         self._floor_revision = saved.floor_revision
         self._tombstones = list(saved.tombstones)
         self._joined = sorted((item.revision, item.process) for item in saved.members)
-        self._floors = {
-            item.removal.process: _read_floor(item.removal) for item in saved.tombstones
-        }
-        self.claims = {kept.claim.key: kept for kept in saved.claims}
-        self._expiry = collections.deque(saved.claims)
+        self._floors = {item.removal.process: item for item in saved.tombstones}
+        self.claims.restore(saved.claims)
 
 
 def _answer_again(
@@ -379,11 +363,3 @@
     return messages.ConfigurationChange(
         base_version, base_version + 1, sections, removed
     )
-
-
-def _read_floor(removal: messages.MemberRemoval) -> int:
-    """Return the highest incarnation that may not join after a removal.
-
-    One that has stopped is over; one that was not seen may come back.
-    """
-    return removal.incarnation if removal.stopped else removal.incarnation - 1
--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -9,9 +9,8 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
-import xxhash
 
-from amaranthspar import codec, configuration, effects, messages, registry, transitions
+from amaranthspar import codec, effects, messages, proposals, registry, transitions
 
 if TYPE_CHECKING:
     from amaranthspar import leases
@@ -89,6 +88,8 @@
         self._lease_ms = lease_ms
         self._seen_ms: dict[str, int] = {}
         self._led_ms = 0
+        self._stamped_ms = 0
+        self._decided_ms = 0
         self._joins: dict[str, messages.Member] = {}
         self._removals: dict[str, messages.MemberRemoval] = {}
         self._claims: list[messages.ClaimSubmission] = []
@@ -111,6 +112,8 @@
             now_ms: Monotonic clock in ms.
         """
         self._led_ms = now_ms
+        self._stamped_ms = now_ms
+        self._decided_ms = 0
         self._seen_ms.clear()
         self._joins.clear()
         self._removals.clear()
@@ -153,12 +156,13 @@
                 self._leave(message)
         return []
 
-    def collect_commands(self, wall_ms: int) -> list[transitions.Command]:
+    def collect_commands(self, now_ms: int) -> list[transitions.Command]:
         """Return the commands that wait, and forget them.
 
         Args:
-            wall_ms: Wall clock in ms.
+            now_ms: Monotonic clock in ms.
         """
+        decided_ms = self._stamp_claims(now_ms)
         found: list[codec.Message] = [*self._changes, *self._releases]
         joins = list(self._joins.values())
         removals = list(self._removals.values())
@@ -167,7 +171,7 @@
             found.append(messages.ChangeMembers(joins[start:end], removals[start:end]))
         for start in range(0, len(self._claims), MAX_BATCH):
             batch = self._claims[start : start + MAX_BATCH]
-            found.append(messages.RecordClaims(batch, wall_ms, CLAIM_RETENTION_MS))
+            found.append(messages.RecordClaims(batch, decided_ms, CLAIM_RETENTION_MS))
         self._changes.clear()
         self._joins.clear()
         self._removals.clear()
@@ -175,6 +179,17 @@
         self._releases.clear()
         return [encode_command(command) for command in found]
 
+    def _stamp_claims(self, now_ms: int) -> int:
+        """Return the time of claims, which goes on from what is in the log.
+
+        No wall clock is used: one that is fast would end the retention early.
+        """
+        elapsed_ms = now_ms - self._stamped_ms
+        newest_ms = max(self._decided_ms, self._state.claims.newest_ms)
+        self._decided_ms = newest_ms + elapsed_ms
+        self._stamped_ms = now_ms
+        return self._decided_ms
+
     def note_outcomes(
         self, outcomes: list[registry.Outcome], standing: Standing
     ) -> list[effects.Send]:
@@ -279,46 +294,27 @@
         message: messages.ProposeConfiguration,
         standing: Standing,
     ) -> list[effects.Send]:
-        fingerprint = _digest(f"{message.base_version}\n{message.text}")
-        version = self._state.version
-        known = self._state.decide_known(
-            message.change_id, message.base_version, fingerprint
-        )
+        known = proposals.find_decision(self._state, message)
         if known is not None:
             return [effects.Send(request.address, known)]
         if not standing.leading:
             forwarded = _forward(request, standing)
             if forwarded:
                 return forwarded
-            return [_refuse_change(request, message, "unavailable", version, [])]
-        try:
-            wanted = configuration.parse_text(message.text)
-        except configuration.ConfigurationError as error:
-            faults = error.faults
-            return [_refuse_change(request, message, "invalid", version, faults)]
+            known = proposals.refuse_proposal(self._state, message, "unavailable", [])
+            return [effects.Send(request.address, known)]
+        command = proposals.build_command(self._state, message, standing.wall_ms)
+        if isinstance(command, messages.ConfigurationDecided):
+            return [effects.Send(request.address, command)]
         waiting = _Waiting(request.address, standing.now_ms, message)
         self._proposing.setdefault(message.change_id, []).append(waiting)
-        base = self._state.read_sections(message.base_version) or {}
-        sections, removed = configuration.compare_configurations(
-            list(base.values()), wanted.list_sections()
-        )
-        self._changes.append(
-            messages.AcceptConfiguration(
-                message.change_id,
-                message.base_version,
-                message.operator,
-                fingerprint,
-                standing.wall_ms,
-                sections,
-                removed,
-            )
-        )
+        self._changes.append(command)
         return []
 
     def _claim(
         self, request: Request, message: messages.ClaimSubmission, standing: Standing
     ) -> list[effects.Send]:
-        if message.key in self._state.claims:
+        if self._state.claims.find_holder(message.key) is not None:
             decided = self._decide_claim(message.key)
             return [effects.Send(request.address, decided)]
         if standing.leading:
@@ -333,7 +329,7 @@
         return [effects.Send(request.address, refused)]
 
     def _decide_claim(self, key: str) -> messages.ClaimDecided:
-        holder = self._state.claims[key].claim
+        holder = self._state.claims.kept[key].claim
         return messages.ClaimDecided(
             key,
             holder.fingerprint,
@@ -373,20 +369,3 @@
         codec.encode_message(request.message),
     )
     return [effects.Send(standing.leader_address, forwarded)]
-
-
-def _refuse_change(
-    request: Request,
-    message: messages.ProposeConfiguration,
-    outcome: str,
-    version: int,
-    faults: list[str],
-) -> effects.Send:
-    decision = messages.ConfigurationDecided(
-        message.change_id, outcome, version, faults
-    )
-    return effects.Send(request.address, decision)
-
-
-def _digest(text: str) -> str:
-    return xxhash.xxh3_128_hexdigest(text.encode())
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -176,3 +176,14 @@
     assert grants.decide(state, renewal, -1).reason == "no_quorum"
     granted = grants.decide(state, renewal, 2_000)
     assert (granted.age_ms, granted.sent_ms, granted.membership) == (2_000, 9, None)
+
+
+def test_forgotten_removals_leave_equal_states(monkeypatch):
+    monkeypatch.setattr(registry, "KEPT_TOMBSTONES", 2)
+    state = registry.Registry()
+    for process in ("p", "p", "q", "r"):
+        join(state, builders_control.build_member(process, incarnation=5))
+        remove(state, process, 5)
+        other = copy(state)
+        member = builders_control.build_member("p", incarnation=4)
+        assert other.is_superseded(member) == state.is_superseded(member)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -20,7 +20,7 @@
 def commit(state, desk, standing):
     """Apply what waits as if it was committed and return the answers."""
     sends = []
-    for index, command in enumerate(desk.collect_commands(50_000)):
+    for index, command in enumerate(desk.collect_commands(standing.now_ms)):
         entry = messages.LogEntry(index, 1, command.kind, command.payload)
         sends += desk.note_outcomes(state.apply(entry), standing)
     return sends
@@ -72,7 +72,7 @@
     desk.start_leading(1_000)
     desk.note_seen(["seen"], 1_001)
     desk.expire(stand(7_000))
-    assert desk.collect_commands(0) == []
+    assert desk.collect_commands(7_000) == []
     desk.expire(stand(7_001))
     commit(state, desk, stand(7_001))
     assert list(state.members) == ["seen"]
@@ -95,3 +95,21 @@
     answer = desk.take(ask(renewal), stand(age_ms=2_001))
     denied = messages.LeaseDenied(7, "no_quorum")
     assert answer == [effects.Send("op:1", denied)]
+
+
+def test_retention_goes_on_over_leaders_and_needs_no_wall_clock():
+    state, desk = build_requests()
+
+    def claim(desk, key, now_ms):
+        message = messages.ClaimSubmission(key, "f", key, "g1", 1)
+        desk.take(ask(message), stand(now_ms))
+        commit(state, desk, stand(now_ms))
+
+    desk.start_leading(1_000)
+    claim(desk, "first", 2_000)
+    other = requests.Requests(state, leases.Leases(3_000, 2_000), 3_000)
+    other.start_leading(900_000_000)
+    claim(other, "second", 900_000_000 + requests.CLAIM_RETENTION_MS)
+    assert set(state.claims.kept) == {"first", "second"}
+    claim(other, "third", 900_000_001 + requests.CLAIM_RETENTION_MS)
+    assert set(state.claims.kept) == {"second", "third"}
