--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -21,6 +21,7 @@
     leases,
     links,
     messages,
+    metrics,
     options,
     registry,
     requests,
@@ -85,6 +86,8 @@
         self._queue: list[transitions.Persist | transitions.SaveSnapshot] = []
         self._writing = False
         self._flushing = False
+        self._metrics = metrics.Metrics(process.name, process.statsd)
+        self._counts = {"elections": 0, "commits": 0, "torn_bytes": 0}
         self._ticking: asyncio.Task[None] | None = None
         self._bytes = 0
         self._snapshot_bytes = 0
@@ -119,6 +122,7 @@
         number = secrets.randbits(FOLDER_BITS) | 1
         folder = disk.open_folder(content, self._options.replica, number)
         self._folder = folder
+        self._counts["torn_bytes"] = folder.torn_bytes
         if folder.torn_bytes:
             _log.warning("torn tail cut", name=self.name, bytes=folder.torn_bytes)
         if folder.stored.snapshot is not None:
@@ -174,6 +178,18 @@
                 self._expire_ms = standing.now_ms + EXPIRE_INTERVAL_MS
                 self.requests.expire(standing)
                 self._plan_flush()
+                self._report()
+
+    def _report(self) -> None:
+        rejected = self._machine.rejected_folders
+        if rejected and not self._counts.get("rejected_folders"):
+            _log.warning("a replica speaks from a foreign folder", name=self.name)
+        self._counts["rejected_folders"] = rejected
+        self._counts["leases_granted"] = self.requests.granted
+        self._counts["leases_denied"] = self.requests.denied
+        self._counts["commits"] = self._machine.commit_index
+        self._metrics.report(self._counts)
+        self._metrics.report(self._links.counts)
 
     def _receive(self, frame: codec.Frame) -> None:
         for message in frame.messages:
@@ -253,6 +269,7 @@
             case transitions.ChangeLeader(leader=leader, term=term):
                 _log.info("leader changed", name=self.name, leader=leader, term=term)
                 if self.leading:
+                    self._counts["elections"] += 1
                     self.requests.start_leading(self._clock.read_monotonic())
 
     def _apply(self, entries: list[messages.LogEntry]) -> None:
--- a/tests/test_consensus_fuzz.py
+++ b/tests/test_consensus_fuzz.py
@@ -79,6 +79,10 @@
     def cut(self, one, other):
         self.simulation.cut.add(frozenset((one, other)))
 
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def jump(self, name):
+        self.simulation.jump(name, 300)
+
     @stateful.rule()
     def join(self):
         self.simulation.cut.clear()
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,7 +5,7 @@
 import pytest
 import uvloop
 
-from amaranthspar import disk, errors, messages, recovery
+from amaranthspar import controller, disk, errors, messages, recovery
 from tests import builders_control
 
 
@@ -283,3 +283,33 @@
         return write
 
     run(scenario, tmp_path)
+
+
+def test_restart_after_hundreds_of_changes_reads_snapshot_and_tail(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(controller, "SNAPSHOT_ENTRIES", 50)
+
+    async def scenario(cluster, client):
+        for version in range(1, 231):
+            text = f"{builders_control.TEXT}\n[team t]\nweight = {version}\n"
+            proposal = build_proposal(f"c{version}", version, text)
+            kind = messages.ConfigurationDecided
+            decided = await client.ask(cluster.targets, proposal, kind)
+            assert (decided.outcome, decided.version) == ("accepted", version + 1)
+        cluster.close()
+        await cluster.start()
+        leader = await cluster.find_leader()
+        journal = cluster.running[leader].machine.journal
+        assert journal.snapshot.index > 150
+        fetch = messages.FetchConfiguration(1, 0)
+        kind = messages.ConfigurationFetched
+        fetched = await client.ask(cluster.targets, fetch, kind)
+        assert fetched.version == 231
+        assert "weight = 230" in fetched.text
+        again = await client.ask(
+            cluster.targets, build_proposal("c1", 1, ""), messages.ConfigurationDecided
+        )
+        assert again.outcome == "invalid"
+
+    run(scenario, tmp_path)
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -87,7 +87,7 @@
         if node.machine is None:
             self.simulation.start(name)
             return
-        match self.random.randrange(7):
+        match self.random.randrange(8):
             case 0 | 1:
                 self.simulation.crash(name, self.random.randint(0, 2))
             case 2:
@@ -100,6 +100,8 @@
                 self.simulation.cut.clear()
             case 5:
                 self._wipe(name)
+            case 6:
+                self.simulation.jump(name, self.random.choice((50, 500, 5_000)))
             case _:
                 self._replace()
 
--- a/tools/simulation.py
+++ b/tools/simulation.py
@@ -183,6 +183,15 @@
         self.crash(name)
         self.nodes[name].disk = Disk(self.random.getrandbits(48) | 1)
 
+    def jump(self, name: str, duration_ms: int) -> None:
+        """Let the clock of a host jump ahead.
+
+        Args:
+            name: Replica id.
+            duration_ms: How far in ms.
+        """
+        self.nodes[name].offset_ms += duration_ms
+
     def sync(self, name: str, count: int) -> None:
         """Bring writes to the disk and confirm them.
 
