Number the frames of links, and let traffic be their heartbeat

Change: `heartbeats` decides, as a pure machine, when a link is probed, dialled anew or closed. Frames carry their number and the number heard last, so that a busy link needs no probe; an unanswered frame is probed each interval and its link dialled anew after three; an idle link is probed each 20 intervals, an unused one closed after 120. Frame format version 2. Messages over 32 MB are dropped and counted, queues hold at most 16 MB, frames 4 MB and a message. `encryption` adds mutual TLS with the sender's name checked against the certificate.

--- a/amaranthspar/codec.py
+++ b/amaranthspar/codec.py
@@ -1,7 +1,8 @@
 """Frames of messages as MessagePack.
 
 A frame is an array of the format version, the sender, its incarnation, its
-address and a list of pairs of a message's class name and its fields.
+address, its number on the link, the number last heard from the receiver and a
+list of pairs of a message's class name and its fields.
 """
 
 import attrs
@@ -9,7 +10,7 @@
 
 from amaranthspar import errors, messages
 
-FORMAT_VERSION = 1
+FORMAT_VERSION = 2
 
 Message = object
 _CLASSES: dict[str, type] = {
@@ -19,8 +20,9 @@
 }
 _encoder = msgspec.msgpack.Encoder()
 _header = msgspec.msgpack.Decoder(
-    tuple[int, str, int, str, list[tuple[str, msgspec.Raw]]]
+    tuple[int, str, int, str, int, int, list[tuple[str, msgspec.Raw]]]
 )
+_fields = msgspec.msgpack.Decoder(list[msgspec.Raw])
 _decoders: dict[str, msgspec.msgpack.Decoder[Message]] = {
     name: msgspec.msgpack.Decoder(kind) for name, kind in _CLASSES.items()
 }
@@ -35,23 +37,48 @@
         incarnation: Incarnation of the sender.
         address: Address at which the sender listens.
         messages: Messages in the order in which they were sent.
+        number: Number of the frame on its link; 0 if none is to be heard.
+        heard: Number of the last frame heard from the receiver.
     """
 
     sender: str
     incarnation: int
     address: str
     messages: list[Message]
+    number: int = 0
+    heard: int = 0
 
 
 def encode_frame(frame: Frame) -> bytes:
     """Return a frame as bytes.
 
     Args:
-        frame: Frame to encode.
+        frame: Frame to encode; its messages may be parts encoded before.
     """
-    body = [(type(message).__name__, message) for message in frame.messages]
-    header = (FORMAT_VERSION, frame.sender, frame.incarnation, frame.address)
-    return _encoder.encode((*header, body))
+    body = [
+        message if isinstance(message, msgspec.Raw) else encode_part(message)
+        for message in frame.messages
+    ]
+    return _encoder.encode(
+        (
+            FORMAT_VERSION,
+            frame.sender,
+            frame.incarnation,
+            frame.address,
+            frame.number,
+            frame.heard,
+            body,
+        )
+    )
+
+
+def encode_part(message: Message) -> msgspec.Raw:
+    """Return one message as a part of a frame.
+
+    Args:
+        message: Message to encode.
+    """
+    return msgspec.Raw(_encoder.encode((type(message).__name__, message)))
 
 
 def decode_frame(data: bytes) -> Frame:
@@ -63,16 +90,25 @@
     Raises:
         errors.SchemaError: The bytes are no frame of this format version.
     """
+    _check_version(data)
     try:
-        version, sender, incarnation, address, body = _header.decode(data)
-        if version != FORMAT_VERSION:
-            raise errors.SchemaError(f"unknown format version {version}")
+        _, sender, incarnation, address, number, heard, body = _header.decode(data)
         decoded = [_decoders[tag].decode(raw) for tag, raw in body]
     except msgspec.MsgspecError as error:
         raise errors.SchemaError(str(error)) from error
     except KeyError as error:
         raise errors.SchemaError(f"unknown message {error}") from error
-    return Frame(sender, incarnation, address, decoded)
+    return Frame(sender, incarnation, address, decoded, number, heard)
+
+
+def _check_version(data: bytes) -> None:
+    """Raise the error that names the version if it is another one."""
+    try:
+        version = msgspec.msgpack.decode(_fields.decode(data)[0], type=int)
+    except (msgspec.MsgspecError, IndexError) as error:
+        raise errors.SchemaError("no frame") from error
+    if version != FORMAT_VERSION:
+        raise errors.SchemaError(f"unknown format version {version}")
 
 
 def encode_message(message: Message) -> bytes:
--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -79,7 +79,7 @@
             self._clock.read_wall(),
             process.listen,
             self._receive,
-            link.heartbeat_ms,
+            link,
         )
         self._executor = concurrent.futures.ThreadPoolExecutor(1)
         self._queue: list[transitions.Persist | transitions.SaveSnapshot] = []
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -62,7 +62,7 @@
         )
         self.dispatcher = dispatcher.Dispatcher(self.holder, process.failure_domain)
         self._links = links.Links(
-            process.name, incarnation, process.listen, self._receive, link.heartbeat_ms
+            process.name, incarnation, process.listen, self._receive, link
         )
         self._links.controllers = frozenset(process.controllers)
         self.control = control.Control(self._links, process.controllers)
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -1,29 +1,40 @@
 """Links between processes over pynng.
 
 Each process listens with one pull socket and dials one push socket for each
-peer. A link whose peer has not answered a heartbeat for three intervals is
+peer. A link whose peer has not been heard for three heartbeat intervals is
 closed and dialled anew.
 """
 
 import asyncio
+import collections
 import os
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 os.environ.setdefault("NNG_LOG_LEVEL", "none")
 
 import pynng  # noqa: E402
 
-from amaranthspar import clock, codec, errors, messages  # noqa: E402
-
-SILENT_INTERVALS = 3
-SEND_QUEUE_MESSAGES = 4096
-SEND_BUFFER_FRAMES = 128
+from amaranthspar import (  # noqa: E402
+    clock,
+    codec,
+    encryption,
+    errors,
+    heartbeats,
+    options,
+)
+
+QUEUE_BYTES = 16 * 1024 * 1024
+FRAME_BYTES = 4 * 1024 * 1024
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+MAX_FRAME_BYTES = FRAME_BYTES + MAX_MESSAGE_BYTES
+BUFFER_FRAMES = 128
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
-MAX_FRAME_BYTES = 64 * 1024 * 1024
 RECEIVE_BURST_FRAMES = 64
+FULL_RETRY_MS = 5
 
 
 def _limit_threads() -> None:
@@ -38,19 +49,18 @@
 _limit_threads()
 
 Receive = Callable[[codec.Frame], None]
-"""Called with each frame that is not only heartbeats."""
+"""Called with each frame that holds messages."""
 
 
 @attrs.define(slots=True)
 class _Peer:
-    """State of the link to one peer."""
+    """Link to one peer and what waits to be sent on it."""
 
     address: str
     socket: pynng.Push0
-    queue: list[codec.Message]
-    heard_ms: int
-    number: int = 0
-    dialled_number: int = 0
+    health: heartbeats.Heartbeats
+    queue: collections.deque[msgspec.Raw] = attrs.field(factory=collections.deque)
+    queue_bytes: int = 0
     flushing: bool = False
 
 
@@ -62,7 +72,7 @@
         incarnation: Incarnation of this process.
         address: Address to listen on, as in ``127.0.0.1:7000``.
         receive: Called with each frame received.
-        heartbeat_ms: Interval between heartbeats on a link in ms.
+        options: Section ``links`` of the settings.
     """
 
     def __init__(
@@ -71,18 +81,16 @@
         incarnation: int,
         address: str,
         receive: Receive,
-        heartbeat_ms: int = 500,
+        options: options.LinkOptions = options.LinkOptions(),  # noqa: B008
     ) -> None:
         self.name = name
         self.incarnation = incarnation
         self.address = address
-        self.rejected_frames = 0
-        self.dropped_messages = 0
-        self.redials = 0
         self.controllers: frozenset[str] = frozenset()
-        self.counts: dict[str, int] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
         self._receive = receive
-        self._heartbeat_ms = heartbeat_ms
+        self._heartbeat_ms = options.heartbeat_ms
+        self._encryption = encryption.Encryption(options)
         self._peers: dict[str, _Peer] = {}
         self._clock = clock.Clock()
         self._inbox: pynng.Pull0 | None = None
@@ -94,10 +102,10 @@
         Raises:
             errors.LinkError: The address is in use or not valid.
         """
-        self._inbox = pynng.Pull0(recv_buffer_size=SEND_BUFFER_FRAMES)
+        self._inbox = pynng.Pull0(recv_buffer_size=BUFFER_FRAMES)
         self._inbox.recv_max_size = MAX_FRAME_BYTES
         try:
-            self._inbox.listen(f"tcp://{self.address}")
+            self._encryption.listen(self._inbox, self.address)
         except pynng.NNGException as error:
             raise errors.LinkError(
                 f"cannot listen on {self.address}: {error}"
@@ -121,29 +129,34 @@
     def send(self, address: str, message: codec.Message) -> None:
         """Queue a message; all that is queued in one turn goes in one frame.
 
+        A message that is too large, or finds the queue full, is dropped and
+        counted: every protocol here bears the loss of any message.
+
         Args:
             address: Address at which the peer listens.
             message: Message to send.
         """
         if self._inbox is None:
             return
-        peer = self._peers.get(address)
+        peer = self._find_peer(address)
         if peer is None:
-            peer = self._dial(address)
-        if len(peer.queue) >= SEND_QUEUE_MESSAGES:
-            self.dropped_messages += 1
             return
-        peer.queue.append(message)
-        self._count(address, message)
+        part = codec.encode_part(message)
+        size = memoryview(part).nbytes
+        if size > MAX_MESSAGE_BYTES:
+            self.counts["links.messages.oversized"] += 1
+            return
+        if peer.queue and peer.queue_bytes + size > QUEUE_BYTES:
+            self.counts["links.messages.dropped"] += 1
+            return
+        peer.health.note_use(self._clock.read_monotonic())
+        peer.queue.append(part)
+        peer.queue_bytes += size
+        self._count_sent(address, type(message).__name__)
         if not peer.flushing:
             peer.flushing = True
             asyncio.get_running_loop().call_soon(self._flush, peer)
 
-    def _count(self, address: str, message: codec.Message) -> None:
-        kind = "control" if address in self.controllers else "peer"
-        name = f"sent.{kind}.{type(message).__name__}"
-        self.counts[name] = self.counts.get(name, 0) + 1
-
     def forget(self, address: str) -> None:
         """Close the link to a peer.
 
@@ -154,84 +167,137 @@
         if peer is not None:
             peer.socket.close()
 
-    def _dial(self, address: str) -> _Peer:
+    def _count_sent(self, address: str, kind: str) -> None:
+        group = "control" if address in self.controllers else "peer"
+        self.counts[f"sent.{group}.{kind}"] += 1
+
+    def _find_peer(self, address: str) -> _Peer | None:
+        peer = self._peers.get(address)
+        if peer is not None:
+            return peer
+        try:
+            socket = self._dial(address)
+        except pynng.NNGException:
+            self.counts["links.addresses.invalid"] += 1
+            return None
         now_ms = self._clock.read_monotonic()
-        peer = _Peer(address, self._open_push(address), [], now_ms)
-        self._peers[address] = peer
+        health = heartbeats.Heartbeats(self._heartbeat_ms, now_ms)
+        peer = self._peers[address] = _Peer(address, socket, health)
         return peer
 
-    def _open_push(self, address: str) -> pynng.Push0:
+    def _dial(self, address: str) -> pynng.Push0:
         socket = pynng.Push0(
-            send_buffer_size=SEND_BUFFER_FRAMES,
+            send_buffer_size=BUFFER_FRAMES,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        socket.dial(f"tcp://{address}", block=False)
+        self._encryption.dial(socket, address)
         return socket
 
     def _flush(self, peer: _Peer) -> None:
-        if self._peers.get(peer.address) is not peer:
-            return
-        frame = codec.Frame(self.name, self.incarnation, self.address, peer.queue)
+        """Send what is queued, as many frames as it takes."""
+        peer.flushing = False
+        while peer.queue and self._peers.get(peer.address) is peer:
+            parts = _take_parts(peer)
+            if not self._send_frame(peer, list(parts)):
+                peer.queue.extendleft(reversed(parts))
+                peer.flushing = True
+                loop = asyncio.get_running_loop()
+                loop.call_later(FULL_RETRY_MS / 1000, self._flush, peer)
+                return
+            peer.queue_bytes -= sum(memoryview(part).nbytes for part in parts)
+
+    def _send_frame(
+        self, peer: _Peer, parts: list[codec.Message], numbered: bool = True
+    ) -> bool:
+        """Send one frame, and return whether the socket took or refused it."""
+        health = peer.health
+        number = health.number + 1 if numbered else 0
+        frame = codec.Frame(
+            self.name, self.incarnation, self.address, parts, number, health.heard
+        )
         data = codec.encode_frame(frame)
         try:
             peer.socket.send(data, block=False)
         except pynng.TryAgain:
-            asyncio.get_running_loop().call_later(0.005, self._flush, peer)
-            return
+            return False
         except pynng.NNGException:
-            self.dropped_messages += len(peer.queue)
-        peer.flushing = False
-        peer.queue = []
+            self.counts["links.messages.dropped"] += len(parts)
+            return True
+        self.counts["links.bytes.sent"] += len(data)
+        self.counts["links.frames.sent"] += 1
+        if numbered:
+            health.take_number(self._clock.read_monotonic())
+        else:
+            health.note_answer()
+        return True
 
     def _drain_inbox(self) -> None:
-        if self._inbox is None:
-            return
         for _ in range(RECEIVE_BURST_FRAMES):
+            if self._inbox is None:
+                return
             try:
-                data = self._inbox.recv(block=False)
+                data, peer_name = self._encryption.receive(self._inbox)
             except pynng.TryAgain:
                 return
-            self._accept(data)
+            self._accept(data, peer_name)
         asyncio.get_running_loop().call_soon(self._drain_inbox)
 
-    def _accept(self, data: bytes) -> None:
+    def _accept(self, data: bytes, peer_name: str | None) -> None:
+        self.counts["links.bytes.received"] += len(data)
         try:
             frame = codec.decode_frame(data)
         except errors.SchemaError:
-            self.rejected_frames += 1
+            self.counts["links.frames.rejected"] += 1
             return
-        rest: list[codec.Message] = []
-        for message in frame.messages:
-            match message:
-                case messages.Heartbeat():
-                    reply = messages.HeartbeatReply(message.number)
-                    self.send(frame.address, reply)
-                case messages.HeartbeatReply():
-                    self._note_reply(frame.address, message)
-                case _:
-                    rest.append(message)
-        if rest:
-            self._receive(attrs.evolve(frame, messages=rest))
-
-    def _note_reply(self, address: str, reply: messages.HeartbeatReply) -> None:
-        peer = self._peers.get(address)
-        if peer is not None and reply.number > peer.dialled_number:
-            peer.heard_ms = self._clock.read_monotonic()
+        if peer_name is not None and peer_name != frame.sender:
+            self.counts["links.senders.rejected"] += 1
+            return
+        peer = self._find_peer(frame.address)
+        if peer is not None:
+            now_ms = self._clock.read_monotonic()
+            heard = (frame.incarnation, frame.number, frame.heard)
+            peer.health.note_frame(*heard, now_ms)
+            if frame.messages:
+                peer.health.note_use(now_ms)
+        if frame.messages:
+            self._receive(frame)
 
     async def _beat(self) -> None:
+        """Look after the links twice in each heartbeat interval."""
         while True:
-            await asyncio.sleep(self._heartbeat_ms / 1000)
+            await asyncio.sleep(self._heartbeat_ms / 2000)
             now_ms = self._clock.read_monotonic()
             for peer in list(self._peers.values()):
-                self._check(peer, now_ms)
-
-    def _check(self, peer: _Peer, now_ms: int) -> None:
-        if now_ms - peer.heard_ms > SILENT_INTERVALS * self._heartbeat_ms:
-            self.redials += 1
-            peer.socket.close()
-            peer.socket = self._open_push(peer.address)
-            peer.heard_ms = now_ms
-            peer.dialled_number = peer.number
-        peer.number += 1
-        self.send(peer.address, messages.Heartbeat(peer.number))
+                self._look_after(peer, now_ms)
+
+    def _look_after(self, peer: _Peer, now_ms: int) -> None:
+        match peer.health.tick(now_ms):
+            case heartbeats.Action.ANSWER:
+                self._count_sent(peer.address, "HeartbeatReply")
+                self._send_frame(peer, [], numbered=False)
+            case heartbeats.Action.PROBE:
+                self._count_sent(peer.address, "Heartbeat")
+                self._send_frame(peer, [])
+            case heartbeats.Action.REDIAL:
+                self.counts["links.redialled"] += 1
+                peer.socket.close()
+                peer.socket = self._dial(peer.address)
+                self._send_frame(peer, [])
+            case heartbeats.Action.CLOSE:
+                self.counts["links.closed"] += 1
+                self.forget(peer.address)
+            case heartbeats.Action.NONE:
+                pass
+
+
+def _take_parts(peer: _Peer) -> list[msgspec.Raw]:
+    """Take messages off the queue that fit into one frame."""
+    parts = [peer.queue.popleft()]
+    size = memoryview(parts[0]).nbytes
+    while peer.queue:
+        size += memoryview(peer.queue[0]).nbytes
+        if size > FRAME_BYTES:
+            break
+        parts.append(peer.queue.popleft())
+    return parts
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -9,28 +9,6 @@
 Messages: TypeAlias = Any
 
 
-@attrs.frozen(slots=True)
-class Heartbeat:
-    """Asks the peer to prove that the link still carries messages.
-
-    Attributes:
-        number: Number of the heartbeat on this link.
-    """
-
-    number: int
-
-
-@attrs.frozen(slots=True)
-class HeartbeatReply:
-    """Answers a heartbeat.
-
-    Attributes:
-        number: Copied from the heartbeat.
-    """
-
-    number: int
-
-
 @attrs.frozen(slots=True)
 class Forwarded:
     """Carries a request that a controller hands on to the leader.
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -58,7 +58,7 @@
         )
         self.executor = executor.Executor(self.holder)
         self._links = links.Links(
-            process.name, incarnation, process.listen, self._receive, link.heartbeat_ms
+            process.name, incarnation, process.listen, self._receive, link
         )
         self._links.controllers = frozenset(process.controllers)
         self._options = sidecar
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -7,21 +7,28 @@
 
 
 def test_frame_survives_round_trip() -> None:
-    reply = messages.HeartbeatReply(7)
+    reply = messages.LeaseDenied(7, "no_quorum")
     result = messages.TaskResult("s", 3, "done", body=b"\x00\xff")
-    frame = codec.Frame("gateway-1", 5, "127.0.0.1:1", [reply, result])
+    frame = codec.Frame("gateway-1", 5, "127.0.0.1:1", [reply, result], 8, 9)
     assert codec.decode_frame(codec.encode_frame(frame)) == frame
 
 
 def test_unknown_version_is_refused() -> None:
-    data = msgspec.msgpack.encode((codec.FORMAT_VERSION + 1, "g", 1, "", []))
+    data = msgspec.msgpack.encode((codec.FORMAT_VERSION + 1, "g", 1, "", 0, 0, []))
     with pytest.raises(errors.SchemaError, match="format version"):
         codec.decode_frame(data)
 
 
 def test_unknown_tag_is_refused() -> None:
     data = msgspec.msgpack.encode(
-        (codec.FORMAT_VERSION, "g", 1, "", [("Nonsense", {})])
+        (codec.FORMAT_VERSION, "g", 1, "", 0, 0, [("Nonsense", {})])
     )
     with pytest.raises(errors.SchemaError, match="unknown message"):
         codec.decode_frame(data)
+
+
+@pytest.mark.parametrize("version", [1, 3])
+def test_version_is_named_whatever_follows(version: int) -> None:
+    data = msgspec.msgpack.encode((version, "g", 1))
+    with pytest.raises(errors.SchemaError, match=f"format version {version}"):
+        codec.decode_frame(data)
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,239 @@
+"""Tests of links between processes."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from amaranthspar import errors, heartbeats, links, messages, options
+from tests import builders_links
+
+INTERVAL_MS = 500
+ATTEMPTS = 15
+
+
+@contextlib.asynccontextmanager
+async def open_links(*peers):
+    try:
+        for peer in peers:
+            await peer.links.open()
+        yield
+    finally:
+        for peer in peers:
+            peer.links.close()
+
+
+def test_silent_link_is_dialled_anew():
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        relay = builders_links.Relay(there.address)
+        async with open_links(here, there):
+            there.links.address = relay.address
+            await relay.open()
+            here.send(relay.address, 1)
+            await there.wait_for(1)
+            relay.silence()
+            here.send(relay.address, 2)
+            async with asyncio.timeout(builders_links.WAIT_S):
+                while here.links.counts["links.redialled"] == 0:
+                    await asyncio.sleep(0.01)
+            here.send(relay.address, 3)
+            await there.wait_for(3)
+            assert 2 not in there.received
+            relay.close()
+
+    asyncio.run(run())
+
+
+def test_busy_link_needs_no_probes():
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            for number in range(1, 21):
+                here.send(there.address, number)
+                await there.wait_for(number)
+                there.send(here.address, number)
+                await here.wait_for(number)
+            assert here.links.counts["links.redialled"] == 0
+            assert here.links.counts["sent.peer.LeaseDenied"] == 20
+
+    asyncio.run(run())
+
+
+def test_restarted_peer_is_heard_at_the_same_address():
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here):
+            await there.links.open()
+            here.send(there.address, 1)
+            await there.wait_for(1)
+            there.links.close()
+            again = builders_links.Peer("there", address=there.address)
+            again.links.incarnation = 2
+            async with open_links(again):
+                again.send(here.address, 2)
+                await here.wait_for(2)
+                for _ in range(ATTEMPTS):
+                    here.send(again.address, 3)
+                    await asyncio.sleep(0.05)
+                await again.wait_for(3)
+
+    asyncio.run(run())
+
+
+def test_oversized_message_is_dropped_and_counted(monkeypatch):
+    monkeypatch.setattr(links, "MAX_MESSAGE_BYTES", 1000)
+
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            large = messages.LeaseDenied(1, "x" * 2000)
+            here.links.send(there.address, large)
+            here.send(there.address, 2)
+            await there.wait_for(2)
+            assert there.received == [2]
+            assert here.links.counts["links.messages.oversized"] == 1
+
+    asyncio.run(run())
+
+
+def test_queue_to_a_dead_peer_is_bounded(monkeypatch):
+    monkeypatch.setattr(links, "QUEUE_BYTES", 10_000)
+
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            for number in range(3000):
+                here.send("127.0.0.1:1", number)
+            assert here.links.counts["links.messages.dropped"] > 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"garbage",
+        struct.pack(">Q", links.MAX_FRAME_BYTES + 1),
+        b"\x00SP\x00\x00\x50\x00\x00" + struct.pack(">Q", 1 << 60),
+        b"\x00SP\x00\x00\x50\x00\x00" + struct.pack(">Q", 3) + b"\xff\xff\xff",
+    ],
+)
+def test_garbage_stops_no_link(data):
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            host, port = there.address.split(":")
+            with socket.create_connection((host, int(port))) as raw:
+                raw.sendall(data)
+                here.send(there.address, 1)
+                await there.wait_for(1)
+
+    asyncio.run(run())
+
+
+def test_address_in_use_is_an_error():
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            other = builders_links.Peer("other", address=here.address)
+            with pytest.raises(errors.LinkError, match="cannot listen"):
+                await other.links.open()
+            other.links.close()
+
+    asyncio.run(run())
+
+
+def test_wrong_address_is_counted():
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            here.send("no address", 1)
+            assert here.links.counts["links.addresses.invalid"] == 1
+
+    asyncio.run(run())
+
+
+def test_signed_peers_exchange_messages(tmp_path):
+    async def run() -> None:
+        authority = builders_links.Authority(tmp_path, "ca")
+        here = builders_links.Peer("here", authority.build_section("here"))
+        there = builders_links.Peer("there", authority.build_section("there"))
+        async with open_links(here, there):
+            here.send(there.address, 1)
+            await there.wait_for(1)
+            there.send(here.address, 2)
+            await here.wait_for(2)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("fault", ["authority", "expired", "plain", "name"])
+def test_peer_without_a_valid_certificate_is_refused(tmp_path, fault):
+    async def run() -> None:
+        authority = builders_links.Authority(tmp_path, "ca")
+        stranger = builders_links.Authority(tmp_path, "stranger")
+        section = {
+            "authority": stranger.build_section("bad", authority),
+            "expired": authority.build_section("bad", days=-1),
+            "plain": options.LinkOptions(40),
+            "name": authority.build_section("other"),
+        }[fault]
+        there = builders_links.Peer("there", authority.build_section("there"))
+        good = builders_links.Peer("good", authority.build_section("good"))
+        bad = builders_links.Peer("bad", section)
+        async with open_links(there, good, bad):
+            for _ in range(ATTEMPTS):
+                bad.send(there.address, 1)
+                await asyncio.sleep(0.02)
+            good.send(there.address, 2)
+            await there.wait_for(2)
+            assert 1 not in there.received
+
+    asyncio.run(run())
+
+
+def build_health() -> heartbeats.Heartbeats:
+    return heartbeats.Heartbeats(INTERVAL_MS, 0)
+
+
+def test_unanswered_frame_is_probed_then_dialled_anew():
+    health = build_health()
+    health.take_number(0)
+    seen = []
+    for now_ms in range(INTERVAL_MS, 4 * INTERVAL_MS, INTERVAL_MS):
+        action = health.tick(now_ms)
+        seen.append(action)
+        if action is heartbeats.Action.PROBE:
+            health.take_number(now_ms)
+    assert seen == [
+        heartbeats.Action.PROBE,
+        heartbeats.Action.PROBE,
+        heartbeats.Action.REDIAL,
+    ]
+
+
+def test_answered_link_is_left_alone_while_idle():
+    health = build_health()
+    health.note_frame(1, 0, health.take_number(0), 10)
+    quiet_ms = range(0, heartbeats.IDLE_INTERVALS * INTERVAL_MS, INTERVAL_MS)
+    assert {health.tick(now_ms) for now_ms in quiet_ms} == {heartbeats.Action.NONE}
+    later_ms = heartbeats.IDLE_INTERVALS * INTERVAL_MS
+    assert health.tick(later_ms) is heartbeats.Action.PROBE
+
+
+def test_answer_to_another_process_confirms_nothing():
+    health = build_health()
+    health.take_number(0)
+    health.note_frame(1, 0, 500, 10)
+    assert health.tick(3 * INTERVAL_MS) is heartbeats.Action.REDIAL
+
+
+def test_unused_link_is_closed():
+    health = build_health()
+    unused_ms = heartbeats.UNUSED_INTERVALS * INTERVAL_MS
+    assert health.tick(unused_ms) is heartbeats.Action.CLOSE
+    health.note_use(unused_ms)
+    assert health.tick(unused_ms) is not heartbeats.Action.CLOSE
