Call upstreams without silent repeats, and stop tasks truthfully

Cause: the HTTP client followed redirects (a 307 sends a POST again), shared a cookie jar among callers, read bodies of any size, and a cancelled call freed its slot while the upstream may still have run it. A refused connection was called "unknown" although nothing was sent.

Change: no redirects, no cookies, bodies up to 8 MB, idle connections closed after 1 s, a refused connection tried again for 250 ms and then "not-run". A stop closes the sending half of the connection: the slot is free when the upstream has answered or closed it.

Conclusion: an upstream that goes on after its caller has left keeps its slot.

--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -139,9 +139,7 @@
                 case executor.RunTask():
                     self._run(effect)
                 case executor.StopTask():
-                    call = self._calls.get((effect.submission, effect.index))
-                    if call is not None:
-                        call.cancel()
+                    self._stop_call(effect)
                 case leaseholder.ViewChanged():
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
@@ -157,13 +155,19 @@
         self._calls[name] = call
         call.add_done_callback(functools.partial(self._end, name))
 
+    def _stop_call(self, stop: executor.StopTask) -> None:
+        assert self._upstream is not None
+        name = (stop.submission, stop.index)
+        if not self._upstream.stop(*name) and name in self._calls:
+            self._calls[name].cancel()
+
     def _end(
         self, name: tuple[str, int], call: asyncio.Task[messages.TaskResult]
     ) -> None:
         """Report how a call ended, also one that was cancelled before it began."""
         self._calls.pop(name, None)
         if call.cancelled():
-            result = messages.TaskResult(*name, "unknown", "cancelled")
+            result = messages.TaskResult(*name, "not-run", "cancelled")
         elif (error := call.exception()) is not None:
             self._log.error("call failed", error=repr(error))
             result = messages.TaskResult(*name, "unknown", "call failed")
--- a/amaranthspar/upstream.py
+++ b/amaranthspar/upstream.py
@@ -1,16 +1,61 @@
 """Calls of an upstream over HTTP."""
 
+import asyncio
+import contextvars
+
 import aiohttp
+import attrs
 
 from amaranthspar import clock, doubts, executor, messages
 
 SUBMISSION_HEADER = "Amaranthspar-Submission"
 TASK_HEADER = "Amaranthspar-Task"
+MAX_BODY_BYTES = 8 * 1024 * 1024
+READ_BYTES = 256 * 1024
+KEEP_ALIVE_S = 1
+CONNECT_RETRY_MS = 250
+CONNECT_PAUSE_MS = 50
+
+_NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+class BodyTooLargeError(aiohttp.ClientError):
+    """An upstream's body is larger than a result may be."""
+
+
+@attrs.define(slots=True, eq=False)
+class _Call:
+    """A call that goes on."""
+
+    run: executor.RunTask
+    transport: asyncio.Transport | None = None
+    stopped: bool = False
+    task: asyncio.Task[messages.TaskResult] | None = None
+
+
+_current: contextvars.ContextVar[_Call] = contextvars.ContextVar("call")
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Notes on which connection a call goes out."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        connection = await super().connect(req, traces, timeout)
+        _current.get().transport = connection.transport
+        return connection
 
 
 class Upstream:
     """HTTP client of one upstream.
 
+    No call is ever repeated once its request may have been sent: redirects are
+    not followed, and the HTTP client repeats idempotent methods only.
+
     Args:
         address: Address of the upstream's HTTP server.
         connections: Connections that may be open at once.
@@ -19,8 +64,13 @@
     def __init__(self, address: str, connections: int) -> None:
         self._address = address
         self._clock = clock.Clock()
-        connector = aiohttp.TCPConnector(limit=connections, keepalive_timeout=60)
-        self._session = aiohttp.ClientSession(connector=connector)
+        self._calls: dict[tuple[str, int], _Call] = {}
+        self._session = aiohttp.ClientSession(
+            connector=_Connector(limit=connections, keepalive_timeout=KEEP_ALIVE_S),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent",),
+            headers={"Accept-Encoding": "identity"},
+        )
 
     async def close(self) -> None:
         """Close every connection."""
@@ -33,35 +83,119 @@
             run: Task to run.
 
         Returns:
-            Its result; a failure to get a whole answer is ``unknown``.
+            Its result; ``not-run`` if no request was sent, and ``unknown`` if
+            one was and no whole answer came.
         """
-        headers = {
-            "Content-Type": run.content_type,
-            SUBMISSION_HEADER: run.submission,
-            TASK_HEADER: str(run.index),
-        }
-        if run.traceparent:
-            headers["traceparent"] = run.traceparent
-        started_ms = self._clock.read_monotonic()
-        timeout = aiohttp.ClientTimeout(total=run.timeout_ms / 1000)
-        url = f"http://{self._address}/{run.service}"
+        name = (run.submission, run.index)
+        call = self._calls[name] = _Call(run, task=asyncio.current_task())
+        _current.set(call)
         try:
-            async with self._session.post(
-                url, data=run.payload, headers=headers, timeout=timeout
-            ) as response:
-                body = await response.read()
-                content_type = response.headers.get("Content-Type", "")
-                status = response.status
-        except (TimeoutError, aiohttp.ClientError) as error:
+            return await self._request(call)
+        except _NOT_CONNECTED as error:
+            reason = f"upstream: {type(error).__name__}"
+            return messages.TaskResult(*name, "not-run", reason)
+        except (TimeoutError, aiohttp.ClientError, RuntimeError) as error:
             reason = f"upstream: {type(error).__name__}"
-            return messages.TaskResult(run.submission, run.index, "unknown", reason)
+            if call.stopped:
+                reason = "cancelled"
+            return messages.TaskResult(*name, "unknown", reason)
+        except asyncio.CancelledError:
+            if call.transport is None:
+                return messages.TaskResult(*name, "not-run", "cancelled")
+            raise
+        finally:
+            del self._calls[name]
+
+    def stop(self, submission: str, index: int) -> bool:
+        """Ask the upstream to stop a task.
+
+        The connection is closed for sending only. A server that stops a request
+        whose caller is gone then closes it, one that does not still answers:
+        the slot stays taken until the upstream has let go of the task.
+
+        Args:
+            submission: Submission id.
+            index: Position in the submission.
+
+        Returns:
+            Whether the call has begun and goes on.
+        """
+        call = self._calls.get((submission, index))
+        if call is None:
+            return False
+        if call.stopped:
+            return True
+        call.stopped = True
+        if call.transport is None:
+            if call.task is not None:
+                call.task.cancel()
+        elif call.transport.can_write_eof() and not call.transport.is_closing():
+            call.transport.write_eof()
+        return True
+
+    async def _request(self, call: _Call) -> messages.TaskResult:
+        until_ms = self._clock.read_monotonic() + CONNECT_RETRY_MS
+        while True:
+            try:
+                return await self._post(call)
+            except _NOT_CONNECTED:
+                if self._clock.read_monotonic() >= until_ms:
+                    raise
+            await asyncio.sleep(CONNECT_PAUSE_MS / 1000)
+
+    async def _post(self, call: _Call) -> messages.TaskResult:
+        run = call.run
+        started_ms = self._clock.read_monotonic()
+        async with self._session.post(
+            f"http://{self._address}/{run.service}",
+            data=run.payload,
+            headers=_build_headers(run),
+            timeout=aiohttp.ClientTimeout(
+                total=run.timeout_ms / 1000, sock_connect=CONNECT_RETRY_MS / 1000
+            ),
+            allow_redirects=False,
+        ) as response:
+            body = await _read_body(response)
+            if call.stopped:
+                response.close()
         return messages.TaskResult(
             run.submission,
             run.index,
             "done",
-            status=status,
-            content_type=content_type,
+            status=response.status,
+            content_type=response.headers.get("Content-Type", ""),
             body=body,
             digest=doubts.digest_body(body),
             run_ms=self._clock.read_monotonic() - started_ms,
         )
+
+
+def _build_headers(run: executor.RunTask) -> dict[str, str]:
+    headers = {
+        "Content-Type": run.content_type,
+        SUBMISSION_HEADER: run.submission,
+        TASK_HEADER: str(run.index),
+    }
+    if run.traceparent:
+        headers["traceparent"] = run.traceparent
+    return headers
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body.
+
+    Raises:
+        BodyTooLargeError: The body is larger than a result may be.
+        aiohttp.ClientError: The body ended early.
+    """
+    length = response.content_length or 0
+    if length > MAX_BODY_BYTES:
+        raise BodyTooLargeError(f"body of {length} bytes")
+    if 0 < length <= READ_BYTES:
+        return await response.read()
+    body = bytearray()
+    while chunk := await response.content.read(READ_BYTES):
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise BodyTooLargeError(f"body of more than {MAX_BODY_BYTES} bytes")
+    return bytes(body)
