--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -245,6 +245,7 @@
 
     def _accept(self, data: bytes, peer_name: str | None) -> None:
         self.counts["links.bytes.received"] += len(data)
+        self.counts["links.frames.received"] += 1
         try:
             frame = codec.decode_frame(data)
         except errors.SchemaError:
