Pad the age of a view for slow clocks of the controllers

Cause: With the clocks of controllers and of a holder both slow by 10%, a lease could outlive the commit of a newer version by more than its length. Change: A grant states the age padded by a ninth; the oracle checks the end of each lease for a holder whose clock is slow. Conclusion: A lease of an older version ends within its length of the commit.

--- a/amaranthspar/leases.py
+++ b/amaranthspar/leases.py
@@ -11,6 +11,8 @@
 
 SIDECAR_KINDS = frozenset({"service", "domain", "desk"})
 KEPT_DELTAS = 256
+# A clock that is slow by one part in ten shows an age that is short by a ninth.
+DRIFT_PARTS = 9
 
 
 class Leases:
@@ -55,7 +57,7 @@
         return messages.LeaseGranted(
             renewal.sent_ms,
             self._duration_ms,
-            age_ms,
+            pad_age(age_ms),
             state.version,
             state.revision,
             None if configured else self._change_configuration(state, renewal, sidecar),
@@ -85,6 +87,15 @@
         return change
 
 
+def pad_age(age_ms: int) -> int:
+    """Return the longest true age of a view by clocks that may be 10% slow.
+
+    Args:
+        age_ms: Age by the clocks of the controllers in ms.
+    """
+    return age_ms + -(-age_ms // DRIFT_PARTS)
+
+
 def build_configuration_change(
     state: registry.Registry, base_version: int, sidecar: bool
 ) -> messages.ConfigurationChange:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -175,7 +175,7 @@
     assert grants.decide(state, renewal, 2_001).reason == "no_quorum"
     assert grants.decide(state, renewal, -1).reason == "no_quorum"
     granted = grants.decide(state, renewal, 2_000)
-    assert (granted.age_ms, granted.sent_ms, granted.membership) == (2_000, 9, None)
+    assert (granted.age_ms, granted.sent_ms, granted.membership) == (2_223, 9, None)
 
 
 def test_forgotten_removals_leave_equal_states(monkeypatch):
--- a/tools/simulation.py
+++ b/tools/simulation.py
@@ -119,7 +119,6 @@
         self.commit_times: list[tuple[int, int]] = []
         self.leaders: dict[int, str] = {}
         self.versions: dict[int, str] = {}
-        self.grants = leases.Leases(LEASE_MS, LEASE_MS)
         self.proposed = 0
         self.granted = 0
         self.installed = 0
@@ -263,6 +262,7 @@
         if age_ms < 0:
             return
         self.granted += 1
+        self._check_lease(node, age_ms)
         # Rule: a view shows all that was committed anywhere before now - age.
         longest_ms = int(age_ms / (1 - MAX_DRIFT)) + ROUNDING_MS
         needed = [at for at, ms in self.commit_times if ms < self.now_ms - longest_ms]
@@ -272,6 +272,18 @@
                 f"but {max(needed)} was committed before"
             )
 
+    def _check_lease(self, node: Node, age_ms: int) -> None:
+        # Rule: a lease ends within its length of the commit of a newer entry, also
+        # for a holder whose clock is slow.
+        length_ms = LEASE_MS - leases.pad_age(age_ms)
+        end_ms = self.now_ms + length_ms
+        newer = [ms for index, ms in self.commit_times if index > node.applied]
+        if newer and end_ms > min(newer) + LEASE_MS + ROUNDING_MS:
+            raise Violation(
+                f"{node.name} applied {node.applied} and grants until {end_ms}, "
+                f"but a newer entry was committed at {min(newer)}"
+            )
+
     def hand_over(self, name: str) -> None:
         """Ask a replica to hand leadership over.
 
