--- a/amaranthspar/backlog.py
+++ b/amaranthspar/backlog.py
@@ -1,91 +1,222 @@
 """Tasks that wait in a gateway for a slot."""
 
+from collections.abc import Callable
+
 import attrs
 
-from amaranthspar import fairqueue, routing, submissions
+from amaranthspar import capacity, entries, fairqueue, routing, submissions
 
-DEFAULT_EXPECTED_MS = 200
+RESPONSE = "response"
+RESPONSE_WEIGHT = 8.0
 
 
 @attrs.frozen(slots=True)
 class Waiting:
-    """A task in the queue."""
+    """A task in the queue.
+
+    Attributes:
+        submission: Submission of the task.
+        task: Task.
+        needs: What the task asks of an upstream.
+        cost_ms: Expected run time in ms.
+    """
 
     submission: submissions.Submission
     task: submissions.Task
+    needs: routing.Needs
+    cost_ms: float
+
+
+@attrs.define(slots=True)
+class _Queue:
+    """Tasks of one pool."""
+
+    served_ms: float
+    tasks: fairqueue.FairQueue[Waiting] = attrs.field(factory=fairqueue.FairQueue)
+
+
+@attrs.define(slots=True)
+class _Entry:
+    """What waits of one submission."""
+
+    path: fairqueue.Path
+    counts: dict[capacity.Pool, int] = attrs.field(factory=dict)
 
 
 class Backlog:
-    """Queues of waiting tasks, one for each set of needs."""
+    """Queues of waiting tasks, one for each pool.
+
+    Attributes:
+        cost_ms: Expected run time in ms of all that waits.
+        urgent_ms: Part of it for services whose objective is the response.
+    """
 
     def __init__(self) -> None:
-        self._queues: dict[routing.Needs, fairqueue.FairQueue[Waiting]] = {}
-        self._counts: dict[str, int] = {}
-        self._oldest: dict[str, int] = {}
+        self.cost_ms = 0.0
+        self.urgent_ms = 0.0
+        self._queues: dict[capacity.Pool, _Queue] = {}
+        self._entries: dict[str, _Entry] = {}
+        self._urgent: dict[str, int] = {}
+        self._teams: dict[str, int] = {}
+        self._held: set[str] = set()
+        self._clock_ms = 0.0
         self._total = 0
 
     def __len__(self) -> int:
         """Return how many tasks wait."""
         return self._total
 
-    def list_needs(self) -> list[routing.Needs]:
-        """Return the needs for which something may wait."""
-        return list(self._queues)
+    def count_team(self, team: str) -> int:
+        """Return how many tasks of a team wait."""
+        return self._teams.get(team, 0)
 
-    def push(self, needs: routing.Needs, waiting: Waiting) -> None:
+    def list_pools(self) -> list[capacity.Pool]:
+        """Return the pools with waiting tasks, the least served first."""
+        if len(self._queues) == 1:
+            return list(self._queues)
+        return sorted(self._queues, key=lambda pool: self._queues[pool].served_ms)
+
+    def push(
+        self, pool: capacity.Pool, waiting: Waiting, service: entries.Service
+    ) -> None:
         """Add a task.
 
         Args:
-            needs: What the task asks of an upstream.
+            pool: Tasks that the same upstreams may take.
             waiting: Task and its submission.
+            service: Service of the submission.
         """
         submission, task = waiting.submission, waiting.task
         task.state = submissions.TaskState.QUEUED
         task.sidecar = ""
-        queue = self._queues.setdefault(needs, fairqueue.FairQueue())
-        path = (submission.team, submission.caller, submission.name)
-        queue.push(path, waiting, task.expected_ms or DEFAULT_EXPECTED_MS)
-        self._counts[submission.name] = self._counts.get(submission.name, 0) + 1
-        self._oldest.setdefault(submission.name, submission.admitted_ms)
-        self._total += 1
+        entry = self._entries.get(submission.name)
+        if entry is None:
+            entry = _Entry(_build_path(submission, service))
+            self._entries[submission.name] = entry
+            if service.objective == RESPONSE:
+                self._urgent[submission.name] = submission.admitted_ms
+        self._find_queue(pool).tasks.push(entry.path, waiting, waiting.cost_ms)
+        entry.counts[pool] = entry.counts.get(pool, 0) + 1
+        self._count(waiting, 1)
+
+    def pop(self, pool: capacity.Pool) -> Waiting | None:
+        """Remove and return the task served next, none if none may be served.
 
-    def pop(self, needs: routing.Needs) -> Waiting | None:
-        """Remove and return the task that is served next, none if none waits.
+        Args:
+            pool: Tasks that the same upstreams may take.
+        """
+        queue = self._queues.get(pool)
+        if queue is None:
+            return None
+        waiting = queue.tasks.pop()
+        if waiting is None:
+            return None
+        self._clock_ms = queue.served_ms
+        queue.served_ms += waiting.cost_ms
+        self._count(waiting, -1)
+        self._forget_one(waiting.submission.name, pool)
+        self._clean(pool)
+        return waiting
+
+    def drop(self, submission: submissions.Submission) -> None:
+        """Remove the tasks of a submission that is over.
 
         Args:
-            needs: What the task asks of an upstream.
+            submission: Submission that has ended.
         """
-        queue = self._queues.get(needs)
-        while queue is not None and len(queue):
-            waiting = queue.pop()
-            if not waiting.submission.over:
-                self._forget_one(waiting.submission.name)
-                return waiting
-        self._queues.pop(needs, None)
-        return None
-
-    def drop(self, submission: str) -> None:
-        """Forget the tasks of a submission that is over.
+        entry = self._entries.pop(submission.name, None)
+        if entry is None:
+            return
+        for pool in entry.counts:
+            for waiting in self._queues[pool].tasks.drop(entry.path):
+                self._count(waiting, -1)
+            self._clean(pool)
+        self._urgent.pop(submission.name, None)
+
+    def hold_team(self, team: str) -> None:
+        """Serve nothing of a team until it is released."""
+        self._held.add(team)
+        for queue in self._queues.values():
+            queue.tasks.hold(team)
+
+    def release_team(self, team: str) -> None:
+        """Serve a team again."""
+        if team not in self._held:
+            return
+        self._held.discard(team)
+        for queue in self._queues.values():
+            queue.tasks.release(team)
+
+    def regroup(self, find_pool: Callable[[routing.Needs], capacity.Pool]) -> None:
+        """Sort what waits into pools anew.
 
         Args:
-            submission: Submission id.
+            find_pool: Returns the pool of a task's needs.
         """
-        self._total -= self._counts.pop(submission, 0)
-        self._oldest.pop(submission, None)
+        held = set(self._held)
+        for team in held:
+            self.release_team(team)
+        old, self._queues = self._queues, {}
+        for entry in self._entries.values():
+            entry.counts = {}
+        for queue in old.values():
+            while (waiting := queue.tasks.pop()) is not None:
+                pool = find_pool(waiting.needs)
+                entry = self._entries[waiting.submission.name]
+                tasks = self._find_queue(pool).tasks
+                tasks.push(entry.path, waiting, waiting.cost_ms)
+                entry.counts[pool] = entry.counts.get(pool, 0) + 1
+        for team in held:
+            self.hold_team(team)
 
     def measure_oldest_wait(self, now_ms: int) -> int:
-        """Return how long the longest waiting submission has waited in ms.
+        """Return the wait in ms of the oldest request for a response.
 
         Args:
             now_ms: Monotonic time in ms.
         """
-        if not self._oldest:
+        if not self._urgent:
             return 0
-        return now_ms - next(iter(self._oldest.values()))
-
-    def _forget_one(self, submission: str) -> None:
-        self._total -= 1
-        self._counts[submission] -= 1
-        if not self._counts[submission]:
-            del self._counts[submission]
-            del self._oldest[submission]
+        return now_ms - next(iter(self._urgent.values()))
+
+    def _find_queue(self, pool: capacity.Pool) -> _Queue:
+        queue = self._queues.get(pool)
+        if queue is None:
+            queue = _Queue(self._clock_ms)
+            self._queues[pool] = queue
+            for team in self._held:
+                queue.tasks.hold(team)
+        return queue
+
+    def _clean(self, pool: capacity.Pool) -> None:
+        if not len(self._queues[pool].tasks):
+            del self._queues[pool]
+
+    def _count(self, waiting: Waiting, amount: int) -> None:
+        team = waiting.submission.team
+        self._teams[team] = self._teams.get(team, 0) + amount
+        self._total += amount
+        self.cost_ms += amount * waiting.cost_ms
+        if waiting.submission.name in self._urgent:
+            self.urgent_ms += amount * waiting.cost_ms
+
+    def _forget_one(self, submission: str, pool: capacity.Pool) -> None:
+        entry = self._entries[submission]
+        entry.counts[pool] -= 1
+        if not entry.counts[pool]:
+            del entry.counts[pool]
+        if not entry.counts:
+            del self._entries[submission]
+            self._urgent.pop(submission, None)
+
+
+def _build_path(
+    submission: submissions.Submission, service: entries.Service
+) -> fairqueue.Path:
+    weight = RESPONSE_WEIGHT if service.objective == RESPONSE else 1.0
+    return (
+        fairqueue.Step(submission.team),
+        fairqueue.Step(service.objective, weight),
+        fairqueue.Step(submission.caller),
+        fairqueue.Step(submission.name),
+    )
--- /dev/null
+++ b/amaranthspar/capacity.py
@@ -0,0 +1,185 @@
+"""Index of the sidecars that have room, for a choice without a scan of them all."""
+
+from collections.abc import Hashable, Iterable
+
+import attrs
+
+from amaranthspar import messages, routing
+
+
+@attrs.frozen(slots=True)
+class Shape:
+    """What an upstream offers, as far as tasks ask for it."""
+
+    services: tuple[str, ...]
+    group: str
+    cores: int
+    memory_mb: int
+    accelerators: int
+
+
+class Ladder:
+    """Routes ordered by a small whole number, with moves in constant time."""
+
+    def __init__(self) -> None:
+        self._rungs: list[dict[str, routing.Route]] = [{}]
+        self._heights: dict[str, int] = {}
+        self._top = 0
+
+    def put(self, route: routing.Route, height: int) -> None:
+        """Place a route at a height; one at 0 or below is left out.
+
+        Args:
+            route: Sidecar.
+            height: Greater heights are found first.
+        """
+        name = route.member.process
+        old = self._heights.get(name, 0)
+        if height == old:
+            return
+        if old:
+            del self._rungs[old][name]
+            del self._heights[name]
+        if height <= 0:
+            return
+        while len(self._rungs) <= height:
+            self._rungs.append({})
+        self._rungs[height][name] = route
+        self._heights[name] = height
+        self._top = max(self._top, height)
+
+    def find_highest(self) -> tuple[int, routing.Route | None]:
+        """Return the greatest height and a route there, 0 and none if empty."""
+        while self._top and not self._rungs[self._top]:
+            self._top -= 1
+        if not self._top:
+            return 0, None
+        return self._top, next(iter(self._rungs[self._top].values()))
+
+
+@attrs.frozen(slots=True)
+class _Profile:
+    """What sidecars have in common as far as a choice goes."""
+
+    shape: Shape
+    failure_domain: str
+
+
+Pool = frozenset[Shape]
+"""Shapes of the upstreams that may take a task."""
+
+
+class Capacity:
+    """Sidecars that may be sent new work, by the room that they have.
+
+    Args:
+        near_domain: Failure domain that is preferred while it has room.
+    """
+
+    def __init__(self, near_domain: str) -> None:
+        self._near_domain = near_domain
+        self._room: dict[Hashable, Ladder] = {}
+        self._examples: dict[Shape, messages.Announcement] = {}
+        self._pools: dict[routing.Needs, Pool] = {}
+        self._classes: dict[Pool, list[tuple[bool, Ladder]]] = {}
+
+    def rebuild(
+        self, known: Iterable[routing.Route], usable: Iterable[routing.Route]
+    ) -> bool:
+        """Index the sidecars anew.
+
+        Args:
+            known: All sidecars.
+            usable: Sidecars among them that may be sent new work.
+
+        Returns:
+            Whether pools found before may differ from now on.
+        """
+        examples: dict[Shape, messages.Announcement] = {}
+        for route in known:
+            route.profile = None
+            examples.setdefault(_describe(route.announcement), route.announcement)
+        changed = examples.keys() != self._examples.keys()
+        self._examples = examples
+        self._room = {}
+        self._pools = {}
+        self._classes = {}
+        for route in usable:
+            domain = route.announcement.failure_domain
+            route.profile = _Profile(_describe(route.announcement), domain)
+            self._room.setdefault(route.profile, Ladder())
+            self.update(route)
+        return changed
+
+    def find_pool(self, needs: routing.Needs) -> Pool:
+        """Return the shapes that have what a task needs; none can run it if empty.
+
+        Args:
+            needs: What the task asks for.
+        """
+        pool = self._pools.get(needs)
+        if pool is None:
+            pool = frozenset(
+                shape
+                for shape, example in self._examples.items()
+                if routing.is_feasible(needs, example)
+            )
+            self._pools[needs] = pool
+        return pool
+
+    def update(self, route: routing.Route) -> None:
+        """Note that the room of a sidecar has changed.
+
+        Args:
+            route: Sidecar; one that may not be sent new work is left out.
+        """
+        ladder = self._room.get(route.profile)
+        if ladder is not None:
+            ladder.put(route, route.room)
+
+    def choose(self, pool: Pool) -> routing.Route | None:
+        """Return the sidecar that gets the next task, none if all are full.
+
+        The near failure domain comes first, then the sidecar with the most room.
+
+        Args:
+            pool: Shapes that may take the task.
+        """
+        best: routing.Route | None = None
+        best_rank = (False, 0)
+        for near, ladder in self._list_classes(pool):
+            height, route = ladder.find_highest()
+            rank = (near, height)
+            if route is not None and (best is None or rank > best_rank):
+                best, best_rank = route, rank
+        return best
+
+    def is_usable(self, pool: Pool, route: routing.Route) -> bool:
+        """Return whether a sidecar may be sent a task now.
+
+        Args:
+            pool: Shapes that may take the task.
+            route: Sidecar.
+        """
+        return isinstance(route.profile, _Profile) and route.profile.shape in pool
+
+    def _list_classes(self, pool: Pool) -> list[tuple[bool, Ladder]]:
+        found = self._classes.get(pool)
+        if found is None:
+            found = [
+                (profile.failure_domain == self._near_domain, ladder)
+                for profile, ladder in self._room.items()
+                if isinstance(profile, _Profile) and profile.shape in pool
+            ]
+            self._classes[pool] = found
+        return found
+
+
+def _describe(announcement: messages.Announcement) -> Shape:
+    return Shape(
+        tuple(announcement.services),
+        announcement.group,
+        announcement.cores,
+        announcement.memory_mb,
+        announcement.accelerators,
+    )
--- a/amaranthspar/demand.py
+++ b/amaranthspar/demand.py
@@ -1,10 +1,10 @@
 """Reports by which a gateway tells sidecars of the work that it holds."""
 
-from collections.abc import Iterable
-
 from amaranthspar import backlog, effects, messages, routing
 
-DEMAND_INTERVAL_MS = 100
+APPEAL_WAIT_MS = 10
+APPEAL_INTERVAL_MS = 20
+APPEAL_SIDECARS = 2
 
 
 class Demand:
@@ -16,37 +16,56 @@
 
     def __init__(self, waiting: backlog.Backlog) -> None:
         self._backlog = waiting
+        self._appealed_ms = 0
+        self._turn = 0
+
+    def appeal(self, routes: list[routing.Route], now_ms: int) -> list[effects.Send]:
+        """Ask a few sidecars in turn for slots when requests wait for a response.
 
-    def report(
-        self, routes: Iterable[routing.Route], now_ms: int
-    ) -> list[effects.Send]:
-        """Tell sidecars of work that waits without credits.
+        A gateway with tasks at most sidecars needs no appeal: its results bring
+        credits, and news of slots that lie idle elsewhere.
 
         Args:
-            routes: Sidecars of the gateway.
+            routes: Sidecars that may be sent new work.
             now_ms: Monotonic time in ms.
         """
-        if not len(self._backlog):
+        if not routes or now_ms - self._appealed_ms < APPEAL_INTERVAL_MS:
+            return []
+        if self._backlog.measure_oldest_wait(now_ms) < APPEAL_WAIT_MS:
+            return []
+        if sum(len(route.in_flight) for route in routes) >= len(routes):
             return []
-        return [
-            self.state(route, now_ms)
-            for route in routes
-            if now_ms - route.demand_ms >= DEMAND_INTERVAL_MS
-        ]
+        self._appealed_ms = now_ms
+        result = []
+        for _ in range(min(APPEAL_SIDECARS, len(routes))):
+            self._turn = (self._turn + 1) % len(routes)
+            result.append(self.state(routes[self._turn], len(routes), now_ms))
+        return result
+
+    def divide(self, sidecars: int) -> int:
+        """Return one sidecar's part of the waiting tasks.
+
+        Args:
+            sidecars: Sidecars that share them.
+        """
+        return -(-len(self._backlog) // max(1, sidecars))
 
-    def state(self, route: routing.Route, now_ms: int) -> effects.Send:
+    def state(self, route: routing.Route, sidecars: int, now_ms: int) -> effects.Send:
         """Return the demand as a message to one sidecar.
 
         Args:
             route: Sidecar that is told.
+            sidecars: Sidecars of the gateway.
             now_ms: Monotonic time in ms.
         """
         route.demand_ms = now_ms
+        route.stated = route.acknowledged
         demand = messages.ReportDemand(
             route.member.incarnation,
-            len(self._backlog),
+            self.divide(sidecars),
             self._backlog.measure_oldest_wait(now_ms),
             route.sent,
             route.acknowledged,
+            route.limit,
         )
         return effects.Send(route.member.address, demand)
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -7,16 +7,20 @@
 from amaranthspar import (
     admission,
     backlog,
+    capacity,
     demand,
     doubts,
     effects,
+    entries,
+    estimates,
     leaseholder,
     messages,
     routing,
     submissions,
 )
 
-KEEP_ALIVE_MS = 1000
+KEEP_ALIVE_MS = 2000
+ACKNOWLEDGE_MS = 1000
 
 
 @attrs.frozen(slots=True)
@@ -64,8 +68,11 @@
         self.submissions: dict[str, submissions.Submission] = {}
         self.routes: dict[str, routing.Route] = {}
         self._holder = holder
-        self._near_domain = near_domain
+        self._open_routes: list[routing.Route] = []
+        self._lender: routing.Route | None = None
+        self._capacity = capacity.Capacity(near_domain)
         self._backlog = backlog.Backlog()
+        self._estimates = estimates.Estimates()
         self._admission = admission.Admission(holder, self._backlog, self.routes)
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder)
@@ -86,7 +93,9 @@
                 result = self._receive(event, now_ms)
             case ViewChanged():
                 result = self._follow_membership(now_ms)
-        return result + self._pump(now_ms)
+        result += self._pump(now_ms)
+        self._lender = None
+        return result
 
     def tick(self, now_ms: int) -> list[Effect]:
         """End what is overdue and ask after silent sidecars.
@@ -122,7 +131,15 @@
         self, submission: submissions.Submission, task: submissions.Task
     ) -> None:
         needs = routing.read_needs(submission, task, self._holder.view)
-        self._backlog.push(needs, backlog.Waiting(submission, task))
+        service = self._find_service(submission)
+        cost_ms = self._estimates.predict(submission.service, task.expected_ms)
+        waiting = backlog.Waiting(submission, task, needs, cost_ms)
+        self._backlog.push(self._capacity.find_pool(needs), waiting, service)
+
+    def _find_service(self, submission: submissions.Submission) -> entries.Service:
+        services = self._holder.view.settings.services
+        found = services.get(submission.service)
+        return entries.Service(submission.service) if found is None else found
 
     def _cancel(self, name: str) -> list[Effect]:
         submission = self.submissions.get(name)
@@ -136,7 +153,7 @@
     ) -> list[Effect]:
         submission.over = True
         del self.submissions[submission.name]
-        self._backlog.drop(submission.name)
+        self._backlog.drop(submission)
         result: list[Effect] = [answer]
         held: dict[str, list[int]] = {}
         for task in submission.list_sent():
@@ -150,39 +167,44 @@
 
     def _pump(self, now_ms: int) -> list[Effect]:
         """Send what waits to the sidecars that have room."""
-        if not self._holder.is_valid(now_ms) or not len(self._backlog):
+        if not len(self._backlog) or not self._holder.is_valid(now_ms):
             return []
-        known = self._holder.view
-        routes = [
-            route
-            for route in self.routes.values()
-            if route.credits > 0 and routing.is_open(route, known)
-        ]
         batches: dict[tuple[str, str], list[backlog.Waiting]] = {}
-        for needs in self._backlog.list_needs():
-            self._assign(needs, routes, batches)
+        for pool in self._backlog.list_pools():
+            self._assign(pool, batches)
         result: list[Effect] = []
         for (sidecar, _), batch in batches.items():
             result.append(self._send_batch(self.routes[sidecar], batch, now_ms))
-        return result + self._demand.report(self.routes.values(), now_ms)
+        return result + self._demand.appeal(self._open_routes, now_ms)
 
     def _assign(
         self,
-        needs: routing.Needs,
-        routes: list[routing.Route],
+        pool: capacity.Pool,
         batches: dict[tuple[str, str], list[backlog.Waiting]],
     ) -> None:
         while True:
-            route = routing.choose_route(needs, routes, self._near_domain)
+            route = self._capacity.choose(pool) or self._find_lender(pool)
             if route is None:
                 return
-            waiting = self._backlog.pop(needs)
+            waiting = self._backlog.pop(pool)
             if waiting is None:
                 return
+            if route.room <= 0:
+                route.spare -= 1
+                route.limit += 1
+                self.counts["credits.borrowed"] += 1
             route.sent += 1
+            self._capacity.update(route)
             name = (route.member.process, waiting.submission.name)
             batches.setdefault(name, []).append(waiting)
 
+    def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
+        """Return the sidecar just heard if it has slots idle for other gateways."""
+        route = self._lender
+        if route is None or route.spare <= 0:
+            return None
+        return route if self._capacity.is_usable(pool, route) else None
+
     def _send_batch(
         self, route: routing.Route, batch: list[backlog.Waiting], now_ms: int
     ) -> effects.Send:
@@ -199,6 +221,7 @@
             starts.append(messages.TaskStart(task.index, task.payload, *wanted))
         route.sequence += 1
         route.demand_ms = now_ms
+        route.stated = route.acknowledged
         message = messages.StartTasks(
             sequence=route.sequence,
             target=route.member.incarnation,
@@ -209,7 +232,7 @@
             content_type=submission.content_type,
             deadline_ms=submission.deadline_ms - now_ms,
             traceparent=submission.traceparent,
-            queued=len(self._backlog),
+            queued=self._demand.divide(len(self.routes)),
             oldest_wait_ms=self._backlog.measure_oldest_wait(now_ms),
             sent=route.sent,
             acknowledged=route.acknowledged,
@@ -239,10 +262,11 @@
             return []
         route.limit = max(route.limit, grant.credit_limit)
         returned = min(grant.recalled, max(0, route.credits))
+        route.sent += returned
+        self._capacity.update(route)
         if not returned:
             return []
-        route.sent += returned
-        return [self._demand.state(route, now_ms)]
+        return [self._demand.state(route, len(self.routes), now_ms)]
 
     def _take_results(
         self, route: routing.Route, report: messages.ReportResults, now_ms: int
@@ -250,12 +274,15 @@
         if report.target != self._holder.member.incarnation:
             return []
         route.limit = max(route.limit, report.credit_limit)
+        route.spare = report.spare
         if report.first_sequence <= route.acknowledged + 1:
             last = report.first_sequence + len(report.results) - 1
             route.acknowledged = max(route.acknowledged, last)
         result: list[Effect] = []
         for item in report.results:
             result += self._take_result(route, item, now_ms)
+        self._capacity.update(route)
+        self._lender = route
         return result
 
     def _take_result(
@@ -271,6 +298,8 @@
             self._enqueue(submission, task)
             return []
         submission.end_task(task, item)
+        if submissions.is_success(item, is_job=True):
+            self._estimates.observe(submission.service, task.expected_ms, item.run_ms)
         if submission.is_job and not submissions.is_success(item, is_job=True):
             return self._end(submission, submission.conclude())
         if submission.ended < len(submission.tasks):
@@ -290,7 +319,13 @@
                 self.routes[name].member = member
                 continue
             self.routes[name] = routing.Route(member, heard_ms=now_ms)
-            result.append(self._demand.state(self.routes[name], now_ms))
+            result.append(self._demand.state(self.routes[name], len(current), now_ms))
+        known = self._holder.view
+        self._open_routes = [
+            route for route in self.routes.values() if routing.is_open(route, known)
+        ]
+        if self._capacity.rebuild(self.routes.values(), self._open_routes):
+            self._backlog.regroup(self._capacity.find_pool)
         return result
 
     def _give_up(self, route: routing.Route) -> list[Effect]:
@@ -310,8 +345,10 @@
 
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
-        if now_ms - route.demand_ms >= KEEP_ALIVE_MS:
-            result.append(self._demand.state(route, now_ms))
+        owed = route.acknowledged > route.stated
+        interval_ms = ACKNOWLEDGE_MS if owed else KEEP_ALIVE_MS
+        if now_ms - route.demand_ms >= interval_ms:
+            result.append(self._demand.state(route, len(self.routes), now_ms))
         inquiries = self._doubts.inquire(route, now_ms)
         self.counts["inquiries.sent"] += len(inquiries)
         return result + inquiries
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -8,6 +8,9 @@
 GATEWAY_SILENT_MS = 5000
 
 
+HELD_TASKS = 2
+
+
 @attrs.frozen(slots=True)
 class RunTask:
     """Starts a task on the upstream.
@@ -74,6 +77,16 @@
     reported_ms: int = 0
 
 
+@attrs.frozen(slots=True)
+class _Held:
+    """A task that waits for a slot to be freed here."""
+
+    gateway: _Gateway
+    message: messages.StartTasks
+    task: messages.TaskStart
+    received_ms: int
+
+
 class Executor:
     """Decides what starts on one upstream and reports how it ended.
 
@@ -92,12 +105,13 @@
         self._gateways: dict[str, _Gateway] = {}
         self._running: dict[tuple[str, int], str] = {}
         self._started = starts.TaskMemory()
+        self._held: dict[tuple[str, int], _Held] = {}
 
     @property
     def is_idle(self) -> bool:
         """Whether no task runs and every result was acknowledged."""
         waiting = any(item.unacknowledged for item in self._gateways.values())
-        return not self._running and not waiting
+        return not self._running and not self._held and not waiting
 
     def handle(self, event: Received | TaskEnded, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -126,7 +140,9 @@
             overdue = now_ms - gateway.reported_ms > RESEND_RESULTS_MS
             if gateway.unacknowledged and overdue:
                 result.append(self._report(gateway, now_ms, resend=True))
-        return result + self._grant(self.slots.distribute())
+        told = dict.fromkeys(self._redistribute())
+        told.update(dict.fromkeys(self.slots.list_untold()))
+        return result + self._grant(list(told))
 
     def drain(self, now_ms: int) -> list[Effect]:
         """Refuse new work from now on.
@@ -170,43 +186,40 @@
     def _start(
         self, gateway: _Gateway, message: messages.StartTasks, now_ms: int
     ) -> list[Effect]:
-        situation = starts.Situation(
-            self._holder.is_valid(now_ms),
-            self.leaving,
-            self._holder.member.incarnation,
-            gateway.last_sequence,
-            self._announcement,
-            self._holder.view,
-        )
+        situation = self._describe(gateway.last_sequence, now_ms)
         refusal = starts.judge_message(message, situation)
         if refusal is starts.Refusal.STALE_MESSAGE:
             self._count("starts.stale")
             return []
         if refusal is not starts.Refusal.WRONG_INCARNATION:
             gateway.last_sequence = message.sequence
-        self._acknowledge(gateway, message.acknowledged)
-        share = self.slots.shares[gateway.name]
-        share.queued = message.queued
-        share.oldest_wait_ms = message.oldest_wait_ms
-        share.used = max(share.used, message.sent)
+            self._acknowledge(gateway, message.acknowledged)
+            self.slots.note_demand(
+                gateway.name, message.sent, message.queued, message.oldest_wait_ms
+            )
         result: list[Effect] = []
         for task in message.tasks:
             reason = refusal or self._judge_task(message.submission, task)
-            if reason is not None:
+            if reason is starts.Refusal.NO_SLOT and len(self._held) < HELD_TASKS:
+                self._hold(_Held(gateway, message, task, now_ms))
+            elif reason is not None:
                 self._refuse(gateway, message.submission, task.index, reason)
-                continue
-            result.append(self._run(gateway, message, task))
+            else:
+                self.slots.start(gateway.name)
+                timeout_ms = message.deadline_ms
+                result.append(self._run(gateway, message, task, timeout_ms))
         if gateway.ready:
-            self._redistribute(gateway.name)
+            grown = self._redistribute(gateway.name)
             result.append(self._report(gateway, now_ms))
-        return result
+            return result + self._grant(grown)
+        return result + self._grant(self._redistribute())
 
     def _judge_task(
         self, submission: str, task: messages.TaskStart
     ) -> starts.Refusal | None:
         if (submission, task.index) in self._started:
             return starts.Refusal.DUPLICATE
-        if self.slots.running >= self.slots.count:
+        if len(self._running) >= self.slots.count:
             return starts.Refusal.NO_SLOT
         return None
 
@@ -215,10 +228,10 @@
         gateway: _Gateway,
         message: messages.StartTasks,
         task: messages.TaskStart,
+        timeout_ms: int,
     ) -> RunTask:
         self._started.note(message.submission, task.index)
         self._running[message.submission, task.index] = gateway.name
-        self.slots.running += 1
         self._count("tasks.started")
         return RunTask(
             message.submission,
@@ -226,10 +239,42 @@
             message.service,
             message.content_type,
             task.payload,
-            message.deadline_ms,
+            timeout_ms,
             message.traceparent,
         )
 
+    def _hold(self, held: _Held) -> None:
+        self._count("tasks.held")
+        self.slots.start(held.gateway.name)
+        self._held[held.message.submission, held.task.index] = held
+
+    def _start_held(self, now_ms: int) -> list[Effect]:
+        """Start what waits here for a slot, or refuse it if it may not start."""
+        result: list[Effect] = []
+        while self._held and len(self._running) < self.slots.count:
+            name, held = next(iter(self._held.items()))
+            del self._held[name]
+            left_ms = held.message.deadline_ms - (now_ms - held.received_ms)
+            message = attrs.evolve(held.message, deadline_ms=left_ms)
+            refusal = starts.judge_message(message, self._describe(0, now_ms))
+            if refusal is None:
+                result.append(self._run(held.gateway, message, held.task, left_ms))
+                continue
+            self.slots.end(held.gateway.name)
+            self._refuse(held.gateway, *name, refusal)
+            result.append(self._report(held.gateway, now_ms))
+        return result
+
+    def _describe(self, last_sequence: int, now_ms: int) -> starts.Situation:
+        return starts.Situation(
+            self._holder.is_valid(now_ms),
+            self.leaving,
+            self._holder.member.incarnation,
+            last_sequence,
+            self._announcement,
+            self._holder.view,
+        )
+
     def _refuse(
         self, gateway: _Gateway, submission: str, index: int, reason: starts.Refusal
     ) -> None:
@@ -244,10 +289,10 @@
         name = self._running.pop((ended.submission, ended.index), None)
         if name is None:
             return []
-        self.slots.running -= 1
+        self.slots.end(name)
         gateway = self._gateways.get(name)
-        grown = self._redistribute(name)
-        result = self._grant([other for other in grown if other != name])
+        result = self._start_held(now_ms)
+        result += self._grant(self._redistribute(name))
         if gateway is None:
             self._count("results.undeliverable")
             return result
@@ -269,8 +314,11 @@
                 gateway.result_sequence += 1
                 gateway.unacknowledged[gateway.result_sequence] = item
         gateway.reported_ms = now_ms
-        limit = self.slots.shares[gateway.name].limit
-        report = messages.ReportResults(gateway.incarnation, first, results, limit)
+        limit = self.slots.state_limit(gateway.name)
+        spare = self.slots.count_spare(gateway.name)
+        report = messages.ReportResults(
+            gateway.incarnation, first, results, limit, spare
+        )
         return effects.Send(gateway.address, report)
 
     def _acknowledge(self, gateway: _Gateway, sequence: int) -> None:
@@ -286,19 +334,14 @@
         if message.target != self._holder.member.incarnation:
             return []
         self._acknowledge(gateway, message.acknowledged)
-        share = self.slots.shares[gateway.name]
-        share.queued = message.queued
-        share.oldest_wait_ms = message.oldest_wait_ms
-        if message.sent > share.used:
-            share.recalled = max(0, share.recalled - (message.sent - share.used))
-            share.used = message.sent
-        grown = self._redistribute()
-        if share.limit == 0 and gateway.name not in grown:
-            grown.append(gateway.name)
-        result = self._grant(grown)
-        if not self.leaving:
-            result += self._grant(self.slots.recall())
-        return result
+        self.slots.note_demand(
+            gateway.name, message.sent, message.queued, message.oldest_wait_ms
+        )
+        self.slots.shares[gateway.name].stated = message.credit_limit
+        told = dict.fromkeys(self._redistribute())
+        if self.slots.shares[gateway.name].needs_telling:
+            told[gateway.name] = None
+        return self._grant(list(told))
 
     def _redistribute(self, freed_for: str = "") -> list[str]:
         if self.leaving:
@@ -311,7 +354,10 @@
             gateway = self._gateways[name]
             share = self.slots.shares[name]
             grant = messages.GrantCredits(
-                share.limit, gateway.incarnation, share.recalled, self.slots.count
+                self.slots.state_limit(name),
+                gateway.incarnation,
+                share.recalled,
+                self.slots.count,
             )
             result.append(effects.Send(gateway.address, grant))
         return result
@@ -339,7 +385,7 @@
         }
         for task in message.tasks:
             name = (task.submission, task.index)
-            if name in self._running or name in held:
+            if name in self._running or name in self._held or name in held:
                 continue
             if name in self._started:
                 lost = messages.TaskResult(*name, "unknown", "result no longer held")
--- a/amaranthspar/fairqueue.py
+++ b/amaranthspar/fairqueue.py
@@ -3,47 +3,75 @@
 A path names the flow at each level, as in team, caller and submission. At each
 level the flow that has had the least service for its weight is served next.
 Within the last level the items with the longest expected run time come first.
+Flows of the first level can be held back while others are served.
 """
 
 import heapq
+import itertools
 from typing import Generic, TypeVar
 
 import attrs
 
 Item = TypeVar("Item")
 
+LEAST_COST_MS = 1.0
 
-@attrs.define(slots=True)
+
+@attrs.frozen(slots=True)
+class Step:
+    """One level of a path.
+
+    Attributes:
+        name: Flow at that level.
+        weight: Share of the service against its siblings.
+    """
+
+    name: str
+    weight: float = 1.0
+
+
+Path = tuple[Step, ...]
+
+
+@attrs.define(slots=True, eq=False)
 class _Leaf(Generic[Item]):
     """Items of one submission."""
 
-    items: list[tuple[float, int, Item]] = attrs.field(factory=list)
+    name: str
+    weight: float
     served: float = 0.0
+    items: list[tuple[float, int, Item]] = attrs.field(factory=list)
 
 
-@attrs.define(slots=True)
+@attrs.define(slots=True, eq=False)
 class _Branch(Generic[Item]):
     """Flows of one level."""
 
+    name: str
+    weight: float
     served: float = 0.0
     clock: float = 0.0
     flows: "dict[str, _Branch[Item] | _Leaf[Item]]" = attrs.field(factory=dict)
-    order: list[tuple[float, int, str]] = attrs.field(factory=list)
+    order: "list[tuple[float, int, _Branch[Item] | _Leaf[Item]]]" = attrs.field(
+        factory=list
+    )
 
 
 class FairQueue(Generic[Item]):
     """Queue of items that wait for a slot."""
 
     def __init__(self) -> None:
-        self._root: _Branch[Item] = _Branch()
+        self._root: _Branch[Item] = _Branch("", 1.0)
         self._count = 0
         self._serial = 0
+        self._held: set[str] = set()
+        self._parked: dict[str, _Branch[Item] | _Leaf[Item]] = {}
 
     def __len__(self) -> int:
         """Return how many items wait."""
         return self._count
 
-    def push(self, path: tuple[str, ...], item: Item, cost_ms: float) -> None:
+    def push(self, path: Path, item: Item, cost_ms: float) -> None:
         """Add an item.
 
         Args:
@@ -51,47 +79,104 @@
             item: Item to queue.
             cost_ms: Expected run time in ms.
         """
-        self._serial += 1
         self._count += 1
         branch = self._root
-        for depth, name in enumerate(path):
-            flow = branch.flows.get(name)
+        for step in path[:-1]:
+            flow = branch.flows.get(step.name)
             if flow is None:
-                flow = _Leaf() if depth == len(path) - 1 else _Branch()
-                flow.served = branch.clock
-                branch.flows[name] = flow
-                heapq.heappush(branch.order, (flow.served, self._serial, name))
-            if isinstance(flow, _Leaf):
-                heapq.heappush(flow.items, (-cost_ms, self._serial, item))
-                return
+                flow = _Branch(step.name, step.weight)
+                self._join(branch, flow)
+            assert isinstance(flow, _Branch)
             branch = flow
+        leaf = branch.flows.get(path[-1].name)
+        if leaf is None:
+            leaf = _Leaf(path[-1].name, path[-1].weight)
+            self._join(branch, leaf)
+        assert isinstance(leaf, _Leaf)
+        self._serial += 1
+        heapq.heappush(leaf.items, (-cost_ms, self._serial, item))
 
-    def pop(self) -> Item:
-        """Remove and return the item that is served next.
-
-        Raises:
-            IndexError: The queue is empty.
-        """
+    def pop(self) -> Item | None:
+        """Remove and return the item served next, none if none may be served."""
         if not self._count:
-            raise IndexError("pop from an empty queue")
+            return None
+        popped = self._pop_from(self._root)
+        if popped is None:
+            return None
         self._count -= 1
-        item, _ = self._pop_from(self._root)
-        return item
-
-    def _pop_from(self, branch: _Branch[Item]) -> tuple[Item, float]:
-        served, _, name = heapq.heappop(branch.order)
-        branch.clock = max(branch.clock, served)
-        flow = branch.flows[name]
-        if isinstance(flow, _Leaf):
-            negative_cost_ms, _, item = heapq.heappop(flow.items)
-            cost_ms, empty = -negative_cost_ms, not flow.items
-        else:
-            item, cost_ms = self._pop_from(flow)
-            empty = not flow.flows
-        if empty:
-            del branch.flows[name]
-            return item, cost_ms
-        flow.served = served + max(cost_ms, 1.0)
+        return popped[0]
+
+    def drop(self, path: Path) -> list[Item]:
+        """Remove a flow with all that waits in it.
+
+        Args:
+            path: Flow at each level, outermost first.
+
+        Returns:
+            Items that were removed.
+        """
+        branches = [self._root]
+        for step in path[:-1]:
+            flow = branches[-1].flows.get(step.name)
+            if not isinstance(flow, _Branch):
+                return []
+            branches.append(flow)
+        leaf = branches[-1].flows.pop(path[-1].name, None)
+        if not isinstance(leaf, _Leaf):
+            return []
+        for parent, branch in reversed(list(itertools.pairwise(branches))):
+            if not branch.flows and parent.flows.get(branch.name) is branch:
+                del parent.flows[branch.name]
+        self._count -= len(leaf.items)
+        return [item for _, _, item in leaf.items]
+
+    def hold(self, name: str) -> None:
+        """Serve nothing of a flow of the first level until it is released."""
+        self._held.add(name)
+
+    def release(self, name: str) -> None:
+        """Serve a flow of the first level again."""
+        self._held.discard(name)
+        flow = self._parked.pop(name, None)
+        if flow is not None:
+            self._place(self._root, flow)
+
+    def _join(self, branch: _Branch[Item], flow: _Branch[Item] | _Leaf[Item]) -> None:
+        flow.served = branch.clock
+        branch.flows[flow.name] = flow
+        self._place(branch, flow)
+
+    def _place(self, branch: _Branch[Item], flow: _Branch[Item] | _Leaf[Item]) -> None:
         self._serial += 1
-        heapq.heappush(branch.order, (flow.served, self._serial, name))
-        return item, cost_ms
+        heapq.heappush(branch.order, (flow.served, self._serial, flow))
+
+    def _pop_from(self, branch: _Branch[Item]) -> tuple[Item, float] | None:
+        while branch.order:
+            served, _, flow = heapq.heappop(branch.order)
+            if branch.flows.get(flow.name) is not flow:
+                continue
+            if branch is self._root and flow.name in self._held:
+                self._parked[flow.name] = flow
+                continue
+            branch.clock = max(branch.clock, served)
+            popped = self._serve(flow)
+            if popped is None:
+                del branch.flows[flow.name]
+                continue
+            flow.served = served + max(popped[1], LEAST_COST_MS) / flow.weight
+            self._settle(branch, flow)
+            return popped
+        return None
+
+    def _serve(self, flow: _Branch[Item] | _Leaf[Item]) -> tuple[Item, float] | None:
+        if isinstance(flow, _Branch):
+            return self._pop_from(flow)
+        negative_cost_ms, _, item = heapq.heappop(flow.items)
+        return item, -negative_cost_ms
+
+    def _settle(self, branch: _Branch[Item], flow: _Branch[Item] | _Leaf[Item]) -> None:
+        empty = not (flow.flows if isinstance(flow, _Branch) else flow.items)
+        if empty:
+            del branch.flows[flow.name]
+        else:
+            self._place(branch, flow)
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -323,8 +323,8 @@
         service: Service name.
         content_type: Content type of the payloads.
         deadline_ms: Time left in ms when sent.
-        queued: Tasks that still wait in the gateway and may run here.
-        oldest_wait_ms: Wait in ms of the oldest of them.
+        queued: Part of the gateway's waiting tasks that this upstream may take.
+        oldest_wait_ms: Wait in ms of the oldest request for a response.
         sent: Total of tasks sent and credits handed back after this message.
         acknowledged: Sequence up to which results arrived.
         tasks: Tasks.
@@ -384,12 +384,14 @@
         first_sequence: Sequence of the first result on this link.
         results: Results.
         credit_limit: Total of tasks that the gateway may have sent.
+        spare: Idle slots for which the gateway holds no credit.
     """
 
     target: int
     first_sequence: int
     results: list[TaskResult]
     credit_limit: int
+    spare: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -415,10 +417,11 @@
 
     Attributes:
         target: Sidecar incarnation.
-        queued: Tasks that wait in the gateway and may run here.
-        oldest_wait_ms: Wait in ms of the oldest of them.
+        queued: Part of the gateway's waiting tasks that this upstream may take.
+        oldest_wait_ms: Wait in ms of the oldest request for a response.
         sent: Total of tasks sent or credits handed back.
         acknowledged: Sequence up to which results arrived.
+        credit_limit: Credit limit that the gateway knows of.
     """
 
     target: int
@@ -426,6 +429,7 @@
     oldest_wait_ms: int
     sent: int
     acknowledged: int
+    credit_limit: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -1,5 +1,7 @@
 """Choice of the sidecar for a task."""
 
+from collections.abc import Hashable
+
 import attrs
 
 from amaranthspar import messages, submissions, view
@@ -17,6 +19,10 @@
         acknowledged: Sequence up to which results arrived.
         in_flight: Tasks sent and not ended.
         heard_ms: Monotonic time of the last message.
+        stated: Acknowledged sequence that the sidecar was told last.
+        spare: Idle slots last seen there that stand for others' credits.
+        allowance: Tasks that may be in flight there; none for no limit.
+        profile: Key under which the sidecar is indexed, none if it is not.
     """
 
     member: messages.Member
@@ -27,6 +33,10 @@
     heard_ms: int = 0
     demand_ms: int = 0
     inquired_ms: int = 0
+    stated: int = 0
+    spare: int = 0
+    allowance: int | None = None
+    profile: Hashable = None
     in_flight: dict[tuple[str, int], submissions.Task] = attrs.field(factory=dict)
 
     @property
@@ -34,6 +44,13 @@
         """Tasks that may be sent now."""
         return self.limit - self.sent
 
+    @property
+    def room(self) -> int:
+        """Tasks that should be sent now."""
+        if self.allowance is None:
+            return self.credits
+        return min(self.credits, self.allowance - len(self.in_flight))
+
     @property
     def announcement(self) -> messages.Announcement:
         """What the sidecar stated about its upstream."""
@@ -100,25 +117,3 @@
     """
     domain = route.announcement.failure_domain
     return not route.member.leaving and known.is_domain_in(domain)
-
-
-def choose_route(needs: Needs, routes: list[Route], near_domain: str) -> Route | None:
-    """Return the sidecar that gets the next task, none if all are full.
-
-    The near failure domain comes first, then the sidecar with the most
-    credits, so that load spreads.
-
-    Args:
-        needs: What the task asks for.
-        routes: Sidecars that may be sent new work.
-        near_domain: Failure domain of the gateway.
-    """
-    best: Route | None = None
-    best_rank = (False, 0)
-    for route in routes:
-        if route.credits <= 0 or not is_feasible(needs, route.announcement):
-            continue
-        rank = (route.announcement.failure_domain == near_domain, route.credits)
-        if best is None or rank > best_rank:
-            best, best_rank = route, rank
-    return best
--- a/amaranthspar/slots.py
+++ b/amaranthspar/slots.py
@@ -1,12 +1,16 @@
 """Slots of an upstream, handed out to gateways as credits.
 
 A gateway may have sent as many tasks in total as its credit limit says. The
-counters only grow, so lost and doubled messages do no harm.
+counters only grow, so lost and doubled messages do no harm. New limits ride on
+results; only a gateway that has work and no credits is told at once. A gateway that
+starves may send beyond its limit to a sidecar that has just reported idle slots for
+which another gateway holds the credits; the limit then follows what it sent.
 """
 
 import attrs
 
-REBALANCE_WAIT_MS = 20
+REBALANCE_WAIT_MS = 1000
+LEAST_SHARE = 8
 
 
 @attrs.define(slots=True)
@@ -15,14 +19,18 @@
 
     Attributes:
         limit: Total of tasks that the gateway may have sent.
+        stated: Limit that the gateway was told last.
         used: Total of tasks received and of credits handed back.
-        queued: Tasks that wait in the gateway.
-        oldest_wait_ms: Wait of the oldest of them when reported.
+        running: Tasks of the gateway that run.
+        queued: Part of the gateway's waiting tasks that this upstream may take.
+        oldest_wait_ms: Wait of the oldest request for a response when reported.
         recalled: Credits asked back and not yet returned.
     """
 
     limit: int = 0
+    stated: int = 0
     used: int = 0
+    running: int = 0
     queued: int = 0
     oldest_wait_ms: int = 0
     recalled: int = 0
@@ -32,11 +40,21 @@
         """Credits that the gateway holds."""
         return self.limit - self.used
 
+    @property
+    def held(self) -> int:
+        """Slots that the gateway uses or may use."""
+        return self.running + self.unused
+
     @property
     def is_starving(self) -> bool:
         """Whether the gateway has more tasks than credits."""
         return self.queued > self.unused
 
+    @property
+    def needs_telling(self) -> bool:
+        """Whether the gateway holds credits only by a limit not yet stated."""
+        return self.stated <= self.used < self.limit
+
 
 class Slots:
     """Allocation of slots to gateways.
@@ -55,6 +73,14 @@
         held = sum(share.unused for share in self.shares.values())
         return self.count - self.running - held
 
+    def count_spare(self, name: str) -> int:
+        """Return the idle slots for which a gateway holds no credit.
+
+        Args:
+            name: Gateway.
+        """
+        return max(0, self.count - self.running - self.shares[name].unused)
+
     def add_gateway(self, name: str) -> None:
         """Add a gateway without credits, replacing an older incarnation."""
         self.shares[name] = Share()
@@ -63,54 +89,99 @@
         """Take back the credits of a gateway that is gone."""
         self.shares.pop(name, None)
 
+    def note_demand(
+        self, name: str, sent: int, queued: int, oldest_wait_ms: int
+    ) -> None:
+        """Take what a gateway states with a start or a report.
+
+        Args:
+            name: Gateway.
+            sent: Total of tasks sent and of credits handed back.
+            queued: Part of its waiting tasks that this upstream may take.
+            oldest_wait_ms: Wait of its oldest request for a response.
+        """
+        share = self.shares[name]
+        share.queued = queued
+        share.oldest_wait_ms = oldest_wait_ms
+        if sent > share.used:
+            share.recalled = max(0, share.recalled - (sent - share.used))
+            share.used = sent
+        share.limit = max(share.limit, share.used)
+
+    def start(self, name: str) -> None:
+        """Note that a task of a gateway starts."""
+        self.running += 1
+        self.shares[name].running += 1
+
+    def end(self, name: str) -> None:
+        """Note that a task of a gateway has ended."""
+        self.running -= 1
+        share = self.shares.get(name)
+        if share is not None and share.running:
+            share.running -= 1
+
+    def state_limit(self, name: str) -> int:
+        """Return a gateway's limit, which is about to be told to it."""
+        share = self.shares[name]
+        share.stated = share.limit
+        return share.limit
+
     def distribute(self, freed_for: str = "") -> list[str]:
         """Hand free slots out.
 
         Args:
-            freed_for: Gateway whose task has just ended; it keeps the slot
-                unless another one starves and waits longer.
+            freed_for: Gateway whose task has just ended and that is told of its
+                limit anyway; it keeps the slot unless another one needs it more.
 
         Returns:
-            Gateways whose limit has grown.
+            Other gateways that are to be told at once.
         """
-        grown: dict[str, None] = {}
+        told: dict[str, None] = {}
         for _ in range(self.count_free()):
             name = self._choose(freed_for)
             if name is None:
                 break
-            self.shares[name].limit += 1
-            grown[name] = None
-        return list(grown)
-
-    def recall(self) -> list[str]:
-        """Ask credits back from gateways without work for a starving one.
-
-        Returns:
-            Gateways that are to return credits.
-        """
-        if not any(share.is_starving for share in self.shares.values()):
-            return []
-        idle = [
+            share = self.shares[name]
+            if share.is_starving:
+                told[name] = None
+            share.limit += 1
+        told.pop(freed_for, None)
+        return list(told)
+
+    def list_untold(self) -> list[str]:
+        """Return the gateways that wait for a statement of their credits."""
+        return [
             name
             for name, share in self.shares.items()
-            if not share.queued and share.unused > share.recalled
+            if share.needs_telling and not share.running
         ]
-        for name in idle:
-            share = self.shares[name]
-            share.recalled = (share.unused + 1) // 2
-        return idle
 
     def _choose(self, freed_for: str) -> str | None:
-        starving = [name for name, share in self.shares.items() if share.is_starving]
-        if starving:
-            longest = max(starving, key=lambda name: self.shares[name].oldest_wait_ms)
-            owner = self.shares.get(freed_for)
-            if owner is None or not owner.is_starving:
-                return longest
-            gap_ms = self.shares[longest].oldest_wait_ms - owner.oldest_wait_ms
-            return longest if gap_ms > REBALANCE_WAIT_MS else freed_for
-        if freed_for in self.shares:
-            return freed_for
         if not self.shares:
             return None
-        return min(self.shares, key=lambda name: self.shares[name].unused)
+        owner = self.shares.get(freed_for)
+        starving = [name for name, share in self.shares.items() if share.is_starving]
+        if not starving:
+            least = min(self.shares, key=lambda name: self.shares[name].unused)
+            if owner and owner.unused <= self.shares[least].unused + 1:
+                return freed_for
+            return least
+        neediest = max(starving, key=self._rank_need)
+        if owner is None or not self.shares[neediest].running:
+            return neediest
+        if owner.is_starving and self._takes_precedence(neediest, owner):
+            return neediest
+        return freed_for
+
+    def _rank_need(self, name: str) -> tuple[int, int]:
+        share = self.shares[name]
+        return share.oldest_wait_ms, -share.held
+
+    def _takes_precedence(self, name: str, owner: Share) -> bool:
+        share = self.shares[name]
+        if owner.held <= self.count / LEAST_SHARE:
+            return False
+        if owner.oldest_wait_ms:
+            gap_ms = share.oldest_wait_ms - owner.oldest_wait_ms
+            return gap_ms > REBALANCE_WAIT_MS
+        return share.oldest_wait_ms > 0 or owner.held - share.held > self.count / 4
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the roles and of the decisions."""
--- /dev/null
+++ b/benchmarks/virtual.py
@@ -0,0 +1,361 @@
+"""Gateways' and sidecars' machines in virtual time, joined by delayed messages."""
+
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from amaranthspar import (
+    configuration,
+    dispatcher,
+    effects,
+    executor,
+    leaseholder,
+    messages,
+    submissions,
+)
+from benchmarks import workloads
+
+DELAY_MS = (0.5, 1.5)
+TICK_MS = 50
+LEASE_MS = 100_000_000
+SERVICES = ["lookup", "recalculate", "hold"]
+DOMAINS = ("gyor", "pecs", "veszprem")
+WIDTH = 24
+
+
+class Loop:
+    """Event loop whose clock jumps from event to event."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = itertools.count()
+
+    def call_at(self, at_ms: float, call: Callable[[], None]) -> None:
+        """Call at a time in ms."""
+        heapq.heappush(self._events, (at_ms, next(self._serial), call))
+
+    def run(self, until_ms: float) -> None:
+        """Run until a time in ms."""
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, call = heapq.heappop(self._events)
+            call()
+        self.now_ms = until_ms
+
+
+@attrs.define(slots=True)
+class Worker:
+    """Behaviour of one upstream.
+
+    Attributes:
+        slowness: Factor on run times.
+        fails: Whether it fails everything at once.
+    """
+
+    slowness: float = 1.0
+    fails: bool = False
+
+
+@attrs.define(slots=True)
+class Record:
+    """What a run showed.
+
+    Attributes:
+        responses_ms: Response time of each arrival by its position.
+        outcomes: Answers by outcome and reason.
+        messages: Messages by class name.
+        useful: Starts and results that carried a task for the first time.
+        starts: Starts of each task.
+        busy_ms: Time that slots were busy, by sidecar.
+        by_sidecar: Starts by sidecar.
+    """
+
+    responses_ms: dict[int, float] = attrs.field(factory=dict)
+    outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    messages: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    useful: int = 0
+    starts: collections.Counter[tuple[str, int]] = attrs.field(
+        factory=collections.Counter
+    )
+    busy_ms: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    by_sidecar: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    def count_wasted(self) -> float:
+        """Return messages beyond one a start batch and one a result, by task."""
+        total = sum(self.messages.values())
+        return (total - self.useful) / max(1, len(self.starts))
+
+
+@attrs.define(slots=True)
+class Gateway:
+    """One gateway."""
+
+    member: messages.Member
+    holder: leaseholder.LeaseHolder
+    machine: dispatcher.Dispatcher
+
+
+@attrs.define(slots=True)
+class Sidecar:
+    """One sidecar and its upstream."""
+
+    member: messages.Member
+    holder: leaseholder.LeaseHolder
+    machine: executor.Executor
+    worker: Worker
+    alive: bool = True
+
+
+class Fleet:
+    """Gateways and sidecars over a network with delays.
+
+    Args:
+        gateways: Number of gateways.
+        sidecars: Number of sidecars.
+        slots: Slots of each.
+        seed: Seed of the delays.
+    """
+
+    def __init__(
+        self, gateways: int = 2, sidecars: int = 9, slots: int = 8, seed: int = 1
+    ) -> None:
+        self.loop = Loop()
+        self.record = Record()
+        self.settings = build_settings()
+        self._chance = random.Random(seed)
+        self._last_ms: dict[tuple[str, str], float] = {}
+        self._arrivals: dict[str, tuple[int, workloads.Arrival]] = {}
+        self._running: dict[tuple[str, int], str] = {}
+        self._revision = 0
+        self._version = 1
+        self.sidecars = {
+            member.process: self._build_sidecar(member)
+            for member in (build_member(n, slots) for n in range(sidecars))
+        }
+        self.gateways = {
+            member.process: self._build_gateway(member, DOMAINS[n % len(DOMAINS)])
+            for n, member in enumerate(map(build_gateway_member, range(gateways)))
+        }
+        self.update_view()
+        for number, name in enumerate([*self.gateways, *self.sidecars]):
+            self._schedule_tick(name, number * 3.0)
+
+    def _build_gateway(self, member: messages.Member, domain: str) -> Gateway:
+        holder = leaseholder.LeaseHolder(member, ["c"], 0, random.Random(1))
+        return Gateway(member, holder, dispatcher.Dispatcher(holder, domain))
+
+    def _build_sidecar(self, member: messages.Member) -> Sidecar:
+        holder = leaseholder.LeaseHolder(member, ["c"], 0, random.Random(1))
+        return Sidecar(member, holder, executor.Executor(holder), Worker())
+
+    def update_view(self) -> None:
+        """Grant every process a lease with the present settings and members."""
+        self._revision += 1
+        self._version += 1
+        members = [item.member for item in self.gateways.values()]
+        members += [item.member for item in self.sidecars.values() if item.alive]
+        grant = messages.LeaseGranted(
+            sent_ms=int(self.loop.now_ms),
+            duration_ms=LEASE_MS,
+            age_ms=0,
+            configuration_version=self._version,
+            membership_revision=self._revision,
+            configuration=messages.ConfigurationChange(
+                0, self._version, self.settings.list_sections(), []
+            ),
+            membership=messages.MembershipChange(0, self._revision, members, []),
+        )
+        now_ms = int(self.loop.now_ms)
+        for sidecar in self.sidecars.values():
+            sidecar.holder.handle(grant, now_ms)
+        for gateway in self.gateways.values():
+            gateway.holder.handle(grant, now_ms)
+            self._act(gateway, gateway.machine.handle(dispatcher.ViewChanged(), now_ms))
+
+    def feed(self, arrivals: Iterable[workloads.Arrival]) -> None:
+        """Schedule arrivals."""
+        names = list(self.gateways)
+        for position, arrival in enumerate(arrivals):
+            name = names[arrival.gateway % len(names)]
+            self.loop.call_at(
+                arrival.at_ms,
+                lambda n=name, p=position, a=arrival: self._arrive(n, p, a),
+            )
+
+    def _arrive(self, name: str, position: int, arrival: workloads.Arrival) -> None:
+        now_ms = int(self.loop.now_ms)
+        gateway = self.gateways[name]
+        submission = build_submission(f"s{position}", arrival, now_ms)
+        self._arrivals[submission.name] = (position, arrival)
+        event = dispatcher.Submitted(submission)
+        self._act(gateway, gateway.machine.handle(event, now_ms))
+
+    def cancel(self, name: str, position: int) -> None:
+        """Cancel the arrival at a position."""
+        gateway = self.gateways[name]
+        event = dispatcher.Cancelled(f"s{position}")
+        self._act(gateway, gateway.machine.handle(event, int(self.loop.now_ms)))
+
+    def restart_sidecar(self, name: str) -> None:
+        """Replace a sidecar by a new incarnation; what ran there is lost."""
+        old = self.sidecars[name]
+        member = attrs.evolve(old.member, incarnation=old.member.incarnation + 1)
+        self.sidecars[name] = self._build_sidecar(member)
+        for task in [task for task, host in self._running.items() if host == name]:
+            del self._running[task]
+        self.update_view()
+
+    def _schedule_tick(self, name: str, at_ms: float) -> None:
+        self.loop.call_at(at_ms, lambda: self._tick(name))
+
+    def _tick(self, name: str) -> None:
+        now_ms = int(self.loop.now_ms)
+        host = self.gateways.get(name) or self.sidecars[name]
+        self._act(host, host.machine.tick(now_ms))
+        self._schedule_tick(name, self.loop.now_ms + TICK_MS)
+
+    def _act(self, host: Gateway | Sidecar, performed: Iterable[object]) -> None:
+        for effect in performed:
+            match effect:
+                case effects.Send():
+                    self._send(host, effect)
+                case submissions.Answer():
+                    self._note_answer(effect)
+                case executor.RunTask():
+                    assert isinstance(host, Sidecar)
+                    self._run(host, effect)
+                case executor.StopTask():
+                    self._stop(host, effect)
+
+    def _send(self, host: Gateway | Sidecar, send: effects.Send) -> None:
+        message = send.message
+        self.record.messages[type(message).__name__] += 1
+        if isinstance(message, messages.StartTasks):
+            self.record.useful += 1
+        if isinstance(message, messages.ReportResults):
+            self.record.useful += any(
+                item.outcome == "done" for item in message.results
+            )
+        link = (host.member.process, send.peer)
+        at_ms = self.loop.now_ms + self._chance.uniform(*DELAY_MS)
+        at_ms = max(at_ms, self._last_ms.get(link, 0.0))
+        self._last_ms[link] = at_ms
+        sender = host.member
+        self.loop.call_at(at_ms, lambda: self._deliver(sender, send.peer, message))
+
+    def _deliver(self, sender: messages.Member, peer: str, message: object) -> None:
+        now_ms = int(self.loop.now_ms)
+        if peer in self.gateways:
+            gateway = self.gateways[peer]
+            came = dispatcher.Received(sender.process, sender.incarnation, message)
+            self._act(gateway, gateway.machine.handle(came, now_ms))
+        elif peer in self.sidecars and self.sidecars[peer].alive:
+            sidecar = self.sidecars[peer]
+            event = executor.Received(
+                sender.process, sender.incarnation, sender.address, message
+            )
+            self._act(sidecar, sidecar.machine.handle(event, now_ms))
+
+    def _run(self, host: Sidecar, run: executor.RunTask) -> None:
+        _, arrival = self._arrivals[run.submission]
+        name = (run.submission, run.index)
+        run_ms = arrival.runs_ms[run.index] * host.worker.slowness
+        failed = arrival.fails or host.worker.fails
+        if host.worker.fails:
+            run_ms = 1.0
+        self.record.starts[name] += 1
+        self.record.by_sidecar[host.member.process] += 1
+        self.record.busy_ms[host.member.process] += int(run_ms)
+        self._running[name] = host.member.process
+        result = messages.TaskResult(
+            *name, "done", status=500 if failed else 200, run_ms=int(run_ms)
+        )
+        self.loop.call_at(self.loop.now_ms + run_ms, lambda: self._end(host, result))
+
+    def _stop(self, host: Gateway | Sidecar, stop: executor.StopTask) -> None:
+        result = messages.TaskResult(
+            stop.submission, stop.index, "unknown", "cancelled"
+        )
+        assert isinstance(host, Sidecar)
+        self.loop.call_at(self.loop.now_ms, lambda: self._end(host, result))
+
+    def _end(self, host: Sidecar, result: messages.TaskResult) -> None:
+        name = (result.submission, result.index)
+        if self.sidecars[host.member.process] is not host:
+            return
+        if self._running.pop(name, None) is None:
+            return
+        event = executor.TaskEnded(result)
+        self._act(host, host.machine.handle(event, int(self.loop.now_ms)))
+
+    def _note_answer(self, answer: submissions.Answer) -> None:
+        position, arrival = self._arrivals[answer.submission]
+        self.record.outcomes[f"{answer.outcome} {answer.reason}".strip()] += 1
+        if answer.outcome == submissions.DONE:
+            self.record.responses_ms[position] = self.loop.now_ms - arrival.at_ms
+
+
+def build_settings() -> configuration.Configuration:
+    """Return the configuration of a fleet."""
+    result = configuration.Configuration()
+    result.add_service("lookup", idempotent=True, deadline_ms=3_600_000)
+    result.add_service("recalculate", idempotent=True, objective="completion")
+    result.add_service("hold")
+    result.add_team("field")
+    result.add_team("office")
+    for domain in DOMAINS:
+        result.add_domain(domain)
+    return result
+
+
+def build_gateway_member(number: int) -> messages.Member:
+    """Return a gateway's member."""
+    name = f"gateway-{number + 1}"
+    return messages.Member(name, "gateway", 1, name, revision=0)
+
+
+def build_member(number: int, slots: int) -> messages.Member:
+    """Return a sidecar's member with its announcement."""
+    name = f"sidecar-{number + 1}"
+    announcement = messages.Announcement(
+        worker=f"worker-{number + 1}",
+        rack=f"rack-{number // 3 + 1}",
+        group="main",
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        services=SERVICES,
+        slots=slots,
+        connections=64,
+        cores=16,
+        memory_mb=65536,
+        accelerators=0,
+    )
+    return messages.Member(
+        name, "sidecar", 1, name, revision=0, announcement=announcement
+    )
+
+
+def build_submission(
+    name: str, arrival: workloads.Arrival, now_ms: int, deadline_ms: int = 600_000
+) -> submissions.Submission:
+    """Return the submission of an arrival."""
+    tasks = [
+        submissions.Task(index, b"", expected_ms)
+        for index, expected_ms in enumerate(arrival.declared_ms)
+    ]
+    return submissions.Submission(
+        name=name,
+        service=arrival.service,
+        account=arrival.team,
+        team=arrival.team,
+        caller=arrival.caller,
+        desk="",
+        is_job=arrival.is_job,
+        content_type="application/json",
+        admitted_ms=now_ms,
+        deadline_ms=now_ms + deadline_ms,
+        tasks=tasks,
+    )
