--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -2,15 +2,12 @@
 
 import attrs
 
-from amaranthspar import effects, leaseholder, messages, slots, starts
+from amaranthspar import effects, holding, leaseholder, messages, slots, starts
 
 RESEND_RESULTS_MS = 1500
 GATEWAY_SILENT_MS = 5000
 
 
-HELD_TASKS = 2
-
-
 @attrs.frozen(slots=True)
 class RunTask:
     """Starts a task on the upstream.
@@ -77,16 +74,6 @@
     reported_ms: int = 0
 
 
-@attrs.frozen(slots=True)
-class _Held:
-    """A task that waits for a slot to be freed here."""
-
-    gateway: _Gateway
-    message: messages.StartTasks
-    task: messages.TaskStart
-    received_ms: int
-
-
 class Executor:
     """Decides what starts on one upstream and reports how it ended.
 
@@ -105,13 +92,13 @@
         self._gateways: dict[str, _Gateway] = {}
         self._running: dict[tuple[str, int], str] = {}
         self._started = starts.TaskMemory()
-        self._held: dict[tuple[str, int], _Held] = {}
+        self._held = holding.Holding()
 
     @property
     def is_idle(self) -> bool:
         """Whether no task runs and every result was acknowledged."""
         waiting = any(item.unacknowledged for item in self._gateways.values())
-        return not self._running and not self._held and not waiting
+        return not self._running and not len(self._held) and not waiting
 
     def handle(self, event: Received | TaskEnded, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -163,7 +150,7 @@
             case messages.ReportDemand():
                 return self._note_demand(gateway, event.message)
             case messages.CancelTasks():
-                return self._cancel(event.message)
+                return self._cancel(gateway, event.message, now_ms)
             case messages.InquireTasks():
                 return self._answer_inquiry(gateway, event.message, now_ms)
             case _:
@@ -200,8 +187,8 @@
         result: list[Effect] = []
         for task in message.tasks:
             reason = refusal or self._judge_task(message.submission, task)
-            if reason is starts.Refusal.NO_SLOT and len(self._held) < HELD_TASKS:
-                self._hold(_Held(gateway, message, task, now_ms))
+            if reason is starts.Refusal.NO_SLOT and self._held.has_room:
+                self._hold(gateway, message, task, now_ms)
             elif reason is not None:
                 self._refuse(gateway, message.submission, task.index, reason)
             else:
@@ -217,7 +204,8 @@
     def _judge_task(
         self, submission: str, task: messages.TaskStart
     ) -> starts.Refusal | None:
-        if (submission, task.index) in self._started:
+        name = (submission, task.index)
+        if name in self._started or name in self._held:
             return starts.Refusal.DUPLICATE
         if len(self._running) >= self.slots.count:
             return starts.Refusal.NO_SLOT
@@ -243,26 +231,36 @@
             message.traceparent,
         )
 
-    def _hold(self, held: _Held) -> None:
+    def _hold(
+        self,
+        gateway: _Gateway,
+        message: messages.StartTasks,
+        task: messages.TaskStart,
+        now_ms: int,
+    ) -> None:
         self._count("tasks.held")
-        self.slots.start(held.gateway.name)
-        self._held[held.message.submission, held.task.index] = held
+        self.slots.start(gateway.name)
+        sender = (gateway.name, gateway.incarnation)
+        self._held.add(holding.Held(*sender, message, task, now_ms))
 
-    def _start_held(self, now_ms: int) -> list[Effect]:
-        """Start what waits here for a slot, or refuse it if it may not start."""
+    def _advance_held(self, now_ms: int) -> list[Effect]:
+        """Start what waits here for a slot, or refuse what may no longer start."""
         result: list[Effect] = []
-        while self._held and len(self._running) < self.slots.count:
-            name, held = next(iter(self._held.items()))
-            del self._held[name]
-            left_ms = held.message.deadline_ms - (now_ms - held.received_ms)
-            message = attrs.evolve(held.message, deadline_ms=left_ms)
+        while len(self._held) and len(self._running) < self.slots.count:
+            held = self._held.take_first()
+            gateway = self._gateways.get(held.gateway)
+            if gateway is None or gateway.incarnation != held.incarnation:
+                self.slots.end("")
+                continue
+            message = held.update_message(now_ms)
             refusal = starts.judge_message(message, self._describe(0, now_ms))
             if refusal is None:
-                result.append(self._run(held.gateway, message, held.task, left_ms))
+                left_ms = message.deadline_ms
+                result.append(self._run(gateway, message, held.task, left_ms))
                 continue
-            self.slots.end(held.gateway.name)
-            self._refuse(held.gateway, *name, refusal)
-            result.append(self._report(held.gateway, now_ms))
+            self.slots.end(gateway.name)
+            self._refuse(gateway, message.submission, held.task.index, refusal)
+            result.append(self._report(gateway, now_ms))
         return result
 
     def _describe(self, last_sequence: int, now_ms: int) -> starts.Situation:
@@ -291,7 +289,7 @@
             return []
         self.slots.end(name)
         gateway = self._gateways.get(name)
-        result = self._start_held(now_ms)
+        result = self._advance_held(now_ms)
         result += self._grant(self._redistribute(name))
         if gateway is None:
             self._count("results.undeliverable")
@@ -337,9 +335,9 @@
         self.slots.note_demand(
             gateway.name, message.sent, message.queued, message.oldest_wait_ms
         )
-        self.slots.shares[gateway.name].stated = message.credit_limit
         told = dict.fromkeys(self._redistribute())
-        if self.slots.shares[gateway.name].needs_telling:
+        share = self.slots.shares[gateway.name]
+        if 0 <= message.limit < share.limit or not share.stated:
             told[gateway.name] = None
         return self._grant(list(told))
 
@@ -367,12 +365,20 @@
             share.recalled = share.unused
         return self._grant(list(self.slots.shares))
 
-    def _cancel(self, message: messages.CancelTasks) -> list[Effect]:
-        return [
-            StopTask(message.submission, index)
-            for index in message.indexes
-            if (message.submission, index) in self._running
-        ]
+    def _cancel(
+        self, gateway: _Gateway, message: messages.CancelTasks, now_ms: int
+    ) -> list[Effect]:
+        result: list[Effect] = []
+        for index in message.indexes:
+            name = (message.submission, index)
+            if name in self._running:
+                result.append(StopTask(*name))
+            elif self._held.take(name) is not None:
+                self.slots.end(gateway.name)
+                self._refuse(gateway, *name, starts.Refusal.CANCELLED)
+        if gateway.ready:
+            result.append(self._report(gateway, now_ms))
+        return result
 
     def _answer_inquiry(
         self, gateway: _Gateway, message: messages.InquireTasks, now_ms: int
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -421,7 +421,7 @@
         oldest_wait_ms: Wait in ms of the oldest request for a response.
         sent: Total of tasks sent or credits handed back.
         acknowledged: Sequence up to which results arrived.
-        credit_limit: Credit limit that the gateway knows of.
+        limit: Credit limit that the gateway knows; -1 if not stated.
     """
 
     target: int
@@ -429,7 +429,7 @@
     oldest_wait_ms: int
     sent: int
     acknowledged: int
-    credit_limit: int = 0
+    limit: int = -1
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/starts.py
+++ b/amaranthspar/starts.py
@@ -23,6 +23,7 @@
     OLD_CONFIGURATION = "older configuration"
     DEADLINE_PASSED = "deadline passed"
     NO_SLOT = "no free slot"
+    CANCELLED = "cancelled"
 
 
 @attrs.frozen(slots=True)
