--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -23,6 +23,8 @@
         spare: Idle slots last seen there that stand for others' credits.
         allowance: Tasks that may be in flight there; none for no limit.
         profile: Key under which the sidecar is indexed, none if it is not.
+        doubt_ms: Monotonic time since which a start is not accounted for.
+        received: Start sequence that the sidecar accounts for.
     """
 
     member: messages.Member
@@ -37,6 +39,8 @@
     spare: int = 0
     allowance: int | None = None
     profile: Hashable = None
+    doubt_ms: int = 0
+    received: int = 0
     in_flight: dict[tuple[str, int], submissions.Task] = attrs.field(factory=dict)
 
     @property
--- a/amaranthspar/slots.py
+++ b/amaranthspar/slots.py
@@ -148,6 +148,48 @@
         told.pop(freed_for, None)
         return list(told)
 
+    def lend(self, name: str) -> bool:
+        """Raise a gateway's limit by slots that lie idle for other gateways.
+
+        Args:
+            name: Gateway that asks for slots.
+
+        Returns:
+            Whether its limit has grown.
+        """
+        share = self.shares[name]
+        needed = sum(
+            min(other.queued, other.unused)
+            for key, other in self.shares.items()
+            if key != name
+        )
+        idle = self.count - self.running - needed
+        amount = min(share.queued, idle) - share.unused
+        if amount <= 0:
+            return False
+        share.limit += amount
+        return True
+
+    def recall(self, name: str) -> list[str]:
+        """Ask for idle credits back on behalf of a gateway that has none.
+
+        Args:
+            name: Gateway without credits.
+
+        Returns:
+            Gateways that are to return credits.
+        """
+        least = self.shares[name].unused
+        idle = [
+            key
+            for key, share in self.shares.items()
+            if not share.is_starving and share.unused - share.recalled > least + 1
+        ]
+        for key in idle:
+            share = self.shares[key]
+            share.recalled = (share.unused - least) // 2
+        return idle
+
     def list_untold(self) -> list[str]:
         """Return the gateways that wait for a statement of their credits."""
         return [
