--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -15,6 +15,7 @@
     estimates,
     leaseholder,
     messages,
+    pools,
     routing,
     submissions,
 )
@@ -77,6 +78,7 @@
         self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder, self.counts)
+        self._pools = pools.Pools(holder, self._capacity)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -111,6 +113,7 @@
                 result += self._end(submission, submission.fail("deadline passed"))
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
+        result += self._pools.inquire(now_ms)
         return result + self._pump(now_ms)
 
     def count_queued(self) -> int:
@@ -135,7 +138,7 @@
         service = self._find_service(submission)
         cost_ms = self._estimates.predict(submission.service, task.expected_ms)
         waiting = backlog.Waiting(submission, task, needs, cost_ms)
-        self._backlog.push(self._capacity.find_pool(needs), waiting, service)
+        self._backlog.push(self._pools.find(needs), waiting, service)
 
     def _find_service(self, submission: submissions.Submission) -> entries.Service:
         services = self._holder.view.settings.services
@@ -254,6 +257,11 @@
                 return self._take_results(route, event.message, now_ms)
             case messages.GrantCredits():
                 return self._take_credits(route, event.message, now_ms)
+            case messages.ReportSettled():
+                sender = (event.sidecar, event.incarnation)
+                if self._pools.note_settled(*sender, event.message):
+                    self._backlog.regroup(self._pools.find)
+                return []
             case _:
                 self.counts["messages.unexpected"] += 1
                 return []
@@ -324,8 +332,8 @@
         self._open_routes = [
             route for route in self.routes.values() if routing.is_open(route, known)
         ]
-        if self._capacity.rebuild(self.routes.values(), self._open_routes):
-            self._backlog.regroup(self._capacity.find_pool)
+        if self._pools.follow(self.routes.values(), self._open_routes):
+            self._backlog.regroup(self._pools.find)
         return result
 
     def _open_route(self, member: messages.Member, now_ms: int) -> routing.Route:
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -6,6 +6,7 @@
 
 from amaranthspar import (
     deliveries,
+    desks,
     effects,
     holding,
     leaseholder,
@@ -77,6 +78,7 @@
     messages.ReportDemand,
     messages.CancelTasks,
     messages.InquireTasks,
+    messages.InquireSettled,
 )
 
 
@@ -105,6 +107,7 @@
 
     gateway: _Gateway
     sequence: int
+    task: desks.RunningTask
 
 
 class Executor:
@@ -209,6 +212,8 @@
                 return self._start(gateway, event.message, now_ms)
             case messages.ReportDemand():
                 return self._note_demand(gateway, event.message)
+            case messages.InquireSettled():
+                return self._report_settled(gateway, event.message)
             case messages.InquireTasks():
                 return self._answer_inquiry(gateway, event.message, now_ms)
         return []
@@ -280,7 +285,9 @@
     ) -> RunTask:
         name = (message.submission, task.index)
         gateway.started.note(name, message.sequence)
-        self._running[name] = _Running(gateway, message.sequence)
+        version = self._holder.view.configuration_version
+        task_of_desk = desks.RunningTask(gateway.name, message.desk, version)
+        self._running[name] = _Running(gateway, message.sequence, task_of_desk)
         self.counts["tasks.started"] += 1
         return RunTask(
             message.submission,
@@ -461,6 +468,19 @@
             result += self._report(gateway, now_ms)
         return result
 
+    def _report_settled(
+        self, gateway: _Gateway, message: messages.InquireSettled
+    ) -> list[Effect]:
+        known = self._holder.view
+        version = desks.find_settled_version(
+            known.configuration_version,
+            (running.task for running in self._running.values()),
+            self._announcement.group,
+            known,
+        )
+        report = messages.ReportSettled(gateway.incarnation, version)
+        return [effects.Send(gateway.address, report)]
+
     def _answer_inquiry(
         self, gateway: _Gateway, message: messages.InquireTasks, now_ms: int
     ) -> list[Effect]:
--- a/amaranthspar/journal.py
+++ b/amaranthspar/journal.py
@@ -5,7 +5,6 @@
 from amaranthspar import codec, effects, messages, replicalog, transitions
 
 REPLICAS_KIND = "ChangeReplicas"
-TRAILING_ENTRIES = 256
 
 
 @attrs.define(slots=True)
@@ -44,11 +43,16 @@
     Args:
         first: First set of replicas, for a cluster that is not formed yet.
         stored: What the data folder holds.
+        trailing_entries: Entries kept in memory before the snapshot's end.
     """
 
     def __init__(
-        self, first: messages.ChangeReplicas, stored: transitions.Stored
+        self,
+        first: messages.ChangeReplicas,
+        stored: transitions.Stored,
+        trailing_entries: int,
     ) -> None:
+        self._trailing_entries = trailing_entries
         self.term = stored.state.term
         self.vote = stored.state.vote
         self.snapshot = stored.snapshot
@@ -81,6 +85,15 @@
         """Whether the log holds any entry."""
         return self.log.last_index > 0
 
+    def find_members(self, index: int) -> messages.ChangeReplicas:
+        """Return the set of replicas as of an index.
+
+        Args:
+            index: Position in the log, not before the snapshot.
+        """
+        found = [change for at, change in self._changes if at <= index]
+        return found[-1]
+
     def save_vote(self, term: int, vote: str) -> int:
         """Change term and vote.
 
@@ -133,9 +146,11 @@
         covered = self.snapshot.index if self.snapshot is not None else 0
         if index <= covered or term is None:
             return
-        self.snapshot = messages.LogSnapshot(index, term, self._find_set(index), state)
+        self.snapshot = messages.LogSnapshot(
+            index, term, self.find_members(index), state
+        )
         self._step.saved = self.snapshot
-        kept = index - TRAILING_ENTRIES
+        kept = index - self._trailing_entries
         if kept > self.log.base_index:
             self.log.compact(kept)
 
@@ -219,7 +234,3 @@
                 change = codec.decode_message(entry.kind, entry.payload)
                 if isinstance(change, messages.ChangeReplicas):
                     self._changes.append((entry.index, change))
-
-    def _find_set(self, index: int) -> messages.ChangeReplicas:
-        found = [change for at, change in self._changes if at <= index]
-        return found[-1]
--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of the roles and of the decisions."""
+"""Load and experiment tool: real processes on loopback, seeded and open-loop."""
--- a/benchmarks/alternatives.py
+++ b/benchmarks/alternatives.py
@@ -1,12 +1,13 @@
 """Policies that the dispatcher is weighed against, over the same arrivals."""
 
 import collections
+import functools
 import heapq
 import random
 
 import attrs
 
-from benchmarks import virtual, workloads
+from benchmarks import arrivals as workloads, virtual
 
 
 def run_clairvoyant(arrivals: list[workloads.Arrival], slots: int) -> dict[int, float]:
@@ -66,7 +67,7 @@
         """Return response times in ms by position."""
         self._arrivals = arrivals
         for position, arrival in enumerate(arrivals):
-            self._loop.call_at(arrival.at_ms, lambda p=position: self._arrive(p))
+            self._loop.call_at(arrival.at_ms, functools.partial(self._arrive, position))
         self._loop.run(arrivals[-1].at_ms + 600_000)
         return self.responses_ms
 
@@ -78,7 +79,7 @@
             self._loads[arrival.gateway][host] += 1
             at_ms = self._loop.now_ms + self._chance.uniform(*virtual.DELAY_MS)
             task = (position, host, run_ms)
-            self._loop.call_at(at_ms, lambda t=task: self._offer(t))
+            self._loop.call_at(at_ms, functools.partial(self._offer, task))
 
     def _choose(self, gateway: int) -> int:
         if self._choices == 1:
@@ -97,7 +98,7 @@
             task = host.queue.popleft()
             host.running += 1
             at_ms = self._loop.now_ms + task[2]
-            self._loop.call_at(at_ms, lambda t=task: self._end(t))
+            self._loop.call_at(at_ms, functools.partial(self._end, task))
 
     def _end(self, task: tuple[int, int, float]) -> None:
         position, number, _ = task
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -8,7 +8,7 @@
 import attrs
 import tabulate
 
-from benchmarks import alternatives, virtual, workloads
+from benchmarks import alternatives, arrivals as workloads, virtual
 
 SETTLE_MS = 60_000
 PERCENTILES = (50.0, 99.0, 99.9)
--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -1,6 +1,7 @@
 """Gateways' and sidecars' machines in virtual time, joined by delayed messages."""
 
 import collections
+import functools
 import heapq
 import itertools
 import random
@@ -17,7 +18,7 @@
     messages,
     submissions,
 )
-from benchmarks import workloads
+from benchmarks import arrivals as workloads
 
 DELAY_MS = (0.5, 1.5)
 TICK_MS = 50
@@ -181,10 +182,8 @@
         names = list(self.gateways)
         for position, arrival in enumerate(arrivals):
             name = names[arrival.gateway % len(names)]
-            self.loop.call_at(
-                arrival.at_ms,
-                lambda n=name, p=position, a=arrival: self._arrive(n, p, a),
-            )
+            call = functools.partial(self._arrive, name, position, arrival)
+            self.loop.call_at(arrival.at_ms, call)
 
     def _arrive(self, name: str, position: int, arrival: workloads.Arrival) -> None:
         now_ms = int(self.loop.now_ms)
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -1,128 +1,167 @@
-"""Seeded open-loop arrivals for the benchmarks of the dispatch policy."""
+"""Seeded workloads of the two firms."""
 
-import math
 import random
+from collections.abc import Callable
 
 import attrs
 
-SHORT_MS = (50.0, 1000.0)
-LONG_MS = (2000.0, 5000.0)
-LONG_RATIO = 0.02
+TAIL_RATIO = 0.02
+TAIL_MS = (2000.0, 4000.0)
+UPSTREAMS = 10
+SLOTS = 8
+CONNECTIONS = 64
 
 
 @attrs.frozen(slots=True)
 class Arrival:
-    """One request or job.
+    """One submission of a workload.
 
     Attributes:
-        at_ms: Time of arrival in ms.
-        gateway: Number of the gateway that takes it.
-        runs_ms: Run time of each task in ms.
-        declared_ms: Declared run time of each task in ms; 0 for none.
+        number: Position in the workload.
+        at_ms: Intended time of arrival after the start.
         service: Service name.
-        team: Team name.
-        caller: Caller name.
-        is_job: Whether it is a job.
-        fails: Whether its tasks fail wherever they run.
+        sleeps_ms: Run time of each task.
+        is_job: Whether it is sent as a job.
+        key: Idempotency key; empty for none.
+        desk: Desk name; empty for none.
     """
 
+    number: int
     at_ms: float
-    gateway: int
-    runs_ms: list[float]
-    declared_ms: list[int]
-    service: str = "lookup"
-    team: str = "field"
-    caller: str = "caller"
+    service: str
+    sleeps_ms: tuple[float, ...]
     is_job: bool = False
-    fails: bool = False
+    key: str = ""
+    desk: str = ""
 
 
 @attrs.frozen(slots=True)
-class Mix:
-    """Shape of a workload.
+class Kind:
+    """One kind of submission in a mix.
 
     Attributes:
-        load: Part of the slots that is kept busy on average.
-        slots: Slots of all upstreams.
-        gateways: Gateways that share the arrivals.
-        seconds: Length in s.
-        job_share: Part of the work that comes in jobs.
-        job_sizes: Least and greatest tasks of a job.
-        declared_error: Factor by which declared run times may be off.
+        service: Service name.
+        weight: Share of the submissions.
+        run_ms: Least and greatest run time of a task.
+        tasks: Least and greatest number of tasks; 0 for a single request.
+        idempotent: Whether the service is.
     """
 
-    load: float
-    slots: int = 72
-    gateways: int = 2
-    seconds: float = 60
-    job_share: float = 0.0
-    job_sizes: tuple[int, int] = (20, 200)
-    declared_error: float = 1.0
+    service: str
+    weight: float
+    run_ms: tuple[float, float]
+    tasks: tuple[int, int] = (0, 0)
+    idempotent: bool = True
 
 
-def draw_run(chance: random.Random) -> float:
-    """Return a run time in ms.
+@attrs.frozen(slots=True)
+class Firm:
+    """Settings of one firm.
 
-    Args:
-        chance: Source of chance.
+    Attributes:
+        name: Short name.
+        domains: Failure domains.
+        kinds: Mix of submissions.
+        upstreams: Number of upstreams.
+        slots: Slots of each upstream.
+        cores: Processor cores of each worker.
+        memory_mb: Memory of each worker in MB.
     """
-    if chance.random() < LONG_RATIO:
-        return chance.uniform(*LONG_MS)
-    low, high = (math.log(item) for item in SHORT_MS)
-    return math.exp(chance.uniform(low, high))
 
-
-def measure_mean_run() -> float:
-    """Return the mean run time in ms."""
-    low, high = SHORT_MS
-    short_ms = (high - low) / math.log(high / low)
-    return (1 - LONG_RATIO) * short_ms + LONG_RATIO * sum(LONG_MS) / 2
-
-
-def build_mix(mix: Mix, seed: int) -> list[Arrival]:
-    """Return Poisson arrivals of requests and jobs in order of time.
+    name: str
+    domains: tuple[str, ...]
+    kinds: tuple[Kind, ...]
+    upstreams: int = UPSTREAMS
+    slots: int = SLOTS
+    cores: int = 64
+    memory_mb: int = 256 * 1024
+
+    @property
+    def total_slots(self) -> int:
+        """Slots of all upstreams."""
+        return self.upstreams * self.slots
+
+    def find_domain(self, upstream: int) -> str:
+        """Return the failure domain of an upstream by its number."""
+        return self.domains[upstream % len(self.domains)]
+
+
+KEREKES = Firm(
+    "kerekes",
+    ("gyor", "pecs", "veszprem"),
+    (
+        Kind("lookup", 0.60, (50, 400)),
+        Kind("health", 0.25, (50, 200)),
+        Kind("recalculate", 0.15, (50, 1000), tasks=(4, 24)),
+    ),
+)
+WIJESEKERA = Firm(
+    "wijesekera",
+    ("kandy", "matale", "peradeniya"),
+    (
+        Kind("price", 0.55, (50, 500)),
+        Kind("quote", 0.30, (100, 1000), tasks=(2, 8)),
+        Kind("hold", 0.15, (50, 300), idempotent=False),
+    ),
+    cores=16,
+    memory_mb=64 * 1024,
+)
+FIRMS = {firm.name: firm for firm in (KEREKES, WIJESEKERA)}
+
+Rate = Callable[[float], float]
+
+
+def measure_submission(firm: Firm) -> float:
+    """Return the mean work of a submission in slot ms."""
+    total = 0.0
+    tail = sum(TAIL_MS) / 2
+    for kind in firm.kinds:
+        mean = (1 - TAIL_RATIO) * sum(kind.run_ms) / 2 + TAIL_RATIO * tail
+        tasks = sum(kind.tasks) / 2 or 1
+        total += kind.weight * mean * tasks
+    return total
+
+
+def generate(
+    firm: Firm, seed: int, seconds: float, load: float, boost: Rate | None = None
+) -> list[Arrival]:
+    """Return the arrivals of a Poisson process.
 
     Args:
-        mix: Shape of the workload.
-        seed: Seed of the source of chance.
+        firm: Whose mix.
+        seed: Seed of all chance.
+        seconds: Length in s.
+        load: Share of all slots that the work takes.
+        boost: Factor on the rate by time in ms, at most 10.
+
+    Returns:
+        Arrivals in order.
     """
-    chance = random.Random(seed)
-    starts_per_ms = mix.load * mix.slots / measure_mean_run()
-    mean_size = sum(mix.job_sizes) / 2
-    requests = _draw_times(chance, starts_per_ms * (1 - mix.job_share), mix.seconds)
-    jobs = _draw_times(chance, starts_per_ms * mix.job_share / mean_size, mix.seconds)
-    arrivals = [_build_arrival(chance, mix, at_ms, 0) for at_ms in requests]
-    for at_ms in jobs:
-        size = chance.randint(*mix.job_sizes)
-        arrivals.append(_build_arrival(chance, mix, at_ms, size))
-    return sorted(arrivals, key=lambda item: item.at_ms)
-
-
-def _draw_times(chance: random.Random, rate: float, seconds: float) -> list[float]:
-    result: list[float] = []
-    if not rate:
-        return result
-    at_ms = chance.expovariate(rate)
-    while at_ms < seconds * 1000:
-        result.append(at_ms)
-        at_ms += chance.expovariate(rate)
-    return result
-
-
-def _build_arrival(
-    chance: random.Random, mix: Mix, at_ms: float, job_size: int
+    chance = random.Random(f"{firm.name}/{seed}/{load}")
+    rate = load * firm.total_slots / measure_submission(firm)
+    result: list[Arrival] = []
+    now_ms = 0.0
+    while True:
+        factor = boost(now_ms) if boost else 1.0
+        now_ms += chance.expovariate(rate * factor)
+        if now_ms >= seconds * 1000:
+            return result
+        result.append(_draw(firm, chance, len(result), now_ms, seed))
+
+
+def _draw(
+    firm: Firm, chance: random.Random, number: int, at_ms: float, seed: int
 ) -> Arrival:
-    runs = [draw_run(chance) for _ in range(job_size or 1)]
-    spread = math.log(mix.declared_error)
-    declared = [
-        max(1, int(run * math.exp(chance.uniform(-spread, spread)))) for run in runs
-    ]
-    return Arrival(
-        at_ms,
-        chance.randrange(mix.gateways),
-        runs,
-        declared if job_size else [0],
-        service="recalculate" if job_size else "lookup",
-        caller=f"caller-{chance.randrange(40)}",
-        is_job=bool(job_size),
-    )
+    weights = [kind.weight for kind in firm.kinds]
+    kind = chance.choices(firm.kinds, weights)[0]
+    count = chance.randint(*kind.tasks) if kind.tasks[1] else 1
+    sleeps = tuple(_draw_run(chance, kind) for _ in range(count))
+    key = "" if kind.idempotent else f"{seed}-{number}"
+    is_job = kind.tasks[1] > 0
+    return Arrival(number, at_ms, kind.service, sleeps, is_job, key)
+
+
+def _draw_run(chance: random.Random, kind: Kind) -> float:
+    if chance.random() < TAIL_RATIO:
+        return round(chance.uniform(*TAIL_MS), 1)
+    return round(chance.uniform(*kind.run_ms), 1)
