--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -7,17 +7,21 @@
 from amaranthspar import (
     admission,
     backlog,
+    capacity,
     demand,
-    desks,
     doubts,
     effects,
+    entries,
+    estimates,
     leaseholder,
     messages,
+    pools,
     routing,
     submissions,
 )
 
-KEEP_ALIVE_MS = 1000
+KEEP_ALIVE_MS = 2000
+ACKNOWLEDGE_MS = 1000
 
 
 @attrs.frozen(slots=True)
@@ -65,13 +69,16 @@
         self.submissions: dict[str, submissions.Submission] = {}
         self.routes: dict[str, routing.Route] = {}
         self._holder = holder
-        self._near_domain = near_domain
+        self._open_routes: list[routing.Route] = []
+        self._lender: routing.Route | None = None
+        self._capacity = capacity.Capacity(near_domain)
         self._backlog = backlog.Backlog()
+        self._estimates = estimates.Estimates()
         self._admission = admission.Admission(holder, self._backlog, self.routes)
         self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder, self.counts)
-        self._barrier = desks.Barrier()
+        self._pools = pools.Pools(holder, self._capacity)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -89,7 +96,9 @@
                 result = self._receive(event, now_ms)
             case ViewChanged():
                 result = self._follow_membership(now_ms)
-        return result + self._pump(now_ms)
+        result += self._pump(now_ms)
+        self._lender = None
+        return result
 
     def tick(self, now_ms: int) -> list[Effect]:
         """End what is overdue and ask after silent sidecars.
@@ -104,8 +113,7 @@
                 result += self._end(submission, submission.fail("deadline passed"))
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
-        waiting = (needs.desk for needs in self._backlog.list_needs())
-        result += self._barrier.inquire(waiting, self._holder.view, now_ms)
+        result += self._pools.inquire(now_ms)
         return result + self._pump(now_ms)
 
     def sign_off(self, now_ms: int) -> list[Effect]:
@@ -114,7 +122,11 @@
         Args:
             now_ms: Monotonic time in ms.
         """
-        return [self._demand.state(route, now_ms) for route in self.routes.values()]
+        sidecars = len(self.routes)
+        return [
+            self._demand.state(route, sidecars, now_ms)
+            for route in self.routes.values()
+        ]
 
     def count_queued(self) -> int:
         """Return how many tasks wait."""
@@ -135,7 +147,15 @@
         self, submission: submissions.Submission, task: submissions.Task
     ) -> None:
         needs = routing.read_needs(submission, task, self._holder.view)
-        self._backlog.push(needs, backlog.Waiting(submission, task))
+        service = self._find_service(submission)
+        cost_ms = self._estimates.predict(submission.service, task.expected_ms)
+        waiting = backlog.Waiting(submission, task, needs, cost_ms)
+        self._backlog.push(self._pools.find(needs), waiting, service)
+
+    def _find_service(self, submission: submissions.Submission) -> entries.Service:
+        services = self._holder.view.settings.services
+        found = services.get(submission.service)
+        return entries.Service(submission.service) if found is None else found
 
     def _cancel(self, name: str) -> list[Effect]:
         submission = self.submissions.get(name)
@@ -149,7 +169,7 @@
     ) -> list[Effect]:
         submission.over = True
         del self.submissions[submission.name]
-        self._backlog.drop(submission.name)
+        self._backlog.drop(submission)
         result: list[Effect] = [answer]
         held: dict[str, list[int]] = {}
         for task in submission.list_sent():
@@ -163,43 +183,44 @@
 
     def _pump(self, now_ms: int) -> list[Effect]:
         """Send what waits to the sidecars that have room."""
-        if not self._holder.is_valid(now_ms) or not len(self._backlog):
+        if not len(self._backlog) or not self._holder.is_valid(now_ms):
             return []
-        known = self._holder.view
-        routes = [
-            route
-            for route in self.routes.values()
-            if route.credits > 0 and routing.is_open(route, known)
-        ]
         batches: dict[tuple[str, str], list[backlog.Waiting]] = {}
-        for needs in self._backlog.list_needs():
-            self._assign(needs, routes, batches)
+        for pool in self._backlog.list_pools():
+            self._assign(pool, batches)
         result: list[Effect] = []
         for (sidecar, _), batch in batches.items():
             result.append(self._send_batch(self.routes[sidecar], batch, now_ms))
-        return result + self._demand.report(self.routes.values(), now_ms)
+        return result + self._demand.appeal(self._open_routes, now_ms)
 
     def _assign(
         self,
-        needs: routing.Needs,
-        routes: list[routing.Route],
+        pool: capacity.Pool,
         batches: dict[tuple[str, str], list[backlog.Waiting]],
     ) -> None:
-        known = self._holder.view
-        if not self._barrier.is_open(needs.desk, known):
-            return
-        resolved = routing.resolve_home(needs, known)
         while True:
-            route = routing.choose_route(resolved, routes, self._near_domain)
+            route = self._capacity.choose(pool) or self._find_lender(pool)
             if route is None:
                 return
-            waiting = self._backlog.pop(needs)
+            waiting = self._backlog.pop(pool)
             if waiting is None:
                 return
+            if route.room <= 0:
+                route.spare -= 1
+                route.limit += 1
+                self.counts["credits.borrowed"] += 1
             route.sent += 1
+            self._capacity.update(route)
             name = (route.member.process, waiting.submission.name)
             batches.setdefault(name, []).append(waiting)
 
+    def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
+        """Return the sidecar just heard if it has slots idle for other gateways."""
+        route = self._lender
+        if route is None or route.spare <= 0:
+            return None
+        return route if self._capacity.is_usable(pool, route) else None
+
     def _send_batch(
         self, route: routing.Route, batch: list[backlog.Waiting], now_ms: int
     ) -> effects.Send:
@@ -218,6 +239,7 @@
             wanted = (task.cores, task.memory_mb, task.accelerators)
             starts.append(messages.TaskStart(task.index, task.payload, *wanted))
         route.demand_ms = now_ms
+        route.stated = route.acknowledged
         message = messages.StartTasks(
             sequence=route.sequence,
             target=route.member.incarnation,
@@ -228,7 +250,7 @@
             content_type=submission.content_type,
             deadline_ms=submission.deadline_ms - now_ms,
             traceparent=submission.traceparent,
-            queued=len(self._backlog),
+            queued=self._demand.divide(len(self.routes)),
             oldest_wait_ms=self._backlog.measure_oldest_wait(now_ms),
             sent=route.sent,
             acknowledged=route.acknowledged,
@@ -248,9 +270,9 @@
             case messages.GrantCredits():
                 return self._take_credits(route, event.message, now_ms)
             case messages.ReportSettled():
-                self._barrier.note(
-                    event.sidecar, event.incarnation, event.message.version
-                )
+                sender = (event.sidecar, event.incarnation)
+                if self._pools.note_settled(*sender, event.message):
+                    self._backlog.regroup(self._pools.find)
                 return []
             case _:
                 self.counts["messages.unexpected"] += 1
@@ -264,10 +286,11 @@
         route.limit = max(route.limit, grant.credit_limit)
         self._doubts.note_received(route, grant.received, now_ms)
         returned = min(grant.recalled, max(0, route.credits))
+        route.sent += returned
+        self._capacity.update(route)
         if not returned:
             return []
-        route.sent += returned
-        return [self._demand.state(route, now_ms)]
+        return [self._demand.state(route, len(self.routes), now_ms)]
 
     def _take_results(
         self, route: routing.Route, report: messages.ReportResults, now_ms: int
@@ -275,12 +298,15 @@
         if report.target != self._holder.member.incarnation:
             return []
         route.limit = max(route.limit, report.credit_limit)
+        route.spare = report.spare
         self._doubts.note_received(route, report.received, now_ms)
         result: list[Effect] = []
         for receipt in self._doubts.take_report(route, report):
             submission = self.submissions.get(receipt.result.submission)
             if submission is not None:
                 result += self._take_result(submission, receipt)
+        self._capacity.update(route)
+        self._lender = route
         return result
 
     def _take_result(
@@ -292,6 +318,8 @@
             self._enqueue(submission, task)
             return []
         submission.end_task(task, item)
+        if submissions.is_success(item, is_job=True):
+            self._estimates.observe(submission.service, task.expected_ms, item.run_ms)
         if submission.is_job and not submissions.is_success(item, is_job=True):
             return self._end(submission, submission.conclude())
         if submission.ended < len(submission.tasks):
@@ -300,7 +328,6 @@
 
     def _follow_membership(self, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
-        self._barrier.forget_absent(self._holder.view)
         current = {item.process: item for item in self._holder.view.list_sidecars()}
         for name, route in list(self.routes.items()):
             member = current.get(name)
@@ -312,7 +339,13 @@
                 self.routes[name].member = member
                 continue
             self.routes[name] = self._open_route(member, now_ms)
-            result.append(self._demand.state(self.routes[name], now_ms))
+            result.append(self._demand.state(self.routes[name], len(current), now_ms))
+        known = self._holder.view
+        self._open_routes = [
+            route for route in self.routes.values() if routing.is_open(route, known)
+        ]
+        if self._pools.follow(self.routes.values(), self._open_routes):
+            self._backlog.regroup(self._pools.find)
         return result
 
     def _open_route(self, member: messages.Member, now_ms: int) -> routing.Route:
@@ -344,8 +377,10 @@
 
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
-        if now_ms - route.demand_ms >= KEEP_ALIVE_MS:
-            result.append(self._demand.state(route, now_ms))
+        owed = route.acknowledged > route.stated
+        interval_ms = ACKNOWLEDGE_MS if owed else KEEP_ALIVE_MS
+        if now_ms - route.demand_ms >= interval_ms:
+            result.append(self._demand.state(route, len(self.routes), now_ms))
         inquiries = self._doubts.inquire(route, now_ms)
         self.counts["inquiries.sent"] += len(inquiries)
         return result + inquiries
