--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -116,6 +116,15 @@
         result += self._pools.inquire(now_ms)
         return result + self._pump(now_ms)
 
+    def sign_off(self, now_ms: int) -> list[Effect]:
+        """Confirm every result, so that no sidecar waits for this gateway.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        routes = self.routes.values()
+        return [self._demand.state(route, len(routes), now_ms) for route in routes]
+
     def count_queued(self) -> int:
         """Return how many tasks wait."""
         return len(self._backlog)
