--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -213,7 +213,7 @@
             case messages.ReportDemand():
                 return self._note_demand(gateway, event.message)
             case messages.InquireSettled():
-                return self._report_settled(gateway, event.message)
+                return self._report_settled(gateway)
             case messages.InquireTasks():
                 return self._answer_inquiry(gateway, event.message, now_ms)
         return []
@@ -286,8 +286,8 @@
         name = (message.submission, task.index)
         gateway.started.note(name, message.sequence)
         version = self._holder.view.configuration_version
-        task_of_desk = desks.RunningTask(gateway.name, message.desk, version)
-        self._running[name] = _Running(gateway, message.sequence, task_of_desk)
+        running = desks.RunningTask(gateway.name, message.desk, version)
+        self._running[name] = _Running(gateway, message.sequence, running)
         self.counts["tasks.started"] += 1
         return RunTask(
             message.submission,
@@ -468,13 +468,11 @@
             result += self._report(gateway, now_ms)
         return result
 
-    def _report_settled(
-        self, gateway: _Gateway, message: messages.InquireSettled
-    ) -> list[Effect]:
+    def _report_settled(self, gateway: _Gateway) -> list[Effect]:
         known = self._holder.view
         version = desks.find_settled_version(
             known.configuration_version,
-            (running.task for running in self._running.values()),
+            (item.task for item in self._running.values()),
             self._announcement.group,
             known,
         )
