--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -122,11 +122,8 @@
         Args:
             now_ms: Monotonic time in ms.
         """
-        sidecars = len(self.routes)
-        return [
-            self._demand.state(route, sidecars, now_ms)
-            for route in self.routes.values()
-        ]
+        routes = self.routes.values()
+        return [self._demand.state(route, len(routes), now_ms) for route in routes]
 
     def count_queued(self) -> int:
         """Return how many tasks wait."""
