--- a/amaranthspar/backlog.py
+++ b/amaranthspar/backlog.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from amaranthspar import capacity, entries, fairqueue, routing, submissions
+from amaranthspar import capacity, entries, fairqueue, leaseholder, routing, submissions
 
 RESPONSE = "response"
 RESPONSE_WEIGHT = 8.0
@@ -35,25 +35,33 @@
     tasks: fairqueue.FairQueue[Waiting] = attrs.field(factory=fairqueue.FairQueue)
 
 
+@attrs.frozen(slots=True)
+class _Flow:
+    """Tasks of one team with one objective."""
+
+    team: str
+    objective: str
+
+
 @attrs.define(slots=True)
 class _Entry:
     """What waits of one submission."""
 
     path: fairqueue.Path
+    flow: _Flow
     counts: dict[capacity.Pool, int] = attrs.field(factory=dict)
 
 
 class Backlog:
     """Queues of waiting tasks, one for each pool.
 
-    Attributes:
-        cost_ms: Expected run time in ms of all that waits.
-        urgent_ms: Part of it for services whose objective is the response.
+    Args:
+        holder: Lease of this gateway; its view names services and teams.
     """
 
-    def __init__(self) -> None:
-        self.cost_ms = 0.0
-        self.urgent_ms = 0.0
+    def __init__(self, holder: leaseholder.LeaseHolder) -> None:
+        self._holder = holder
+        self._costs_ms: dict[_Flow, float] = {}
         self._queues: dict[capacity.Pool, _Queue] = {}
         self._entries: dict[str, _Entry] = {}
         self._urgent: dict[str, int] = {}
@@ -70,34 +78,47 @@
         """Return how many tasks of a team wait."""
         return self._teams.get(team, 0)
 
+    def find_cost_ahead(self, team: str, service: entries.Service) -> float:
+        """Return the expected run time in ms that is served before a new task.
+
+        A team waits for its own tasks as if it had only its share of the slots.
+
+        Args:
+            team: Team of the task.
+            service: Service of the task.
+        """
+        flow = _Flow(team, service.objective)
+        own_ms = self._costs_ms.get(flow, 0.0)
+        if service.objective != RESPONSE:
+            own_ms += self._costs_ms.get(_Flow(team, RESPONSE), 0.0)
+        if not own_ms:
+            return 0.0
+        teams = {item.team for item, cost_ms in self._costs_ms.items() if cost_ms > 1}
+        weights = sum(self._find_weight(name) for name in teams | {team})
+        return own_ms * weights / self._find_weight(team)
+
     def list_pools(self) -> list[capacity.Pool]:
         """Return the pools with waiting tasks, the least served first."""
         if len(self._queues) == 1:
             return list(self._queues)
         return sorted(self._queues, key=lambda pool: self._queues[pool].served_ms)
 
-    def push(
-        self, pool: capacity.Pool, waiting: Waiting, service: entries.Service
-    ) -> None:
+    def push(self, pool: capacity.Pool, waiting: Waiting) -> None:
         """Add a task.
 
         Args:
             pool: Tasks that the same upstreams may take.
             waiting: Task and its submission.
-            service: Service of the submission.
         """
         submission, task = waiting.submission, waiting.task
         task.state = submissions.TaskState.QUEUED
         task.sidecar = ""
         entry = self._entries.get(submission.name)
         if entry is None:
-            entry = _Entry(_build_path(submission, service))
-            self._entries[submission.name] = entry
-            if service.objective == RESPONSE:
-                self._urgent[submission.name] = submission.admitted_ms
+            entry = self._add_entry(submission)
         self._find_queue(pool).tasks.push(entry.path, waiting, waiting.cost_ms)
         entry.counts[pool] = entry.counts.get(pool, 0) + 1
-        self._count(waiting, 1)
+        self._count(entry, waiting, 1)
 
     def pop(self, pool: capacity.Pool) -> Waiting | None:
         """Remove and return the task served next, none if none may be served.
@@ -113,7 +134,7 @@
             return None
         self._clock_ms = queue.served_ms
         queue.served_ms += waiting.cost_ms
-        self._count(waiting, -1)
+        self._count(self._entries[waiting.submission.name], waiting, -1)
         self._forget_one(waiting.submission.name, pool)
         self._clean(pool)
         return waiting
@@ -129,7 +150,7 @@
             return
         for pool in entry.counts:
             for waiting in self._queues[pool].tasks.drop(entry.path):
-                self._count(waiting, -1)
+                self._count(entry, waiting, -1)
             self._clean(pool)
         self._urgent.pop(submission.name, None)
 
@@ -192,13 +213,36 @@
         if not len(self._queues[pool].tasks):
             del self._queues[pool]
 
-    def _count(self, waiting: Waiting, amount: int) -> None:
-        team = waiting.submission.team
-        self._teams[team] = self._teams.get(team, 0) + amount
+    def _count(self, entry: _Entry, waiting: Waiting, amount: int) -> None:
         self._total += amount
-        self.cost_ms += amount * waiting.cost_ms
-        if waiting.submission.name in self._urgent:
-            self.urgent_ms += amount * waiting.cost_ms
+        flow = entry.flow
+        self._teams[flow.team] = self._teams.get(flow.team, 0) + amount
+        cost_ms = self._costs_ms.get(flow, 0.0) + amount * waiting.cost_ms
+        self._costs_ms[flow] = cost_ms
+        if not self._teams[flow.team]:
+            del self._teams[flow.team]
+            self._costs_ms.pop(_Flow(flow.team, RESPONSE), None)
+            self._costs_ms.pop(flow, None)
+
+    def _add_entry(self, submission: submissions.Submission) -> _Entry:
+        services = self._holder.view.settings.services
+        service = services.get(submission.service)
+        objective = RESPONSE if service is None else service.objective
+        path = (
+            fairqueue.Step(submission.team, self._find_weight(submission.team)),
+            fairqueue.Step(objective, RESPONSE_WEIGHT if objective == RESPONSE else 1),
+            fairqueue.Step(submission.caller),
+            fairqueue.Step(submission.name),
+        )
+        entry = _Entry(path, _Flow(submission.team, objective))
+        self._entries[submission.name] = entry
+        if objective == RESPONSE:
+            self._urgent[submission.name] = submission.admitted_ms
+        return entry
+
+    def _find_weight(self, team: str) -> int:
+        found = self._holder.view.settings.teams.get(team)
+        return 1 if found is None else found.weight
 
     def _forget_one(self, submission: str, pool: capacity.Pool) -> None:
         entry = self._entries[submission]
@@ -208,15 +252,3 @@
         if not entry.counts:
             del self._entries[submission]
             self._urgent.pop(submission, None)
-
-
-def _build_path(
-    submission: submissions.Submission, service: entries.Service
-) -> fairqueue.Path:
-    weight = RESPONSE_WEIGHT if service.objective == RESPONSE else 1.0
-    return (
-        fairqueue.Step(submission.team),
-        fairqueue.Step(service.objective, weight),
-        fairqueue.Step(submission.caller),
-        fairqueue.Step(submission.name),
-    )
--- a/amaranthspar/replies.py
+++ b/amaranthspar/replies.py
@@ -89,19 +89,26 @@
 }
 
 
+FAILURES = {
+    submissions.Failure.OVERDUE: (504, "deadline-passed"),
+    submissions.Failure.TOO_LATE: (503, "deadline-too-near"),
+    submissions.Failure.INFEASIBLE: (422, "can-never-run"),
+    submissions.Failure.QUEUE_FULL: (503, "queue-full"),
+    submissions.Failure.QUOTA: (429, "quota-exceeded"),
+    submissions.Failure.UNAVAILABLE: (503, "unavailable"),
+}
+"""Status and name of the problem by kind of failure."""
+
+
 def build_failure(answer: submissions.Answer) -> response.HTTPResponse:
     """Return the response to a submission that has failed.
 
     Args:
         answer: Its answer.
     """
-    status, name = 502, "failed"
-    if answer.outcome == submissions.NOT_RUN:
+    status, name = FAILURES.get(answer.failure, (502, answer.failure.value))
+    if answer.outcome == submissions.NOT_RUN and name in ("failed", "deadline-passed"):
         status, name = 503, "not-run"
-        if answer.reason.startswith("can never run"):
-            status, name = 422, "can-never-run"
-    elif answer.reason == "deadline passed":
-        status, name = 504, "deadline-passed"
     problem = problems.ProblemError(
         status, name, answer.reason, answer.outcome, answer.retry_after_ms
     )
