--- a/amaranthspar/capacity.py
+++ b/amaranthspar/capacity.py
@@ -135,7 +135,7 @@
         """
         ladder = self._room.get(route.profile)
         if ladder is not None:
-            ladder.put(route, route.room)
+            ladder.put(route, route.rank)
 
     def choose(self, pool: Pool) -> routing.Route | None:
         """Return the sidecar that gets the next task, none if all are full.
