--- a/amaranthspar/standin.py
+++ b/amaranthspar/standin.py
@@ -52,6 +52,7 @@
         task: Position in the submission.
         upstream: Name of the upstream.
         failure_domain: Failure domain of the upstream.
+        echo: Value that the task had sent back.
         started_ms: Monotonic time of the start.
         ended_ms: Monotonic time of the end; 0 while it runs.
         cut: Whether the caller went away before the end.
@@ -61,6 +62,7 @@
     task: str
     upstream: str
     failure_domain: str
+    echo: Any
     started_ms: int
     ended_ms: int = 0
     cut: bool = False
@@ -159,7 +161,8 @@
     ) -> response.HTTPResponse:
         starts = self._record.note(submission, task)
         now_ms = self._clock.read_monotonic()
-        span = Span(submission, task, self.name, self._failure_domain, now_ms)
+        place = (self.name, self._failure_domain)
+        span = Span(submission, task, *place, work.echo, now_ms)
         self._record.spans.append(span)
         failing = work.fail or self.behaviour.failing
         try:
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,9 +8,26 @@
 import sys
 
 from amaranthspar import program
-from benchmarks import outcomes, trials, workloads
+from benchmarks import firms, outcomes, trials
+
+BOTH = "both"
+EXPERIMENTS = {
+    "response": BOTH,
+    "waste": BOTH,
+    "domain": BOTH,
+    "removal": "kerekes",
+    "failover": "kerekes",
+    "config": "kerekes",
+    "burst": "kerekes",
+    "badworker": "kerekes",
+    "cancel": "kerekes",
+    "straggler": "kerekes",
+    "desk": "wijesekera",
+    "gateway": "kerekes",
+    "soak": "wijesekera",
+}
+"""Experiments and the firms that they measure unless told otherwise."""
 
-NAMES = ("response", "waste", "domain")
 LOADS = (0.5, 0.8, 0.95)
 
 
@@ -21,16 +38,13 @@
         Exit code: 0 if every target was met, else 1.
     """
     arguments = _build_parser().parse_args()
-    firms = tuple(
-        firm
-        for firm in workloads.FIRMS.values()
-        if arguments.firm in (firm.name, "both")
-    )
+    wanted = arguments.firm or EXPERIMENTS[arguments.name]
+    chosen = tuple(firm for firm in firms.FIRMS.values() if wanted in (firm.name, BOTH))
     loads = tuple(arguments.load or LOADS)
     options = trials.Options(
         arguments.seed,
         arguments.seconds,
-        firms,
+        chosen,
         loads,
         arguments.repeats,
         not arguments.no_baseline,
@@ -40,11 +54,11 @@
 
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="benchmarks", description=__doc__)
-    parser.add_argument("name", choices=NAMES)
+    parser.add_argument("name", choices=EXPERIMENTS)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--report", type=pathlib.Path, help="folder for the report")
-    parser.add_argument("--firm", choices=(*workloads.FIRMS, "both"), default="both")
+    parser.add_argument("--firm", choices=(*firms.FIRMS, BOTH))
     parser.add_argument(
         "--load", type=float, action="append", help="0 to 1, repeatable"
     )
--- a/benchmarks/domain.py
+++ b/benchmarks/domain.py
@@ -9,7 +9,7 @@
 import attrs
 
 from amaranthspar import standin
-from benchmarks import driver, ideal, outcomes, timing, trials, waste, workloads
+from benchmarks import driver, firms, ideal, outcomes, timing, trials
 
 TARGET = 0.99
 LOAD = 0.95
@@ -113,7 +113,7 @@
     move: Move,
 ) -> Result:
     firm = trial.fleet.firm
-    arrivals = workloads.generate(firm, seed, options.seconds, LOAD)
+    arrivals = firms.generate(firm, seed, options.seconds, LOAD)
     earlier = len(await trial.read_spans())
     sender.samples.clear()
 
@@ -130,8 +130,8 @@
 
 
 def _evaluate(
-    firm: workloads.Firm,
-    arrivals: Sequence[workloads.Arrival],
+    firm: firms.Firm,
+    arrivals: Sequence[firms.Arrival],
     sender: driver.Driver,
     runs: list[standin.Span],
     times: Span,
@@ -155,7 +155,7 @@
         [(span.started_ms, span.ended_ms) for span in best.spans],
         trials.count_failures(sender.samples),
         max(starts, default=0.0),
-        waste.measure_lag(sender.samples),
+        driver.measure_lag(sender.samples),
         trials.describe_failures(sender.samples),
     )
 
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -12,7 +12,7 @@
 import tqdm
 
 from amaranthspar import client
-from benchmarks import timing, workloads
+from benchmarks import firms, timing
 
 SPIN_MS = 1.0
 
@@ -32,7 +32,7 @@
         detail: Start of the body of an answer that is not 200.
     """
 
-    arrival: workloads.Arrival
+    arrival: firms.Arrival
     lag_ms: float
     response_ms: float
     status: int
@@ -63,7 +63,7 @@
         for item in self.clients:
             await item.close()
 
-    async def run(self, arrivals: Sequence[workloads.Arrival], title: str) -> None:
+    async def run(self, arrivals: Sequence[firms.Arrival], title: str) -> None:
         """Send all arrivals and wait for all answers.
 
         Args:
@@ -94,7 +94,7 @@
             pause_ms = left_ms - SPIN_MS
             await asyncio.sleep(pause_ms / 1000 if pause_ms > SPIN_MS else 0)
 
-    async def _send(self, arrival: workloads.Arrival, bar: tqdm.tqdm[Any]) -> None:
+    async def _send(self, arrival: firms.Arrival, bar: tqdm.tqdm[Any]) -> None:
         due_ms = self.started_ms + arrival.at_ms
         lag_ms = timing.read_ms() - due_ms
         target = self.clients[arrival.number % len(self.clients)]
@@ -120,9 +120,7 @@
         bar.update()
 
 
-async def send_arrival(
-    target: client.Client, arrival: workloads.Arrival
-) -> client.Reply:
+async def send_arrival(target: client.Client, arrival: firms.Arrival) -> client.Reply:
     """Send one submission.
 
     Args:
@@ -137,6 +135,8 @@
         headers["Idempotency-Key"] = arrival.key
     if arrival.desk:
         headers["Amaranthspar-Desk"] = arrival.desk
+    if arrival.deadline_ms:
+        headers["Amaranthspar-Deadline-Ms"] = str(arrival.deadline_ms)
     bodies = [
         {"sleep_ms": sleep_ms, "echo": [arrival.number, index]}
         for index, sleep_ms in enumerate(arrival.sleeps_ms)
@@ -148,7 +148,13 @@
     return await target.submit_job(arrival.service, msgspec.json.encode(tasks), headers)
 
 
-def _is_own(arrival: workloads.Arrival, body: bytes) -> bool:
+def measure_lag(samples: Sequence[Sample]) -> float:
+    """Return the driver's lag at the 99th percentile in ms."""
+    lags = sorted(sample.lag_ms for sample in samples)
+    return lags[int(len(lags) * 0.99)] if lags else 0.0
+
+
+def _is_own(arrival: firms.Arrival, body: bytes) -> bool:
     answer = msgspec.json.decode(body)
     answers = answer["answers"] if arrival.is_job else [answer]
     expected = [[arrival.number, index] for index in range(len(arrival.sleeps_ms))]
--- a/benchmarks/workloads.py
+++ b/benchmarks/firms.py
@@ -1,4 +1,4 @@
-"""Seeded workloads of the two firms."""
+"""Seeded firms of the two firms."""
 
 import random
 from collections.abc import Callable
@@ -24,6 +24,7 @@
         is_job: Whether it is sent as a job.
         key: Idempotency key; empty for none.
         desk: Desk name; empty for none.
+        deadline_ms: Deadline after the arrival; 0 for the service's own.
     """
 
     number: int
@@ -33,6 +34,7 @@
     is_job: bool = False
     key: str = ""
     desk: str = ""
+    deadline_ms: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -146,17 +148,17 @@
         now_ms += chance.expovariate(rate * factor)
         if now_ms >= seconds * 1000:
             return result
-        result.append(_draw(firm, chance, len(result), now_ms, seed))
+        result.append(_draw(firm, chance, len(result), now_ms, f"{seed}-{load}"))
 
 
 def _draw(
-    firm: Firm, chance: random.Random, number: int, at_ms: float, seed: int
+    firm: Firm, chance: random.Random, number: int, at_ms: float, prefix: str
 ) -> Arrival:
     weights = [kind.weight for kind in firm.kinds]
     kind = chance.choices(firm.kinds, weights)[0]
     count = chance.randint(*kind.tasks) if kind.tasks[1] else 1
     sleeps = tuple(_draw_run(chance, kind) for _ in range(count))
-    key = "" if kind.idempotent else f"{seed}-{number}"
+    key = "" if kind.idempotent else f"{prefix}-{number}"
     is_job = kind.tasks[1] > 0
     return Arrival(number, at_ms, kind.service, sleeps, is_job, key)
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,7 +17,7 @@
 import psutil
 
 from amaranthspar import client, configuration, options, tokens
-from benchmarks import ports, workloads
+from benchmarks import firms, loglines, ports, relay
 
 CONTROLLERS = 3
 GATEWAYS = 2
@@ -69,14 +69,24 @@
         statsd: Address of the StatsD listener; empty for none.
         gateways: Number of gateways.
         controllers: Number of controllers.
+        heartbeat_ms: Interval between heartbeats on links.
+        relayed: Processes that reach the controllers through relays.
+        desks: Home of each desk.
+        groups: Upstream group by number of the upstream, where not the main one.
+        processes: Started processes by name.
+        urls: URLs of the gateways.
+        places: Upstreams as ``NAME=DOMAIN=ADDRESS``.
+        control: Address of the stand-ins' control interface.
     """
 
-    firm: workloads.Firm
+    firm: firms.Firm
     folder: pathlib.Path
     statsd: str = ""
     gateways: int = GATEWAYS
     controllers: int = CONTROLLERS
     heartbeat_ms: int = 500
+    relayed: frozenset[str] = frozenset()
+    relays: list[relay.Relay] = attrs.field(factory=list)
     desks: dict[str, str] = attrs.field(factory=dict)
     groups: dict[int, str] = attrs.field(factory=dict)
     token: str = attrs.field(factory=lambda: secrets.token_hex(16))
@@ -86,7 +96,6 @@
     control: str = ""
     link_addresses: dict[str, str] = attrs.field(factory=dict)
     controller_addresses: list[str] = attrs.field(factory=list)
-    sidecar_controllers: list[str] = attrs.field(factory=list)
 
     async def start(self) -> None:
         """Start every role and wait until all gateways see all sidecars.
@@ -96,6 +105,8 @@
         """
         self.start_upstreams()
         self.start_controllers()
+        if self.relayed:
+            await self._open_relays()
         for number in range(self.firm.upstreams):
             self.start_sidecar(number)
         for number in range(self.gateways):
@@ -119,14 +130,20 @@
         bootstrap = self.folder / "bootstrap.ini"
         bootstrap.write_text(str(self.build_configuration()))
         self.controller_addresses = ports.reserve(self.controllers)
+        for number in range(self.controllers):
+            self.start_controller(number)
+
+    def start_controller(self, number: int) -> None:
+        """Start a controller by its number."""
         addresses = enumerate(self.controller_addresses)
-        replicas = [f"c{number + 1}={item}" for number, item in addresses]
-        for number, address in enumerate(self.controller_addresses):
-            name = f"controller-{number + 1}"
-            section = options.ControllerOptions(
-                f"c{number + 1}", replicas, str(self.folder / name), str(bootstrap)
-            )
-            self._start_role(name, "controller", number, section, address)
+        replicas = [f"c{index + 1}={item}" for index, item in addresses]
+        name = f"controller-{number + 1}"
+        bootstrap = self.folder / "bootstrap.ini"
+        section = options.ControllerOptions(
+            f"c{number + 1}", replicas, str(self.folder / name), str(bootstrap)
+        )
+        address = self.controller_addresses[number]
+        self._start_role(name, "controller", number, section, address)
 
     def start_sidecar(self, number: int) -> None:
         """Start the sidecar of an upstream by its number."""
@@ -137,7 +154,7 @@
             services=[kind.service for kind in self.firm.kinds],
             group=self.groups.get(number, "main"),
             slots=self.firm.slots,
-            connections=workloads.CONNECTIONS,
+            connections=firms.CONNECTIONS,
             cores=self.firm.cores,
             memory_mb=self.firm.memory_mb,
         )
@@ -228,6 +245,22 @@
             item for name, item in self.processes.items() if name.startswith(prefix)
         ]
 
+    def find_leader(self) -> Process | None:
+        """Return the leading controller as the logs tell it."""
+        changes = [
+            line
+            for item in self.list_processes("controller")
+            for line in loglines.read_lines(self.folder / f"{item.name}.log")
+            if line.event == "leader changed"
+        ]
+        newest = max(changes, key=lambda line: line.term, default=None)
+        if newest is None:
+            return None
+        leaders = [line.leader for line in changes if line.term == newest.term]
+        replica = max(leaders)
+        name = f"controller-{replica.removeprefix('c')}"
+        return self.processes.get(name)
+
     async def stop(self) -> dict[str, int]:
         """End every process by its id, gateways first.
 
@@ -248,6 +281,8 @@
                     del self.processes[item.name]
         finally:
             self.kill()
+            for link in self.relays:
+                await link.close()
         return codes
 
     def kill(self) -> None:
@@ -258,6 +293,16 @@
             item.popen.wait()
         self.processes.clear()
 
+    async def _open_relays(self) -> None:
+        for address in self.controller_addresses:
+            self.relays.append(relay.Relay(address))
+            await self.relays[-1].open()
+
+    def cut_off(self, silent: bool) -> None:
+        """Cut the relayed processes off from the controllers, or let them back."""
+        for item in self.relays:
+            item.silent = silent
+
     def _start_role(
         self, name: str, role: str, number: int, section: Any, listen: str = ""
     ) -> Process:
@@ -265,8 +310,8 @@
         listen = listen or self.link_addresses.get(name) or ports.reserve()[0]
         self.link_addresses[name] = listen
         controllers = self.controller_addresses
-        if role == "sidecar" and self.sidecar_controllers:
-            controllers = self.sidecar_controllers
+        if name in self.relayed:
+            controllers = [item.address for item in self.relays]
         process = options.ProcessOptions(
             name, listen, controllers, domain, statsd=self.statsd
         )
--- a/benchmarks/ideal.py
+++ b/benchmarks/ideal.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from benchmarks import workloads
+from benchmarks import firms
 
 
 @attrs.frozen(slots=True)
@@ -47,7 +47,7 @@
 
 
 def schedule(
-    arrivals: Sequence[workloads.Arrival], slots: int, outage: Outage | None = None
+    arrivals: Sequence[firms.Arrival], slots: int, outage: Outage | None = None
 ) -> Schedule:
     """Return the schedule of a queue served in the order of arrival.
 
@@ -59,7 +59,7 @@
     Returns:
         Response times and runs.
     """
-    pending: collections.deque[tuple[workloads.Arrival, float]] = collections.deque(
+    pending: collections.deque[tuple[firms.Arrival, float]] = collections.deque(
         (arrival, sleep_ms) for arrival in arrivals for sleep_ms in arrival.sleeps_ms
     )
     # Each entry is the time at which a slot is free and whether it can go out.
--- a/benchmarks/response.py
+++ b/benchmarks/response.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from benchmarks import driver, histograms, ideal, outcomes, trials, workloads
+from benchmarks import driver, firms, histograms, ideal, outcomes, trials
 
 TARGETS = {50.0: 1.05, 99.0: 1.10, 99.9: 1.25}
 BASELINE = "naive round robin"
@@ -54,14 +54,14 @@
         async with trials.open_trial(firm) as trial:
             for load in options.loads:
                 pool = await _measure(trial, trial.driver, options, load)
-                rows.append(_describe(firm, load, "amaranthspar", pool))
+                rows.append(describe(firm, load, "amaranthspar", pool))
                 _add_measures(outcome, firm, load, pool)
                 _add_points(curves, load, "amaranthspar", pool)
             if options.baseline:
                 async with trials.open_naive(trial) as sender:
                     for load in options.loads:
                         pool = await _measure(trial, sender, options, load)
-                        rows.append(_describe(firm, load, BASELINE, pool))
+                        rows.append(describe(firm, load, BASELINE, pool))
                         _add_points(curves, load, BASELINE, pool)
         _add_results(outcome, firm, rows, curves)
     return outcome
@@ -73,7 +73,7 @@
     pool = Pool()
     firm = trial.fleet.firm
     for seed in range(options.seed, options.seed + options.repeats):
-        arrivals = workloads.generate(firm, seed, options.seconds, load)
+        arrivals = firms.generate(firm, seed, options.seconds, load)
         sender.samples.clear()
         await sender.run(arrivals, f"{firm.name} {load:.0%} seed {seed}")
         pool.add(sender.samples, ideal.schedule(arrivals, firm.total_slots))
@@ -81,7 +81,7 @@
 
 
 def _add_measures(
-    outcome: outcomes.Outcome, firm: workloads.Firm, load: float, pool: Pool
+    outcome: outcomes.Outcome, firm: firms.Firm, load: float, pool: Pool
 ) -> None:
     place = f"{firm.name} {load:.0%}"
     for percentile, target in TARGETS.items():
@@ -94,9 +94,17 @@
     outcome.measures.append(outcomes.Measure(name, lags.read_percentile(99)))
 
 
-def _describe(
-    firm: workloads.Firm, load: float, label: str, pool: Pool
+def describe(
+    firm: firms.Firm, load: float, label: str, pool: Pool
 ) -> tuple[object, ...]:
+    """Return a row for `build_table`.
+
+    Args:
+        firm: Firm whose workload ran.
+        load: Load as a share of all slots.
+        label: Dispatcher.
+        pool: What was measured.
+    """
     measured = histograms.collect(pool.measured_ms)
     best = histograms.collect(pool.ideal_ms)
     cells: list[object] = []
@@ -110,6 +118,16 @@
     return (firm.name, f"{load:.0%}", label, count, *cells, pool.failures)
 
 
+def build_table(title: str, rows: list[tuple[object, ...]]) -> outcomes.Table:
+    """Return the table of rows made by `describe`."""
+    headers = ["firm", "load", "dispatcher", "answers"]
+    for percentile in TARGETS:
+        name = f"p{percentile:g}"
+        headers += [f"{name} ms", f"ideal {name} ms", "ratio"]
+    headers.append("failures")
+    return outcomes.Table(title, tuple(headers), rows)
+
+
 def _add_points(
     curves: dict[str, outcomes.Curve], load: float, label: str, pool: Pool
 ) -> None:
@@ -125,17 +143,12 @@
 
 def _add_results(
     outcome: outcomes.Outcome,
-    firm: workloads.Firm,
+    firm: firms.Firm,
     rows: list[tuple[object, ...]],
     curves: dict[str, outcomes.Curve],
 ) -> None:
-    headers = ["firm", "load", "dispatcher", "answers"]
-    for percentile in TARGETS:
-        name = f"p{percentile:g}"
-        headers += [f"{name} ms", f"ideal {name} ms", "ratio"]
-    headers.append("failures")
     title = f"Response time, {firm.name}"
-    outcome.tables.append(outcomes.Table(title, tuple(headers), rows))
+    outcome.tables.append(build_table(title, rows))
     plot = outcomes.Plot(
         f"{title}, by load",
         "load (% of all slots)",
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -15,11 +15,12 @@
 import msgspec
 
 from amaranthspar import configuration, messages, standin
-from benchmarks import counters, driver, fleet, timing, workloads
+from benchmarks import counters, driver, firms, fleet, timing
 
 WARM_UP_SECONDS = 2.0
 WARM_UP_LOAD = 0.3
 STATSD_SECONDS = 1.3
+LOG_LINES = 12
 
 
 @attrs.frozen(slots=True)
@@ -37,7 +38,7 @@
 
     seed: int
     seconds: float
-    firms: tuple[workloads.Firm, ...]
+    firms: tuple[firms.Firm, ...]
     loads: tuple[float, ...]
     repeats: int = 1
     baseline: bool = True
@@ -52,12 +53,14 @@
         driver: Driver with a connection to each gateway.
         counters: Counters of the roles.
         folder: Folder of settings and logs.
+        operator: Number of the gateway that takes operators' changes.
     """
 
     fleet: fleet.Fleet
     driver: driver.Driver
     counters: counters.Counters
     folder: pathlib.Path
+    operator: int = 0
 
     async def read_spans(self, first: int = 0) -> list[standin.Span]:
         """Return the spans on the stand-ins.
@@ -100,7 +103,7 @@
         Raises:
             fleet.FleetError: It was not accepted.
         """
-        operator = self.driver.clients[0]
+        operator = self.driver.clients[self.operator]
         fetched = await operator.fetch_configuration()
         current = configuration.parse_text(fetched.text)
         change(current)
@@ -127,7 +130,7 @@
 
 @contextlib.asynccontextmanager
 async def open_trial(
-    firm: workloads.Firm, warm: bool = True, **settings: Any
+    firm: firms.Firm, warm: bool = True, **settings: Any
 ) -> AsyncIterator[Trial]:
     """Run a fleet for the length of a block.
 
@@ -149,22 +152,31 @@
             if warm:
                 await warm_up(trial)
             yield trial
-            await sender.close()
             codes = await group.stop()
-            if any(codes.values()):
-                print(f"exit codes: {codes}")
+            report_exits(folder, codes)
         finally:
+            if sender is not None:
+                await sender.close()
             group.kill()
             statsd.close()
 
 
+def report_exits(folder: pathlib.Path, codes: dict[str, int]) -> None:
+    """Print the end of the log of each process that did not exit with 0."""
+    for name, code in codes.items():
+        if code == 0:
+            continue
+        lines = (folder / f"{name}.log").read_text().splitlines()
+        print(f"{name} exited with {code}:", *lines[-LOG_LINES:], sep="\n  ")
+
+
 async def warm_up(trial: Trial, sender: driver.Driver | None = None) -> None:
     """Send a light load and forget its samples."""
     sender = sender or trial.driver
     firm = trial.fleet.firm
     arrivals = [
         attrs.evolve(arrival, key=f"warm-{arrival.key}" if arrival.key else "")
-        for arrival in workloads.generate(firm, 0, WARM_UP_SECONDS, WARM_UP_LOAD)
+        for arrival in firms.generate(firm, 0, WARM_UP_SECONDS, WARM_UP_LOAD)
     ]
     await sender.run(arrivals, "warm-up")
     sender.samples.clear()
--- a/benchmarks/waste.py
+++ b/benchmarks/waste.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from benchmarks import driver, outcomes, trials, workloads
+from benchmarks import driver, firms, outcomes, trials
 
 TARGET = 0.05
 LEAST_MESSAGES = 2
@@ -51,21 +51,15 @@
     before = _read(trial)
     tasks = 0
     for seed in range(options.seed, options.seed + options.repeats):
-        arrivals = workloads.generate(firm, seed, options.seconds, load)
+        arrivals = firms.generate(firm, seed, options.seconds, load)
         await trial.driver.run(arrivals, f"{firm.name} {load:.0%} seed {seed}")
         tasks += sum(len(arrival.sleeps_ms) for arrival in arrivals)
     await trial.settle_counters()
-    lag = measure_lag(trial.driver.samples)
+    lag = driver.measure_lag(trial.driver.samples)
     trial.driver.samples.clear()
     return _read(trial) - before, tasks, lag
 
 
-def measure_lag(samples: list[driver.Sample]) -> float:
-    """Return the driver's lag at the 99th percentile in ms."""
-    lags = sorted(sample.lag_ms for sample in samples)
-    return lags[int(len(lags) * 0.99)] if lags else 0.0
-
-
 def _read(trial: trials.Trial) -> Counts:
     return collections.Counter(trial.counters.sum_metric(SENT))
 
