--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -48,6 +48,7 @@
         self.clock = clock.Clock()
         self.options = gateway
         self.draining = False
+        self.closing = False
         self._process = process
         self._log = logs.get_logger(process.name)
         self._metrics = metrics.Metrics(process.name, process.statsd)
@@ -99,6 +100,8 @@
         self._log.info("draining")
         self.draining = True
         await asyncio.sleep(self.options.drain_ms / 1000)
+        self.closing = True
+        self._web.stop_listening()
         while self.dispatcher.submissions or self._web.open_requests:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         incarnation = self.holder.member.incarnation
@@ -254,5 +257,7 @@
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
                     self.handle(dispatcher.ViewChanged())
+                case leaseholder.IncarnationChanged():
+                    self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
                     self._log.error("another incarnation took over")
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-from amaranthspar import program
+from amaranthspar import loop
 from benchmarks import firms, outcomes, trials
 
 BOTH = "both"
@@ -24,6 +24,8 @@
     "straggler": "kerekes",
     "desk": "wijesekera",
     "gateway": "kerekes",
+    "sidecar": "kerekes",
+    "control": "kerekes",
     "soak": "wijesekera",
 }
 """Experiments and the firms that they measure unless told otherwise."""
@@ -49,7 +51,7 @@
         arguments.repeats,
         not arguments.no_baseline,
     )
-    return program.run_loop(_run(arguments, options))
+    return loop.run_loop(_run(arguments, options))
 
 
 def _build_parser() -> argparse.ArgumentParser:
@@ -71,9 +73,9 @@
     # Cancelling the task ends the processes on the way out.
     task = asyncio.current_task()
     assert task is not None
-    loop = asyncio.get_running_loop()
+    running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
+        running.add_signal_handler(number, task.cancel)
     module = importlib.import_module(f"benchmarks.{arguments.name}")
     outcome: outcomes.Outcome = await module.run(options)
     print(outcome.format_tables("simple"))
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -15,6 +15,7 @@
 from benchmarks import firms, timing
 
 SPIN_MS = 1.0
+REFUSED = "ClientConnectorError"
 
 
 @attrs.frozen(slots=True)
@@ -42,6 +43,19 @@
     detail: str = ""
 
 
+@attrs.frozen(slots=True)
+class Resend:
+    """How submissions are sent again that are keyed or never reached a gateway.
+
+    Attributes:
+        times: Times to send again.
+        seconds: Pause before.
+    """
+
+    times: int
+    seconds: float
+
+
 class Driver:
     """Sends arrivals to gateways in turn.
 
@@ -54,6 +68,7 @@
         self.clients = [client.Client(url, token) for url in urls]
         self.started_ms = 0.0
         self.samples: list[Sample] = []
+        self.resend = Resend(0, 0.0)
         self._calls: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -97,11 +112,7 @@
     async def _send(self, arrival: firms.Arrival, bar: tqdm.tqdm[Any]) -> None:
         due_ms = self.started_ms + arrival.at_ms
         lag_ms = timing.read_ms() - due_ms
-        target = self.clients[arrival.number % len(self.clients)]
-        try:
-            reply = await send_arrival(target, arrival)
-        except client.ClientError as error:
-            reply = client.Reply(0, "unknown", str(error).encode())
+        reply = await self._ask(arrival)
         ended_ms = timing.read_ms()
         own = reply.status == 200 and _is_own(arrival, reply.body)
         detail = "" if reply.status == 200 else reply.body[:300].decode("utf-8", "?")
@@ -119,6 +130,21 @@
         )
         bar.update()
 
+    async def _ask(self, arrival: firms.Arrival) -> client.Reply:
+        reply = client.Reply(0, "unknown", b"")
+        for attempt in range(self.resend.times + 1):
+            target = self.clients[(arrival.number + attempt) % len(self.clients)]
+            try:
+                return await send_arrival(target, arrival)
+            except client.ClientError as error:
+                reply = client.Reply(0, "unknown", str(error).encode())
+                # As the balancer would, for what was never sent.
+                unsent = str(error).startswith(REFUSED)
+            if not arrival.key and not unsent:
+                break
+            await asyncio.sleep(self.resend.seconds)
+        return reply
+
 
 async def send_arrival(target: client.Client, arrival: firms.Arrival) -> client.Reply:
     """Send one submission.
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -277,7 +277,7 @@
                         item.send_signal(signal.SIGCONT)
                         item.send_signal(signal.SIGTERM)
                 for item in batch:
-                    codes[item.name] = await _wait_exit(item)
+                    codes[item.name] = await wait_exit(item)
                     del self.processes[item.name]
         finally:
             self.kill()
@@ -358,7 +358,12 @@
     return len(msgspec.json.decode(reply.body)["running"]) >= sidecars
 
 
-async def _wait_exit(item: Process) -> int:
+async def wait_exit(item: Process) -> int:
+    """Wait for a process to end, and kill it if it takes too long.
+
+    Returns:
+        Its exit code.
+    """
     for _ in range(STOP_SECONDS * 50):
         code = item.popen.poll()
         if code is not None:
--- a/benchmarks/naive.py
+++ b/benchmarks/naive.py
@@ -15,7 +15,7 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, intake, program, submissions, upstream
+from amaranthspar import _httpserver, intake, loop, submissions, upstream
 
 JSON = "application/json"
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -86,7 +86,7 @@
 
     async def _take_job(self, request: Any, service: str) -> response.HTTPResponse:
         name = f"naive.{next(self._names)}"
-        tasks = intake.read_job(request.body)
+        tasks = intake.read_job(request.body, MAX_BODY_BYTES)
         calls = [self._call(service, name, task) for task in tasks]
         answers = await asyncio.gather(*calls)
         bodies = [msgspec.Raw(body) for _, body in answers]
@@ -112,7 +112,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--http", required=True)
     parser.add_argument("places", nargs="+")
-    return program.run_loop(_serve(parser.parse_args()))
+    return loop.run_loop(_serve(parser.parse_args()))
 
 
 if __name__ == "__main__":
--- a/benchmarks/removal.py
+++ b/benchmarks/removal.py
@@ -48,7 +48,13 @@
                 outcomes.Measure(f"{place} driver lag p99 ms", lag_ms),
                 outcomes.Measure(f"{place} answers marked not-run", len(false), 0),
             ]
-    headers = ("variant", "round", "last start ms", "starts after", "starts in 1 s before")
+    headers = (
+        "variant",
+        "round",
+        "last start ms",
+        "starts after",
+        "starts in 1 s before",
+    )
     outcome.tables.append(outcomes.Table("Starts in the domain", headers, rows))
     return outcome
 
--- a/benchmarks/upstreams.py
+++ b/benchmarks/upstreams.py
@@ -14,7 +14,7 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, program, standin
+from amaranthspar import _httpserver, loop, standin
 
 JSON = "application/json"
 MAX_BODY_BYTES = 1024 * 1024
@@ -89,7 +89,7 @@
     parser.add_argument("--control", required=True)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("places", nargs="+")
-    return program.run_loop(_serve(parser.parse_args()))
+    return loop.run_loop(_serve(parser.parse_args()))
 
 
 if __name__ == "__main__":
