--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -9,28 +9,6 @@
 Messages: TypeAlias = Any
 
 
-@attrs.frozen(slots=True)
-class Heartbeat:
-    """Asks the peer to prove that the link still carries messages.
-
-    Attributes:
-        number: Number of the heartbeat on this link.
-    """
-
-    number: int
-
-
-@attrs.frozen(slots=True)
-class HeartbeatReply:
-    """Answers a heartbeat.
-
-    Attributes:
-        number: Copied from the heartbeat.
-    """
-
-    number: int
-
-
 @attrs.frozen(slots=True)
 class Forwarded:
     """Carries a request that a controller hands on to the leader.
@@ -758,7 +736,7 @@
 
     Attributes:
         claims: Claims in order.
-        decided_ms: Wall clock of the leader in ms.
+        decided_ms: Time of the claims in ms; goes on while there is a leader.
         retention_ms: Time for which a claim is kept in ms.
     """
 
@@ -772,7 +750,7 @@
     """A claim and when it was decided.
 
     Attributes:
-        decided_ms: Wall clock of the leader in ms.
+        decided_ms: Time of the claims in ms; goes on while there is a leader.
         claim: Claim that holds the key.
     """
 
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,29 +7,47 @@
 import signal
 import sys
 
+import attrs
+
 from amaranthspar import loop
 from benchmarks import firms, outcomes, trials
 
 BOTH = "both"
+
+
+@attrs.frozen(slots=True)
+class Experiment:
+    """Where an experiment stands and what it measures unless told otherwise.
+
+    Attributes:
+        module: Module in this package.
+        firm: Firm, or both.
+        function: Function of the module.
+    """
+
+    module: str
+    firm: str = "kerekes"
+    function: str = "run"
+
+
 EXPERIMENTS = {
-    "response": BOTH,
-    "waste": BOTH,
-    "domain": BOTH,
-    "removal": "kerekes",
-    "failover": "kerekes",
-    "config": "kerekes",
-    "burst": "kerekes",
-    "badworker": "kerekes",
-    "cancel": "kerekes",
-    "straggler": "kerekes",
-    "desk": "wijesekera",
-    "gateway": "kerekes",
-    "sidecar": "kerekes",
-    "control": "kerekes",
-    "soak": "wijesekera",
+    "response": Experiment("response", BOTH),
+    "waste": Experiment("waste", BOTH),
+    "domain": Experiment("domain", BOTH),
+    "removal": Experiment("removal"),
+    "failover": Experiment("failover"),
+    "leases-removal": Experiment("control", function="run_removal"),
+    "leases-failover": Experiment("control", function="run_failover"),
+    "config": Experiment("control", function="run_config"),
+    "burst": Experiment("burst"),
+    "badworker": Experiment("badworker"),
+    "cancel": Experiment("cancel"),
+    "straggler": Experiment("straggler"),
+    "desk": Experiment("desk", "wijesekera"),
+    "gateway": Experiment("gateway"),
+    "sidecar": Experiment("sidecar"),
+    "soak": Experiment("soak", "wijesekera"),
 }
-"""Experiments and the firms that they measure unless told otherwise."""
-
 LOADS = (0.5, 0.8, 0.95)
 
 
@@ -40,7 +58,7 @@
         Exit code: 0 if every target was met, else 1.
     """
     arguments = _build_parser().parse_args()
-    wanted = arguments.firm or EXPERIMENTS[arguments.name]
+    wanted = arguments.firm or EXPERIMENTS[arguments.name].firm
     chosen = tuple(firm for firm in firms.FIRMS.values() if wanted in (firm.name, BOTH))
     loads = tuple(arguments.load or LOADS)
     options = trials.Options(
@@ -76,8 +94,9 @@
     running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         running.add_signal_handler(number, task.cancel)
-    module = importlib.import_module(f"benchmarks.{arguments.name}")
-    outcome: outcomes.Outcome = await module.run(options)
+    chosen = EXPERIMENTS[arguments.name]
+    module = importlib.import_module(f"benchmarks.{chosen.module}")
+    outcome: outcomes.Outcome = await getattr(module, chosen.function)(options)
     print(outcome.format_tables("simple"))
     for note in outcome.notes:
         print(note)
