Tell holders of a new configuration at once

Change: a controller that applies a new version wakes the holders that renew with it; they fetch the delta at once.

--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -224,7 +224,11 @@
         now_ms = self.clock.read_monotonic()
         for message in frame.messages:
             match message:
-                case messages.LeaseGranted() | messages.LeaseDenied():
+                case (
+                    messages.LeaseGranted()
+                    | messages.LeaseDenied()
+                    | messages.AnnounceVersion()
+                ):
                     self._act(self.holder.handle(message, now_ms))
                 case (
                     messages.ReportResults()
--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -63,6 +63,7 @@
         self._expires_ms = started_ms
         self._next_ms = started_ms
         self._unanswered = False
+        self._announced_version = 0
         self.rejected_configurations = 0
         self._granted = False
         self._lost = False
@@ -109,7 +110,8 @@
         """Take a controller's answer.
 
         Args:
-            message: `messages.LeaseGranted` or `messages.LeaseDenied`.
+            message: `messages.LeaseGranted`, `messages.LeaseDenied` or
+                `messages.AnnounceVersion`.
             now_ms: Monotonic time in ms.
         """
         match message:
@@ -117,9 +119,18 @@
                 return self._accept(message, now_ms)
             case messages.LeaseDenied(reason="superseded"):
                 return self._yield_place(message, now_ms)
+            case messages.AnnounceVersion():
+                return self._hurry(message.version, now_ms)
             case _:
                 return []
 
+    def _hurry(self, version: int, now_ms: int) -> list[Effect]:
+        self._announced_version = max(self._announced_version, version)
+        if version <= self.view.configuration_version or self._unanswered:
+            return []
+        self._next_ms = now_ms
+        return self.tick(now_ms)
+
     def _yield_place(self, denial: messages.LeaseDenied, now_ms: int) -> list[Effect]:
         """Give up, or raise the incarnation of a process that never had a lease.
 
@@ -167,3 +178,5 @@
         self._unanswered = False
         jitter_ms = self._chance.uniform(-JITTER_RATIO, JITTER_RATIO) * RENEW_MS
         self._next_ms = max(now_ms, grant.sent_ms + RENEW_MS + int(jitter_ms))
+        if self.view.configuration_version < self._announced_version:
+            self._next_ms = now_ms
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -97,6 +97,17 @@
     membership_revision: int
 
 
+@attrs.frozen(slots=True)
+class AnnounceVersion:
+    """Tells a holder that a newer configuration is in force, so that it renews at once.
+
+    Attributes:
+        version: Newest committed configuration version.
+    """
+
+    version: int
+
+
 @attrs.frozen(slots=True)
 class Setting:
     """One key and value of a section.
--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -16,6 +16,7 @@
     from amaranthspar import leases
 
 MAX_BATCH = 512
+ACCEPTED = "accepted"
 CLAIM_RETENTION_MS = 1_800_000
 EXPIRY_LEASES = 2
 WAIT_MS = 5_000
@@ -81,6 +82,7 @@
         self, state: registry.Registry, grants: leases.Leases, lease_ms: int
     ) -> None:
         self.granted = 0
+        self._served: dict[str, _Waiting] = {}
         self.denied = 0
         self.seen: set[str] = set()
         self._state = state
@@ -205,6 +207,8 @@
                 case registry.ConfigurationApplied(decision=decision):
                     waiting = self._proposing.pop(decision.change_id, [])
                     sends += [effects.Send(item.address, decision) for item in waiting]
+                    if decision.outcome == ACCEPTED:
+                        sends += self._announce_version(decision.version, standing)
                 case registry.ClaimApplied(claim=claim):
                     waiting = self._claiming.pop(claim.key, [])
                     decided = self._decide_claim(claim.key)
@@ -214,6 +218,15 @@
                         sends += self._renew_waiting(process, standing)
         return sends
 
+    def _announce_version(self, version: int, standing: Standing) -> list[effects.Send]:
+        """Wake the holders that renew here, so that none waits for its next turn."""
+        oldest_ms = standing.now_ms - self._lease_ms
+        served = self._served.items()
+        recent = {name: item for name, item in served if item.since_ms > oldest_ms}
+        self._served = recent
+        announcement = messages.AnnounceVersion(version)
+        return [effects.Send(item.address, announcement) for item in recent.values()]
+
     def note_seen(self, processes: list[str], now_ms: int) -> None:
         """Note members whose leases a follower has renewed.
 
@@ -274,6 +287,7 @@
             return []
         if isinstance(decision, messages.LeaseGranted):
             self.granted += 1
+            self._served[process] = _Waiting(request.address, standing.now_ms, None)
             self.seen.add(process)
             self._seen_ms[process] = standing.now_ms
         else:
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -123,7 +123,11 @@
         now_ms = self._clock.read_monotonic()
         for message in frame.messages:
             match message:
-                case messages.LeaseGranted() | messages.LeaseDenied():
+                case (
+                    messages.LeaseGranted()
+                    | messages.LeaseDenied()
+                    | messages.AnnounceVersion()
+                ):
                     self._act(self.holder.handle(message, now_ms))
                 case _:
                     event = executor.Received(
