Return a failure domain's load in 150 ms, not 750

Cause: four steps of 250 ms held a returned domain back for most of a second, and its sidecars granted credits only at their next tick. Change: steps of 50 ms for a domain, 250 ms as before for an ejected sidecar; a sidecar acts at once on a new view.

--- a/amaranthspar/health.py
+++ b/amaranthspar/health.py
@@ -21,6 +21,7 @@
 MOST_PROBE_MS = 30_000
 STEPS = 4
 STEP_MS = 250
+DOMAIN_STEP_MS = 50
 SPEED_SMOOTHING = 0.05
 MOST_SLOWNESS = 16.0
 REFUSALS = frozenset(item.value for item in starts.Refusal)
@@ -39,6 +40,7 @@
         probe_at_ms: Monotonic time of the next probe.
         step: Step of the return, `STEPS` when it is complete.
         step_at_ms: Monotonic time of the next step.
+        step_ms: Time between two steps in ms.
     """
 
     failures: int = 0
@@ -48,6 +50,7 @@
     probe_at_ms: int = 0
     step: int = STEPS
     step_at_ms: int = 0
+    step_ms: int = STEP_MS
 
 
 class Health:
@@ -104,7 +107,7 @@
         if standing.ejected_ms is not None:
             standing.ejected_ms = None
             standing.probe_ms = PROBE_MS
-            self._begin_return(route, standing, now_ms)
+            self._begin_return(route, standing, STEP_MS, now_ms)
 
     def welcome(self, route: routing.Route, now_ms: int) -> None:
         """Let a sidecar that may be used again take load in steps.
@@ -113,7 +116,8 @@
             route: Sidecar.
             now_ms: Monotonic time in ms.
         """
-        self._begin_return(route, self._find_standing(route), now_ms)
+        standing = self._find_standing(route)
+        self._begin_return(route, standing, DOMAIN_STEP_MS, now_ms)
 
     def forget(self, process: str) -> None:
         """Drop what is known of a sidecar that is gone."""
@@ -147,7 +151,7 @@
         if now_ms < standing.step_at_ms:
             return False
         standing.step += 1
-        standing.step_at_ms = now_ms + STEP_MS
+        standing.step_at_ms = now_ms + standing.step_ms
         self._apply_step(route, standing)
         return True
 
@@ -181,10 +185,11 @@
         return out < max(1, int(len(self._routes) * MOST_EJECTED_RATIO))
 
     def _begin_return(
-        self, route: routing.Route, standing: _Standing, now_ms: int
+        self, route: routing.Route, standing: _Standing, step_ms: int, now_ms: int
     ) -> None:
         standing.step = 1
-        standing.step_at_ms = now_ms + STEP_MS
+        standing.step_ms = step_ms
+        standing.step_at_ms = now_ms + step_ms
         self._limited.add(route.member.process)
         self._apply_step(route, standing)
 
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -147,6 +147,7 @@
                 case leaseholder.ViewChanged():
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
+                    self._act(self.executor.tick(self._clock.read_monotonic()))
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
