--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -1,6 +1,7 @@
 """State machine of a gateway: admission, queue, dispatch and answers."""
 
 import collections
+import heapq
 
 import attrs
 
@@ -11,11 +12,14 @@
     demand,
     doubts,
     effects,
-    entries,
     estimates,
+    health,
     leaseholder,
     messages,
+    offers,
     pools,
+    quotas,
+    retries,
     routing,
     submissions,
 )
@@ -23,6 +27,11 @@
 KEEP_ALIVE_MS = 2000
 ACKNOWLEDGE_MS = 1000
 
+REASONS = {
+    submissions.Failure.OVERDUE: "deadline passed",
+    submissions.Failure.CANCELLED: "cancelled",
+}
+
 
 @attrs.frozen(slots=True)
 class Submitted:
@@ -72,13 +81,18 @@
         self._open_routes: list[routing.Route] = []
         self._lender: routing.Route | None = None
         self._capacity = capacity.Capacity(near_domain)
-        self._backlog = backlog.Backlog()
+        self._backlog = backlog.Backlog(holder)
         self._estimates = estimates.Estimates()
         self._admission = admission.Admission(holder, self._backlog, self.routes)
         self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder, self.counts)
         self._pools = pools.Pools(holder, self._capacity)
+        self._offers = offers.Offers(holder, self._backlog, self._demand, self._doubts)
+        self._quotas = quotas.Quotas(holder, self._backlog)
+        self._health = health.Health(self.routes, self._estimates)
+        self._retries = retries.RetryBudget(holder)
+        self._deadlines: list[tuple[int, str]] = []
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -107,10 +121,14 @@
             now_ms: Monotonic time in ms.
         """
         result: list[Effect] = []
-        for submission in list(self.submissions.values()):
-            if now_ms >= submission.deadline_ms:
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            _, name = heapq.heappop(self._deadlines)
+            if name in self.submissions:
                 self.counts["submissions.overdue"] += 1
-                result += self._end(submission, submission.fail("deadline passed"))
+                result += self._abandon(name, submissions.Failure.OVERDUE)
+        for route in self._health.tick(now_ms):
+            self._capacity.update(route)
+        self._admission.measure_slots()
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
         result += self._pools.inquire(now_ms)
@@ -136,6 +154,8 @@
             return [refusal]
         self.counts["submissions.admitted"] += 1
         self.submissions[submission.name] = submission
+        heapq.heappush(self._deadlines, (submission.deadline_ms, submission.name))
+        self._retries.earn(submission)
         for task in submission.tasks:
             self._enqueue(submission, task)
         return []
@@ -144,22 +164,20 @@
         self, submission: submissions.Submission, task: submissions.Task
     ) -> None:
         needs = routing.read_needs(submission, task, self._holder.view)
-        service = self._find_service(submission)
         cost_ms = self._estimates.predict(submission.service, task.expected_ms)
         waiting = backlog.Waiting(submission, task, needs, cost_ms)
-        self._backlog.push(self._pools.find(needs), waiting, service)
-
-    def _find_service(self, submission: submissions.Submission) -> entries.Service:
-        services = self._holder.view.settings.services
-        found = services.get(submission.service)
-        return entries.Service(submission.service) if found is None else found
+        self._backlog.push(self._pools.find(needs), waiting)
 
     def _cancel(self, name: str) -> list[Effect]:
-        submission = self.submissions.get(name)
-        if submission is None:
+        if name not in self.submissions:
             return []
         self.counts["submissions.cancelled"] += 1
-        return self._end(submission, submission.fail("cancelled"))
+        return self._abandon(name, submissions.Failure.CANCELLED)
+
+    def _abandon(self, name: str, failure: submissions.Failure) -> list[Effect]:
+        submission = self.submissions[name]
+        reason = REASONS[failure]
+        return self._end(submission, submission.fail(reason, failure=failure))
 
     def _end(
         self, submission: submissions.Submission, answer: submissions.Answer
@@ -169,7 +187,9 @@
         self._backlog.drop(submission)
         result: list[Effect] = [answer]
         held: dict[str, list[int]] = {}
-        for task in submission.list_sent():
+        sent = submission.list_sent()
+        self._quotas.end(submission.team, len(sent))
+        for task in sent:
             held.setdefault(task.sidecar, []).append(task.index)
         for sidecar, indexes in held.items():
             route = self.routes.get(sidecar)
@@ -187,7 +207,8 @@
             self._assign(pool, batches)
         result: list[Effect] = []
         for (sidecar, _), batch in batches.items():
-            result.append(self._send_batch(self.routes[sidecar], batch, now_ms))
+            route = self.routes[sidecar]
+            result.append(self._offers.build(route, batch, len(self.routes), now_ms))
         return result + self._demand.appeal(self._open_routes, now_ms)
 
     def _assign(
@@ -206,55 +227,21 @@
                 route.spare -= 1
                 route.limit += 1
                 self.counts["credits.borrowed"] += 1
+            submission, task = waiting.submission, waiting.task
             route.sent += 1
+            route.in_flight[submission.name, task.index] = task
             self._capacity.update(route)
-            name = (route.member.process, waiting.submission.name)
+            self._quotas.start(submission.team)
+            name = (route.member.process, submission.name)
             batches.setdefault(name, []).append(waiting)
 
     def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
         """Return the sidecar just heard if it has slots idle for other gateways."""
         route = self._lender
-        if route is None or route.spare <= 0:
+        if route is None or route.spare <= 0 or route.allowance is not None:
             return None
         return route if self._capacity.is_usable(pool, route) else None
 
-    def _send_batch(
-        self, route: routing.Route, batch: list[backlog.Waiting], now_ms: int
-    ) -> effects.Send:
-        submission = batch[0].submission
-        route.sequence += 1
-        self._doubts.note_start(route, now_ms)
-        starts = []
-        for waiting in batch:
-            task = waiting.task
-            task.state = submissions.TaskState.SENT
-            task.sidecar = route.member.process
-            task.sent_ms = now_ms
-            task.attempts += 1
-            task.sequence = route.sequence
-            route.in_flight[submission.name, task.index] = task
-            wanted = (task.cores, task.memory_mb, task.accelerators)
-            starts.append(messages.TaskStart(task.index, task.payload, *wanted))
-        route.demand_ms = now_ms
-        route.stated = route.acknowledged
-        message = messages.StartTasks(
-            sequence=route.sequence,
-            target=route.member.incarnation,
-            configuration_version=self._holder.view.configuration_version,
-            submission=submission.name,
-            service=submission.service,
-            desk=submission.desk,
-            content_type=submission.content_type,
-            deadline_ms=submission.deadline_ms - now_ms,
-            traceparent=submission.traceparent,
-            queued=self._demand.divide(len(self.routes)),
-            oldest_wait_ms=self._backlog.measure_oldest_wait(now_ms),
-            sent=route.sent,
-            acknowledged=route.acknowledged,
-            tasks=starts,
-        )
-        return effects.Send(route.member.address, message)
-
     def _receive(self, event: Received, now_ms: int) -> list[Effect]:
         route = self.routes.get(event.sidecar)
         if route is None or route.member.incarnation != event.incarnation:
@@ -301,6 +288,10 @@
         for receipt in self._doubts.take_report(route, report):
             submission = self.submissions.get(receipt.result.submission)
             if submission is not None:
+                self._quotas.end(submission.team)
+                task, item = receipt.task, receipt.result
+                service = submission.service
+                self._health.note_result(route, service, task, item, now_ms)
                 result += self._take_result(submission, receipt)
         self._capacity.update(route)
         self._lender = route
@@ -314,6 +305,13 @@
             self.counts["tasks.refused"] += 1
             self._enqueue(submission, task)
             return []
+        if item.outcome == submissions.UNKNOWN and self._retries.spend(
+            submission, task
+        ):
+            self.counts["tasks.retried"] += 1
+            task.may_have_run = True
+            self._enqueue(submission, task)
+            return []
         submission.end_task(task, item)
         if submissions.is_success(item, is_job=True):
             self._estimates.observe(submission.service, task.expected_ms, item.run_ms)
@@ -330,6 +328,7 @@
             member = current.get(name)
             if member is None or member.incarnation != route.member.incarnation:
                 self._parted[name] = self.routes.pop(name)
+                self._health.forget(name)
                 result += self._give_up(route)
         for name, member in current.items():
             if name in self.routes:
@@ -338,9 +337,14 @@
             self.routes[name] = self._open_route(member, now_ms)
             result.append(self._demand.state(self.routes[name], len(current), now_ms))
         known = self._holder.view
-        self._open_routes = [
-            route for route in self.routes.values() if routing.is_open(route, known)
-        ]
+        closed = [route for route in self.routes.values() if route.closed]
+        for route in self.routes.values():
+            route.closed = not routing.is_open(route, known)
+        self._open_routes = [item for item in self.routes.values() if not item.closed]
+        for route in closed:
+            if not route.closed:
+                self._health.welcome(route, now_ms)
+        self._quotas.follow()
         if self._pools.follow(self.routes.values(), self._open_routes):
             self._backlog.regroup(self._pools.find)
         return result
@@ -364,10 +368,12 @@
             if submission.over:
                 continue
             match verdict:
-                case doubts.Retry():
+                case doubts.Retry() if self._retries.spend(submission, verdict.task):
                     self.counts["tasks.retried"] += 1
+                    self._quotas.end(submission.team)
                     self._enqueue(submission, verdict.task)
-                case doubts.Lost():
+                case _:
+                    self._quotas.end(submission.team)
                     submission.end_task(verdict.task, verdict.result)
                     result += self._end(submission, submission.conclude())
         return result
--- /dev/null
+++ b/amaranthspar/health.py
@@ -0,0 +1,200 @@
+"""Limits on what sidecars get: ejection, probes and a stepped return.
+
+A sidecar whose tasks fail one after another while the fleet's succeed is ejected
+and gets single probes, at growing intervals, until one succeeds. A payload that fails
+everywhere raises the fleet's failures as well and ejects nobody. A sidecar that
+comes back takes its load in steps, and one that runs slower than expected ranks
+behind others.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from amaranthspar import estimates, messages, routing, starts, submissions
+
+FAILURES_TO_EJECT = 4
+FLEET_FAILURE_RATIO = 0.5
+FLEET_SMOOTHING = 0.05
+MOST_EJECTED_RATIO = 0.2
+PROBE_MS = 1000
+MOST_PROBE_MS = 30_000
+STEPS = 4
+STEP_MS = 250
+SPEED_SMOOTHING = 0.05
+MOST_SLOWNESS = 16.0
+REFUSALS = frozenset(item.value for item in starts.Refusal)
+"""Reasons for which a healthy sidecar starts nothing."""
+
+
+@attrs.define(slots=True)
+class _Standing:
+    """What is known of one sidecar.
+
+    Attributes:
+        failures: Failures of different submissions since the last success.
+        submission: Submission that failed last.
+        ejected_ms: Monotonic time of ejection, none if it is in.
+        probe_ms: Interval until the next probe in ms.
+        probe_at_ms: Monotonic time of the next probe.
+        step: Step of the return, `STEPS` when it is complete.
+        step_at_ms: Monotonic time of the next step.
+    """
+
+    failures: int = 0
+    submission: str = ""
+    ejected_ms: int | None = None
+    probe_ms: int = PROBE_MS
+    probe_at_ms: int = 0
+    step: int = STEPS
+    step_at_ms: int = 0
+
+
+class Health:
+    """Judges sidecars by the results that they report.
+
+    Args:
+        routes: Sidecars by process name.
+        expectations: Expected run times.
+    """
+
+    def __init__(
+        self,
+        routes: Mapping[str, routing.Route],
+        expectations: estimates.Estimates,
+    ) -> None:
+        self.ejections = 0
+        self._routes = routes
+        self._estimates = expectations
+        self._standings: dict[str, _Standing] = {}
+        self._fleet_failures = 0.0
+        self._limited: set[str] = set()
+
+    def note_result(
+        self,
+        route: routing.Route,
+        service: str,
+        task: submissions.Task,
+        result: messages.TaskResult,
+        now_ms: int,
+    ) -> None:
+        """Take the result of a task.
+
+        Args:
+            route: Sidecar that ran it.
+            service: Service of the task.
+            task: Task.
+            result: How it ended.
+            now_ms: Monotonic time in ms.
+        """
+        if result.outcome == submissions.NOT_RUN and result.reason in REFUSALS:
+            return
+        standing = self._find_standing(route)
+        failed = result.outcome != submissions.DONE or result.status >= 500
+        self._fleet_failures += FLEET_SMOOTHING * (failed - self._fleet_failures)
+        if failed:
+            name = "" if result.outcome == submissions.NOT_RUN else result.submission
+            self._note_failure(route, standing, name, now_ms)
+            return
+        expected_ms = self._estimates.predict(service, task.expected_ms)
+        ratio = min(MOST_SLOWNESS, max(result.run_ms, 1) / max(expected_ms, 1.0))
+        route.slowness += SPEED_SMOOTHING * (ratio - route.slowness)
+        standing.failures = 0
+        standing.submission = ""
+        if standing.ejected_ms is not None:
+            standing.ejected_ms = None
+            standing.probe_ms = PROBE_MS
+            self._begin_return(route, standing, now_ms)
+
+    def welcome(self, route: routing.Route, now_ms: int) -> None:
+        """Let a sidecar that may be used again take load in steps.
+
+        Args:
+            route: Sidecar.
+            now_ms: Monotonic time in ms.
+        """
+        self._begin_return(route, self._find_standing(route), now_ms)
+
+    def forget(self, process: str) -> None:
+        """Drop what is known of a sidecar that is gone."""
+        self._standings.pop(process, None)
+        self._limited.discard(process)
+
+    def tick(self, now_ms: int) -> list[routing.Route]:
+        """Allow probes and the next steps of a return.
+
+        Args:
+            now_ms: Monotonic time in ms.
+
+        Returns:
+            Sidecars whose allowance has changed.
+        """
+        changed = []
+        for process in list(self._limited):
+            route = self._routes.get(process)
+            if route is None:
+                self.forget(process)
+            elif self._advance(route, self._standings[process], now_ms):
+                changed.append(route)
+        return changed
+
+    def _advance(self, route: routing.Route, standing: _Standing, now_ms: int) -> bool:
+        if standing.ejected_ms is not None:
+            if now_ms < standing.probe_at_ms or route.allowance:
+                return False
+            route.allowance = 1
+            return True
+        if now_ms < standing.step_at_ms:
+            return False
+        standing.step += 1
+        standing.step_at_ms = now_ms + STEP_MS
+        self._apply_step(route, standing)
+        return True
+
+    def _note_failure(
+        self,
+        route: routing.Route,
+        standing: _Standing,
+        submission: str,
+        now_ms: int,
+    ) -> None:
+        if standing.ejected_ms is not None:
+            standing.probe_ms = min(MOST_PROBE_MS, 2 * standing.probe_ms)
+            standing.probe_at_ms = now_ms + standing.probe_ms
+            route.allowance = 0
+            return
+        if submission and submission == standing.submission:
+            return
+        standing.submission = submission
+        standing.failures += 1
+        if standing.failures >= FAILURES_TO_EJECT and self._may_eject():
+            self.ejections += 1
+            standing.ejected_ms = now_ms
+            standing.probe_at_ms = now_ms + standing.probe_ms
+            route.allowance = 0
+            self._limited.add(route.member.process)
+
+    def _may_eject(self) -> bool:
+        if self._fleet_failures > FLEET_FAILURE_RATIO:
+            return False
+        out = sum(item.ejected_ms is not None for item in self._standings.values())
+        return out < max(1, int(len(self._routes) * MOST_EJECTED_RATIO))
+
+    def _begin_return(
+        self, route: routing.Route, standing: _Standing, now_ms: int
+    ) -> None:
+        standing.step = 1
+        standing.step_at_ms = now_ms + STEP_MS
+        self._limited.add(route.member.process)
+        self._apply_step(route, standing)
+
+    def _apply_step(self, route: routing.Route, standing: _Standing) -> None:
+        if standing.step >= STEPS:
+            route.allowance = None
+            self._limited.discard(route.member.process)
+            return
+        slots = route.announcement.slots
+        route.allowance = max(1, slots * standing.step // STEPS)
+
+    def _find_standing(self, route: routing.Route) -> _Standing:
+        return self._standings.setdefault(route.member.process, _Standing())
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -6,6 +6,8 @@
 
 from amaranthspar import messages, submissions, view
 
+SLOW = 1.5
+
 
 @attrs.define(slots=True)
 class Route:
@@ -22,6 +24,8 @@
         stated: Acknowledged sequence that the sidecar was told last.
         spare: Idle slots last seen there that stand for others' credits.
         allowance: Tasks that may be in flight there; none for no limit.
+        slowness: Run time against that expected, smoothed.
+        closed: Whether it may be sent no new work.
         profile: Key under which the sidecar is indexed, none if it is not.
         doubt_ms: Monotonic time since which a start is not accounted for.
         received: Start sequence that the sidecar accounts for.
@@ -38,6 +42,8 @@
     stated: int = 0
     spare: int = 0
     allowance: int | None = None
+    slowness: float = 1.0
+    closed: bool = False
     profile: Hashable = None
     doubt_ms: int = 0
     received: int = 0
@@ -55,6 +61,14 @@
             return self.credits
         return min(self.credits, self.allowance - len(self.in_flight))
 
+    @property
+    def rank(self) -> int:
+        """Room, discounted for a sidecar that runs slower than expected."""
+        room = self.room
+        if room <= 0 or self.slowness < SLOW:
+            return room
+        return max(1, int(room / self.slowness))
+
     @property
     def announcement(self) -> messages.Announcement:
         """What the sidecar stated about its upstream."""
@@ -111,6 +125,17 @@
     return attrs.evolve(needs, group=known.find_home(needs.desk))
 
 
+def is_served(needs: Needs, announcement: messages.Announcement) -> bool:
+    """Return whether an upstream serves a task's service in its group.
+
+    Args:
+        needs: What the task asks for.
+        announcement: What the upstream has.
+    """
+    served = needs.service in announcement.services
+    return served and needs.group == announcement.group
+
+
 def is_feasible(needs: Needs, announcement: messages.Announcement) -> bool:
     """Return whether an upstream could ever run a task.
 
@@ -119,8 +144,7 @@
         announcement: What the upstream has.
     """
     return (
-        needs.service in announcement.services
-        and needs.group == announcement.group
+        is_served(needs, announcement)
         and needs.cores <= announcement.cores
         and needs.memory_mb <= announcement.memory_mb
         and needs.accelerators <= announcement.accelerators
--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,117 @@
+"""Random faults from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from amaranthspar import client
+from benchmarks import fleet, trials
+
+PAUSE_SECONDS = (3.0, 8.0)
+STOPPED_SECONDS = (0.5, 4.0)
+AWAY_SECONDS = (1.0, 5.0)
+BEHAVIOUR_SECONDS = (2.0, 6.0)
+
+Fault = Callable[[], Awaitable[str]]
+
+
+@attrs.define(slots=True)
+class Faults:
+    """Brings one fault after another about until cancelled.
+
+    Attributes:
+        trial: Trial to disturb.
+        chance: Source of all choices.
+        happened: What was done, one line each.
+        exits: Exit codes of planned stops.
+    """
+
+    trial: trials.Trial
+    chance: random.Random
+    happened: list[str] = attrs.field(factory=list)
+    exits: list[int] = attrs.field(factory=list)
+
+    async def run(self) -> None:
+        """Go on until cancelled; the fault at hand is then mended."""
+        kinds: list[Fault] = [
+            self._kill,
+            self._stop_and_continue,
+            self._restart,
+            self._move_domain,
+            self._worsen_worker,
+        ]
+        while True:
+            await asyncio.sleep(self.chance.uniform(*PAUSE_SECONDS))
+            try:
+                self.happened.append(await self.chance.choice(kinds)())
+            except (client.ClientError, fleet.FleetError) as error:
+                self.happened.append(f"refused: {error}")
+
+    def _choose(self) -> fleet.Process:
+        role = self.chance.choice(("gateway", "sidecar", "controller"))
+        return self.chance.choice(self.trial.fleet.list_processes(role))
+
+    async def _kill(self) -> str:
+        process = self._choose()
+        process.popen.kill()
+        process.popen.wait()
+        try:
+            await asyncio.sleep(self.chance.uniform(*AWAY_SECONDS))
+        finally:
+            self._start_again(process)
+        return f"killed {process.name}"
+
+    async def _restart(self) -> str:
+        process = self._choose()
+        process.send_signal(signal.SIGTERM)
+        try:
+            self.exits.append(await fleet.wait_exit(process))
+        finally:
+            if process.popen.poll() is None:
+                process.popen.kill()
+                process.popen.wait()
+            self._start_again(process)
+        return f"restarted {process.name}"
+
+    def _start_again(self, process: fleet.Process) -> None:
+        role, _, number = process.name.rpartition("-")
+        starts = {
+            "gateway": self.trial.fleet.start_gateway,
+            "sidecar": self.trial.fleet.start_sidecar,
+            "controller": self.trial.fleet.start_controller,
+        }
+        starts[role](int(number) - 1)
+
+    async def _stop_and_continue(self) -> str:
+        process = self._choose()
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(self.chance.uniform(*STOPPED_SECONDS))
+        finally:
+            process.send_signal(signal.SIGCONT)
+        return f"stopped {process.name} for a while"
+
+    async def _move_domain(self) -> str:
+        domain = self.chance.choice(self.trial.fleet.firm.domains)
+        await self.trial.change_domain(domain, "out")
+        try:
+            await asyncio.sleep(self.chance.uniform(*AWAY_SECONDS))
+        finally:
+            await self.trial.change_domain(domain, "in")
+        return f"took {domain} out and in"
+
+    async def _worsen_worker(self) -> str:
+        number = self.chance.randrange(self.trial.fleet.firm.upstreams)
+        failing = self.chance.random() < 0.5
+        factor = 1.0 if failing else 4.0
+        await self.trial.set_behaviour(number, slow_factor=factor, failing=failing)
+        try:
+            await asyncio.sleep(self.chance.uniform(*BEHAVIOUR_SECONDS))
+        finally:
+            await self.trial.set_behaviour(number)
+        return f"worsened {fleet.name_upstream(number)}, failing {failing}"
