Test the gateway's decisions alone and against blind dispatch

Cause: the policy had no tests of its own.

They found that failures of tasks in flight at an ejection pushed the first probe back; only a probe's failure does so now.

--- a/amaranthspar/health.py
+++ b/amaranthspar/health.py
@@ -158,6 +158,8 @@
         submission: str,
         now_ms: int,
     ) -> None:
+        if standing.ejected_ms is not None and not route.allowance:
+            return
         if standing.ejected_ms is not None:
             standing.probe_ms = min(MOST_PROBE_MS, 2 * standing.probe_ms)
             standing.probe_at_ms = now_ms + standing.probe_ms
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,59 @@
+"""Tests of the index of sidecars by room."""
+
+from hypothesis import given, settings, strategies
+
+from amaranthspar import capacity, routing
+from tests import builders_gateway
+
+NEEDS = routing.Needs("lookup", "main")
+
+
+def build_index(*routes):
+    index = capacity.Capacity("gyor")
+    index.rebuild(routes, routes)
+    return index
+
+
+def test_near_domain_comes_first_while_it_has_room():
+    near = builders_gateway.build_route("s1", "gyor", limit=1)
+    far = builders_gateway.build_route("s2", "pecs", limit=2)
+    index = build_index(near, far)
+    pool = index.find_pool(NEEDS)
+    assert index.choose(pool) is near
+    near.sent += 1
+    index.update(near)
+    assert index.choose(pool) is far
+
+
+def test_slow_sidecar_ranks_behind():
+    slow = builders_gateway.build_route("s1", limit=8)
+    fast = builders_gateway.build_route("s2", limit=4)
+    slow.slowness = 4.0
+    index = build_index(slow, fast)
+    assert index.choose(index.find_pool(NEEDS)) is fast
+
+
+def test_task_that_fits_nowhere_has_an_empty_pool():
+    index = build_index(builders_gateway.build_route())
+    pool = index.find_pool(routing.Needs("lookup", "main", cores=99))
+    assert not pool
+    assert index.choose(pool) is None
+
+
+rooms = strategies.lists(
+    strategies.tuples(strategies.integers(0, 5), strategies.integers(0, 9))
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(rooms)
+def test_choice_is_that_of_a_scan(changes):
+    routes = [builders_gateway.build_route(f"s{n}", "pecs", limit=n) for n in range(6)]
+    index = build_index(*routes)
+    pool = index.find_pool(NEEDS)
+    for number, limit in changes:
+        routes[number].limit = limit
+        index.update(routes[number])
+        chosen = index.choose(pool)
+        most = max(route.room for route in routes)
+        assert (chosen.room if chosen else 0) == most
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,243 @@
+"""Stateful test of a gateway alone, and a comparison with blind dispatch."""
+
+import collections
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from amaranthspar import dispatcher, effects, messages, submissions
+from benchmarks import alternatives, arrivals, virtual
+from tests import builders_gateway
+
+SIDECARS = ("s1", "s2", "s3")
+DOMAINS = {"s1": "gyor", "s2": "gyor", "s3": "pecs"}
+SLOTS = 2
+names = strategies.sampled_from(SIDECARS)
+services = strategies.sampled_from(["lookup", "hold", "recalculate"])
+
+
+class FakeSidecar:
+    """What a sidecar would know, with results chosen by the test."""
+
+    def __init__(self, member):
+        self.member = member
+        self.limit = SLOTS
+        self.spare = 0
+        self.started = []
+        self.sequence = 0
+        self.last_start = 0
+
+
+class Gateway(stateful.RuleBasedStateMachine):
+    """One gateway with sidecars that answer in any order."""
+
+    @stateful.initialize()
+    def begin(self):
+        self.now_ms = 0
+        self.version = 1
+        self.settings = builders_gateway.build_settings(max_running=5)
+        self.sidecars = {
+            name: FakeSidecar(
+                builders_gateway.build_sidecar(name, DOMAINS[name], SLOTS)
+            )
+            for name in SIDECARS
+        }
+        members = [item.member for item in self.sidecars.values()]
+        self.holder = builders_gateway.build_holder(*members, max_running=5)
+        self.machine = dispatcher.Dispatcher(self.holder, "gyor")
+        self.admitted = {}
+        self.answers = {}
+        self.where = {}
+        self.ran = set()
+        self.starts = collections.Counter()
+        self.act(self.machine.handle(dispatcher.ViewChanged(), 0))
+        for name in SIDECARS:
+            self.grant(name)
+
+    def act(self, performed):
+        for effect in performed:
+            match effect:
+                case submissions.Answer():
+                    self.check_answer(effect)
+                case effects.Send(message=messages.StartTasks()):
+                    self.check_start(self.sidecars[effect.peer], effect.message)
+
+    def check_start(self, sidecar, message):
+        assert message.target == sidecar.member.incarnation
+        assert message.sequence == sidecar.last_start + 1
+        sidecar.last_start = message.sequence
+        assert message.sent <= sidecar.limit + sidecar.spare
+        sidecar.spare -= max(0, message.sent - sidecar.limit)
+        sidecar.limit = max(sidecar.limit, message.sent)
+        domain = DOMAINS[sidecar.member.process]
+        assert self.settings.domains[domain].state == "in"
+        for task in message.tasks:
+            name = (message.submission, task.index)
+            assert name not in self.where, f"{name} sent to two sidecars"
+            submission = self.admitted[message.submission]
+            self.starts[name] += 1
+            if name in self.ran:
+                assert submission.service == "lookup"
+                assert self.starts[name] <= 2
+            self.where[name] = message.sequence
+            sidecar.started.append(name)
+
+    def check_answer(self, answer):
+        assert answer.submission not in self.answers, "answered twice"
+        self.answers[answer.submission] = answer
+        if answer.outcome != submissions.NOT_RUN:
+            return
+        held = {name for name, _ in (*self.where, *self.ran)}
+        assert answer.submission not in held, "false 'not-run'"
+
+    def grant(self, name):
+        sidecar = self.sidecars[name]
+        grant = messages.GrantCredits(sidecar.limit, 1)
+        self.receive(sidecar, grant)
+
+    def receive(self, sidecar, message):
+        member = sidecar.member
+        event = dispatcher.Received(member.process, member.incarnation, message)
+        self.act(self.machine.handle(event, self.now_ms))
+
+    @stateful.rule(service=services, count=strategies.integers(1, 12))
+    def submit(self, service, count):
+        name = f"r{len(self.admitted)}"
+        submission = builders_gateway.build_submission(
+            name,
+            service,
+            count if service == "recalculate" else 1,
+            deadline_ms=self.now_ms + 5000,
+        )
+        submission.admitted_ms = self.now_ms
+        self.admitted[name] = submission
+        self.act(self.machine.handle(dispatcher.Submitted(submission), self.now_ms))
+
+    @stateful.precondition(lambda self: any(s.started for s in self.sidecars.values()))
+    @stateful.rule(
+        data=strategies.data(),
+        outcome=strategies.sampled_from(["done", "done", "done", "not-run", "unknown"]),
+        spare=strategies.integers(0, 2),
+        doubled=strategies.booleans(),
+    )
+    def end(self, data, outcome, spare, doubled):
+        busy = [item for item in self.sidecars.values() if item.started]
+        sidecar = data.draw(strategies.sampled_from(busy))
+        name = data.draw(strategies.sampled_from(sidecar.started))
+        start = self.where[name]
+        self.report(sidecar, name, outcome, spare)
+        if doubled:
+            result = messages.TaskResult(*name, outcome, "x", start=start)
+            report = (1, sidecar.sequence, [result], sidecar.limit, 0, 0, 0)
+            self.receive(sidecar, messages.ReportResults(*report))
+
+    def report(self, sidecar, name, outcome, spare=0):
+        sidecar.started.remove(name)
+        start = self.where.pop(name)
+        if outcome != "not-run":
+            self.ran.add(name)
+        sidecar.sequence += 1
+        sidecar.limit += 1
+        sidecar.spare = spare
+        result = messages.TaskResult(*name, outcome, "refused", status=200, start=start)
+        report = (1, sidecar.sequence, [result], sidecar.limit, 0, 0, spare)
+        self.receive(sidecar, messages.ReportResults(*report))
+        sidecar.spare = 0
+
+    @stateful.precondition(lambda self: self.admitted)
+    @stateful.rule(data=strategies.data())
+    def cancel(self, data):
+        name = data.draw(strategies.sampled_from(sorted(self.admitted)))
+        self.act(self.machine.handle(dispatcher.Cancelled(name), self.now_ms))
+
+    @stateful.rule(name=names)
+    def restart_sidecar(self, name):
+        old = self.sidecars[name]
+        for task in old.started:
+            del self.where[task]
+            self.ran.add(task)
+        incarnation = old.member.incarnation + 1
+        member = builders_gateway.build_sidecar(name, DOMAINS[name], SLOTS, incarnation)
+        self.sidecars[name] = FakeSidecar(member)
+        self.follow()
+        self.grant(name)
+
+    @stateful.rule(
+        domain=strategies.sampled_from(["gyor", "pecs"]),
+        state=strategies.sampled_from(["in", "out"]),
+    )
+    def set_domain(self, domain, state):
+        self.settings.add_domain(domain, state=state)
+        self.follow()
+
+    def follow(self):
+        self.version += 1
+        members = [item.member for item in self.sidecars.values()]
+        view = (members, self.settings, self.version, self.now_ms)
+        builders_gateway.grant_view(self.holder, *view)
+        self.act(self.machine.handle(dispatcher.ViewChanged(), self.now_ms))
+
+    @stateful.rule(duration_ms=strategies.sampled_from((50, 300, 2000, 6000)))
+    def advance(self, duration_ms):
+        for _ in range(duration_ms // 50):
+            self.now_ms += 50
+            self.act(self.machine.tick(self.now_ms))
+
+    @stateful.invariant()
+    def quota_is_kept(self):
+        if hasattr(self, "answers"):
+            live = [name for name in self.where if name[0] not in self.answers]
+            assert len(live) <= 5
+
+    def teardown(self):
+        if not hasattr(self, "answers"):
+            return
+        for domain in ("gyor", "pecs"):
+            self.set_domain(domain, "in")
+        self.advance(6000)
+        assert set(self.answers) == set(self.admitted)
+        assert not self.machine.count_queued()
+        assert not self.machine.submissions
+
+
+TestGateway = Gateway.TestCase
+TestGateway.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def test_same_answers_as_blind_dispatch_and_no_later():
+    mix = arrivals.Mix(load=0.8, slots=72, seconds=8)
+    found = arrivals.build_mix(mix, seed=5)
+    fleet = virtual.Fleet()
+    fleet.feed(found)
+    fleet.loop.run(found[-1].at_ms + 30_000)
+    mine = fleet.record.responses_ms
+    for choices in (1, 2):
+        blind = alternatives.Blind(choices).run(found)
+        assert mine.keys() == blind.keys()
+        assert sum(mine.values()) <= sum(blind.values())
+    assert max(fleet.record.starts.values()) == 1
+    assert fleet.record.outcomes == {"done": len(found)}
+
+
+def test_wave_of_cancels_leaves_nothing_queued():
+    fleet = virtual.Fleet()
+    jobs = [
+        arrivals.Arrival(0.0, 0, [500.0] * 20, [500] * 20, "recalculate", is_job=True)
+        for _ in range(1000)
+    ]
+    fleet.feed(jobs)
+    fleet.loop.run(1)
+    for position in range(1000):
+        fleet.cancel("gateway-1", position)
+    gateway = fleet.gateways["gateway-1"].machine
+    assert not gateway.count_queued()
+    assert not gateway.submissions
+    fleet.loop.run(5000)
+    assert len(fleet.record.starts) <= 72 + 18
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,80 @@
+"""Tests of ejection, probes and the stepped return."""
+
+from amaranthspar import estimates, health, messages
+from tests import builders_gateway
+
+
+def build(count=3):
+    routes = {f"s{n}": builders_gateway.build_route(f"s{n}") for n in range(count)}
+    return routes, health.Health(routes, estimates.Estimates())
+
+
+def report(judge, route, number, status=200, now_ms=0, run_ms=200):
+    submission = builders_gateway.build_submission(f"r{number}")
+    result = messages.TaskResult(
+        submission.name, 0, "done", status=status, run_ms=run_ms
+    )
+    judge.note_result(route, "lookup", submission.tasks[0], result, now_ms)
+
+
+def fail_one_of_many(judge, routes, now_ms=0):
+    for number in range(8):
+        report(judge, routes["s1"], 2 * number, now_ms=now_ms)
+        report(judge, routes["s0"], 2 * number + 1, status=500, now_ms=now_ms)
+
+
+def test_sidecar_that_fails_everything_gets_only_probes():
+    routes, judge = build()
+    fail_one_of_many(judge, routes)
+    assert routes["s0"].room == 0
+    assert judge.tick(health.PROBE_MS - 1) == []
+    assert judge.tick(health.PROBE_MS) == [routes["s0"]]
+    assert routes["s0"].allowance == 1
+    report(judge, routes["s0"], 99, status=500, now_ms=1000)
+    assert judge.tick(2000) == []
+    assert judge.tick(1000 + 2 * health.PROBE_MS) == [routes["s0"]]
+
+
+def test_payload_that_fails_everywhere_ejects_nobody():
+    routes, judge = build()
+    for number in range(60):
+        report(judge, routes[f"s{number % 3}"], number, status=500)
+    assert judge.ejections <= 1
+    for number in range(60, 200):
+        report(judge, routes[f"s{number % 3}"], number, status=500)
+    assert sum(route.allowance is None for route in routes.values()) >= 2
+
+
+def test_one_submission_alone_ejects_nobody():
+    routes, judge = build()
+    for _ in range(50):
+        report(judge, routes["s1"], 1)
+        report(judge, routes["s0"], 7, status=500)
+    assert not judge.ejections
+
+
+def test_cap_on_ejections():
+    routes, judge = build(10)
+    for number in range(400):
+        bad = number % 10 < 4
+        report(judge, routes[f"s{number % 10}"], number, status=500 if bad else 200)
+    assert judge.ejections == 2
+
+
+def test_return_is_stepped():
+    routes, judge = build()
+    route = routes["s0"]
+    judge.welcome(route, 0)
+    allowances = [route.allowance]
+    for now_ms in (250, 500, 750, 1000):
+        judge.tick(now_ms)
+        allowances.append(route.allowance)
+    assert allowances == [1, 1, 1, None, None]
+
+
+def test_slow_sidecar_is_told_from_the_fleet():
+    routes, judge = build()
+    for number in range(100):
+        report(judge, routes["s0"], number, run_ms=800)
+        report(judge, routes["s1"], number, run_ms=200)
+    assert routes["s0"].slowness > 3 > routes["s1"].slowness
