Probe the way back when a peer dials anew; test silent links and planned stops

Cause: a connection that was silent in both directions was dialled anew by one side only: answers went unnumbered into the other side's silent connection, which noticed nothing until its idle probe; with every link of a cluster silenced, 30 s holds ended unanswered.

Change: a side that dials anew says so, and the other probes its own link with a patience of one interval. The sidecar ticks each 250 ms while idle and keeps its collector off what was imported.

--- a/amaranthspar/heartbeats.py
+++ b/amaranthspar/heartbeats.py
@@ -42,6 +42,7 @@
     _peer_incarnation: int = 0
     _sent_ms: int = 0
     _confirmed: int = 0
+    _is_suspect: bool = False
     _waiting_ms: int = 0
     _owes_answer: bool = False
 
@@ -89,8 +90,20 @@
             self._owes_answer = True
         if self._confirmed < confirmed <= self.number:
             self._confirmed = confirmed
+            self._is_suspect = False
             self._waiting_ms = now_ms
 
+    def note_redial(self) -> Action:
+        """Return what the link needs once the peer has dialled its own anew.
+
+        What silenced the peer's connection may have silenced this one as well,
+        and its answers would not arrive: it is probed, with less patience.
+        """
+        if not self.number:
+            return Action.NONE
+        self._is_suspect = True
+        return Action.PROBE
+
     def tick(self, now_ms: int) -> Action:
         """Return what the link needs now.
 
@@ -100,9 +113,10 @@
         if now_ms - self.used_ms >= UNUSED_INTERVALS * self.interval_ms:
             return Action.ANSWER if self._owes_answer else Action.CLOSE
         waiting = self._confirmed < self.number
-        silent_ms = SILENT_INTERVALS * self.interval_ms
-        if waiting and now_ms - self._waiting_ms >= silent_ms:
+        patience = 1 if self._is_suspect else SILENT_INTERVALS
+        if waiting and now_ms - self._waiting_ms >= patience * self.interval_ms:
             self._waiting_ms = now_ms
+            self._is_suspect = False
             return Action.REDIAL
         intervals = 1 if waiting else IDLE_INTERVALS
         if now_ms - self._sent_ms >= intervals * self.interval_ms:
--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -79,6 +79,14 @@
         """Return the time left in ms, 0 for a lapsed lease."""
         return max(0, self._expires_ms - now_ms)
 
+    def count_until_renewal(self, now_ms: int) -> int:
+        """Return the time until the next renewal in ms.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        return max(0, self._next_ms - now_ms)
+
     def tick(self, now_ms: int) -> list[Effect]:
         """Renew the lease when it is time.
 
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -23,6 +23,7 @@
     encryption,
     errors,
     heartbeats,
+    messages,
     options,
 )
 
@@ -256,24 +257,33 @@
             return
         peer = self._find_peer(frame.address)
         if peer is not None:
-            now_ms = self._clock.read_monotonic()
-            heard = (frame.incarnation, frame.number, frame.heard)
-            peer.health.note_frame(*heard, now_ms)
-            if frame.messages:
-                peer.health.note_use(now_ms)
+            self._note_frame(peer, frame)
         if frame.messages:
             self._receive(frame)
 
+    def _note_frame(self, peer: _Peer, frame: codec.Frame) -> None:
+        now_ms = self._clock.read_monotonic()
+        heard = (frame.incarnation, frame.number, frame.heard)
+        peer.health.note_frame(*heard, now_ms)
+        match frame.messages:
+            case []:
+                pass
+            case [messages.LinkRedialled()]:
+                frame.messages.clear()
+                self._carry_out(peer, peer.health.note_redial())
+            case _:
+                peer.health.note_use(now_ms)
+
     async def _beat(self) -> None:
         """Look after the links twice in each heartbeat interval."""
         while True:
             await asyncio.sleep(self._heartbeat_ms / 2000)
             now_ms = self._clock.read_monotonic()
             for peer in list(self._peers.values()):
-                self._look_after(peer, now_ms)
+                self._carry_out(peer, peer.health.tick(now_ms))
 
-    def _look_after(self, peer: _Peer, now_ms: int) -> None:
-        match peer.health.tick(now_ms):
+    def _carry_out(self, peer: _Peer, action: heartbeats.Action) -> None:
+        match action:
             case heartbeats.Action.ANSWER:
                 self._count_sent(peer.address, "HeartbeatReply")
                 self._send_frame(peer, [], numbered=False)
@@ -284,7 +294,9 @@
                 self.counts["links.redialled"] += 1
                 peer.socket.close()
                 peer.socket = self._dial(peer.address)
-                self._send_frame(peer, [])
+                told = messages.LinkRedialled(peer.health.number)
+                self._count_sent(peer.address, "LinkRedialled")
+                self._send_frame(peer, [told])
             case heartbeats.Action.CLOSE:
                 self.counts["links.closed"] += 1
                 self.forget(peer.address)
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -9,6 +9,17 @@
 Messages: TypeAlias = Any
 
 
+@attrs.frozen(slots=True)
+class LinkRedialled:
+    """Says that the sender gave up a silent connection to the receiver.
+
+    Attributes:
+        number: Number of the last frame sent on it.
+    """
+
+    number: int
+
+
 @attrs.frozen(slots=True)
 class Forwarded:
     """Carries a request that a controller hands on to the leader.
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import gc
 import random
 
 from amaranthspar import (
@@ -19,6 +20,8 @@
 )
 
 TICK_MS = 50
+IDLE_TICK_MS = 250
+COLLECT_THRESHOLD = 20_000
 METRICS_MS = 1000
 LEAVE_POLL_MS = 20
 
@@ -77,6 +80,9 @@
         )
         await self._links.open()
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
+        # What was imported lives on: collections need not look at it again.
+        gc.freeze()
+        gc.set_threshold(COLLECT_THRESHOLD)
         self._log.info("started", upstream=self._options.upstream)
 
     async def stop(self) -> None:
@@ -117,7 +123,13 @@
                 reported_ms = now_ms
                 self._metrics.report(self.executor.counts)
                 self._metrics.report(self._links.counts)
-            await asyncio.sleep(TICK_MS / 1000)
+            await asyncio.sleep(self._measure_pause(now_ms) / 1000)
+
+    def _measure_pause(self, now_ms: int) -> int:
+        if not self.executor.is_idle:
+            return TICK_MS
+        until_ms = self.holder.count_until_renewal(now_ms)
+        return min(IDLE_TICK_MS, max(TICK_MS, until_ms))
 
     def _receive(self, frame: codec.Frame) -> None:
         now_ms = self._clock.read_monotonic()
--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -67,7 +67,11 @@
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
         number = self.connections
-        there = await asyncio.open_connection(*self._target)
+        try:
+            there = await asyncio.open_connection(*self._target)
+        except ConnectionError:
+            writer.close()
+            return
         for source, sink in ((reader, there[1]), (there[0], writer)):
             task = asyncio.create_task(self._forward(number, source, sink))
             self._tasks.add(task)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -237,3 +237,15 @@
     assert health.tick(unused_ms) is heartbeats.Action.CLOSE
     health.note_use(unused_ms)
     assert health.tick(unused_ms) is not heartbeats.Action.CLOSE
+
+
+def test_redial_of_the_peer_has_the_link_probed_with_less_patience():
+    health = build_health()
+    assert health.note_redial() is heartbeats.Action.NONE
+    health.note_frame(1, 0, health.take_number(0), 10)
+    assert health.note_redial() is heartbeats.Action.PROBE
+    number = health.take_number(20)
+    assert health.tick(20 + INTERVAL_MS) is heartbeats.Action.REDIAL
+    health.note_redial()
+    health.note_frame(1, 0, number, 30 + INTERVAL_MS)
+    assert health.tick(30 + 2 * INTERVAL_MS) is heartbeats.Action.NONE
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,103 @@
+"""Tests of the sidecar's process: planned stops and silent connections."""
+
+import asyncio
+import pathlib
+import signal
+
+import attrs
+import uvloop
+
+from amaranthspar import client, cluster
+from benchmarks import sidecar as site
+from tests import builders_links, test_cluster
+
+HOLDS = 120
+SLEEP_MS = 200
+
+
+def hold(caller: client.Client, number: int):
+    body = test_cluster.encode({"sleep_ms": SLEEP_MS, "echo": number})
+    key = {"Idempotency-Key": f"hold-{number}"}
+    return asyncio.ensure_future(caller.send_request("hold", body, key))
+
+
+def test_stop_under_load_cuts_nothing_off(tmp_path: pathlib.Path) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        asked = [hold(caller, number) for number in range(HOLDS)]
+        await asyncio.sleep(SLEEP_MS / 2000)
+        leaving = running.sidecars[:3]
+        assert any(not item.executor.is_idle for item in leaving)
+        await asyncio.gather(*(item.stop() for item in leaving))
+        replies = await asyncio.gather(*asked)
+        assert {item.status for item in replies} == {200}
+        running.sidecars = running.sidecars[3:]
+
+    running = test_cluster.run_scenario(tmp_path, scenario)
+    assert running.record.started == HOLDS
+    assert not running.record.list_doubled()
+
+
+async def relay_role(role, relays) -> None:
+    """Let a role's peers reach it over a relay."""
+    relay = builders_links.Relay(role.holder.member.address)
+    await relay.open()
+    relays.append(relay)
+    member = attrs.evolve(role.holder.member, address=relay.address)
+    role._links.address = relay.address
+    role._act(role.holder.announce(member, role.holder._next_ms))
+
+
+def test_silent_links_lose_and_double_nothing(tmp_path: pathlib.Path) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        relays: list[builders_links.Relay] = []
+        for role in (*running.gateways, *running.sidecars):
+            await relay_role(role, relays)
+        addresses = {relay.address for relay in relays}
+        while not all(
+            {route.member.address for route in item.dispatcher.routes.values()}
+            <= addresses
+            for item in running.gateways
+        ):
+            await asyncio.sleep(0.05)
+        for role in (*running.gateways, *running.sidecars):
+            for address in set(role._links._peers) - addresses:
+                role._links.forget(address)
+        asked = [hold(caller, number) for number in range(HOLDS)]
+        await asyncio.sleep(SLEEP_MS / 2000)
+        for relay in relays:
+            relay.silence()
+        replies = await asyncio.gather(*asked)
+        failed = [item.body for item in replies if item.status != 200]
+        assert not failed
+        redialled = [
+            item._links.counts["links.redialled"]
+            for item in (*running.gateways, *running.sidecars)
+        ]
+        assert sum(redialled) > 0
+        for relay in relays:
+            relay.close()
+
+    running = test_cluster.run_scenario(tmp_path, scenario)
+    assert running.record.started == HOLDS
+    assert not running.record.list_doubled()
+
+
+def test_second_signal_does_not_hurry_a_stop(monkeypatch) -> None:
+    monkeypatch.setattr(site, "RUN_MS", 1500)
+
+    async def run() -> tuple[int, int]:
+        async with site._open_site(1) as place:
+            gateway = place.gateways[0]
+            while not any(item.limit for item in gateway.dispatcher.routes.values()):
+                await asyncio.sleep(0.05)
+            for _ in range(site.SLOTS):
+                gateway.submit()
+            await asyncio.sleep(0.3)
+            place.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            place.process.send_signal(signal.SIGTERM)
+            code = await asyncio.to_thread(place.process.wait, 30)
+            return gateway.ended, code
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(run()) == (site.SLOTS, 0)
