--- a/amaranthspar/deliveries.py
+++ b/amaranthspar/deliveries.py
@@ -64,7 +64,7 @@
         )
 
     def report(
-        self, limit: int, received: int, now_ms: int
+        self, limit: int, received: int, now_ms: int, spare: int = 0
     ) -> list[messages.ReportResults]:
         """Return the results not reported before, as messages of bounded size.
 
@@ -72,6 +72,7 @@
             limit: Credit limit of the gateway.
             received: Start sequence up to which every task is accounted for.
             now_ms: Monotonic time in ms.
+            spare: Idle slots for which the gateway holds no credit.
         """
         first = self.sequence + 1
         for item in self._ready:
@@ -79,7 +80,7 @@
             self._held[self.sequence] = item
         items = self._ready
         self._ready = []
-        return self._build(first, items, limit, received, now_ms)
+        return self._build(first, items, limit, received, now_ms, spare)
 
     def resend(
         self, limit: int, received: int, now_ms: int
@@ -143,13 +144,20 @@
         limit: int,
         received: int,
         now_ms: int,
+        spare: int = 0,
     ) -> list[messages.ReportResults]:
         self._reported_ms = now_ms
         reports = []
         for batch in _split(items):
             reports.append(
                 messages.ReportResults(
-                    self.incarnation, first, batch, limit, received, self.dropped
+                    self.incarnation,
+                    first,
+                    batch,
+                    limit,
+                    received,
+                    self.dropped,
+                    spare,
                 )
             )
             first += len(batch)
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -1,23 +1,36 @@
 """State machine of a gateway: admission, queue, dispatch and answers."""
 
 import collections
+import heapq
 
 import attrs
 
 from amaranthspar import (
     admission,
     backlog,
+    capacity,
     demand,
-    desks,
     doubts,
     effects,
+    estimates,
+    health,
     leaseholder,
     messages,
+    offers,
+    pools,
+    quotas,
+    retries,
     routing,
     submissions,
 )
 
-KEEP_ALIVE_MS = 1000
+KEEP_ALIVE_MS = 2000
+ACKNOWLEDGE_MS = 1000
+
+REASONS = {
+    submissions.Failure.OVERDUE: "deadline passed",
+    submissions.Failure.CANCELLED: "cancelled",
+}
 
 
 @attrs.frozen(slots=True)
@@ -65,13 +78,21 @@
         self.submissions: dict[str, submissions.Submission] = {}
         self.routes: dict[str, routing.Route] = {}
         self._holder = holder
-        self._near_domain = near_domain
-        self._backlog = backlog.Backlog()
+        self._open_routes: list[routing.Route] = []
+        self._lender: routing.Route | None = None
+        self._capacity = capacity.Capacity(near_domain)
+        self._backlog = backlog.Backlog(holder)
+        self._estimates = estimates.Estimates()
         self._admission = admission.Admission(holder, self._backlog, self.routes)
         self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder, self.counts)
-        self._barrier = desks.Barrier()
+        self._pools = pools.Pools(holder, self._capacity)
+        self._offers = offers.Offers(holder, self._backlog, self._demand, self._doubts)
+        self._quotas = quotas.Quotas(holder, self._backlog)
+        self._health = health.Health(self.routes, self._estimates)
+        self._retries = retries.RetryBudget(holder)
+        self._deadlines: list[tuple[int, str]] = []
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -89,7 +110,9 @@
                 result = self._receive(event, now_ms)
             case ViewChanged():
                 result = self._follow_membership(now_ms)
-        return result + self._pump(now_ms)
+        result += self._pump(now_ms)
+        self._lender = None
+        return result
 
     def tick(self, now_ms: int) -> list[Effect]:
         """End what is overdue and ask after silent sidecars.
@@ -98,14 +121,17 @@
             now_ms: Monotonic time in ms.
         """
         result: list[Effect] = []
-        for submission in list(self.submissions.values()):
-            if now_ms >= submission.deadline_ms:
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            _, name = heapq.heappop(self._deadlines)
+            if name in self.submissions:
                 self.counts["submissions.overdue"] += 1
-                result += self._end(submission, submission.fail("deadline passed"))
+                result += self._abandon(name, submissions.Failure.OVERDUE)
+        for route in self._health.tick(now_ms):
+            self._capacity.update(route)
+        self._admission.measure_slots()
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
-        waiting = (needs.desk for needs in self._backlog.list_needs())
-        result += self._barrier.inquire(waiting, self._holder.view, now_ms)
+        result += self._pools.inquire(now_ms)
         return result + self._pump(now_ms)
 
     def sign_off(self, now_ms: int) -> list[Effect]:
@@ -114,7 +140,8 @@
         Args:
             now_ms: Monotonic time in ms.
         """
-        return [self._demand.state(route, now_ms) for route in self.routes.values()]
+        routes = self.routes.values()
+        return [self._demand.state(route, len(routes), now_ms) for route in routes]
 
     def count_queued(self) -> int:
         """Return how many tasks wait."""
@@ -127,6 +154,8 @@
             return [refusal]
         self.counts["submissions.admitted"] += 1
         self.submissions[submission.name] = submission
+        heapq.heappush(self._deadlines, (submission.deadline_ms, submission.name))
+        self._retries.earn(submission)
         for task in submission.tasks:
             self._enqueue(submission, task)
         return []
@@ -135,24 +164,32 @@
         self, submission: submissions.Submission, task: submissions.Task
     ) -> None:
         needs = routing.read_needs(submission, task, self._holder.view)
-        self._backlog.push(needs, backlog.Waiting(submission, task))
+        cost_ms = self._estimates.predict(submission.service, task.expected_ms)
+        waiting = backlog.Waiting(submission, task, needs, cost_ms)
+        self._backlog.push(self._pools.find(needs), waiting)
 
     def _cancel(self, name: str) -> list[Effect]:
-        submission = self.submissions.get(name)
-        if submission is None:
+        if name not in self.submissions:
             return []
         self.counts["submissions.cancelled"] += 1
-        return self._end(submission, submission.fail("cancelled"))
+        return self._abandon(name, submissions.Failure.CANCELLED)
+
+    def _abandon(self, name: str, failure: submissions.Failure) -> list[Effect]:
+        submission = self.submissions[name]
+        reason = REASONS[failure]
+        return self._end(submission, submission.fail(reason, failure=failure))
 
     def _end(
         self, submission: submissions.Submission, answer: submissions.Answer
     ) -> list[Effect]:
         submission.over = True
         del self.submissions[submission.name]
-        self._backlog.drop(submission.name)
+        self._backlog.drop(submission)
         result: list[Effect] = [answer]
         held: dict[str, list[int]] = {}
-        for task in submission.list_sent():
+        sent = submission.list_sent()
+        self._quotas.end(submission.team, len(sent))
+        for task in sent:
             held.setdefault(task.sidecar, []).append(task.index)
         for sidecar, indexes in held.items():
             route = self.routes.get(sidecar)
@@ -163,78 +200,47 @@
 
     def _pump(self, now_ms: int) -> list[Effect]:
         """Send what waits to the sidecars that have room."""
-        if not self._holder.is_valid(now_ms) or not len(self._backlog):
+        if not len(self._backlog) or not self._holder.is_valid(now_ms):
             return []
-        known = self._holder.view
-        routes = [
-            route
-            for route in self.routes.values()
-            if route.credits > 0 and routing.is_open(route, known)
-        ]
         batches: dict[tuple[str, str], list[backlog.Waiting]] = {}
-        for needs in self._backlog.list_needs():
-            self._assign(needs, routes, batches)
+        for pool in self._backlog.list_pools():
+            self._assign(pool, batches)
         result: list[Effect] = []
         for (sidecar, _), batch in batches.items():
-            result.append(self._send_batch(self.routes[sidecar], batch, now_ms))
-        return result + self._demand.report(self.routes.values(), now_ms)
+            route = self.routes[sidecar]
+            result.append(self._offers.build(route, batch, len(self.routes), now_ms))
+        return result + self._demand.appeal(self._open_routes, now_ms)
 
     def _assign(
         self,
-        needs: routing.Needs,
-        routes: list[routing.Route],
+        pool: capacity.Pool,
         batches: dict[tuple[str, str], list[backlog.Waiting]],
     ) -> None:
-        known = self._holder.view
-        if not self._barrier.is_open(needs.desk, known):
-            return
-        resolved = routing.resolve_home(needs, known)
         while True:
-            route = routing.choose_route(resolved, routes, self._near_domain)
+            route = self._capacity.choose(pool) or self._find_lender(pool)
             if route is None:
                 return
-            waiting = self._backlog.pop(needs)
+            waiting = self._backlog.pop(pool)
             if waiting is None:
                 return
+            if route.room <= 0:
+                route.spare -= 1
+                route.limit += 1
+                self.counts["credits.borrowed"] += 1
+            submission, task = waiting.submission, waiting.task
             route.sent += 1
-            name = (route.member.process, waiting.submission.name)
+            route.in_flight[submission.name, task.index] = task
+            self._capacity.update(route)
+            self._quotas.start(submission.team)
+            name = (route.member.process, submission.name)
             batches.setdefault(name, []).append(waiting)
 
-    def _send_batch(
-        self, route: routing.Route, batch: list[backlog.Waiting], now_ms: int
-    ) -> effects.Send:
-        submission = batch[0].submission
-        route.sequence += 1
-        self._doubts.note_start(route, now_ms)
-        starts = []
-        for waiting in batch:
-            task = waiting.task
-            task.state = submissions.TaskState.SENT
-            task.sidecar = route.member.process
-            task.sent_ms = now_ms
-            task.attempts += 1
-            task.sequence = route.sequence
-            route.in_flight[submission.name, task.index] = task
-            wanted = (task.cores, task.memory_mb, task.accelerators)
-            starts.append(messages.TaskStart(task.index, task.payload, *wanted))
-        route.demand_ms = now_ms
-        message = messages.StartTasks(
-            sequence=route.sequence,
-            target=route.member.incarnation,
-            configuration_version=self._holder.view.configuration_version,
-            submission=submission.name,
-            service=submission.service,
-            desk=submission.desk,
-            content_type=submission.content_type,
-            deadline_ms=submission.deadline_ms - now_ms,
-            traceparent=submission.traceparent,
-            queued=len(self._backlog),
-            oldest_wait_ms=self._backlog.measure_oldest_wait(now_ms),
-            sent=route.sent,
-            acknowledged=route.acknowledged,
-            tasks=starts,
-        )
-        return effects.Send(route.member.address, message)
+    def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
+        """Return the sidecar just heard if it has slots idle for other gateways."""
+        route = self._lender
+        if route is None or route.spare <= 0 or route.allowance is not None:
+            return None
+        return route if self._capacity.is_usable(pool, route) else None
 
     def _receive(self, event: Received, now_ms: int) -> list[Effect]:
         route = self.routes.get(event.sidecar)
@@ -248,9 +254,9 @@
             case messages.GrantCredits():
                 return self._take_credits(route, event.message, now_ms)
             case messages.ReportSettled():
-                self._barrier.note(
-                    event.sidecar, event.incarnation, event.message.version
-                )
+                sender = (event.sidecar, event.incarnation)
+                if self._pools.note_settled(*sender, event.message):
+                    self._backlog.regroup(self._pools.find)
                 return []
             case _:
                 self.counts["messages.unexpected"] += 1
@@ -264,10 +270,11 @@
         route.limit = max(route.limit, grant.credit_limit)
         self._doubts.note_received(route, grant.received, now_ms)
         returned = min(grant.recalled, max(0, route.credits))
+        route.sent += returned
+        self._capacity.update(route)
         if not returned:
             return []
-        route.sent += returned
-        return [self._demand.state(route, now_ms)]
+        return [self._demand.state(route, len(self.routes), now_ms)]
 
     def _take_results(
         self, route: routing.Route, report: messages.ReportResults, now_ms: int
@@ -275,12 +282,19 @@
         if report.target != self._holder.member.incarnation:
             return []
         route.limit = max(route.limit, report.credit_limit)
+        route.spare = report.spare
         self._doubts.note_received(route, report.received, now_ms)
         result: list[Effect] = []
         for receipt in self._doubts.take_report(route, report):
             submission = self.submissions.get(receipt.result.submission)
             if submission is not None:
+                self._quotas.end(submission.team)
+                task, item = receipt.task, receipt.result
+                service = submission.service
+                self._health.note_result(route, service, task, item, now_ms)
                 result += self._take_result(submission, receipt)
+        self._capacity.update(route)
+        self._lender = route
         return result
 
     def _take_result(
@@ -291,7 +305,16 @@
             self.counts["tasks.refused"] += 1
             self._enqueue(submission, task)
             return []
+        if item.outcome == submissions.UNKNOWN and self._retries.spend(
+            submission, task
+        ):
+            self.counts["tasks.retried"] += 1
+            task.may_have_run = True
+            self._enqueue(submission, task)
+            return []
         submission.end_task(task, item)
+        if submissions.is_success(item, is_job=True):
+            self._estimates.observe(submission.service, task.expected_ms, item.run_ms)
         if submission.is_job and not submissions.is_success(item, is_job=True):
             return self._end(submission, submission.conclude())
         if submission.ended < len(submission.tasks):
@@ -300,19 +323,30 @@
 
     def _follow_membership(self, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
-        self._barrier.forget_absent(self._holder.view)
         current = {item.process: item for item in self._holder.view.list_sidecars()}
         for name, route in list(self.routes.items()):
             member = current.get(name)
             if member is None or member.incarnation != route.member.incarnation:
                 self._parted[name] = self.routes.pop(name)
+                self._health.forget(name)
                 result += self._give_up(route)
         for name, member in current.items():
             if name in self.routes:
                 self.routes[name].member = member
                 continue
             self.routes[name] = self._open_route(member, now_ms)
-            result.append(self._demand.state(self.routes[name], now_ms))
+            result.append(self._demand.state(self.routes[name], len(current), now_ms))
+        known = self._holder.view
+        closed = [route for route in self.routes.values() if route.closed]
+        for route in self.routes.values():
+            route.closed = not routing.is_open(route, known)
+        self._open_routes = [item for item in self.routes.values() if not item.closed]
+        for route in closed:
+            if not route.closed:
+                self._health.welcome(route, now_ms)
+        self._quotas.follow()
+        if self._pools.follow(self.routes.values(), self._open_routes):
+            self._backlog.regroup(self._pools.find)
         return result
 
     def _open_route(self, member: messages.Member, now_ms: int) -> routing.Route:
@@ -334,18 +368,22 @@
             if submission.over:
                 continue
             match verdict:
-                case doubts.Retry():
+                case doubts.Retry() if self._retries.spend(submission, verdict.task):
                     self.counts["tasks.retried"] += 1
+                    self._quotas.end(submission.team)
                     self._enqueue(submission, verdict.task)
-                case doubts.Lost():
+                case _:
+                    self._quotas.end(submission.team)
                     submission.end_task(verdict.task, verdict.result)
                     result += self._end(submission, submission.conclude())
         return result
 
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
-        if now_ms - route.demand_ms >= KEEP_ALIVE_MS:
-            result.append(self._demand.state(route, now_ms))
+        owed = route.acknowledged > route.stated
+        interval_ms = ACKNOWLEDGE_MS if owed else KEEP_ALIVE_MS
+        if now_ms - route.demand_ms >= interval_ms:
+            result.append(self._demand.state(route, len(self.routes), now_ms))
         inquiries = self._doubts.inquire(route, now_ms)
         self.counts["inquiries.sent"] += len(inquiries)
         return result + inquiries
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -12,9 +12,10 @@
 import tqdm
 
 from amaranthspar import client
-from benchmarks import timing, workloads
+from benchmarks import firms, timing
 
 SPIN_MS = 1.0
+REFUSED = "ClientConnectorError"
 
 
 @attrs.frozen(slots=True)
@@ -32,7 +33,7 @@
         detail: Start of the body of an answer that is not 200.
     """
 
-    arrival: workloads.Arrival
+    arrival: firms.Arrival
     lag_ms: float
     response_ms: float
     status: int
@@ -42,6 +43,19 @@
     detail: str = ""
 
 
+@attrs.frozen(slots=True)
+class Resend:
+    """How submissions are sent again that are keyed or never reached a gateway.
+
+    Attributes:
+        times: Times to send again.
+        seconds: Pause before.
+    """
+
+    times: int
+    seconds: float
+
+
 class Driver:
     """Sends arrivals to gateways in turn.
 
@@ -54,6 +68,7 @@
         self.clients = [client.Client(url, token) for url in urls]
         self.started_ms = 0.0
         self.samples: list[Sample] = []
+        self.resend = Resend(0, 0.0)
         self._calls: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -63,7 +78,7 @@
         for item in self.clients:
             await item.close()
 
-    async def run(self, arrivals: Sequence[workloads.Arrival], title: str) -> None:
+    async def run(self, arrivals: Sequence[firms.Arrival], title: str) -> None:
         """Send all arrivals and wait for all answers.
 
         Args:
@@ -94,14 +109,10 @@
             pause_ms = left_ms - SPIN_MS
             await asyncio.sleep(pause_ms / 1000 if pause_ms > SPIN_MS else 0)
 
-    async def _send(self, arrival: workloads.Arrival, bar: tqdm.tqdm[Any]) -> None:
+    async def _send(self, arrival: firms.Arrival, bar: tqdm.tqdm[Any]) -> None:
         due_ms = self.started_ms + arrival.at_ms
         lag_ms = timing.read_ms() - due_ms
-        target = self.clients[arrival.number % len(self.clients)]
-        try:
-            reply = await send_arrival(target, arrival)
-        except client.ClientError as error:
-            reply = client.Reply(0, "unknown", str(error).encode())
+        reply = await self._ask(arrival)
         ended_ms = timing.read_ms()
         own = reply.status == 200 and _is_own(arrival, reply.body)
         detail = "" if reply.status == 200 else reply.body[:300].decode("utf-8", "?")
@@ -119,10 +130,23 @@
         )
         bar.update()
 
-
-async def send_arrival(
-    target: client.Client, arrival: workloads.Arrival
-) -> client.Reply:
+    async def _ask(self, arrival: firms.Arrival) -> client.Reply:
+        reply = client.Reply(0, "unknown", b"")
+        for attempt in range(self.resend.times + 1):
+            target = self.clients[(arrival.number + attempt) % len(self.clients)]
+            try:
+                return await send_arrival(target, arrival)
+            except client.ClientError as error:
+                reply = client.Reply(0, "unknown", str(error).encode())
+                # As the balancer would, for what was never sent.
+                unsent = str(error).startswith(REFUSED)
+            if not arrival.key and not unsent:
+                break
+            await asyncio.sleep(self.resend.seconds)
+        return reply
+
+
+async def send_arrival(target: client.Client, arrival: firms.Arrival) -> client.Reply:
     """Send one submission.
 
     Args:
@@ -137,6 +161,8 @@
         headers["Idempotency-Key"] = arrival.key
     if arrival.desk:
         headers["Amaranthspar-Desk"] = arrival.desk
+    if arrival.deadline_ms:
+        headers["Amaranthspar-Deadline-Ms"] = str(arrival.deadline_ms)
     bodies = [
         {"sleep_ms": sleep_ms, "echo": [arrival.number, index]}
         for index, sleep_ms in enumerate(arrival.sleeps_ms)
@@ -148,7 +174,13 @@
     return await target.submit_job(arrival.service, msgspec.json.encode(tasks), headers)
 
 
-def _is_own(arrival: workloads.Arrival, body: bytes) -> bool:
+def measure_lag(samples: Sequence[Sample]) -> float:
+    """Return the driver's lag at the 99th percentile in ms."""
+    lags = sorted(sample.lag_ms for sample in samples)
+    return lags[int(len(lags) * 0.99)] if lags else 0.0
+
+
+def _is_own(arrival: firms.Arrival, body: bytes) -> bool:
     answer = msgspec.json.decode(body)
     answers = answer["answers"] if arrival.is_job else [answer]
     expected = [[arrival.number, index] for index in range(len(arrival.sleeps_ms))]
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,132 @@
+"""Mixed workload with random faults, audited by the stand-ins' own records."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import random
+
+import attrs
+
+from benchmarks import audit, driver, faults, firms, fleet, outcomes, trials
+
+LOAD = 0.4
+RESENDS = 40
+RESEND_SECONDS = 0.5
+SAMPLE_SECONDS = 5.0
+SETTLE_SECONDS = 10.0
+GROWTH_TARGET = 1.25
+WARM_RATIO = 0.1
+
+
+async def run(options: trials.Options) -> outcomes.Outcome:
+    """Run the workload of a firm with faults from the seed.
+
+    Args:
+        options: Options of the run; the load is fixed.
+    """
+    outcome = outcomes.Outcome("soak", options.seed, options.seconds)
+    for firm in options.firms:
+        arrivals = firms.generate(firm, options.seed, options.seconds, LOAD)
+        async with trials.open_trial(firm, controllers=3) as trial:
+            earlier = len(await trial.read_spans())
+            disturbance = faults.Faults(trial, random.Random(options.seed))
+            memory = Memory(trial.fleet)
+            trial.driver.resend = driver.Resend(RESENDS, RESEND_SECONDS)
+            tasks = [asyncio.create_task(item.run()) for item in (disturbance, memory)]
+            await trial.driver.run(arrivals, "soak")
+            for task in tasks:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+            await trial.fleet.wait_ready(firm.upstreams)
+            await asyncio.sleep(SETTLE_SECONDS)
+            spans = await trial.read_spans(earlier)
+            found = audit.check(trial.driver.samples, spans)
+            _evaluate(outcome, firm, trial.driver.samples, found)
+            _judge_processes(outcome, firm, disturbance, memory, options.seconds)
+    return outcome
+
+
+@attrs.define(slots=True)
+class Memory:
+    """Memory of each process over time.
+
+    Attributes:
+        fleet: Processes.
+        points: Time in s and memory in MB, by process name and id.
+    """
+
+    fleet: fleet.Fleet
+    points: dict[tuple[str, int], list[tuple[float, float]]] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while True:
+            for item in list(self.fleet.processes.values()):
+                if item.popen.poll() is None and item.name != "upstreams":
+                    key = (item.name, item.popen.pid)
+                    point = (loop.time() - started, item.read_memory())
+                    self.points.setdefault(key, []).append(point)
+            await asyncio.sleep(SAMPLE_SECONDS)
+
+    def find_growth(self, seconds: float) -> tuple[float, str]:
+        """Return the greatest growth of one process after its warm-up.
+
+        Args:
+            seconds: Length of the run; a share of it counts as warm-up.
+
+        Returns:
+            Ratio of the last to the first memory, and the process's name.
+        """
+        worst, worst_name = 1.0, ""
+        for (name, _), points in self.points.items():
+            warm = [
+                mb for time, mb in points if time > points[0][0] + WARM_RATIO * seconds
+            ]
+            if len(warm) < 2:
+                continue
+            if warm[-1] / warm[0] > worst:
+                worst, worst_name = warm[-1] / warm[0], name
+        return worst, worst_name
+
+
+def _evaluate(
+    outcome: outcomes.Outcome,
+    firm: firms.Firm,
+    samples: list[driver.Sample],
+    found: audit.Audit,
+) -> None:
+    statuses = collections.Counter((item.status, item.outcome) for item in samples)
+    rows: list[tuple[object, ...]] = [
+        (status, told, count) for (status, told), count in sorted(statuses.items())
+    ]
+    headers = ("status", "outcome", "answers")
+    outcome.tables.append(outcomes.Table("Answers", headers, rows))
+    lag_ms = driver.measure_lag(samples)
+    outcome.measures += [
+        *found.list_measures(firm.name),
+        outcomes.Measure(f"{firm.name} submissions", len(samples)),
+        outcomes.Measure(f"{firm.name} driver lag p99 ms", lag_ms),
+    ]
+
+
+def _judge_processes(
+    outcome: outcomes.Outcome,
+    firm: firms.Firm,
+    disturbance: faults.Faults,
+    memory: Memory,
+    seconds: float,
+) -> None:
+    growth, name = memory.find_growth(seconds)
+    unclean = sum(code != 0 for code in disturbance.exits)
+    outcome.measures += [
+        outcomes.Measure(f"{firm.name} memory growth {name}", growth, GROWTH_TARGET),
+        outcomes.Measure(f"{firm.name} unclean exits of planned stops", unclean, 0),
+        outcomes.Measure(f"{firm.name} faults", len(disturbance.happened)),
+    ]
+    counts = collections.Counter(line.split()[0] for line in disturbance.happened)
+    outcome.notes.append(f"Faults: {dict(counts)}.")
