Let gateways that hold nothing speak less often

Cause: each gateway stated its demand to each sidecar every 2 s, and a sidecar without a credit for it answered each time with a grant of none.

Change: a gateway that holds neither credits nor tasks of a sidecar speaks each 8 s, and the sidecar parts with it after 20 s; a grant answers only one that knows less. Outside this area: one interval in dispatcher.

--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -25,6 +25,7 @@
 )
 
 KEEP_ALIVE_MS = 2000
+IDLE_KEEP_ALIVE_MS = 8000
 ACKNOWLEDGE_MS = 1000
 
 REASONS = {
@@ -381,7 +382,10 @@
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
         owed = route.acknowledged > route.stated
-        interval_ms = ACKNOWLEDGE_MS if owed else KEEP_ALIVE_MS
+        holding = route.credits > 0 or bool(route.in_flight)
+        interval_ms = KEEP_ALIVE_MS if holding else IDLE_KEEP_ALIVE_MS
+        if owed:
+            interval_ms = ACKNOWLEDGE_MS
         if now_ms - route.demand_ms >= interval_ms:
             result.append(self._demand.state(route, len(self.routes), now_ms))
         inquiries = self._doubts.inquire(route, now_ms)
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -16,6 +16,7 @@
 )
 
 GATEWAY_SILENT_MS = 5000
+IDLE_SILENT_MS = 20000
 RETAIN_MS = 30000
 
 
@@ -164,7 +165,7 @@
             if silent_ms > RETAIN_MS and not gateway.results.is_empty:
                 self.counts["results.dropped"] += gateway.results.drop()
                 gateway.received = 0
-            if silent_ms > GATEWAY_SILENT_MS:
+            if silent_ms > self._measure_patience(gateway):
                 self._part(gateway)
                 continue
             result += self._resend(gateway, now_ms)
@@ -176,6 +177,17 @@
         told.update(dict.fromkeys(self.slots.list_untold()))
         return result + self._grant(list(told))
 
+    def _measure_patience(self, gateway: _Gateway) -> int:
+        """Return after which silence in ms a gateway is parted with.
+
+        One that holds nothing here speaks less often.
+        """
+        share = self.slots.shares.get(gateway.name)
+        holding = share is not None and share.unused > 0
+        if holding or not gateway.results.is_empty:
+            return GATEWAY_SILENT_MS
+        return IDLE_SILENT_MS
+
     def drain(self, now_ms: int) -> list[Effect]:
         """Refuse new work from now on.
 
@@ -421,7 +433,7 @@
         asks = self._open and not message.limit > message.sent
         if asks and (self.slots.lend(gateway.name) or not share.unused):
             told.update(dict.fromkeys(self.slots.recall(gateway.name)))
-        if 0 <= message.limit < share.limit or share.limit == 0:
+        if message.limit < share.limit:
             told[gateway.name] = None
         return self._grant(list(told))
 
