--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -82,6 +82,16 @@
     assert not list_runs(receive(sidecar, build_start(sequence=3), later_ms))
 
 
+def test_out_domain_starts_nothing():
+    holder = build_holder()
+    holder.view.settings.add_domain("gyor", state="out")
+    sidecar = executor.Executor(holder)
+    refused = list_results(receive(sidecar, build_start()))
+    assert [(item.outcome, item.reason) for item in refused] == [
+        ("not-run", starts.Refusal.DOMAIN_OUT.value)
+    ]
+
+
 def test_start_for_older_incarnation_changes_nothing(sidecar):
     receive(sidecar, build_start())
     end(sidecar)
