--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -46,6 +46,7 @@
     "desk": Experiment("desk", "wijesekera"),
     "gateway": Experiment("gateway"),
     "sidecar": Experiment("sidecar"),
+    "slopes": Experiment("slopes"),
     "soak": Experiment("soak", "wijesekera"),
 }
 LOADS = (0.5, 0.8, 0.95)
--- /dev/null
+++ b/benchmarks/manysidecars.py
@@ -0,0 +1,50 @@
+"""Process with many real sidecars that share one stand-in upstream.
+
+Run as ``python -m benchmarks.manysidecars --controllers A --count N --domain D``.
+"""
+
+import argparse
+import asyncio
+import signal
+
+from amaranthspar import loop, options, sidecar, standin
+from benchmarks import ports
+
+SLOTS = 8
+
+
+async def _serve(arguments: argparse.Namespace) -> int:
+    stopping = asyncio.Event()
+    running = asyncio.get_running_loop()
+    for wanted in (signal.SIGTERM, signal.SIGINT):
+        running.add_signal_handler(wanted, stopping.set)
+    address = ports.reserve()[0]
+    stand_in = standin.StandIn("upstream", arguments.domain, standin.StartRecord())
+    await stand_in.open(address)
+    for number in range(arguments.count):
+        listen = ports.reserve()[0]
+        name = f"sidecar-{number + 1}"
+        process = options.ProcessOptions(
+            name, listen, arguments.controllers.split(","), arguments.domain
+        )
+        section = options.SidecarOptions(
+            address, f"worker-{number + 1}", "rack-1", [arguments.service], slots=SLOTS
+        )
+        role = sidecar.Sidecar(process, options.LinkOptions(), section)
+        await role.start()
+    await stopping.wait()
+    return 0
+
+
+def main() -> int:
+    """Run the sidecars until SIGTERM, then end without a drain."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--controllers", required=True)
+    parser.add_argument("--count", type=int, required=True)
+    parser.add_argument("--domain", required=True)
+    parser.add_argument("--service", required=True)
+    return loop.run_loop(_serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -214,7 +214,7 @@
         seconds: Length of each of the two phases in s.
         gateways: Gateways that it serves.
     """
-    async with _open_site(gateways) as site:
+    async with open_site(gateways) as site:
         await asyncio.sleep(SETTLE_SECONDS)
         idle = await site.measure(seconds, 0)
         loaded = await site.measure(seconds, STARTS_PER_SECOND)
@@ -244,7 +244,12 @@
 
 
 @contextlib.asynccontextmanager
-async def _open_site(count: int) -> AsyncIterator[Site]:
+async def open_site(count: int) -> AsyncIterator[Site]:
+    """Run a sidecar and its stand-ins for the length of a block.
+
+    Args:
+        count: Number of gateways.
+    """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         control, listen, upstream = ports.reserve(3)
--- a/benchmarks/waste.py
+++ b/benchmarks/waste.py
@@ -9,6 +9,7 @@
 TARGET = 0.05
 LEAST_MESSAGES = 2
 SENT = "sent.peer."
+ROLES = ("gateway", "sidecar")
 LIVENESS = ("Heartbeat", "HeartbeatReply")
 
 Counts = collections.Counter[str]
@@ -61,7 +62,7 @@
 
 
 def _read(trial: trials.Trial) -> Counts:
-    return collections.Counter(trial.counters.sum_metric(SENT))
+    return collections.Counter(trial.counters.sum_metric(SENT, ROLES))
 
 
 def _add_measures(
