--- a/amaranthspar/doubts.py
+++ b/amaranthspar/doubts.py
@@ -18,6 +18,7 @@
 
     submission: submissions.Submission
     task: submissions.Task
+    result: messages.TaskResult
 
 
 @attrs.frozen(slots=True)
@@ -156,12 +157,12 @@
     ) -> Verdict:
         service = self._holder.view.settings.services.get(submission.service)
         idempotent = service is not None and service.idempotent
-        if idempotent and not submission.is_job and task.attempts == 1:
-            task.may_have_run = True
-            return Retry(submission, task)
         lost = messages.TaskResult(
             submission.name, task.index, "unknown", "sidecar lost"
         )
+        if idempotent and not submission.is_job and task.attempts == 1:
+            task.may_have_run = True
+            return Retry(submission, task, lost)
         return Lost(submission, task, lost)
 
 
