Check settings and configurations against the schema's limits

Cause: the generator dropped minimum and pattern of the schema, so values out of range were accepted; addresses, files and ports were not checked, and a port in use ended in a traceback.

Change: the template carries limits into the classes as msgspec.Meta; settings and configurations are checked by them, with one line for each fault that names file, section, key and what was expected. Addresses are IP numbers and ports. Builders refuse bad values. Outside the area: benchmarks/naive.py follows the signature of read_job.

--- a/amaranthspar/_httpserver.py
+++ b/amaranthspar/_httpserver.py
@@ -1,6 +1,7 @@
 """Sanic embedded in a running loop, without child processes."""
 
 import itertools
+import os
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -84,17 +85,21 @@
             address: Address as in ``127.0.0.1:8000``.
 
         Raises:
-            errors.InputOutputError: The address cannot be used.
+            errors.ListenError: The address cannot be used.
         """
         host, _, port = address.rpartition(":")
-        self._server = await self.app.create_server(
-            host, int(port), return_asyncio_server=True, access_log=False
-        )
-        await self._server.startup()
         try:
+            self._server = await self.app.create_server(
+                host.strip("[]"),
+                int(port),
+                return_asyncio_server=True,
+                access_log=False,
+            )
+            await self._server.startup()
             await self._server.start_serving()
         except OSError as error:
-            raise errors.InputOutputError(f"cannot listen on {address}") from error
+            reason = os.strerror(error.errno or 0)
+            raise errors.ListenError(f"cannot listen: {reason}") from error
 
     def stop_listening(self) -> None:
         """Take no new connections."""
--- /dev/null
+++ b/amaranthspar/addresses.py
@@ -0,0 +1,47 @@
+"""Addresses of processes: IP numbers and ports, never names of hosts."""
+
+import ipaddress
+
+import attrs
+
+from amaranthspar import errors
+
+EXPECTED = "an IP address and port, as in 127.0.0.1:7000"
+MAX_PORT = 65535
+
+
+@attrs.frozen(slots=True)
+class Address:
+    """An IP address and a port.
+
+    Attributes:
+        host: IP address without brackets.
+        port: Port from 1 to 65535.
+    """
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that a text holds.
+
+    Args:
+        text: As in ``127.0.0.1:7000`` or ``[::1]:7000``.
+
+    Raises:
+        errors.SchemaError: It is no address.
+    """
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        raise errors.SchemaError(f"{text!r} is not {EXPECTED}")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise errors.SchemaError(f"{text!r} is not {EXPECTED}") from error
+    plain = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not plain or not 0 < int(port) <= MAX_PORT:
+        raise errors.SchemaError(f"{text!r} is not {EXPECTED}")
+    return Address(host, int(port))
--- a/amaranthspar/commands_role.py
+++ b/amaranthspar/commands_role.py
@@ -41,16 +41,26 @@
     except errors.SettingsError as error:
         faults = [f"{path}: {fault}" for fault in error.faults]
         raise errors.SettingsError(faults) from error
-    except errors.LinkError as error:
-        fault = f"{path}: [process] listen = {loaded.process.listen}: {error}"
-        raise errors.SettingsError([fault]) from error
     except errors.InputOutputError as error:
-        raise errors.SettingsError([f"{path}: [{loaded.role}]: {error}"]) from error
+        raise errors.SettingsError([f"{path}: {_name_key(loaded, error)}"]) from error
     await stop.wait()
     await role.stop()
     return exits.DONE
 
 
+def _name_key(loaded: settings.Settings, error: errors.InputOutputError) -> str:
+    """Return an error with the section and key that it is about."""
+    match error:
+        case errors.LinkError():
+            return f"[process] listen = {loaded.process.listen}: {error}"
+        case errors.ListenError() if loaded.gateway is not None:
+            return f"[gateway] http = {loaded.gateway.http}: {error}"
+        case errors.DiskError() if loaded.controller is not None:
+            return f"[controller] data = {loaded.controller.data}: {error}"
+        case _:
+            return f"[{loaded.role}]: {error}"
+
+
 def _build_role(loaded: settings.Settings) -> Any:
     if loaded.gateway is not None:
         from amaranthspar import gateway
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -44,7 +44,11 @@
 
 @attrs.define(slots=True)
 class Configuration:
-    """Services, failure domains, desks, teams and accounts by name."""
+    """Services, failure domains, desks, teams and accounts by name.
+
+    The methods that add an entry raise `ConfigurationError` if a setting is out of
+    its range, and `TypeError` if it is not known.
+    """
 
     services: dict[str, entries.Service] = attrs.field(factory=dict)
     domains: dict[str, entries.Domain] = attrs.field(factory=dict)
@@ -54,27 +58,29 @@
 
     def add_service(self, name: str, **settings: Any) -> "Configuration":
         """Add or replace a service; the settings are those of `entries.Service`."""
-        self.services[name] = entries.Service(name, **settings)
-        return self
+        return self._add("service", entries.Service(name, **settings))
 
     def add_domain(self, name: str, **settings: Any) -> "Configuration":
         """Add or replace a failure domain."""
-        self.domains[name] = entries.Domain(name, **settings)
-        return self
+        return self._add("domain", entries.Domain(name, **settings))
 
     def add_desk(self, name: str, **settings: Any) -> "Configuration":
         """Add or replace a desk."""
-        self.desks[name] = entries.Desk(name, **settings)
-        return self
+        return self._add("desk", entries.Desk(name, **settings))
 
     def add_team(self, name: str, **settings: Any) -> "Configuration":
         """Add or replace a team."""
-        self.teams[name] = entries.Team(name, **settings)
-        return self
+        return self._add("team", entries.Team(name, **settings))
 
     def add_account(self, name: str, **settings: Any) -> "Configuration":
         """Add or replace an account."""
-        self.accounts[name] = entries.Account(name, **settings)
+        return self._add("account", entries.Account(name, **settings))
+
+    def _add(self, kind: str, entry: Entry) -> "Configuration":
+        faults = _sections.list_faults(f"{kind} {entry.name}", entry)
+        if faults:
+            raise ConfigurationError(faults)
+        self.select_kind(kind)[entry.name] = entry
         return self
 
     def select_kind(self, kind: str) -> dict[str, Any]:
--- a/amaranthspar/demo.py
+++ b/amaranthspar/demo.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import secrets
+import socket
 import sys
 import tempfile
 import uuid
@@ -14,7 +15,7 @@
 import tabulate
 import tqdm
 
-from amaranthspar import client, clock, cluster, configuration
+from amaranthspar import addresses, client, clock, cluster, configuration, errors
 
 JOB_TASKS = 200
 LOOKUPS = 500
@@ -232,12 +233,33 @@
 
     Returns:
         Exit code 0.
+
+    Raises:
+        errors.SettingsError: A port cannot be used, or the token is malformed.
     """
+    ports = [port, port + 1]
+    _check_ports(ports)
+    if not token or not token.isprintable() or token != token.strip():
+        fault = f"--token {token!r}: expected printable characters without outer spaces"
+        raise errors.SettingsError([fault])
     with tempfile.TemporaryDirectory() as folder:
-        ports = [port, port + 1]
         running = cluster.Cluster(pathlib.Path(folder), token, ports)
         await running.start()
         print(f"ready on ports {ports[0]} and {ports[1]}", flush=True)
         await stopping.wait()
         await running.stop()
     return 0
+
+
+def _check_ports(ports: list[int]) -> None:
+    for port in ports:
+        if not 0 < port <= addresses.MAX_PORT:
+            fault = f"--port {ports[0]}: expected 1 to {addresses.MAX_PORT - 1}"
+            raise errors.SettingsError([fault])
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((cluster.HOST, port))
+            except OSError as error:
+                fault = f"--port {ports[0]}: port {port}: {error.strerror}"
+                raise errors.SettingsError([fault]) from error
--- a/amaranthspar/entries.py
+++ b/amaranthspar/entries.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias
+from typing import Annotated, Any, Literal, TypeAlias
 
 import attrs
+import msgspec
 
 Entries: TypeAlias = Any
 
@@ -23,13 +24,19 @@
         retry_ratio: Retries allowed for each first attempt.
     """
 
-    name: str
+    name: Annotated[
+        str,
+        msgspec.Meta(
+            pattern=r"^[^\s\[\]/]+( [^\s\[\]/]+)*$",
+            description="words without brackets and slashes, one space between",
+        ),
+    ]
     idempotent: bool = False
     objective: Literal["response", "completion"] = "response"
-    deadline_ms: int = 30000
-    queue_limit: int = 20000
-    max_body_bytes: int = 1048576
-    retry_ratio: float = 0.1
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=3600000)] = 30000
+    queue_limit: Annotated[int, msgspec.Meta(ge=1)] = 20000
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1)] = 1048576
+    retry_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.1
 
 
 @attrs.frozen(slots=True)
@@ -41,7 +48,13 @@
         state: Whether tasks may start there.
     """
 
-    name: str
+    name: Annotated[
+        str,
+        msgspec.Meta(
+            pattern=r"^[^\s\[\]/]+( [^\s\[\]/]+)*$",
+            description="words without brackets and slashes, one space between",
+        ),
+    ]
     state: Literal["in", "out"] = "in"
 
 
@@ -55,9 +68,15 @@
         moved_version: Version at which the home last changed; kept by the controllers.
     """
 
-    name: str
+    name: Annotated[
+        str,
+        msgspec.Meta(
+            pattern=r"^[^\s\[\]/]+( [^\s\[\]/]+)*$",
+            description="words without brackets and slashes, one space between",
+        ),
+    ]
     home: str = "main"
-    moved_version: int = 0
+    moved_version: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 @attrs.frozen(slots=True)
@@ -71,10 +90,16 @@
         max_queued: Tasks that may wait in one gateway; 0 for no limit.
     """
 
-    name: str
-    weight: int = 1
-    max_running: int = 0
-    max_queued: int = 0
+    name: Annotated[
+        str,
+        msgspec.Meta(
+            pattern=r"^[^\s\[\]/]+( [^\s\[\]/]+)*$",
+            description="words without brackets and slashes, one space between",
+        ),
+    ]
+    weight: Annotated[int, msgspec.Meta(ge=1)] = 1
+    max_running: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_queued: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 @attrs.frozen(slots=True)
@@ -88,7 +113,15 @@
         operator: Whether the account may change the configuration.
     """
 
-    name: str
-    token_hash: str
+    name: Annotated[
+        str,
+        msgspec.Meta(
+            pattern=r"^[^\s\[\]/]+( [^\s\[\]/]+)*$",
+            description="words without brackets and slashes, one space between",
+        ),
+    ]
+    token_hash: Annotated[
+        str, msgspec.Meta(pattern=r"^[0-9A-Fa-f]{64}$", description="64 hex digits")
+    ]
     team: str = ""
     operator: bool = False
--- a/amaranthspar/errors.py
+++ b/amaranthspar/errors.py
@@ -24,6 +24,10 @@
     """A link between processes cannot be opened."""
 
 
+class ListenError(InputOutputError):
+    """An address for HTTP cannot be listened on."""
+
+
 class DiskError(InputOutputError):
     """A data folder cannot be read or written."""
 
--- a/amaranthspar/options.py
+++ b/amaranthspar/options.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeAlias
+from typing import Annotated, Any, TypeAlias
 
 import attrs
+import msgspec
 
 Options: TypeAlias = Any
 
@@ -23,13 +24,18 @@
         trace_ratio: Share of requests traced from 0 to 1.
     """
 
-    name: str
+    name: Annotated[
+        str,
+        msgspec.Meta(
+            pattern=r"^[A-Za-z0-9_.-]+$", description="letters, digits and any of _.-"
+        ),
+    ]
     listen: str
     controllers: list[str]
     failure_domain: str
     statsd: str = ""
     trace_endpoint: str = ""
-    trace_ratio: float = 0.0
+    trace_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
 
 
 @attrs.frozen(slots=True)
@@ -42,7 +48,7 @@
         authority: PEM file with the authority that signs peers.
     """
 
-    heartbeat_ms: int = 500
+    heartbeat_ms: Annotated[int, msgspec.Meta(ge=10, le=60000)] = 500
     certificate: str = ""
     authority: str = ""
 
@@ -59,9 +65,11 @@
     """
 
     http: str
-    operator_token_hash: str = ""
-    drain_ms: int = 1000
-    max_body_bytes: int = 8388608
+    operator_token_hash: Annotated[
+        str, msgspec.Meta(pattern=r"^([0-9A-Fa-f]{64})?$", description="64 hex digits")
+    ] = ""
+    drain_ms: Annotated[int, msgspec.Meta(ge=0, le=3600000)] = 1000
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=1073741824)] = 8388608
 
 
 @attrs.frozen(slots=True)
@@ -86,11 +94,11 @@
     rack: str
     services: list[str]
     group: str = "main"
-    slots: int = 8
-    connections: int = 64
-    cores: int = 16
-    memory_mb: int = 65536
-    accelerators: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 8
+    connections: Annotated[int, msgspec.Meta(ge=1)] = 64
+    cores: Annotated[int, msgspec.Meta(ge=1)] = 16
+    memory_mb: Annotated[int, msgspec.Meta(ge=1)] = 65536
+    accelerators: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 @attrs.frozen(slots=True)
@@ -111,9 +119,9 @@
     replicas: list[str]
     data: str
     bootstrap: str = ""
-    lease_ms: int = 3000
-    election_ms: int = 600
-    heartbeat_ms: int = 100
+    lease_ms: Annotated[int, msgspec.Meta(ge=100, le=60000)] = 3000
+    election_ms: Annotated[int, msgspec.Meta(ge=20, le=60000)] = 600
+    heartbeat_ms: Annotated[int, msgspec.Meta(ge=5, le=60000)] = 100
 
 
 @attrs.frozen(slots=True)
--- a/benchmarks/naive.py
+++ b/benchmarks/naive.py
@@ -86,7 +86,7 @@
 
     async def _take_job(self, request: Any, service: str) -> response.HTTPResponse:
         name = f"naive.{next(self._names)}"
-        tasks = intake.read_job(request.body)
+        tasks = intake.read_job(request.body, len(request.body))
         calls = [self._call(service, name, task) for task in tasks]
         answers = await asyncio.gather(*calls)
         bodies = [msgspec.Raw(body) for _, body in answers]
--- /dev/null
+++ b/tests/test_generate.py
@@ -0,0 +1,17 @@
+"""Test that the committed classes of the schema are current."""
+
+import importlib.util
+
+import pytest
+
+from tools import generate
+
+
+@pytest.mark.skipif(
+    importlib.util.find_spec("datamodel_code_generator") is None,
+    reason="the generator is not installed",
+)
+@pytest.mark.parametrize("name", generate.MODULES)
+def test_committed_module_is_current(name: str) -> None:
+    path = generate.ROOT / "amaranthspar" / f"{name}.py"
+    assert generate.generate_module(name) == path.read_text()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -12,6 +12,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MODULES = ("entries", "messages", "options")
+IMPORTS = "attrs,msgspec,typing.Annotated"
 
 
 def generate_module(name: str) -> str:
@@ -35,9 +36,10 @@
         command += ["--custom-template-dir", str(ROOT / "tools" / "templates")]
         command += ["--use-standard-collections", "--use-union-operator"]
         command += ["--target-python-version", "3.11", "--use-schema-description"]
-        command += ["--disable-timestamp", "--additional-imports", "attrs"]
+        command += ["--disable-timestamp", "--additional-imports", IMPORTS]
         command += ["--enum-field-as-literal", "all"]
-        command += ["--formatters", "builtin"]
+        command += ["--formatters", "builtin", "--field-constraints"]
+        command += ["--field-extra-keys", "expected"]
         subprocess.run(command, check=True)
         body = target.read_text().partition("from __future__")[2]
         summary = f'"""Classes of the schema file ``schema/{name}.yaml``; generated."""'
