--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -8,6 +8,7 @@
 import attrs
 
 from amaranthspar import (
+    clock,
     configuration,
     controller,
     gateway,
@@ -70,6 +71,7 @@
         token: Token of the account.
         ports: HTTP ports of the gateways.
         ledger_upstreams: Further upstreams, in the group ``ledger``.
+        trace_endpoint: OTLP endpoint; empty for no traces.
         record: Starts of each task.
     """
 
@@ -77,6 +79,7 @@
     token: str
     ports: list[int]
     ledger_upstreams: int = 0
+    trace_endpoint: str = ""
     record: standin.StartRecord = attrs.field(factory=standin.StartRecord)
     controllers: list[controller.Controller] = attrs.field(factory=list)
     gateways: list[gateway.Gateway] = attrs.field(factory=list)
@@ -89,6 +92,9 @@
         await self._start_controllers(addresses)
         for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
+        # A gateway that is ready shall know every upstream.
+        while not self.is_registered:
+            await asyncio.sleep(READY_POLL_MS / 1000)
         for number, port in enumerate(self.ports):
             await self._start_gateway(number, port, addresses)
         while not self.is_ready:
@@ -102,6 +108,12 @@
             for item in self.gateways
         )
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether every sidecar holds a lease."""
+        now_ms = clock.Clock().read_monotonic()
+        return all(item.holder.is_valid(now_ms) for item in self.sidecars)
+
     async def stop(self) -> None:
         """Stop every role in order, cutting off nothing."""
         await asyncio.gather(*(item.stop() for item in self.gateways))
@@ -130,7 +142,12 @@
         await stand_in.open(upstream)
         self.stand_ins.append(stand_in)
         process = options.ProcessOptions(
-            f"sidecar-{number + 1}", listen, controllers, domain
+            f"sidecar-{number + 1}",
+            listen,
+            controllers,
+            domain,
+            trace_endpoint=self.trace_endpoint,
+            trace_ratio=float(bool(self.trace_endpoint)),
         )
         section = options.SidecarOptions(
             upstream,
@@ -151,7 +168,12 @@
         listen = f"{HOST}:{find_ports(1)[0]}"
         domain = DOMAINS[number % len(DOMAINS)]
         process = options.ProcessOptions(
-            f"gateway-{number + 1}", listen, controllers, domain
+            f"gateway-{number + 1}",
+            listen,
+            controllers,
+            domain,
+            trace_endpoint=self.trace_endpoint,
+            trace_ratio=float(bool(self.trace_endpoint)),
         )
         section = options.GatewayOptions(
             f"{HOST}:{port}", tokens.hash_token(self.token), DRAIN_MS
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -9,28 +9,6 @@
 Messages: TypeAlias = Any
 
 
-@attrs.frozen(slots=True)
-class Heartbeat:
-    """Asks the peer to prove that the link still carries messages.
-
-    Attributes:
-        number: Number of the heartbeat on this link.
-    """
-
-    number: int
-
-
-@attrs.frozen(slots=True)
-class HeartbeatReply:
-    """Answers a heartbeat.
-
-    Attributes:
-        number: Copied from the heartbeat.
-    """
-
-    number: int
-
-
 @attrs.frozen(slots=True)
 class Forwarded:
     """Carries a request that a controller hands on to the leader.
@@ -156,10 +134,12 @@
     Attributes:
         sent_ms: Copied from the renewal.
         reason: `no_quorum`, `unregistered` or `superseded`.
+        incarnation: Newest incarnation known of a superseded process.
     """
 
     sent_ms: int
     reason: str
+    incarnation: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -392,6 +372,7 @@
         body: Body of the upstream.
         digest: Digest of the body.
         run_ms: Run time in ms.
+        start: Sequence of the start message or inquiry that it answers.
     """
 
     submission: str
@@ -403,6 +384,7 @@
     body: bytes = b""
     digest: int = 0
     run_ms: int = 0
+    start: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -414,12 +396,16 @@
         first_sequence: Sequence of the first result on this link.
         results: Results.
         credit_limit: Total of tasks that the gateway may have sent.
+        received: Start sequence up to which every task is accounted for; 0 if uncertain.
+        dropped: Result sequence up to which none is held any more.
     """
 
     target: int
     first_sequence: int
     results: list[TaskResult]
     credit_limit: int
+    received: int = 0
+    dropped: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -431,12 +417,14 @@
         target: Gateway incarnation that holds the credits.
         recalled: Unused credits that the sidecar wants back.
         slots: Slots of the upstream.
+        received: Start sequence up to which every task is accounted for; 0 if uncertain.
     """
 
     credit_limit: int
     target: int
     recalled: int = 0
     slots: int = 0
+    received: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -449,6 +437,7 @@
         oldest_wait_ms: Wait in ms of the oldest of them.
         sent: Total of tasks sent or credits handed back.
         acknowledged: Sequence up to which results arrived.
+        limit: Credit limit that the gateway knows; -1 if not stated.
     """
 
     target: int
@@ -456,6 +445,7 @@
     oldest_wait_ms: int
     sent: int
     acknowledged: int
+    limit: int = -1
 
 
 @attrs.frozen(slots=True)
@@ -502,10 +492,12 @@
     Attributes:
         submission: Submission id.
         index: Position in the submission.
+        sequence: Sequence of the start message that carried it.
     """
 
     submission: str
     index: int
+    sequence: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -744,7 +736,7 @@
 
     Attributes:
         claims: Claims in order.
-        decided_ms: Wall clock of the leader in ms.
+        decided_ms: Time of the claims in ms; goes on while there is a leader.
         retention_ms: Time for which a claim is kept in ms.
     """
 
@@ -758,7 +750,7 @@
     """A claim and when it was decided.
 
     Attributes:
-        decided_ms: Wall clock of the leader in ms.
+        decided_ms: Time of the claims in ms; goes on while there is a leader.
         claim: Claim that holds the key.
     """
 
--- a/amaranthspar/replies.py
+++ b/amaranthspar/replies.py
@@ -96,12 +96,12 @@
         answer: Its answer.
     """
     status, name = 502, "failed"
-    if answer.outcome == submissions.NOT_RUN:
+    if answer.reason == "deadline passed":
+        status, name = 504, "deadline-passed"
+    elif answer.outcome == submissions.NOT_RUN:
         status, name = 503, "not-run"
         if answer.reason.startswith("can never run"):
             status, name = 422, "can-never-run"
-    elif answer.reason == "deadline passed":
-        status, name = 504, "deadline-passed"
     problem = problems.ProblemError(
         status, name, answer.reason, answer.outcome, answer.retry_after_ms
     )
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -1,6 +1,7 @@
 """Role of a sidecar: the only starter of tasks on its upstream."""
 
 import asyncio
+import functools
 import random
 
 from amaranthspar import (
@@ -14,6 +15,7 @@
     messages,
     metrics,
     options,
+    traces,
     upstream,
 )
 
@@ -57,12 +59,13 @@
         )
         self.executor = executor.Executor(self.holder)
         self._links = links.Links(
-            process.name, incarnation, process.listen, self._receive, link.heartbeat_ms
+            process.name, incarnation, process.listen, self._receive, link
         )
         self._links.controllers = frozenset(process.controllers)
+        self._tracer = traces.build_tracer(process)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
-        self._calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
         self._ticking: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -99,6 +102,8 @@
         self._links.close()
         if self._upstream is not None:
             await self._upstream.close()
+        if self._tracer is not None:
+            await asyncio.to_thread(self._tracer.close)
 
     def _leave(self, stopped: bool) -> None:
         incarnation = self.holder.member.incarnation
@@ -136,24 +141,46 @@
                 case effects.Send():
                     self._links.send(effect.peer, effect.message)
                 case executor.RunTask():
-                    call = asyncio.get_running_loop().create_task(self._run(effect))
-                    self._calls[effect.submission, effect.index] = call
+                    self._run(effect)
                 case executor.StopTask():
-                    self._calls[effect.submission, effect.index].cancel()
+                    self._stop_call(effect)
                 case leaseholder.ViewChanged():
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
+                case leaseholder.IncarnationChanged():
+                    self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
                     self._log.error("another incarnation took over")
 
-    async def _run(self, run: executor.RunTask) -> None:
+    def _run(self, run: executor.RunTask) -> None:
         assert self._upstream is not None
+        if self._tracer is None:
+            coroutine = self._upstream.call(run)
+        else:
+            coroutine = traces.trace_call(self._tracer, run, self._upstream.call)
+        call = asyncio.get_running_loop().create_task(coroutine)
         name = (run.submission, run.index)
-        try:
-            result = await self._upstream.call(run)
-        except asyncio.CancelledError:
-            result = messages.TaskResult(*name, "unknown", "cancelled")
+        self._calls[name] = call
+        call.add_done_callback(functools.partial(self._end, name))
+
+    def _stop_call(self, stop: executor.StopTask) -> None:
+        assert self._upstream is not None
+        name = (stop.submission, stop.index)
+        if not self._upstream.stop(*name) and name in self._calls:
+            self._calls[name].cancel()
+
+    def _end(
+        self, name: tuple[str, int], call: asyncio.Task[messages.TaskResult]
+    ) -> None:
+        """Report how a call ended, also one that was cancelled before it began."""
         self._calls.pop(name, None)
+        if call.cancelled():
+            result = messages.TaskResult(*name, "not-run", "cancelled")
+        elif (error := call.exception()) is not None:
+            self._log.error("call failed", error=repr(error))
+            result = messages.TaskResult(*name, "unknown", "call failed")
+        else:
+            result = call.result()
         ended = executor.TaskEnded(result)
         self._act(self.executor.handle(ended, self._clock.read_monotonic()))
 
