--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import socket
+from collections.abc import Container
 
 import attrs
 
@@ -30,18 +31,21 @@
 DRAIN_MS = 200
 
 
-def find_ports(count: int) -> list[int]:
+def find_ports(count: int, reserved: Container[int] = ()) -> list[int]:
     """Return ports that are free now.
 
     Args:
         count: How many ports.
+        reserved: Ports that somebody is about to use.
     """
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
             probe = stack.enter_context(socket.socket())
             probe.bind((HOST, 0))
-            ports.append(probe.getsockname()[1])
+            port = probe.getsockname()[1]
+            if port not in reserved:
+                ports.append(port)
         return ports
 
 
@@ -88,7 +92,7 @@
 
     async def start(self) -> None:
         """Start every role and wait until each gateway is ready."""
-        addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS)]
+        addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS, self.ports)]
         await self._start_controllers(addresses)
         for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
@@ -136,7 +140,7 @@
             self.controllers.append(role)
 
     async def _start_sidecar(self, number: int, controllers: list[str]) -> None:
-        listen, upstream = (f"{HOST}:{port}" for port in find_ports(2))
+        listen, upstream = (f"{HOST}:{port}" for port in find_ports(2, self.ports))
         domain = DOMAINS[number % len(DOMAINS)]
         stand_in = standin.StandIn(f"upstream-{number + 1}", domain, self.record)
         await stand_in.open(upstream)
@@ -165,7 +169,7 @@
     async def _start_gateway(
         self, number: int, port: int, controllers: list[str]
     ) -> None:
-        listen = f"{HOST}:{find_ports(1)[0]}"
+        listen = f"{HOST}:{find_ports(1, self.ports)[0]}"
         domain = DOMAINS[number % len(DOMAINS)]
         process = options.ProcessOptions(
             f"gateway-{number + 1}",
--- a/amaranthspar/codec.py
+++ b/amaranthspar/codec.py
@@ -96,6 +96,8 @@
         decoded = [_decoders[tag].decode(raw) for tag, raw in body]
     except msgspec.MsgspecError as error:
         raise errors.SchemaError(str(error)) from error
+    except RecursionError as error:
+        raise errors.SchemaError("nested too deeply") from error
     except KeyError as error:
         raise errors.SchemaError(f"unknown message {error}") from error
     return Frame(sender, incarnation, address, decoded, number, heard)
@@ -105,7 +107,7 @@
     """Raise the error that names the version if it is another one."""
     try:
         version = msgspec.msgpack.decode(_fields.decode(data)[0], type=int)
-    except (msgspec.MsgspecError, IndexError) as error:
+    except (msgspec.MsgspecError, IndexError, RecursionError) as error:
         raise errors.SchemaError("no frame") from error
     if version != FORMAT_VERSION:
         raise errors.SchemaError(f"unknown format version {version}")
@@ -135,5 +137,5 @@
         raise errors.SchemaError(f"unknown message {kind!r}")
     try:
         return decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.SchemaError(str(error)) from error
--- a/amaranthspar/control.py
+++ b/amaranthspar/control.py
@@ -4,7 +4,7 @@
 import itertools
 from collections.abc import Hashable
 
-from amaranthspar import codec, errors, links, messages
+from amaranthspar import bodies, codec, errors, links, messages
 
 TRY_MS = 700
 TOTAL_MS = 6000
@@ -56,6 +56,30 @@
         assert isinstance(answer, messages.ConfigurationFetched)
         return answer
 
+    async def replace_replica(
+        self, replacement: bodies.Replacement, operator: str
+    ) -> messages.ReplicasChanged:
+        """Replace a replica, or fetch the set; repeats of the same are safe.
+
+        Args:
+            replacement: What to replace; nothing to fetch the set.
+            operator: Name of the operator's account.
+
+        Raises:
+            ControlUnavailableError: The outcome is not known.
+        """
+        number = next(self._numbers)
+        request = messages.ReplaceReplica(
+            number,
+            replacement.removed,
+            replacement.added,
+            replacement.address,
+            operator,
+        )
+        answer = await self._ask(("replicas", number), request)
+        assert isinstance(answer, messages.ReplicasChanged)
+        return answer
+
     async def claim(self, claim: messages.ClaimSubmission) -> messages.ClaimDecided:
         """Claim a keyed submission; repeats of the same claim are safe.
 
@@ -86,6 +110,8 @@
                     self._resolve(("change", message.change_id), message)
             case messages.ConfigurationFetched():
                 self._resolve(("fetch", message.request), message)
+            case messages.ReplicasChanged():
+                self._resolve(("replicas", message.request), message)
             case messages.ClaimDecided():
                 if message.submission:
                     self._resolve_claims(message)
--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -8,6 +8,7 @@
     deliveries,
     desks,
     effects,
+    holding,
     leaseholder,
     messages,
     slots,
@@ -126,6 +127,7 @@
         self.slots = slots.Slots(self._announcement.slots)
         self._gateways: dict[str, _Gateway] = {}
         self._running: dict[tuple[str, int], _Running] = {}
+        self._held = holding.Holding()
         self._open = False
 
     @property
@@ -135,7 +137,7 @@
             item.parted is None and not item.results.is_empty
             for item in self._gateways.values()
         )
-        return not self._running and not waiting
+        return not self._running and not len(self._held) and not waiting
 
     def handle(self, event: Received | TaskEnded, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -167,9 +169,12 @@
                 continue
             result += self._resend(gateway, now_ms)
         was_open, self._open = self._open, self._may_start(now_ms)
+        result += self._advance_held(now_ms)
         if was_open and not self._open:
             return result + self._take_credits_back()
-        return result + self._grant(self._redistribute())
+        told = dict.fromkeys(self._redistribute())
+        told.update(dict.fromkeys(self.slots.list_untold()))
+        return result + self._grant(list(told))
 
     def drain(self, now_ms: int) -> list[Effect]:
         """Refuse new work from now on.
@@ -179,7 +184,7 @@
         """
         self.leaving = True
         self._open = False
-        return self._take_credits_back()
+        return self._advance_held(now_ms) + self._take_credits_back()
 
     def _may_start(self, now_ms: int) -> bool:
         domain = self._announcement.failure_domain
@@ -197,7 +202,7 @@
         if gateway is None:
             return []
         if isinstance(event.message, messages.CancelTasks):
-            return self._cancel(event.message)
+            return self._cancel(gateway, event.message, now_ms)
         if event.message.target != self._holder.member.incarnation:
             self.counts["messages.stale"] += 1
             return []
@@ -235,14 +240,7 @@
     def _start(
         self, gateway: _Gateway, message: messages.StartTasks, now_ms: int
     ) -> list[Effect]:
-        situation = starts.Situation(
-            self._holder.is_valid(now_ms),
-            self.leaving,
-            self._holder.member.incarnation,
-            gateway.last_sequence,
-            self._announcement,
-            self._holder.view,
-        )
+        situation = self._describe(gateway.last_sequence, now_ms)
         refusal = starts.judge_message(message, situation)
         if refusal is starts.Refusal.STALE_MESSAGE:
             self.counts["starts.stale"] += 1
@@ -256,21 +254,25 @@
         for task in message.tasks:
             name = (message.submission, task.index)
             reason = refusal or self._judge_task(gateway, name)
-            if reason is None:
-                result.append(self._run(gateway, message, task))
-                continue
-            self._refuse(gateway, name, message.sequence, reason)
+            if reason is starts.Refusal.NO_SLOT and self._held.has_room:
+                self._hold(gateway, message, task, now_ms)
+            elif reason is not None:
+                self._refuse(gateway, name, message.sequence, reason)
+            else:
+                self.slots.start(gateway.name)
+                left_ms = message.deadline_ms
+                result.append(self._run(gateway, message, task, left_ms))
         if gateway.results.is_ready:
-            self._redistribute(gateway.name)
-            result += self._report(gateway, now_ms)
-        return result
+            told = self._redistribute(gateway.name)
+            return result + self._report(gateway, now_ms) + self._grant(told)
+        return result + self._grant(self._redistribute())
 
     def _judge_task(
         self, gateway: _Gateway, name: tuple[str, int]
     ) -> starts.Refusal | None:
-        if name in gateway.started:
+        if name in gateway.started or name in self._held:
             return starts.Refusal.DUPLICATE
-        if self.slots.running >= self.slots.count:
+        if len(self._running) >= self.slots.count:
             return starts.Refusal.NO_SLOT
         return None
 
@@ -279,13 +281,13 @@
         gateway: _Gateway,
         message: messages.StartTasks,
         task: messages.TaskStart,
+        left_ms: int,
     ) -> RunTask:
         name = (message.submission, task.index)
         gateway.started.note(name, message.sequence)
         version = self._holder.view.configuration_version
         running = desks.RunningTask(gateway.name, message.desk, version)
         self._running[name] = _Running(gateway, message.sequence, running)
-        self.slots.running += 1
         self.counts["tasks.started"] += 1
         return RunTask(
             message.submission,
@@ -293,10 +295,57 @@
             message.service,
             message.content_type,
             task.payload,
-            message.deadline_ms,
+            left_ms,
             message.traceparent,
         )
 
+    def _hold(
+        self,
+        gateway: _Gateway,
+        message: messages.StartTasks,
+        task: messages.TaskStart,
+        now_ms: int,
+    ) -> None:
+        self.counts["tasks.held"] += 1
+        self.slots.start(gateway.name)
+        sender = (gateway.name, gateway.incarnation)
+        self._held.add(holding.Held(*sender, message, task, now_ms))
+
+    def _advance_held(self, now_ms: int) -> list[Effect]:
+        """Start what waits here for a slot, or refuse what may no longer start."""
+        result: list[Effect] = []
+        while len(self._held) and self._has_slot_or_closes():
+            held = self._held.take_first()
+            gateway = self._gateways[held.gateway]
+            if gateway.incarnation != held.incarnation:
+                self.slots.end("")
+                continue
+            message = held.update_message(now_ms)
+            refusal = starts.judge_message(message, self._describe(0, now_ms))
+            if refusal is None:
+                left_ms = message.deadline_ms
+                result.append(self._run(gateway, message, held.task, left_ms))
+                continue
+            self.slots.end(gateway.name)
+            name = (message.submission, held.task.index)
+            self._refuse(gateway, name, message.sequence, refusal)
+            if gateway.parted is None:
+                result += self._report(gateway, now_ms)
+        return result
+
+    def _has_slot_or_closes(self) -> bool:
+        return len(self._running) < self.slots.count or not self._open
+
+    def _describe(self, last_sequence: int, now_ms: int) -> starts.Situation:
+        return starts.Situation(
+            self._holder.is_valid(now_ms),
+            self.leaving,
+            self._holder.member.incarnation,
+            last_sequence,
+            self._announcement,
+            self._holder.view,
+        )
+
     def _refuse(
         self,
         gateway: _Gateway,
@@ -316,17 +365,17 @@
         running = self._running.pop(name, None)
         if running is None:
             return []
-        self.slots.running -= 1
         gateway = running.gateway
         if ended.outcome == "not-run":
             gateway.started.remove(name)
         current = self._gateways[gateway.name] is gateway
-        grown = self._redistribute(gateway.name)
+        self.slots.end(gateway.name if current else "")
+        result = self._advance_held(now_ms)
+        result += self._grant(self._redistribute(gateway.name))
         if not current:
             self.counts["results.undeliverable"] += 1
-            return self._grant(grown)
+            return result
         gateway.results.add(attrs.evolve(ended, start=running.sequence))
-        result = self._grant([other for other in grown if other != gateway.name])
         if gateway.parted is not None:
             return result
         self._limit_results(gateway)
@@ -337,8 +386,9 @@
             self.counts["results.dropped"] += gateway.results.drop_bodies()
 
     def _report(self, gateway: _Gateway, now_ms: int) -> list[Effect]:
-        limit = self.slots.shares[gateway.name].limit
-        reports = gateway.results.report(limit, gateway.received, now_ms)
+        limit = self.slots.state_limit(gateway.name)
+        spare = self.slots.count_spare(gateway.name)
+        reports = gateway.results.report(limit, gateway.received, now_ms, spare)
         return [effects.Send(gateway.address, item) for item in reports]
 
     def _resend(
@@ -346,7 +396,7 @@
     ) -> list[Effect]:
         result: list[Effect] = []
         if at_once or gateway.results.is_overdue(now_ms):
-            limit = self.slots.shares[gateway.name].limit
+            limit = self.slots.state_limit(gateway.name)
             for report in gateway.results.resend(limit, gateway.received, now_ms):
                 self.counts["results.resent"] += len(report.results)
                 result.append(effects.Send(gateway.address, report))
@@ -357,12 +407,9 @@
     def _note_share(
         self, gateway: _Gateway, message: messages.StartTasks | messages.ReportDemand
     ) -> None:
-        share = self.slots.shares[gateway.name]
-        share.queued = message.queued
-        share.oldest_wait_ms = message.oldest_wait_ms
-        if message.sent > share.used:
-            share.recalled = max(0, share.recalled - (message.sent - share.used))
-            share.used = message.sent
+        self.slots.note_demand(
+            gateway.name, message.sent, message.queued, message.oldest_wait_ms
+        )
 
     def _note_demand(
         self, gateway: _Gateway, message: messages.ReportDemand
@@ -370,14 +417,13 @@
         gateway.results.acknowledge(message.acknowledged)
         self._note_share(gateway, message)
         share = self.slots.shares[gateway.name]
-        grown = self._redistribute()
-        behind = 0 <= message.limit < share.limit or share.limit == 0
-        if behind and gateway.name not in grown:
-            grown.append(gateway.name)
-        result = self._grant(grown)
-        if self._open:
-            result += self._grant(self.slots.recall())
-        return result
+        told = dict.fromkeys(self._redistribute())
+        asks = self._open and not message.limit > message.sent
+        if asks and (self.slots.lend(gateway.name) or not share.unused):
+            told.update(dict.fromkeys(self.slots.recall(gateway.name)))
+        if 0 <= message.limit < share.limit or share.limit == 0:
+            told[gateway.name] = None
+        return self._grant(list(told))
 
     def _redistribute(self, freed_for: str = "") -> list[str]:
         if not self._open:
@@ -390,7 +436,7 @@
             gateway = self._gateways[name]
             share = self.slots.shares[name]
             grant = messages.GrantCredits(
-                share.limit,
+                self.slots.state_limit(name),
                 gateway.incarnation,
                 share.recalled,
                 self.slots.count,
@@ -404,12 +450,23 @@
             share.recalled = max(0, share.unused)
         return self._grant(list(self.slots.shares))
 
-    def _cancel(self, message: messages.CancelTasks) -> list[Effect]:
-        return [
-            StopTask(message.submission, index)
-            for index in message.indexes
-            if (message.submission, index) in self._running
-        ]
+    def _cancel(
+        self, gateway: _Gateway, message: messages.CancelTasks, now_ms: int
+    ) -> list[Effect]:
+        result: list[Effect] = []
+        for index in message.indexes:
+            name = (message.submission, index)
+            if name in self._running:
+                result.append(StopTask(*name))
+                continue
+            held = self._held.take(name)
+            if held is not None:
+                self.slots.end(gateway.name)
+                sequence = held.message.sequence
+                self._refuse(gateway, name, sequence, starts.Refusal.CANCELLED)
+        if gateway.results.is_ready:
+            result += self._report(gateway, now_ms)
+        return result
 
     def _report_settled(self, gateway: _Gateway) -> list[Effect]:
         known = self._holder.view
@@ -428,7 +485,9 @@
         gateway.last_sequence = max(gateway.last_sequence, message.sequence)
         for task in message.tasks:
             name = (task.submission, task.index)
-            if name in self._running or gateway.results.holds(task):
+            if name in self._running or name in self._held:
+                continue
+            if gateway.results.holds(task):
                 continue
             if gateway.started.may_hold(task):
                 lost = messages.TaskResult(*name, "", start=message.sequence)
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -333,8 +333,8 @@
         service: Service name.
         content_type: Content type of the payloads.
         deadline_ms: Time left in ms when sent.
-        queued: Tasks that still wait in the gateway and may run here.
-        oldest_wait_ms: Wait in ms of the oldest of them.
+        queued: Part of the gateway's waiting tasks that this upstream may take.
+        oldest_wait_ms: Wait in ms of the oldest request for a response.
         sent: Total of tasks sent and credits handed back after this message.
         acknowledged: Sequence up to which results arrived.
         tasks: Tasks.
@@ -398,6 +398,7 @@
         credit_limit: Total of tasks that the gateway may have sent.
         received: Start sequence up to which every task is accounted for; 0 if uncertain.
         dropped: Result sequence up to which none is held any more.
+        spare: Idle slots for which the gateway holds no credit.
     """
 
     target: int
@@ -406,6 +407,7 @@
     credit_limit: int
     received: int = 0
     dropped: int = 0
+    spare: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -433,8 +435,8 @@
 
     Attributes:
         target: Sidecar incarnation.
-        queued: Tasks that wait in the gateway and may run here.
-        oldest_wait_ms: Wait in ms of the oldest of them.
+        queued: Part of the gateway's waiting tasks that this upstream may take.
+        oldest_wait_ms: Wait in ms of the oldest request for a response.
         sent: Total of tasks sent or credits handed back.
         acknowledged: Sequence up to which results arrived.
         limit: Credit limit that the gateway knows; -1 if not stated.
--- a/amaranthspar/program.py
+++ b/amaranthspar/program.py
@@ -44,6 +44,7 @@
     Command("config", "submit or show the configuration", "commands_config"),
     Command("domain", "take a failure domain out or in", "commands_domain"),
     Command("status", "show members and load", "commands_status"),
+    Command("replica", "show or replace the controllers' replicas", "commands_replica"),
     Command("job", "submit, show or cancel a job", "commands_job"),
 )
 
--- a/amaranthspar/submissions.py
+++ b/amaranthspar/submissions.py
@@ -19,6 +19,19 @@
     ENDED = enum.auto()
 
 
+class Failure(enum.Enum):
+    """Kind of a failed submission, as callers see it."""
+
+    TASK_FAILED = "failed"
+    CANCELLED = "cancelled"
+    OVERDUE = "deadline-passed"
+    TOO_LATE = "deadline-too-near"
+    INFEASIBLE = "can-never-run"
+    QUEUE_FULL = "queue-full"
+    QUOTA = "quota-exceeded"
+    UNAVAILABLE = "unavailable"
+
+
 @attrs.frozen(slots=True)
 class Answer:
     """Final answer to a submission.
@@ -29,6 +42,7 @@
         results: Results in task order if all tasks are done, else empty.
         reason: Why the submission failed; empty for a whole answer.
         retry_after_ms: When a caller may come back; 0 for no advice.
+        failure: Kind of the failure; without meaning for a whole answer.
     """
 
     submission: str
@@ -36,6 +50,7 @@
     results: list[messages.TaskResult]
     reason: str = ""
     retry_after_ms: int = 0
+    failure: Failure = Failure.TASK_FAILED
 
 
 @attrs.define(slots=True)
@@ -125,14 +140,21 @@
             return Answer(self.name, DONE, results)
         return self.fail(f"task {failed[0].index}: {describe_failure(failed[0])}")
 
-    def fail(self, reason: str, retry_after_ms: int = 0) -> Answer:
+    def fail(
+        self,
+        reason: str,
+        retry_after_ms: int = 0,
+        failure: Failure = Failure.TASK_FAILED,
+    ) -> Answer:
         """Return the answer of a submission that has failed.
 
         Args:
             reason: Cause in a few words.
             retry_after_ms: When a caller may come back; 0 for no advice.
+            failure: Kind of the failure.
         """
-        return Answer(self.name, self._judge_outcome(), [], reason, retry_after_ms)
+        outcome = self._judge_outcome()
+        return Answer(self.name, outcome, [], reason, retry_after_ms, failure)
 
     def _judge_outcome(self) -> str:
         started = False
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,11 +7,47 @@
 import signal
 import sys
 
+import attrs
+
 from amaranthspar import loop
-from benchmarks import outcomes, trials, workloads
+from benchmarks import firms, outcomes, trials
+
+BOTH = "both"
+
 
-CONTROL_NAMES = ("failover", "removal", "config")
-NAMES = ("response", "waste", "domain", *CONTROL_NAMES)
+@attrs.frozen(slots=True)
+class Experiment:
+    """Where an experiment stands and what it measures unless told otherwise.
+
+    Attributes:
+        module: Module in this package.
+        firm: Firm, or both.
+        function: Function of the module.
+    """
+
+    module: str
+    firm: str = "kerekes"
+    function: str = "run"
+
+
+EXPERIMENTS = {
+    "response": Experiment("response", BOTH),
+    "waste": Experiment("waste", BOTH),
+    "domain": Experiment("domain", BOTH),
+    "removal": Experiment("removal"),
+    "failover": Experiment("failover"),
+    "leases-removal": Experiment("control", function="run_removal"),
+    "leases-failover": Experiment("control", function="run_failover"),
+    "config": Experiment("control", function="run_config"),
+    "burst": Experiment("burst"),
+    "badworker": Experiment("badworker"),
+    "cancel": Experiment("cancel"),
+    "straggler": Experiment("straggler"),
+    "desk": Experiment("desk", "wijesekera"),
+    "gateway": Experiment("gateway"),
+    "sidecar": Experiment("sidecar"),
+    "soak": Experiment("soak", "wijesekera"),
+}
 LOADS = (0.5, 0.8, 0.95)
 
 
@@ -22,16 +58,13 @@
         Exit code: 0 if every target was met, else 1.
     """
     arguments = _build_parser().parse_args()
-    firms = tuple(
-        firm
-        for firm in workloads.FIRMS.values()
-        if arguments.firm in (firm.name, "both")
-    )
+    wanted = arguments.firm or EXPERIMENTS[arguments.name].firm
+    chosen = tuple(firm for firm in firms.FIRMS.values() if wanted in (firm.name, BOTH))
     loads = tuple(arguments.load or LOADS)
     options = trials.Options(
         arguments.seed,
         arguments.seconds,
-        firms,
+        chosen,
         loads,
         arguments.repeats,
         not arguments.no_baseline,
@@ -41,11 +74,11 @@
 
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="benchmarks", description=__doc__)
-    parser.add_argument("name", choices=NAMES)
+    parser.add_argument("name", choices=EXPERIMENTS)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--report", type=pathlib.Path, help="folder for the report")
-    parser.add_argument("--firm", choices=(*workloads.FIRMS, "both"), default="both")
+    parser.add_argument("--firm", choices=(*firms.FIRMS, BOTH))
     parser.add_argument(
         "--load", type=float, action="append", help="0 to 1, repeatable"
     )
@@ -58,14 +91,12 @@
     # Cancelling the task ends the processes on the way out.
     task = asyncio.current_task()
     assert task is not None
-    loop = asyncio.get_running_loop()
+    running = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
-    control = arguments.name in CONTROL_NAMES
-    name = "control" if control else arguments.name
-    module = importlib.import_module(f"benchmarks.{name}")
-    run = getattr(module, f"run_{arguments.name}" if control else "run")
-    outcome: outcomes.Outcome = await run(options)
+        running.add_signal_handler(number, task.cancel)
+    chosen = EXPERIMENTS[arguments.name]
+    module = importlib.import_module(f"benchmarks.{chosen.module}")
+    outcome: outcomes.Outcome = await getattr(module, chosen.function)(options)
     print(outcome.format_tables("simple"))
     for note in outcome.notes:
         print(note)
--- a/tests/builders_shell.py
+++ b/tests/builders_shell.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -36,14 +37,18 @@
 
 
 def find_port_pair() -> int:
-    """Return a port that is free together with the next one."""
+    """Return a port that is free together with the next one.
+
+    The ports are below those that the system gives to outgoing connections.
+    """
+    chance = random.SystemRandom()
     while True:
+        port = chance.randrange(20_000, 30_000)
         with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = first.getsockname()[1]
             try:
+                first.bind(("127.0.0.1", port))
                 second.bind(("127.0.0.1", port + 1))
-            except (OSError, OverflowError):
+            except OSError:
                 continue
             return port
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -32,3 +32,15 @@
     data = msgspec.msgpack.encode((version, "g", 1))
     with pytest.raises(errors.SchemaError, match=f"format version {version}"):
         codec.decode_frame(data)
+
+
+def test_deep_nesting_is_refused() -> None:
+    deep = b"\x91" * 5000
+    result = msgspec.Raw(deep)
+    body = [("TaskResult", {"submission": result})]
+    part = msgspec.msgpack.encode((codec.FORMAT_VERSION, "g", 1, "", 0, 0, body))
+    for data in (deep, part):
+        with pytest.raises(errors.SchemaError):
+            codec.decode_frame(data)
+    with pytest.raises(errors.SchemaError):
+        codec.decode_message("TaskResult", deep)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -73,6 +73,19 @@
         assert name in result.stdout
 
 
+def test_replicas_are_listed_and_bad_replacements_refused(served) -> None:
+    shown = json.loads(served.run("replica", "show", "--json").stdout)
+    voters = [item["id"] for item in shown["replicas"] if item["voter"]]
+    assert sorted(voters) == ["c1", "c2", "c3"]
+    assert "leader" in served.run("replica", "show").stdout
+    words = ("replica", "replace", "--remove")
+    assert served.run(*words, "nobody").returncode == 1
+    assert served.run("replica", "replace").returncode == 2
+    bad = served.run(*words, "c1", "--add", "c4", "--address", "here")
+    assert bad.returncode == 2
+    assert "address" in bad.stderr
+
+
 def test_job_is_submitted_shown_and_cancelled(served) -> None:
     whole = served.run("job", "submit", "recalculate", "-", text=JOB)
     assert whole.returncode == 0
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -118,6 +118,8 @@
         other = open_other(running)
         body = test_cluster.encode({"echo": 1})
         held = await other.send_request("hold", body, KEY)
+        while "gateway-2" not in running.gateways[0].holder.view.members:
+            await asyncio.sleep(0.02)
         members = running.gateways[0].holder.view.members
         while "gateway-2" not in members:
             await asyncio.sleep(0.01)
