--- a/amaranthspar/bodies.py
+++ b/amaranthspar/bodies.py
@@ -57,6 +57,21 @@
     queued: int
 
 
+@attrs.frozen(slots=True)
+class Replacement:
+    """A change of the controllers' set of replicas.
+
+    Attributes:
+        removed: Replica id to remove; empty for none.
+        added: Replica id to add; empty for none.
+        address: Address at which the added replica listens.
+    """
+
+    removed: str = ""
+    added: str = ""
+    address: str = ""
+
+
 def encode_body(body: Any) -> bytes:
     """Return a body as JSON.
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,4 +14,5 @@
         running.wait_ready()
         yield running
     finally:
-        running.stop()
+        assert running.stop() == 0
+        assert builders_shell.TOKEN not in builders_shell.read_output(running.process)
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,96 @@
+"""Tests of spans: one for each hop, and none of the library when traces are off."""
+
+import asyncio
+import http.server
+import json
+import pathlib
+import subprocess
+import sys
+import threading
+
+import uvloop
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
+
+from amaranthspar import client, cluster
+from tests import builders_shell
+
+TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
+CALLER = "00f067aa0ba902b7"
+
+
+class Collector(http.server.BaseHTTPRequestHandler):
+    spans: list = []
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        request = trace_service_pb2.ExportTraceServiceRequest.FromString(body)
+        for resource in request.resource_spans:
+            for scope in resource.scope_spans:
+                self.spans.extend(scope.spans)
+        self.send_response(200)
+        self.end_headers()
+
+    def log_message(self, *_: object) -> None:
+        pass
+
+
+def run_traced_job(folder: pathlib.Path, endpoint: str) -> None:
+    async def run() -> None:
+        running = cluster.Cluster(
+            folder, "secret", cluster.find_ports(2), trace_endpoint=endpoint
+        )
+        await running.start()
+        url = f"http://{cluster.HOST}:{running.ports[0]}"
+        caller = client.Client(url, "secret")
+        tasks = [{"payload": {"echo": number}} for number in range(3)]
+        trace = {"traceparent": f"00-{TRACE}-{CALLER}-01"}
+        body = json.dumps({"tasks": tasks}).encode()
+        reply = await caller.submit_job("recalculate", body, trace)
+        assert reply.status == 200
+        await caller.close()
+        await running.stop()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
+def test_each_hop_has_a_span_below_the_one_before(tmp_path: pathlib.Path) -> None:
+    Collector.spans.clear()
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Collector)
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    try:
+        run_traced_job(tmp_path, f"http://127.0.0.1:{server.server_port}")
+    finally:
+        server.shutdown()
+        server.server_close()
+    spans = list(Collector.spans)
+    assert {span.trace_id.hex() for span in spans} == {TRACE}
+    names = {span.span_id.hex(): span.name for span in spans}
+    assert len(names) == len(spans)
+    above = {(span.name, names.get(span.parent_span_id.hex())) for span in spans}
+    assert above == {
+        ("gateway", None),
+        ("queue", "gateway"),
+        ("sidecar", "gateway"),
+        ("upstream", "sidecar"),
+    }
+    counted = [span.name for span in spans]
+    assert counted.count("upstream") == 3
+    assert counted.count("gateway") == counted.count("queue") == 1
+    roots = [span for span in spans if span.name == "gateway"]
+    assert roots[0].parent_span_id.hex() == CALLER
+    assert all(span.end_time_unix_nano >= span.start_time_unix_nano for span in spans)
+
+
+def test_library_is_not_imported_when_traces_are_off() -> None:
+    code = (
+        "import sys\n"
+        "from amaranthspar import gateway, options, sidecar, traces\n"
+        "process = options.ProcessOptions('p', '127.0.0.1:1', ['127.0.0.1:2'], 'd')\n"
+        "assert traces.build_tracer(process) is None\n"
+        "assert not any(name.startswith('opentelemetry') for name in sys.modules)\n"
+    )
+    command = [sys.executable, "-c", code]
+    environment = builders_shell.build_environment()
+    subprocess.run(command, env=environment, check=True, timeout=60)
