Wait for load before a sidecar is stopped in a test

Cause: test_stop_under_load_cuts_nothing_off took it that 100 ms after its requests were sent a sidecar runs one of them; in 1 of 12 runs, four at a time, none did yet, and the test failed before it stopped anything. Ruled out: answers cut off; no run failed on those. Change: the test waits until a sidecar that is to stop is at work. The checks of the answers and starts stand as they were; the stop now always meets load. Conclusion: a timed precondition.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -24,9 +24,9 @@
 def test_stop_under_load_cuts_nothing_off(tmp_path: pathlib.Path) -> None:
     async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
         asked = [hold(caller, number) for number in range(HOLDS)]
-        await asyncio.sleep(SLEEP_MS / 2000)
         leaving = running.sidecars[:3]
-        assert any(not item.executor.is_idle for item in leaving)
+        while all(item.executor.is_idle for item in leaving):
+            await asyncio.sleep(0.005)
         await asyncio.gather(*(item.stop() for item in leaving))
         replies = await asyncio.gather(*asked)
         assert {item.status for item in replies} == {200}
