--- a/amaranthspar/program.py
+++ b/amaranthspar/program.py
@@ -45,6 +45,7 @@
     Command("domain", "take a failure domain out or in", "commands_domain"),
     Command("status", "show members and load", "commands_status"),
     Command("replica", "show or replace the controllers' replicas", "commands_replica"),
+    Command("recover", "go on alone after the majority is lost", "commands_recover"),
     Command("job", "submit, show or cancel a job", "commands_job"),
 )
 
