Hold the settled version back for a desk that moved away and back

Change: a task whose desk moved after its start counts as not settled (desks, outside this area); the 8 s interval holds only for a gateway in which nothing waits.

--- a/amaranthspar/desks.py
+++ b/amaranthspar/desks.py
@@ -68,7 +68,11 @@
     started = [
         task.started_version
         for task in running
-        if task.desk and known.find_home(task.desk) != group
+        if task.desk
+        and (
+            known.find_home(task.desk) != group
+            or known.find_move(task.desk) > task.started_version
+        )
     ]
     return min([held_version, *started])
 
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -382,7 +382,7 @@
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
         owed = route.acknowledged > route.stated
-        holding = route.credits > 0 or bool(route.in_flight)
+        holding = route.credits > 0 or route.in_flight or len(self._backlog)
         interval_ms = KEEP_ALIVE_MS if holding else IDLE_KEEP_ALIVE_MS
         if owed:
             interval_ms = ACKNOWLEDGE_MS
--- a/tests/test_desks.py
+++ b/tests/test_desks.py
@@ -5,7 +5,7 @@
 import pathlib
 import uuid
 
-from amaranthspar import client, cluster, configuration, desks, messages, standin
+from amaranthspar import client, cluster, configuration, desks, messages, standin, view
 from tests import test_cluster
 
 MAIN = messages.Announcement("w", "r", "main", "gyor", ["hold"], 8, 64, 1, 1, 0)
@@ -81,6 +81,15 @@
     assert desks.find_settled_version(5, running, "main", known) == 5
 
 
+def test_task_that_outlived_a_move_there_and_back_is_not_settled() -> None:
+    known = view.View(configuration_version=5)
+    known.settings.add_desk("d", home="main", moved_version=5)
+    before = desks.RunningTask("g1", "d", 3)
+    after = desks.RunningTask("g1", "d", 5)
+    assert desks.find_settled_version(5, [before, after], "main", known) == 3
+    assert desks.find_settled_version(5, [after], "main", known) == 5
+
+
 def test_moves_under_load_run_each_hold_once_and_never_in_two_homes(
     tmp_path: pathlib.Path,
 ) -> None:
