--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,8 @@
 	$(BIN)/python -m tools.fuzz --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 	$(BIN)/python -m tools.fuzz_dispatch --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 
+binary: $(VENV)/.ready
+	$(BIN)/python -m tools.bundle
+
 clean:
 	rm -rf $(VENV) build dist
--- a/amaranthspar/intake.py
+++ b/amaranthspar/intake.py
@@ -8,7 +8,14 @@
 import msgspec
 import xxhash
 
-from amaranthspar import entries, problems, submissions
+from amaranthspar import (
+    addresses,
+    bodies,
+    entries,
+    errors,
+    problems,
+    submissions,
+)
 
 DEADLINE_HEADER = "amaranthspar-deadline-ms"
 DESK_HEADER = "amaranthspar-desk"
@@ -242,6 +249,33 @@
         raise problems.refuse_malformed(f"expected UTF-8: {error}") from error
 
 
+def read_replacement(body: bytes) -> bodies.Replacement:
+    """Return the change of the set of replicas that a body states.
+
+    Args:
+        body: JSON as sent by an operator.
+
+    Raises:
+        problems.ProblemError: It is no such change.
+    """
+    try:
+        found = msgspec.json.decode(read_text(body), type=bodies.Replacement)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise problems.refuse_malformed(str(error)) from error
+    if not found.removed and not found.added:
+        raise problems.refuse_malformed("expected removed, added or both")
+    if bool(found.added) != bool(found.address):
+        raise problems.refuse_malformed("expected address together with added")
+    if not is_word(found.removed) or not is_word(found.added):
+        raise problems.refuse_malformed(_EXPECTED)
+    if found.address:
+        try:
+            addresses.parse_address(found.address)
+        except errors.SchemaError as error:
+            raise problems.refuse_malformed(f"address: {error}") from error
+    return found
+
+
 def is_word(text: str) -> bool:
     """Return whether a text may be handed on in headers and messages.
 
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -16,6 +16,7 @@
     messages,
     metrics,
     options,
+    traces,
     upstream,
 )
 
@@ -64,6 +65,7 @@
             process.name, incarnation, process.listen, self._receive, link
         )
         self._links.controllers = frozenset(process.controllers)
+        self._tracer = traces.build_tracer(process)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
         self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
@@ -106,6 +108,8 @@
         self._links.close()
         if self._upstream is not None:
             await self._upstream.close()
+        if self._tracer is not None:
+            await asyncio.to_thread(self._tracer.close)
 
     def _leave(self, stopped: bool) -> None:
         incarnation = self.holder.member.incarnation
@@ -159,6 +163,7 @@
                 case leaseholder.ViewChanged():
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
+                    self._act(self.executor.tick(self._clock.read_monotonic()))
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
@@ -166,7 +171,11 @@
 
     def _run(self, run: executor.RunTask) -> None:
         assert self._upstream is not None
-        call = asyncio.get_running_loop().create_task(self._upstream.call(run))
+        if self._tracer is None:
+            coroutine = self._upstream.call(run)
+        else:
+            coroutine = traces.trace_call(self._tracer, run, self._upstream.call)
+        call = asyncio.get_running_loop().create_task(coroutine)
         name = (run.submission, run.index)
         self._calls[name] = call
         call.add_done_callback(functools.partial(self._end, name))
--- a/amaranthspar/web.py
+++ b/amaranthspar/web.py
@@ -69,6 +69,9 @@
         path = "/v1/configuration"
         server.add("GET", path, self._count(operators.show_configuration))
         server.add("PUT", path, self._count(operators.change_configuration))
+        path = "/v1/replicas"
+        server.add("GET", path, self._count(operators.show_replicas))
+        server.add("POST", path, self._count(operators.change_replicas))
         server.add("GET", "/v1/status", self._count(operators.show_status))
         server.app.exception(Exception)(self._answer_exception)
         return server
