--- a/benchmarks/response.py
+++ b/benchmarks/response.py
@@ -7,6 +7,7 @@
 from benchmarks import driver, firms, histograms, ideal, outcomes, trials
 
 TARGETS = {50.0: 1.05, 99.0: 1.10, 99.9: 1.25}
+CURVE_PERCENTILES = (50.0, 99.0)
 BASELINE = "naive round robin"
 
 
@@ -133,7 +134,7 @@
 ) -> None:
     for name, times in ((label, pool.measured_ms), ("ideal queue", pool.ideal_ms)):
         times_seen = histograms.collect(times)
-        for percentile in (50.0, 99.0):
+        for percentile in CURVE_PERCENTILES:
             key = f"{name}, p{percentile:g}"
             curve = curves.setdefault(key, outcomes.Curve(key, [], []))
             if load * 100 not in curve.x:
@@ -149,11 +150,12 @@
 ) -> None:
     title = f"Response time, {firm.name}"
     outcome.tables.append(build_table(title, rows))
-    plot = outcomes.Plot(
-        f"{title}, by load",
-        "load (% of all slots)",
-        "response time (ms)",
-        list(curves.values()),
-        log_y=True,
-    )
-    outcome.plots.append(plot)
+    for percentile in CURVE_PERCENTILES:
+        suffix = f"p{percentile:g}"
+        plot = outcomes.Plot(
+            f"{title}, by load, {suffix}",
+            "load (% of all slots)",
+            "response time (ms)",
+            [curve for name, curve in curves.items() if name.endswith(suffix)],
+        )
+        outcome.plots.append(plot)
