--- a/amaranthspar/client.py
+++ b/amaranthspar/client.py
@@ -143,6 +143,32 @@
         _expect_status(reply, (200,))
         return _decode(reply.body, bodies.Status)
 
+    async def fetch_replicas(self) -> messages.ReplicasChanged:
+        """Fetch the controllers' replicas.
+
+        Raises:
+            ClientError: The gateway refused or gave no answer.
+        """
+        reply = await self.call("GET", "/v1/replicas")
+        _expect_status(reply, (200,))
+        return _decode(reply.body, messages.ReplicasChanged)
+
+    async def replace_replica(
+        self, replacement: bodies.Replacement
+    ) -> messages.ReplicasChanged:
+        """Replace a replica of the controllers.
+
+        Args:
+            replacement: What to replace; a repeat of it is safe.
+
+        Raises:
+            ClientError: The gateway refused, or the outcome is unknown.
+        """
+        body = bodies.encode_body(replacement)
+        reply = await self.call("POST", "/v1/replicas", body)
+        _expect_status(reply, (200,))
+        return _decode(reply.body, messages.ReplicasChanged)
+
     async def submit_configuration(
         self, text: str, base_version: int, change_id: str
     ) -> messages.ConfigurationDecided:
--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import socket
+from collections.abc import Container
 
 import attrs
 
@@ -30,18 +31,21 @@
 DRAIN_MS = 200
 
 
-def find_ports(count: int) -> list[int]:
+def find_ports(count: int, reserved: Container[int] = ()) -> list[int]:
     """Return ports that are free now.
 
     Args:
         count: How many ports.
+        reserved: Ports that somebody is about to use.
     """
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
             probe = stack.enter_context(socket.socket())
             probe.bind((HOST, 0))
-            ports.append(probe.getsockname()[1])
+            port = probe.getsockname()[1]
+            if port not in reserved:
+                ports.append(port)
         return ports
 
 
@@ -71,6 +75,7 @@
         token: Token of the account.
         ports: HTTP ports of the gateways.
         ledger_upstreams: Further upstreams, in the group ``ledger``.
+        trace_endpoint: OTLP endpoint; empty for no traces.
         record: Starts of each task.
     """
 
@@ -78,6 +83,7 @@
     token: str
     ports: list[int]
     ledger_upstreams: int = 0
+    trace_endpoint: str = ""
     record: standin.StartRecord = attrs.field(factory=standin.StartRecord)
     controllers: list[controller.Controller] = attrs.field(factory=list)
     gateways: list[gateway.Gateway] = attrs.field(factory=list)
@@ -86,7 +92,7 @@
 
     async def start(self) -> None:
         """Start every role and wait until each gateway is ready."""
-        addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS)]
+        addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS, self.ports)]
         await self._start_controllers(addresses)
         for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
@@ -134,13 +140,18 @@
             self.controllers.append(role)
 
     async def _start_sidecar(self, number: int, controllers: list[str]) -> None:
-        listen, upstream = (f"{HOST}:{port}" for port in find_ports(2))
+        listen, upstream = (f"{HOST}:{port}" for port in find_ports(2, self.ports))
         domain = DOMAINS[number % len(DOMAINS)]
         stand_in = standin.StandIn(f"upstream-{number + 1}", domain, self.record)
         await stand_in.open(upstream)
         self.stand_ins.append(stand_in)
         process = options.ProcessOptions(
-            f"sidecar-{number + 1}", listen, controllers, domain
+            f"sidecar-{number + 1}",
+            listen,
+            controllers,
+            domain,
+            trace_endpoint=self.trace_endpoint,
+            trace_ratio=float(bool(self.trace_endpoint)),
         )
         section = options.SidecarOptions(
             upstream,
@@ -158,10 +169,15 @@
     async def _start_gateway(
         self, number: int, port: int, controllers: list[str]
     ) -> None:
-        listen = f"{HOST}:{find_ports(1)[0]}"
+        listen = f"{HOST}:{find_ports(1, self.ports)[0]}"
         domain = DOMAINS[number % len(DOMAINS)]
         process = options.ProcessOptions(
-            f"gateway-{number + 1}", listen, controllers, domain
+            f"gateway-{number + 1}",
+            listen,
+            controllers,
+            domain,
+            trace_endpoint=self.trace_endpoint,
+            trace_ratio=float(bool(self.trace_endpoint)),
         )
         section = options.GatewayOptions(
             f"{HOST}:{port}", tokens.hash_token(self.token), DRAIN_MS
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import gc
 import random
 
 from amaranthspar import (
@@ -15,10 +16,13 @@
     messages,
     metrics,
     options,
+    traces,
     upstream,
 )
 
 TICK_MS = 50
+IDLE_TICK_MS = 250
+COLLECT_THRESHOLD = 20_000
 METRICS_MS = 1000
 LEAVE_POLL_MS = 20
 
@@ -61,6 +65,7 @@
             process.name, incarnation, process.listen, self._receive, link
         )
         self._links.controllers = frozenset(process.controllers)
+        self._tracer = traces.build_tracer(process)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
         self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
@@ -77,6 +82,9 @@
         )
         await self._links.open()
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
+        # What was imported lives on: collections need not look at it again.
+        gc.freeze()
+        gc.set_threshold(COLLECT_THRESHOLD)
         self._log.info("started", upstream=self._options.upstream)
 
     async def stop(self) -> None:
@@ -100,6 +108,8 @@
         self._links.close()
         if self._upstream is not None:
             await self._upstream.close()
+        if self._tracer is not None:
+            await asyncio.to_thread(self._tracer.close)
 
     def _leave(self, stopped: bool) -> None:
         incarnation = self.holder.member.incarnation
@@ -117,7 +127,13 @@
                 reported_ms = now_ms
                 self._metrics.report(self.executor.counts)
                 self._metrics.report(self._links.counts)
-            await asyncio.sleep(TICK_MS / 1000)
+            await asyncio.sleep(self._measure_pause(now_ms) / 1000)
+
+    def _measure_pause(self, now_ms: int) -> int:
+        if not self.executor.is_idle:
+            return TICK_MS
+        until_ms = self.holder.count_until_renewal(now_ms)
+        return min(IDLE_TICK_MS, max(TICK_MS, until_ms))
 
     def _receive(self, frame: codec.Frame) -> None:
         now_ms = self._clock.read_monotonic()
@@ -147,6 +163,7 @@
                 case leaseholder.ViewChanged():
                     version = self.holder.view.configuration_version
                     self._log.info("view changed", configuration=version)
+                    self._act(self.executor.tick(self._clock.read_monotonic()))
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
@@ -154,7 +171,11 @@
 
     def _run(self, run: executor.RunTask) -> None:
         assert self._upstream is not None
-        call = asyncio.get_running_loop().create_task(self._upstream.call(run))
+        if self._tracer is None:
+            coroutine = self._upstream.call(run)
+        else:
+            coroutine = traces.trace_call(self._tracer, run, self._upstream.call)
+        call = asyncio.get_running_loop().create_task(coroutine)
         name = (run.submission, run.index)
         self._calls[name] = call
         call.add_done_callback(functools.partial(self._end, name))
--- a/amaranthspar/web_operators.py
+++ b/amaranthspar/web_operators.py
@@ -51,14 +51,33 @@
         try:
             decided = await self._gateway.control.propose(proposal)
         except control.ControlUnavailableError as error:
-            detail = f"{error}; send the same change id again"
-            raise problems.ProblemError(
-                503, "unavailable", detail, "unknown", problems.UNREADY_RETRY_MS
-            ) from error
+            raise _lose_outcome(error) from error
         if decided.outcome == ACCEPTED:
             return replies.build_json(decided)
         return replies.build_problem(_refuse_change(decided))
 
+    async def show_replicas(self, request: Any) -> response.HTTPResponse:
+        """Answer with the controllers' replicas."""
+        operator = self._authorization.find_operator(request.headers)
+        return await self._ask_replicas(bodies.Replacement(), operator)
+
+    async def change_replicas(self, request: Any) -> response.HTTPResponse:
+        """Replace a replica of the controllers."""
+        operator = self._authorization.find_operator(request.headers)
+        replacement = intake.read_replacement(request.body)
+        return await self._ask_replicas(replacement, operator)
+
+    async def _ask_replicas(
+        self, replacement: bodies.Replacement, operator: str
+    ) -> response.HTTPResponse:
+        try:
+            changed = await self._gateway.control.replace_replica(replacement, operator)
+        except control.ControlUnavailableError as error:
+            raise _lose_outcome(error) from error
+        if changed.outcome != ACCEPTED:
+            raise problems.ProblemError(409, "conflict", changed.reason)
+        return replies.build_json(changed)
+
     async def show_status(self, request: Any) -> response.HTTPResponse:
         """Answer with what this gateway knows of the system."""
         self._authorization.find_operator(request.headers)
@@ -80,6 +99,13 @@
         return replies.build_json(status)
 
 
+def _lose_outcome(error: control.ControlUnavailableError) -> problems.ProblemError:
+    detail = f"{error}; send the same change again"
+    return problems.ProblemError(
+        503, "unavailable", detail, "unknown", problems.UNREADY_RETRY_MS
+    )
+
+
 def _refuse_change(decided: messages.ConfigurationDecided) -> problems.ProblemError:
     if decided.outcome == CONFLICT:
         detail = f"version {decided.version} is in force"
