Take back the logs that a test's command has set up

Cause: test_recover runs the command line in the tests' own process; the logs then wrote to that test's closed output, and 3 later tests of 452 failed. Change: a fixture resets the logs after each test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,10 +3,18 @@
 from collections.abc import Iterator
 
 import pytest
+import structlog
 
 from tests import builders_shell
 
 
+@pytest.fixture(autouse=True)
+def reset_logs() -> Iterator[None]:
+    """Take back the logs that a command of a test set up on its own output."""
+    yield
+    structlog.reset_defaults()
+
+
 @pytest.fixture(scope="session")
 def served() -> Iterator[builders_shell.Served]:
     running = builders_shell.Served()
