Spend less on each task in the gateway's machine

Cause: a profile showed needs, their hashes and estimates computed twice a task.

Change: needs once by submission, hashes kept, sidecars hold their group, one heap operation a level where there were two.

--- a/amaranthspar/admission.py
+++ b/amaranthspar/admission.py
@@ -82,11 +82,8 @@
     def _judge_feasibility(self, submission: submissions.Submission) -> _Refusal | None:
         known = self._holder.view
         announcements = [item.announcement for item in self._routes.values()]
-        wanted = {
-            routing.resolve_home(routing.read_needs(submission, task, known), known)
-            for task in submission.tasks
-        }
-        for needs in wanted:
+        for asked in set(routing.list_needs(submission, known)):
+            needs = routing.resolve_home(asked, known)
             if any(routing.is_feasible(needs, item) for item in announcements):
                 continue
             if any(routing.is_served(needs, item) for item in announcements):
--- a/amaranthspar/backlog.py
+++ b/amaranthspar/backlog.py
@@ -35,7 +35,7 @@
     tasks: fairqueue.FairQueue[Waiting] = attrs.field(factory=fairqueue.FairQueue)
 
 
-@attrs.frozen(slots=True)
+@attrs.frozen(slots=True, cache_hash=True)
 class _Flow:
     """Tasks of one team with one objective."""
 
--- a/amaranthspar/capacity.py
+++ b/amaranthspar/capacity.py
@@ -1,13 +1,13 @@
 """Index of the sidecars that have room, for a choice without a scan of them all."""
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Iterable
 
 import attrs
 
 from amaranthspar import messages, routing
 
 
-@attrs.frozen(slots=True)
+@attrs.frozen(slots=True, cache_hash=True)
 class Shape:
     """What an upstream offers, as far as tasks ask for it."""
 
@@ -57,16 +57,23 @@
         return self._top, next(iter(self._rungs[self._top].values()))
 
 
-@attrs.frozen(slots=True)
-class _Profile:
-    """What sidecars have in common as far as a choice goes."""
+Pool = frozenset[Shape]
+"""Shapes of the upstreams that may take a task."""
 
-    shape: Shape
-    failure_domain: str
 
+@attrs.frozen(slots=True, eq=False)
+class Group:
+    """Sidecars that a choice treats alike.
 
-Pool = frozenset[Shape]
-"""Shapes of the upstreams that may take a task."""
+    Attributes:
+        shape: What their upstreams offer.
+        near: Whether they are in the preferred failure domain.
+        room: Sidecars by room.
+    """
+
+    shape: Shape
+    near: bool
+    room: Ladder = attrs.field(factory=Ladder)
 
 
 class Capacity:
@@ -78,10 +85,10 @@
 
     def __init__(self, near_domain: str) -> None:
         self._near_domain = near_domain
-        self._room: dict[Hashable, Ladder] = {}
+        self._groups: dict[tuple[Shape, bool], Group] = {}
         self._examples: dict[Shape, messages.Announcement] = {}
         self._pools: dict[routing.Needs, Pool] = {}
-        self._classes: dict[Pool, list[tuple[bool, Ladder]]] = {}
+        self._suitable: dict[Pool, list[Group]] = {}
 
     def rebuild(
         self, known: Iterable[routing.Route], usable: Iterable[routing.Route]
@@ -97,17 +104,17 @@
         """
         examples: dict[Shape, messages.Announcement] = {}
         for route in known:
-            route.profile = None
+            route.group = None
             examples.setdefault(_describe(route.announcement), route.announcement)
         changed = examples.keys() != self._examples.keys()
         self._examples = examples
-        self._room = {}
+        self._groups = {}
         self._pools = {}
-        self._classes = {}
+        self._suitable = {}
         for route in usable:
-            domain = route.announcement.failure_domain
-            route.profile = _Profile(_describe(route.announcement), domain)
-            self._room.setdefault(route.profile, Ladder())
+            shape = _describe(route.announcement)
+            near = route.announcement.failure_domain == self._near_domain
+            route.group = self._groups.setdefault((shape, near), Group(shape, near))
             self.update(route)
         return changed
 
@@ -133,9 +140,8 @@
         Args:
             route: Sidecar; one that may not be sent new work is left out.
         """
-        ladder = self._room.get(route.profile)
-        if ladder is not None:
-            ladder.put(route, route.rank)
+        if isinstance(route.group, Group):
+            route.group.room.put(route, route.rank)
 
     def choose(self, pool: Pool) -> routing.Route | None:
         """Return the sidecar that gets the next task, none if all are full.
@@ -147,9 +153,9 @@
         """
         best: routing.Route | None = None
         best_rank = (False, 0)
-        for near, ladder in self._list_classes(pool):
-            height, route = ladder.find_highest()
-            rank = (near, height)
+        for group in self._list_groups(pool):
+            height, route = group.room.find_highest()
+            rank = (group.near, height)
             if route is not None and (best is None or rank > best_rank):
                 best, best_rank = route, rank
         return best
@@ -161,17 +167,13 @@
             pool: Shapes that may take the task.
             route: Sidecar.
         """
-        return isinstance(route.profile, _Profile) and route.profile.shape in pool
+        return isinstance(route.group, Group) and route.group.shape in pool
 
-    def _list_classes(self, pool: Pool) -> list[tuple[bool, Ladder]]:
-        found = self._classes.get(pool)
+    def _list_groups(self, pool: Pool) -> list[Group]:
+        found = self._suitable.get(pool)
         if found is None:
-            found = [
-                (profile.failure_domain == self._near_domain, ladder)
-                for profile, ladder in self._room.items()
-                if isinstance(profile, _Profile) and profile.shape in pool
-            ]
-            self._classes[pool] = found
+            found = [item for item in self._groups.values() if item.shape in pool]
+            self._suitable[pool] = found
         return found
 
 
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -90,7 +90,7 @@
         self._pools = pools.Pools(holder, self._capacity)
         self._offers = offers.Offers(holder, self._backlog, self._demand, self._doubts)
         self._quotas = quotas.Quotas(holder, self._backlog)
-        self._health = health.Health(self.routes, self._estimates)
+        self._health = health.Health(self.routes)
         self._retries = retries.RetryBudget(holder)
         self._deadlines: list[tuple[int, str]] = []
 
@@ -156,16 +156,25 @@
         self.submissions[submission.name] = submission
         heapq.heappush(self._deadlines, (submission.deadline_ms, submission.name))
         self._retries.earn(submission)
-        for task in submission.tasks:
-            self._enqueue(submission, task)
+        needs = routing.list_needs(submission, self._holder.view)
+        for task, asked in zip(submission.tasks, needs, strict=True):
+            self._queue(submission, task, asked)
         return []
 
     def _enqueue(
         self, submission: submissions.Submission, task: submissions.Task
     ) -> None:
         needs = routing.read_needs(submission, task, self._holder.view)
-        cost_ms = self._estimates.predict(submission.service, task.expected_ms)
-        waiting = backlog.Waiting(submission, task, needs, cost_ms)
+        self._queue(submission, task, needs)
+
+    def _queue(
+        self,
+        submission: submissions.Submission,
+        task: submissions.Task,
+        needs: routing.Needs,
+    ) -> None:
+        task.cost_ms = self._estimates.predict(submission.service, task.expected_ms)
+        waiting = backlog.Waiting(submission, task, needs, task.cost_ms)
         self._backlog.push(self._pools.find(needs), waiting)
 
     def _cancel(self, name: str) -> list[Effect]:
@@ -290,8 +299,7 @@
             if submission is not None:
                 self._quotas.end(submission.team)
                 task, item = receipt.task, receipt.result
-                service = submission.service
-                self._health.note_result(route, service, task, item, now_ms)
+                self._health.note_result(route, task, item, now_ms)
                 result += self._take_result(submission, receipt)
         self._capacity.update(route)
         self._lender = route
--- a/amaranthspar/fairqueue.py
+++ b/amaranthspar/fairqueue.py
@@ -40,7 +40,7 @@
     name: str
     weight: float
     served: float = 0.0
-    items: list[tuple[float, int, Item]] = attrs.field(factory=list)
+    waiting: list[tuple[float, int, Item]] = attrs.field(factory=list)
 
 
 @attrs.define(slots=True, eq=False)
@@ -56,6 +56,11 @@
         factory=list
     )
 
+    @property
+    def waiting(self) -> "dict[str, _Branch[Item] | _Leaf[Item]]":
+        """Flows with items."""
+        return self.flows
+
 
 class FairQueue(Generic[Item]):
     """Queue of items that wait for a slot."""
@@ -94,7 +99,7 @@
             self._join(branch, leaf)
         assert isinstance(leaf, _Leaf)
         self._serial += 1
-        heapq.heappush(leaf.items, (-cost_ms, self._serial, item))
+        heapq.heappush(leaf.waiting, (-cost_ms, self._serial, item))
 
     def pop(self) -> Item | None:
         """Remove and return the item served next, none if none may be served."""
@@ -127,8 +132,8 @@
         for parent, branch in reversed(list(itertools.pairwise(branches))):
             if not branch.flows and parent.flows.get(branch.name) is branch:
                 del parent.flows[branch.name]
-        self._count -= len(leaf.items)
-        return [item for _, _, item in leaf.items]
+        self._count -= len(leaf.waiting)
+        return [item for _, _, item in leaf.waiting]
 
     def hold(self, name: str) -> None:
         """Serve nothing of a flow of the first level until it is released."""
@@ -151,32 +156,32 @@
         heapq.heappush(branch.order, (flow.served, self._serial, flow))
 
     def _pop_from(self, branch: _Branch[Item]) -> tuple[Item, float] | None:
-        while branch.order:
-            served, _, flow = heapq.heappop(branch.order)
+        order = branch.order
+        while order:
+            served, _, flow = order[0]
             if branch.flows.get(flow.name) is not flow:
+                heapq.heappop(order)
                 continue
-            if branch is self._root and flow.name in self._held:
+            if self._held and branch is self._root and flow.name in self._held:
+                heapq.heappop(order)
                 self._parked[flow.name] = flow
                 continue
             branch.clock = max(branch.clock, served)
             popped = self._serve(flow)
-            if popped is None:
+            if popped is not None:
+                flow.served = served + max(popped[1], LEAST_COST_MS) / flow.weight
+            if popped is None or not flow.waiting:
                 del branch.flows[flow.name]
-                continue
-            flow.served = served + max(popped[1], LEAST_COST_MS) / flow.weight
-            self._settle(branch, flow)
-            return popped
+                heapq.heappop(order)
+            else:
+                self._serial += 1
+                heapq.heapreplace(order, (flow.served, self._serial, flow))
+            if popped is not None:
+                return popped
         return None
 
     def _serve(self, flow: _Branch[Item] | _Leaf[Item]) -> tuple[Item, float] | None:
         if isinstance(flow, _Branch):
             return self._pop_from(flow)
-        negative_cost_ms, _, item = heapq.heappop(flow.items)
+        negative_cost_ms, _, item = heapq.heappop(flow.waiting)
         return item, -negative_cost_ms
-
-    def _settle(self, branch: _Branch[Item], flow: _Branch[Item] | _Leaf[Item]) -> None:
-        empty = not (flow.flows if isinstance(flow, _Branch) else flow.items)
-        if empty:
-            del branch.flows[flow.name]
-        else:
-            self._place(branch, flow)
--- a/amaranthspar/health.py
+++ b/amaranthspar/health.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from amaranthspar import estimates, messages, routing, starts, submissions
+from amaranthspar import messages, routing, starts, submissions
 
 FAILURES_TO_EJECT = 4
 FLEET_FAILURE_RATIO = 0.5
@@ -55,17 +55,11 @@
 
     Args:
         routes: Sidecars by process name.
-        expectations: Expected run times.
     """
 
-    def __init__(
-        self,
-        routes: Mapping[str, routing.Route],
-        expectations: estimates.Estimates,
-    ) -> None:
+    def __init__(self, routes: Mapping[str, routing.Route]) -> None:
         self.ejections = 0
         self._routes = routes
-        self._estimates = expectations
         self._standings: dict[str, _Standing] = {}
         self._fleet_failures = 0.0
         self._limited: set[str] = set()
@@ -73,7 +67,6 @@
     def note_result(
         self,
         route: routing.Route,
-        service: str,
         task: submissions.Task,
         result: messages.TaskResult,
         now_ms: int,
@@ -82,7 +75,6 @@
 
         Args:
             route: Sidecar that ran it.
-            service: Service of the task.
             task: Task.
             result: How it ended.
             now_ms: Monotonic time in ms.
@@ -96,8 +88,7 @@
             name = "" if result.outcome == submissions.NOT_RUN else result.submission
             self._note_failure(route, standing, name, now_ms)
             return
-        expected_ms = self._estimates.predict(service, task.expected_ms)
-        ratio = min(MOST_SLOWNESS, max(result.run_ms, 1) / max(expected_ms, 1.0))
+        ratio = min(MOST_SLOWNESS, max(result.run_ms, 1) / max(task.cost_ms, 1.0))
         route.slowness += SPEED_SMOOTHING * (ratio - route.slowness)
         standing.failures = 0
         standing.submission = ""
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -1,7 +1,5 @@
 """Choice of the sidecar for a task."""
 
-from collections.abc import Hashable
-
 import attrs
 
 from amaranthspar import messages, submissions, view
@@ -26,7 +24,7 @@
         allowance: Tasks that may be in flight there; none for no limit.
         slowness: Run time against that expected, smoothed.
         closed: Whether it may be sent no new work.
-        profile: Key under which the sidecar is indexed, none if it is not.
+        group: Sidecars among which it is indexed, none if it is not.
         doubt_ms: Monotonic time since which a start is not accounted for.
         received: Start sequence that the sidecar accounts for.
     """
@@ -44,7 +42,7 @@
     allowance: int | None = None
     slowness: float = 1.0
     closed: bool = False
-    profile: Hashable = None
+    group: object = None
     doubt_ms: int = 0
     received: int = 0
     in_flight: dict[tuple[str, int], submissions.Task] = attrs.field(factory=dict)
@@ -76,7 +74,7 @@
         return self.member.announcement
 
 
-@attrs.frozen(slots=True)
+@attrs.frozen(slots=True, cache_hash=True)
 class Needs:
     """What a task asks of an upstream.
 
@@ -113,6 +111,24 @@
     return Needs(submission.service, group, desk, *wanted)
 
 
+def list_needs(submission: submissions.Submission, known: view.View) -> list[Needs]:
+    """Return what each task of a submission asks for; equal needs are one object.
+
+    Args:
+        submission: Submission.
+        known: Configuration held by the gateway.
+    """
+    found: dict[tuple[int, int, int], Needs] = {}
+    result = []
+    for task in submission.tasks:
+        wanted = (task.cores, task.memory_mb, task.accelerators)
+        needs = found.get(wanted)
+        if needs is None:
+            needs = found[wanted] = read_needs(submission, task, known)
+        result.append(needs)
+    return result
+
+
 def resolve_home(needs: Needs, known: view.View) -> Needs:
     """Return needs with the upstream group that serves the desk now.
 
--- a/amaranthspar/submissions.py
+++ b/amaranthspar/submissions.py
@@ -76,6 +76,7 @@
     accelerators: int = 0
     state: TaskState = TaskState.QUEUED
     sidecar: str = ""
+    cost_ms: float = 0.0
     sent_ms: int = 0
     attempts: int = 0
     sequence: int = 0
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,12 +1,12 @@
 """Tests of ejection, probes and the stepped return."""
 
-from amaranthspar import estimates, health, messages
+from amaranthspar import health, messages
 from tests import builders_gateway
 
 
 def build(count=3):
     routes = {f"s{n}": builders_gateway.build_route(f"s{n}") for n in range(count)}
-    return routes, health.Health(routes, estimates.Estimates())
+    return routes, health.Health(routes)
 
 
 def report(judge, route, number, status=200, now_ms=0, run_ms=200):
@@ -14,7 +14,9 @@
     result = messages.TaskResult(
         submission.name, 0, "done", status=status, run_ms=run_ms
     )
-    judge.note_result(route, "lookup", submission.tasks[0], result, now_ms)
+    task = submission.tasks[0]
+    task.cost_ms = 200.0
+    judge.note_result(route, task, result, now_ms)
 
 
 def fail_one_of_many(judge, routes, now_ms=0):
