--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -24,9 +24,6 @@
     submissions,
 )
 
-KEEP_ALIVE_MS = 4000
-ACKNOWLEDGE_MS = 1000
-
 REASONS = {
     submissions.Failure.OVERDUE: "deadline passed",
     submissions.Failure.CANCELLED: "cancelled",
@@ -388,9 +385,7 @@
 
     def _keep_in_touch(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
-        owed = route.acknowledged > route.stated
-        interval_ms = ACKNOWLEDGE_MS if owed else KEEP_ALIVE_MS
-        if now_ms - route.demand_ms >= interval_ms:
+        if demand.is_due(route, now_ms):
             result.append(self._demand.state(route, len(self.routes), now_ms))
         inquiries = self._doubts.inquire(route, now_ms)
         self.counts["inquiries.sent"] += len(inquiries)
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -12,6 +12,7 @@
     control,
     dispatcher,
     effects,
+    hops,
     intake,
     keys,
     leaseholder,
@@ -21,6 +22,7 @@
     metrics,
     options,
     submissions,
+    traces,
     web,
 )
 
@@ -66,6 +68,8 @@
         )
         self._links.controllers = frozenset(process.controllers)
         self.control = control.Control(self._links, process.controllers)
+        self._tracer = traces.build_tracer(process)
+        self._hops = None if self._tracer is None else hops.Hops(self._tracer)
         self._answers = answers.Answers()
         self._numbers = itertools.count(1)
         self._attachments = attachments.Attachments(
@@ -119,6 +123,8 @@
             self._ticking.cancel()
         await self._web.close()
         self._links.close()
+        if self._tracer is not None:
+            await asyncio.to_thread(self._tracer.close)
 
     def name_submission(self) -> str:
         """Return a submission id that is unique over gateways and incarnations."""
@@ -137,6 +143,8 @@
             Future of the final answer; a refusal is one as well.
         """
         future = self._answers.expect(submission.name, submission.account)
+        if self._hops is not None:
+            self._hops.admit(submission)
         self.handle(dispatcher.Submitted(submission))
         return future
 
@@ -235,6 +243,8 @@
                     | messages.GrantCredits()
                     | messages.ReportSettled()
                 ):
+                    if self._hops is not None:
+                        self._hops.receive(message)
                     sender = (frame.sender, frame.incarnation)
                     self.handle(dispatcher.Received(*sender, message))
                 case messages.AttachSubmission():
@@ -248,6 +258,8 @@
 
     def _settle(self, answer: submissions.Answer) -> None:
         self._answers.settle(answer, self.clock.read_monotonic())
+        if self._hops is not None:
+            self._hops.settle(answer)
 
     def _act(
         self, performed: list[dispatcher.Effect] | list[leaseholder.Effect]
@@ -255,7 +267,10 @@
         for effect in performed:
             match effect:
                 case effects.Send():
-                    self._links.send(effect.peer, effect.message)
+                    message = effect.message
+                    if self._hops is not None:
+                        message = self._hops.send(message)
+                    self._links.send(effect.peer, message)
                 case submissions.Answer():
                     self._settle(effect)
                 case leaseholder.ViewChanged():
--- a/amaranthspar/replies.py
+++ b/amaranthspar/replies.py
@@ -107,7 +107,7 @@
         answer: Its answer.
     """
     status, name = FAILURES.get(answer.failure, (502, answer.failure.value))
-    if answer.outcome == submissions.NOT_RUN and name in ("failed", "deadline-passed"):
+    if answer.outcome == submissions.NOT_RUN and name == "failed":
         status, name = 503, "not-run"
     problem = problems.ProblemError(
         status, name, answer.reason, answer.outcome, answer.retry_after_ms
--- a/tests/builders_shell.py
+++ b/tests/builders_shell.py
@@ -3,10 +3,12 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -17,6 +19,7 @@
 TOKEN = "served-token"
 START_S = 30
 ANSWER_S = 60
+outputs: dict[int, pathlib.Path] = {}
 
 
 @attrs.frozen
@@ -34,14 +37,18 @@
 
 
 def find_port_pair() -> int:
-    """Return a port that is free together with the next one."""
+    """Return a port that is free together with the next one.
+
+    The ports are below those that the system gives to outgoing connections.
+    """
+    chance = random.SystemRandom()
     while True:
+        port = chance.randrange(20_000, 30_000)
         with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = first.getsockname()[1]
             try:
+                first.bind(("127.0.0.1", port))
                 second.bind(("127.0.0.1", port + 1))
-            except (OSError, OverflowError):
+            except OSError:
                 continue
             return port
 
@@ -55,15 +62,43 @@
     return {**kept, "PYTHONPATH": str(ROOT), **changes}
 
 
-def start_program(*words: str, **options) -> subprocess.Popen[str]:
-    return subprocess.Popen(
-        [sys.executable, "-m", "amaranthspar", *words],
-        env=build_environment(),
-        text=True,
-        stdout=subprocess.PIPE,
-        stderr=subprocess.PIPE,
-        **options,
+def start_program(
+    *words: str,
+    program: tuple[str, ...] = ("-m", "amaranthspar"),
+    **environment: str,
+) -> subprocess.Popen[bytes]:
+    """Start a process whose output goes to a file, so that no pipe fills up."""
+    output, path = tempfile.mkstemp()
+    process = subprocess.Popen(
+        [sys.executable, *program, *words],
+        env=build_environment(**environment),
+        stdout=output,
+        stderr=subprocess.STDOUT,
     )
+    os.close(output)
+    outputs[process.pid] = pathlib.Path(path)
+    return process
+
+
+def read_output(process: subprocess.Popen[bytes]) -> str:
+    """Return all that a process has written so far."""
+    return outputs[process.pid].read_text()
+
+
+def wait_until(condition, process: subprocess.Popen[bytes] | None = None) -> None:
+    until = time.monotonic() + START_S
+    while not condition():
+        assert time.monotonic() < until, "not in time"
+        if process is not None:
+            assert process.poll() is None, read_output(process)
+        time.sleep(0.05)
+
+
+def is_ready(url: str) -> bool:
+    try:
+        return call(f"{url}/readyz").status == 200
+    except OSError:
+        return False
 
 
 def run_program(
@@ -104,24 +139,15 @@
 class Served:
     """Process of ``demo --serve``."""
 
-    def __init__(self) -> None:
+    def __init__(self, **options) -> None:
         self.port = find_port_pair()
         self.urls = [f"http://127.0.0.1:{self.port + number}" for number in (0, 1)]
         self.process = start_program(
-            "demo", "--serve", "--port", str(self.port), "--token", TOKEN
+            "demo", "--serve", "--port", str(self.port), "--token", TOKEN, **options
         )
 
     def wait_ready(self) -> None:
-        until = time.monotonic() + START_S
-        while time.monotonic() < until:
-            assert self.process.poll() is None, self.process.communicate()
-            try:
-                if all(call(f"{url}/readyz").status == 200 for url in self.urls):
-                    return
-            except OSError:
-                pass
-            time.sleep(0.05)
-        raise AssertionError("not ready in time")
+        wait_until(lambda: all(map(is_ready, self.urls)), self.process)
 
     def wait_version(self, url: str, version: int) -> None:
         """Wait until a gateway has a configuration version in force."""
@@ -138,5 +164,4 @@
 
     def stop(self) -> int:
         self.process.send_signal(signal.SIGTERM)
-        self.process.communicate(timeout=START_S)
-        return self.process.returncode
+        return self.process.wait(timeout=START_S)
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,187 @@
+"""Tests of planned stops: every role as a process, under load, told twice."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import subprocess
+
+import attrs
+
+from amaranthspar import client, cluster, standin
+from tests import builders_shell
+
+DOMAINS = ("gyor", "pecs", "veszprem")
+CALLERS = 24
+SLEEP_MS = 150
+DRAIN_MS = 1500
+
+
+@attrs.define
+class Load:
+    """Callers behind a balancer that sends them to ready gateways only."""
+
+    urls: list[str]
+    ready: list[str] = attrs.field(factory=list)
+    answered: int = 0
+    failures: list[str] = attrs.field(factory=list)
+    over: bool = False
+
+    async def watch(self) -> None:
+        clients = {url: client.Client(url, "") for url in self.urls}
+        while not self.over:
+            found = []
+            for url, item in clients.items():
+                with contextlib.suppress(client.ClientError):
+                    reply = await item.call("GET", "/readyz")
+                    found += [url] if reply.status == 200 else []
+            self.ready = found
+            await asyncio.sleep(0.1)
+        for item in clients.values():
+            await item.close()
+
+    async def ask(self, number: int) -> None:
+        clients = {url: client.Client(url, "secret") for url in self.urls}
+        count = 0
+        while not self.over:
+            if not self.ready:
+                await asyncio.sleep(0.05)
+                continue
+            count += 1
+            item = clients[self.ready[(number + count) % len(self.ready)]]
+            body = {"sleep_ms": SLEEP_MS, "echo": [number, count]}
+            try:
+                reply = await item.send_request("lookup", json.dumps(body).encode())
+                own = reply.status == 200 and json.loads(reply.body)["echo"] == [
+                    number,
+                    count,
+                ]
+                failure = "" if own else f"{reply.status} {reply.body[:300]!r}"
+            except client.ClientError as error:
+                failure = repr(error)
+            self.answered += not failure
+            self.failures += [failure] if failure else []
+        for item in clients.values():
+            await item.close()
+
+
+@attrs.define
+class Office:
+    """Role processes and the stand-ins that they serve."""
+
+    folder: pathlib.Path
+    processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
+    ports: list[int] = attrs.field(factory=lambda: cluster.find_ports(16))
+
+    def start(self, role: str, number: int, listen: int, section: str) -> None:
+        controllers = ", ".join(f"127.0.0.1:{port}" for port in self.ports[:3])
+        name = f"{role}-{number + 1}"
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            f"[process]\nname = {name}\nlisten = 127.0.0.1:{listen}\n"
+            f"controllers = {controllers}\nfailure_domain = {DOMAINS[number]}\n"
+            f"[{role}]\n{section}"
+        )
+        self.processes[name] = builders_shell.start_program(
+            role, "--settings", str(path)
+        )
+
+    def start_all(self, upstreams: list[int]) -> list[str]:
+        bootstrap = self.folder / "bootstrap.ini"
+        bootstrap.write_text(str(cluster.build_configuration("secret")))
+        replicas = ", ".join(
+            f"c{number}=127.0.0.1:{port}" for number, port in enumerate(self.ports[:3])
+        )
+        for number in range(3):
+            section = (
+                f"replica = c{number}\nreplicas = {replicas}\n"
+                f"data = {self.folder}/data-{number}\nbootstrap = {bootstrap}\n"
+            )
+            self.start("controller", number, self.ports[number], section)
+        for number, port in enumerate(upstreams):
+            section = (
+                f"upstream = 127.0.0.1:{port}\nworker = w{number}\nrack = r{number}\n"
+                "services = lookup, recalculate, hold\n"
+            )
+            self.start("sidecar", number, self.ports[3 + number], section)
+        for number in range(2):
+            section = f"http = 127.0.0.1:{self.ports[8 + number]}\n"
+            section += f"drain_ms = {DRAIN_MS}\n"
+            self.start("gateway", number, self.ports[6 + number], section)
+        return [f"http://127.0.0.1:{self.ports[8 + number]}" for number in range(2)]
+
+    async def stop(self, name: str) -> None:
+        """Send SIGTERM twice and check the exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        if process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+        code = await asyncio.to_thread(process.wait, builders_shell.START_S)
+        assert code == 0, (name, builders_shell.read_output(process))
+
+
+async def run_stops(office: Office) -> Load:
+    record = standin.StartRecord()
+    stand_ins = []
+    for number, domain in enumerate(DOMAINS):
+        item = standin.StandIn(f"upstream-{number}", domain, record)
+        await item.open(f"127.0.0.1:{office.ports[10 + number]}")
+        stand_ins.append(item)
+    load = Load(office.start_all(office.ports[10:13]))
+    running = [asyncio.create_task(load.watch())]
+    running += [asyncio.create_task(load.ask(number)) for number in range(CALLERS)]
+    async with asyncio.timeout(builders_shell.START_S):
+        while load.answered < 3 * CALLERS:
+            await asyncio.sleep(0.1)
+    for name in ("sidecar-2", "controller-1", "gateway-1"):
+        answered = load.answered
+        await office.stop(name)
+        async with asyncio.timeout(builders_shell.START_S):
+            while load.answered < answered + 2 * CALLERS:
+                await asyncio.sleep(0.1)
+    load.over = True
+    await asyncio.gather(*running)
+    for name in list(office.processes):
+        await office.stop(name)
+    await asyncio.gather(*(item.close() for item in stand_ins))
+    assert not record.list_doubled()
+    return load
+
+
+def test_planned_stops_cut_off_no_answer(tmp_path: pathlib.Path) -> None:
+    office = Office(tmp_path)
+    try:
+        load = asyncio.run(run_stops(office))
+    finally:
+        for process in office.processes.values():
+            process.kill()
+            process.wait()
+    assert load.failures == []
+    assert load.answered > 0
+
+
+def test_served_demo_stops_in_order_under_load() -> None:
+    served = builders_shell.Served()
+    served.wait_ready()
+
+    async def run() -> list[client.Reply]:
+        callers = [client.Client(url, builders_shell.TOKEN) for url in served.urls]
+        body = b'{"sleep_ms": 1500}'
+        asked = [
+            asyncio.create_task(callers[number % 2].send_request("lookup", body))
+            for number in range(40)
+        ]
+        await asyncio.sleep(0.5)
+        served.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        served.process.send_signal(signal.SIGTERM)
+        replies = await asyncio.gather(*asked)
+        for caller in callers:
+            await caller.close()
+        return replies
+
+    replies = asyncio.run(run())
+    assert {reply.status for reply in replies} == {200}
+    assert served.process.wait(builders_shell.START_S) == 0
