--- a/amaranthspar/demand.py
+++ b/amaranthspar/demand.py
@@ -2,6 +2,10 @@
 
 from amaranthspar import backlog, effects, messages, routing
 
+KEEP_ALIVE_MS = 4000
+IDLE_KEEP_ALIVE_MS = 8000
+WAITING_MS = 2000
+ACKNOWLEDGE_MS = 1000
 APPEAL_WAIT_MS = 10
 APPEAL_INTERVAL_MS = 20
 APPEAL_SIDECARS = 2
@@ -69,3 +73,18 @@
             route.limit,
         )
         return effects.Send(route.member.address, demand)
+
+    def is_due(self, route: routing.Route, now_ms: int) -> bool:
+        """Return whether a sidecar has not been told of results or work for long.
+
+        Args:
+            route: Sidecar.
+            now_ms: Monotonic time in ms.
+        """
+        holding = route.credits > 0 or bool(route.in_flight)
+        interval_ms = KEEP_ALIVE_MS if holding else IDLE_KEEP_ALIVE_MS
+        if len(self._backlog):
+            interval_ms = WAITING_MS
+        if route.acknowledged > route.stated:
+            interval_ms = ACKNOWLEDGE_MS
+        return now_ms - route.demand_ms >= interval_ms
