Follow the benchmark's open_site in the sidecar's test

Change: the test calls open_site; nothing else of it changes. Figures: test_second_signal_does_not_hurry_a_stop passes.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -86,7 +86,7 @@
     monkeypatch.setattr(site, "RUN_MS", 1500)
 
     async def run() -> tuple[int, int]:
-        async with site._open_site(1) as place:
+        async with site.open_site(1) as place:
             gateway = place.gateways[0]
             while not any(item.limit for item in gateway.dispatcher.routes.values()):
                 await asyncio.sleep(0.05)
