--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -15,7 +15,6 @@
 from benchmarks import firms, timing
 
 SPIN_MS = 1.0
-REFUSED = "ClientConnectorError"
 
 
 @attrs.frozen(slots=True)
@@ -139,7 +138,7 @@
             except client.ClientError as error:
                 reply = client.Reply(0, "unknown", str(error).encode())
                 # As the balancer would, for what was never sent.
-                unsent = str(error).startswith(REFUSED)
+                unsent = isinstance(error, client.NotSentError)
             if not arrival.key and not unsent:
                 break
             await asyncio.sleep(self.resend.seconds)
