Choose free ports below the range of outgoing connections

Cause: tests and the demonstration took free ports from the range that outgoing connections use, so that one could be taken before its role listened (bind errors seen once each in test_cluster and test_keys). Change: the load tool's way of choosing ports serves the product and the tests. Conclusion: one way to choose ports.

--- a/amaranthspar/cluster.py
+++ b/amaranthspar/cluster.py
@@ -1,10 +1,7 @@
 """All roles and stand-in upstreams in one process on loopback."""
 
 import asyncio
-import contextlib
 import pathlib
-import socket
-from collections.abc import Container
 
 import attrs
 
@@ -14,6 +11,7 @@
     controller,
     gateway,
     options,
+    ports,
     sidecar,
     standin,
     tokens,
@@ -31,24 +29,6 @@
 DRAIN_MS = 200
 
 
-def find_ports(count: int, reserved: Container[int] = ()) -> list[int]:
-    """Return ports that are free now.
-
-    Args:
-        count: How many ports.
-        reserved: Ports that somebody is about to use.
-    """
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            probe = stack.enter_context(socket.socket())
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-            if port not in reserved:
-                ports.append(port)
-        return ports
-
-
 def build_configuration(token: str) -> configuration.Configuration:
     """Return the configuration that the cluster starts with.
 
@@ -92,7 +72,7 @@
 
     async def start(self) -> None:
         """Start every role and wait until each gateway is ready."""
-        addresses = [f"{HOST}:{port}" for port in find_ports(CONTROLLERS, self.ports)]
+        addresses = ports.find_addresses(CONTROLLERS)
         await self._start_controllers(addresses)
         for number in range(UPSTREAMS + self.ledger_upstreams):
             await self._start_sidecar(number, addresses)
@@ -140,7 +120,7 @@
             self.controllers.append(role)
 
     async def _start_sidecar(self, number: int, controllers: list[str]) -> None:
-        listen, upstream = (f"{HOST}:{port}" for port in find_ports(2, self.ports))
+        listen, upstream = ports.find_addresses(2)
         domain = DOMAINS[number % len(DOMAINS)]
         stand_in = standin.StandIn(f"upstream-{number + 1}", domain, self.record)
         await stand_in.open(upstream)
@@ -169,7 +149,7 @@
     async def _start_gateway(
         self, number: int, port: int, controllers: list[str]
     ) -> None:
-        listen = f"{HOST}:{find_ports(1, self.ports)[0]}"
+        listen = ports.find_addresses()[0]
         domain = DOMAINS[number % len(DOMAINS)]
         process = options.ProcessOptions(
             f"gateway-{number + 1}",
--- a/amaranthspar/demo.py
+++ b/amaranthspar/demo.py
@@ -15,7 +15,7 @@
 import tabulate
 import tqdm
 
-from amaranthspar import addresses, client, clock, cluster, configuration, errors
+from amaranthspar import addresses, client, clock, cluster, configuration, errors, ports
 
 JOB_TASKS = 200
 LOOKUPS = 500
@@ -201,8 +201,8 @@
         Exit code: 0 if every check passed, else 1.
     """
     with tempfile.TemporaryDirectory() as folder:
-        ports = cluster.find_ports(cluster.GATEWAYS)
-        running = cluster.Cluster(pathlib.Path(folder), secrets.token_hex(16), ports)
+        chosen = ports.find_ports(cluster.GATEWAYS)
+        running = cluster.Cluster(pathlib.Path(folder), secrets.token_hex(16), chosen)
         print("starting 3 controllers, 2 gateways, 9 sidecars and 9 upstreams")
         await running.start()
         total = LOOKUPS + HOLDS + 1
--- a/benchmarks/ports.py
+++ b/amaranthspar/ports.py
@@ -10,14 +10,14 @@
 _next = os.getpid() * STRIDE % PORTS
 
 
-def reserve(count: int = 1) -> list[str]:
-    """Return addresses on loopback that nothing listens on.
+def find_ports(count: int) -> list[int]:
+    """Return ports on loopback that nothing listens on; none is returned twice.
 
     Args:
         count: How many.
     """
     global _next
-    found: list[str] = []
+    found: list[int] = []
     while len(found) < count:
         port = FIRST_PORT + _next
         _next = (_next + 1) % PORTS
@@ -26,5 +26,14 @@
                 probe.bind((HOST, port))
             except OSError:
                 continue
-        found.append(f"{HOST}:{port}")
+        found.append(port)
     return found
+
+
+def find_addresses(count: int = 1) -> list[str]:
+    """Return addresses on loopback that nothing listens on.
+
+    Args:
+        count: How many.
+    """
+    return [f"{HOST}:{port}" for port in find_ports(count)]
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -23,9 +23,10 @@
     leaseholder,
     links,
     messages,
+    ports,
     registry,
 )
-from benchmarks import fleet, holders, outcomes, ports, trials
+from benchmarks import fleet, holders, outcomes, trials
 
 LEASES = 500
 KILLS = 5
@@ -94,7 +95,7 @@
     def __init__(self) -> None:
         self.decided_ms: list[float] = []
         self._waiting: dict[object, asyncio.Future[codec.Message]] = {}
-        address = ports.reserve()[0]
+        address = ports.find_addresses()[0]
         self.links = links.Links("benchmark", 1, address, self._receive)
 
     async def ask(
@@ -251,7 +252,7 @@
         now_ms = self._clock.read_monotonic()
         self._pairs: list[tuple[leaseholder.LeaseHolder, links.Links]] = []
         self._cut = False
-        for number, address in enumerate(ports.reserve(6)):
+        for number, address in enumerate(ports.find_addresses(6)):
             name = f"cut-{seed}-{number}"
             member = holders.build_member(name, address)
             chance = random.Random(seed * 10 + number)
--- a/benchmarks/counters.py
+++ b/benchmarks/counters.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from benchmarks import ports
+from amaranthspar import ports
 
 
 class Counters(asyncio.DatagramProtocol):
@@ -11,7 +11,7 @@
 
     def __init__(self) -> None:
         self.totals: collections.Counter[tuple[str, str]] = collections.Counter()
-        self.address = ports.reserve()[0]
+        self.address = ports.find_addresses()[0]
         self._transport: asyncio.BaseTransport | None = None
 
     async def open(self) -> None:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,8 +16,8 @@
 import msgspec
 import psutil
 
-from amaranthspar import client, configuration, options, tokens
-from benchmarks import firms, loglines, ports, relay
+from amaranthspar import client, configuration, options, ports, tokens
+from benchmarks import firms, loglines, relay
 
 CONTROLLERS = 3
 GATEWAYS = 2
@@ -115,7 +115,7 @@
 
     def start_upstreams(self) -> None:
         """Start the process with all stand-in upstreams."""
-        addresses = ports.reserve(self.firm.upstreams + 1)
+        addresses = ports.find_addresses(self.firm.upstreams + 1)
         self.control = addresses.pop()
         self.places = [
             f"{name_upstream(number)}={self.firm.find_domain(number)}={address}"
@@ -129,7 +129,7 @@
         """Start the controllers with a first configuration."""
         bootstrap = self.folder / "bootstrap.ini"
         bootstrap.write_text(str(self.build_configuration()))
-        self.controller_addresses = ports.reserve(self.controllers)
+        self.controller_addresses = ports.find_addresses(self.controllers)
         for number in range(self.controllers):
             self.start_controller(number)
 
@@ -164,7 +164,7 @@
         """Start a gateway by its number."""
         name = f"gateway-{number + 1}"
         if number >= len(self.urls):
-            self.urls.append(f"http://{ports.reserve()[0]}")
+            self.urls.append(f"http://{ports.find_addresses()[0]}")
         http = self.urls[number].removeprefix("http://")
         section = options.GatewayOptions(http, tokens.hash_token(self.token), 100)
         self._start_role(name, "gateway", number, section)
@@ -192,7 +192,7 @@
         Returns:
             Its URL.
         """
-        address = ports.reserve()[0]
+        address = ports.find_addresses()[0]
         words = ["-m", "benchmarks.naive", "--http", address, *self.places]
         self.spawn("naive", words, address)
         return f"http://{address}"
@@ -307,7 +307,7 @@
         self, name: str, role: str, number: int, section: Any, listen: str = ""
     ) -> Process:
         domain = self.firm.domains[number % len(self.firm.domains)]
-        listen = listen or self.link_addresses.get(name) or ports.reserve()[0]
+        listen = listen or self.link_addresses.get(name) or ports.find_addresses()[0]
         self.link_addresses[name] = listen
         controllers = self.controller_addresses
         if name in self.relayed:
--- a/benchmarks/holders.py
+++ b/benchmarks/holders.py
@@ -7,8 +7,7 @@
 
 import attrs
 
-from amaranthspar import clock, codec, leaseholder, links, messages
-from benchmarks import ports
+from amaranthspar import clock, codec, leaseholder, links, messages, ports
 
 TICK_MS = 10
 
@@ -52,7 +51,7 @@
         self._controllers = controllers
         self._sent: dict[int, tuple[Holder, int]] = {}
         self._number = 0
-        address = ports.reserve()[0]
+        address = ports.find_addresses()[0]
         self._links = links.Links(f"holders-{seed}", 1, address, self._receive)
         now_ms = self._clock.read_monotonic()
         self.holders = [
--- a/benchmarks/manysidecars.py
+++ b/benchmarks/manysidecars.py
@@ -7,8 +7,7 @@
 import asyncio
 import signal
 
-from amaranthspar import loop, options, sidecar, standin
-from benchmarks import ports
+from amaranthspar import loop, options, ports, sidecar, standin
 
 SLOTS = 8
 
@@ -18,11 +17,11 @@
     running = asyncio.get_running_loop()
     for wanted in (signal.SIGTERM, signal.SIGINT):
         running.add_signal_handler(wanted, stopping.set)
-    address = ports.reserve()[0]
+    address = ports.find_addresses()[0]
     stand_in = standin.StandIn("upstream", arguments.domain, standin.StartRecord())
     await stand_in.open(address)
     for number in range(arguments.count):
-        listen = ports.reserve()[0]
+        listen = ports.find_addresses()[0]
         name = f"sidecar-{number + 1}"
         process = options.ProcessOptions(
             name, listen, arguments.controllers.split(","), arguments.domain
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from benchmarks import ports
+from amaranthspar import ports
 
 CHUNK_BYTES = 64 * 1024
 
@@ -16,7 +16,7 @@
     """
 
     def __init__(self, target: str) -> None:
-        self.address = ports.reserve()[0]
+        self.address = ports.find_addresses()[0]
         self.silent = False
         self._target = target
         self._server: asyncio.Server | None = None
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -30,10 +30,11 @@
     links,
     messages,
     options,
+    ports,
     standin,
     submissions,
 )
-from benchmarks import counters, outcomes, ports, trials
+from benchmarks import counters, outcomes, trials
 
 GATEWAYS = 40
 SERVICES = 50
@@ -91,7 +92,7 @@
         self.name = f"gateway-{number}"
         self.ended = 0
         self._clock = clock.Clock()
-        address = ports.reserve()[0]
+        address = ports.find_addresses()[0]
         incarnation = self._clock.read_wall()
         member = messages.Member(self.name, "gateway", incarnation, address, 0)
         self.holder = leaseholder.LeaseHolder(
@@ -252,7 +253,7 @@
     """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        control, listen, upstream = ports.reserve(3)
+        control, listen, upstream = ports.find_addresses(3)
         (folder / "first.ini").write_text(_build_text())
         listener = counters.Counters()
         await listener.open()
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -2,18 +2,15 @@
 
 import asyncio
 import pathlib
-import socket
 
-from amaranthspar import clock, codec, controller, links, messages, options
+from amaranthspar import clock, codec, controller, links, messages, options, ports
 
 TEXT = "[service lookup]\nidempotent = yes\n\n[domain gyor]\n\n[domain pecs]\n"
 WAIT_S = 10
 
 
 def find_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return ports.find_addresses()[0]
 
 
 def build_announcement(**changes) -> messages.Announcement:
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -7,7 +7,7 @@
 
 import uvloop
 
-from amaranthspar import client, cluster
+from amaranthspar import client, cluster, ports
 
 Scenario = Callable[[cluster.Cluster, client.Client], Awaitable[None]]
 
@@ -15,8 +15,8 @@
 def run_scenario(
     folder: pathlib.Path, scenario: Scenario, ledger_upstreams: int = 0
 ) -> cluster.Cluster:
-    ports = cluster.find_ports(2)
-    running = cluster.Cluster(folder, "secret", ports, ledger_upstreams)
+    places = ports.find_ports(2)
+    running = cluster.Cluster(folder, "secret", places, ledger_upstreams)
 
     async def run() -> None:
         await running.start()
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -7,7 +7,7 @@
 import pytest
 import uvloop
 
-from amaranthspar import cluster, exits, program
+from amaranthspar import cluster, exits, ports, program
 
 SETTINGS = """\
 [process]
@@ -28,7 +28,7 @@
     """Return the settings file of a controller whose cluster has stopped."""
 
     async def run() -> None:
-        running = cluster.Cluster(tmp_path, "secret", cluster.find_ports(1))
+        running = cluster.Cluster(tmp_path, "secret", ports.find_ports(1))
         await running.start()
         await running.stop()
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from amaranthspar import client, cluster, standin
+from amaranthspar import client, cluster, ports, standin
 from tests import builders_shell
 
 DOMAINS = ("gyor", "pecs", "veszprem")
@@ -72,7 +72,7 @@
 
     folder: pathlib.Path
     processes: dict[str, subprocess.Popen[bytes]] = attrs.field(factory=dict)
-    ports: list[int] = attrs.field(factory=lambda: cluster.find_ports(16))
+    ports: list[int] = attrs.field(factory=lambda: ports.find_ports(16))
 
     def start(self, role: str, number: int, listen: int, section: str) -> None:
         controllers = ", ".join(f"127.0.0.1:{port}" for port in self.ports[:3])
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -11,7 +11,7 @@
 import uvloop
 from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 
-from amaranthspar import client, cluster
+from amaranthspar import client, cluster, ports
 from tests import builders_shell
 
 TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
@@ -37,7 +37,7 @@
 def run_traced_job(folder: pathlib.Path, endpoint: str) -> None:
     async def run() -> None:
         running = cluster.Cluster(
-            folder, "secret", cluster.find_ports(2), trace_endpoint=endpoint
+            folder, "secret", ports.find_ports(2), trace_endpoint=endpoint
         )
         await running.start()
         url = f"http://{cluster.HOST}:{running.ports[0]}"
