Cancel the original of a resent job, and show a job's key conflict

Cause: cancelling by the id of a resent keyed job answered 204 and stopped nothing; a conflict that came after the 202 left an id that nobody knew. Conclusion: both ways are truthful now.

--- a/amaranthspar/answers.py
+++ b/amaranthspar/answers.py
@@ -25,12 +25,14 @@
         future: Answer once it is there.
         ended_ms: Monotonic time of the answer.
         size_bytes: Memory that it takes, roughly.
+        original: Submission that runs in place of this resend; empty for none.
     """
 
     account: str
     future: asyncio.Future[submissions.Answer]
     ended_ms: int = 0
     size_bytes: int = 0
+    original: str = ""
 
 
 class Answers:
@@ -64,6 +66,17 @@
         """
         return self._kept.get(submission)
 
+    def note_original(self, submission: str, original: str) -> None:
+        """Note that a submission is a resend of another one.
+
+        Args:
+            submission: Submission id of the resend.
+            original: Submission id of the one that runs.
+        """
+        kept = self._kept.get(submission)
+        if kept is not None:
+            kept.original = original
+
     def settle(self, answer: submissions.Answer, now_ms: int) -> None:
         """Hand an answer to all who wait for it.
 
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -195,9 +195,20 @@
         kept = self._answers.find(name)
         if kept is None or kept.account != account:
             return False
+        if kept.original:
+            return self.cancel_job(kept.original, account)
         self.handle(dispatcher.Cancelled(name))
         return True
 
+    def find_original(self, name: str) -> str:
+        """Return the submission that runs in place of a resend, empty for none.
+
+        Args:
+            name: Submission id of the resend.
+        """
+        kept = self._answers.find(name)
+        return "" if kept is None else kept.original
+
     def forget_answer(self, name: str) -> None:
         """Drop an answer that nobody will ask for again."""
         self._answers.forget(name)
--- a/amaranthspar/keys.py
+++ b/amaranthspar/keys.py
@@ -70,7 +70,7 @@
                 self._release_unused(key, answer)
                 return answer
             if decided.fingerprint != key.fingerprint:
-                self._held.forget(submission.name)
+                self._refuse(submission)
                 return answers.KeyConflict()
             answer = await self._attach(decided, submission)
             if answer.outcome != submissions.NOT_RUN:
@@ -82,6 +82,14 @@
         self._held.settle(answer, self._clock.read_monotonic())
         return await asyncio.shield(future)
 
+    def _refuse(self, submission: submissions.Submission) -> None:
+        """Keep the refusal of a job, for which the caller may ask by its id."""
+        if not submission.is_job:
+            self._held.forget(submission.name)
+            return
+        refusal = submission.fail("the Idempotency-Key was used with another body")
+        self._held.settle(refusal, self._clock.read_monotonic())
+
     async def _claim(
         self, submission: submissions.Submission, key: intake.Key
     ) -> messages.ClaimDecided:
@@ -99,6 +107,7 @@
         self, decided: messages.ClaimDecided, submission: submissions.Submission
     ) -> submissions.Answer:
         name = decided.submission
+        self._held.note_original(submission.name, name)
         left_ms = submission.deadline_ms - self._clock.read_monotonic()
         if decided.gateway == self._holder.member.process:
             kept = self._held.find(name)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -89,6 +89,33 @@
     assert running.record.started == 1
 
 
+def test_resent_job_is_cancelled_and_its_conflict_is_shown(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        other = open_other(running)
+        tasks = [{"payload": {"sleep_ms": 10_000}}]
+        body = test_cluster.encode({"tasks": tasks})
+        first = await caller.submit_job("recalculate", body, KEY | ASYNC)
+        while not running.record.started:
+            await asyncio.sleep(0.01)
+        second = await other.submit_job("recalculate", body, KEY | ASYNC)
+        kept = running.gateways[1].find_original
+        while not kept(second.location.rpartition("/")[2]):
+            await asyncio.sleep(0.01)
+        assert (await other.call("DELETE", second.location)).status == 204
+        assert (await wait_for_job(caller, first.location)).status == 502
+        tasks = [{"payload": {"sleep_ms": 1}}]
+        changed = test_cluster.encode({"tasks": tasks})
+        third = await other.submit_job("recalculate", changed, KEY | ASYNC)
+        refused = await wait_for_job(other, third.location)
+        assert refused.outcome == "not-run"
+        await other.close()
+
+    running = test_cluster.run_scenario(tmp_path, scenario)
+    assert running.record.started == 1
+
+
 def test_jobs_are_shown_and_cancelled_at_any_gateway(tmp_path: pathlib.Path) -> None:
     async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
         other = open_other(running)
