Let frames carry the answers of a link, and probes be answered at once

Change: an answer of its own goes out only after an interval without another frame; a probe goes out after two intervals, is answered at once, and a silent link is dialled anew after three as before. Test: test_unanswered_frame_is_probed_then_dialled_anew expected a probe at the first interval; it now expects none there, and the same redial at the third. Two tests are new: answers wait, and still come before the peer dials anew.

--- a/amaranthspar/heartbeats.py
+++ b/amaranthspar/heartbeats.py
@@ -1,8 +1,9 @@
 """Decides on one link when to probe it, dial it anew or close it.
 
 Frames are numbered, and each one tells the number last heard from the other
-side, so that on a busy link the traffic itself is the heartbeat. A probe goes out
-only when an answer is late or the link was idle for long.
+side, so that on a busy link the traffic itself is the heartbeat. An answer of its own goes out
+only when no other frame has carried it for an interval, a probe only when an answer
+is late or the link was idle for long. A probe is answered at once.
 """
 
 import enum
@@ -10,6 +11,7 @@
 import attrs
 
 SILENT_INTERVALS = 3
+PROBE_INTERVALS = 2
 IDLE_INTERVALS = 20
 UNUSED_INTERVALS = 120
 
@@ -44,7 +46,7 @@
     _confirmed: int = 0
     _is_suspect: bool = False
     _waiting_ms: int = 0
-    _owes_answer: bool = False
+    _owed_since_ms: int | None = None
 
     def note_use(self, now_ms: int) -> None:
         """Note that a message goes to the peer or came from it.
@@ -64,12 +66,12 @@
             self._waiting_ms = now_ms
         self.number += 1
         self._sent_ms = now_ms
-        self._owes_answer = False
+        self._owed_since_ms = None
         return self.number
 
     def note_answer(self) -> None:
         """Note that a frame without a number told what was heard."""
-        self._owes_answer = False
+        self._owed_since_ms = None
 
     def note_frame(
         self, incarnation: int, number: int, confirmed: int, now_ms: int
@@ -87,7 +89,8 @@
             self.heard = 0
         if number:
             self.heard = max(self.heard, number)
-            self._owes_answer = True
+            if self._owed_since_ms is None:
+                self._owed_since_ms = now_ms
         if self._confirmed < confirmed <= self.number:
             self._confirmed = confirmed
             self._is_suspect = False
@@ -111,14 +114,17 @@
             now_ms: Monotonic time in ms.
         """
         if now_ms - self.used_ms >= UNUSED_INTERVALS * self.interval_ms:
-            return Action.ANSWER if self._owes_answer else Action.CLOSE
+            return Action.CLOSE if self._owed_since_ms is None else Action.ANSWER
         waiting = self._confirmed < self.number
         patience = 1 if self._is_suspect else SILENT_INTERVALS
         if waiting and now_ms - self._waiting_ms >= patience * self.interval_ms:
             self._waiting_ms = now_ms
             self._is_suspect = False
             return Action.REDIAL
-        intervals = 1 if waiting else IDLE_INTERVALS
+        intervals = PROBE_INTERVALS if waiting else IDLE_INTERVALS
         if now_ms - self._sent_ms >= intervals * self.interval_ms:
             return Action.PROBE
-        return Action.ANSWER if self._owes_answer else Action.NONE
+        owed_ms = self._owed_since_ms
+        if owed_ms is None or now_ms - owed_ms < self.interval_ms:
+            return Action.NONE
+        return Action.ANSWER
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -266,6 +266,8 @@
         heard = (frame.incarnation, frame.number, frame.heard)
         peer.health.note_frame(*heard, now_ms)
         match frame.messages:
+            case [] if frame.number:
+                self._carry_out(peer, heartbeats.Action.ANSWER)
             case []:
                 pass
             case [messages.LinkRedialled()]:
