--- a/amaranthspar/problems.py
+++ b/amaranthspar/problems.py
@@ -7,6 +7,7 @@
 
 CONTENT_TYPE = "application/problem+json"
 OUTCOME_HEADER = "Amaranthspar-Outcome"
+UNAUTHORIZED_STATUS = 401
 RETRY_STATUSES = (429, 503)
 UNREADY_RETRY_MS = 1000
 
@@ -90,6 +91,8 @@
         if self.problem.status in RETRY_STATUSES:
             seconds = max(1, -(-self.retry_after_ms // 1000))
             headers["Retry-After"] = str(seconds)
+        if self.problem.status == UNAUTHORIZED_STATUS:
+            headers["WWW-Authenticate"] = "Bearer"
         return headers
 
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -23,6 +23,7 @@
     assert problem["status"] == status
     assert answer.outcome == problem["outcome"]
     assert ("retry-after" in answer.headers) == (status in (429, 503))
+    assert ("www-authenticate" in answer.headers) == (status == 401)
 
 
 def send_raw(port: int, data: bytes) -> bytes:
