Build a member's lease and links in one place

Cause: the gateway and the sidecar each built their member, lease and links and told the controllers of their leaving in the same words; the holders that a controller serves were kept in a class meant for waiting requests. Change: the module membership serves both roles; served holders have a class of their own. Behaviour and tests are as they were. Conclusion: of the duplicates found, this was the one with the same logic; the two deltas of leases.py differ in their types and stay.

--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import random
 
 from amaranthspar import (
     answers,
@@ -16,8 +15,8 @@
     intake,
     keys,
     leaseholder,
-    links,
     logs,
+    membership,
     messages,
     metrics,
     options,
@@ -54,19 +53,9 @@
         self._process = process
         self._log = logs.get_logger(process.name)
         self._metrics = metrics.Metrics(process.name, process.statsd)
-        incarnation = self.clock.read_wall()
-        member = messages.Member(
-            process.name, "gateway", incarnation, process.listen, revision=0
-        )
-        chance = random.Random(f"{process.name}/{incarnation}")
-        self.holder = leaseholder.LeaseHolder(
-            member, process.controllers, self.clock.read_monotonic(), chance
-        )
+        self.holder = membership.build_holder(process, "gateway")
         self.dispatcher = dispatcher.Dispatcher(self.holder, process.failure_domain)
-        self._links = links.Links(
-            process.name, incarnation, process.listen, self._receive, link
-        )
-        self._links.controllers = frozenset(process.controllers)
+        self._links = membership.build_links(process, self.holder, self._receive, link)
         self.control = control.Control(self._links, process.controllers)
         self._tracer = traces.build_tracer(process)
         self._hops = None if self._tracer is None else hops.Hops(self._tracer)
@@ -109,10 +98,7 @@
         while self.dispatcher.submissions or self._web.open_requests:
             await asyncio.sleep(DRAIN_POLL_MS / 1000)
         self._act(self.dispatcher.sign_off(self.clock.read_monotonic()))
-        incarnation = self.holder.member.incarnation
-        message = messages.LeaveMembership(self._process.name, incarnation, True)
-        for address in self._process.controllers:
-            self._links.send(address, message)
+        membership.leave(self._process, self.holder, self._links, stopped=True)
         await asyncio.sleep(DRAIN_POLL_MS / 1000)
         await self.close()
         self._log.info("stopped")
--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -69,6 +69,14 @@
     message: Any
 
 
+@attrs.frozen(slots=True)
+class _Served:
+    """A holder that renewed its lease here."""
+
+    address: str
+    renewed_ms: int
+
+
 class Requests:
     """All requests of one controller.
 
@@ -82,7 +90,7 @@
         self, state: registry.Registry, grants: leases.Leases, lease_ms: int
     ) -> None:
         self.granted = 0
-        self._served: dict[str, _Waiting] = {}
+        self._served: dict[str, _Served] = {}
         self.denied = 0
         self.seen: set[str] = set()
         self._state = state
@@ -222,7 +230,7 @@
         """Wake the holders that renew here, so that none waits for its next turn."""
         oldest_ms = standing.now_ms - self._lease_ms
         served = self._served.items()
-        recent = {name: item for name, item in served if item.since_ms > oldest_ms}
+        recent = {name: item for name, item in served if item.renewed_ms > oldest_ms}
         self._served = recent
         announcement = messages.AnnounceVersion(version)
         return [effects.Send(item.address, announcement) for item in recent.values()]
@@ -287,7 +295,7 @@
             return []
         if isinstance(decision, messages.LeaseGranted):
             self.granted += 1
-            self._served[process] = _Waiting(request.address, standing.now_ms, None)
+            self._served[process] = _Served(request.address, standing.now_ms)
             self.seen.add(process)
             self._seen_ms[process] = standing.now_ms
         else:
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import gc
-import random
 
 from amaranthspar import (
     clock,
@@ -11,8 +10,8 @@
     effects,
     executor,
     leaseholder,
-    links,
     logs,
+    membership,
     messages,
     metrics,
     options,
@@ -46,25 +45,10 @@
         self._process = process
         self._log = logs.get_logger(process.name)
         self._metrics = metrics.Metrics(process.name, process.statsd)
-        incarnation = self._clock.read_wall()
-        member = messages.Member(
-            process.name,
-            "sidecar",
-            incarnation,
-            process.listen,
-            revision=0,
-            announcement=_build_announcement(process, sidecar),
-        )
-        chance = random.Random(f"{process.name}/{incarnation}")
-        now_ms = self._clock.read_monotonic()
-        self.holder = leaseholder.LeaseHolder(
-            member, process.controllers, now_ms, chance
-        )
+        announcement = _build_announcement(process, sidecar)
+        self.holder = membership.build_holder(process, "sidecar", announcement)
         self.executor = executor.Executor(self.holder)
-        self._links = links.Links(
-            process.name, incarnation, process.listen, self._receive, link
-        )
-        self._links.controllers = frozenset(process.controllers)
+        self._links = membership.build_links(process, self.holder, self._receive, link)
         self._tracer = traces.build_tracer(process)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
@@ -112,10 +96,7 @@
             await asyncio.to_thread(self._tracer.close)
 
     def _leave(self, stopped: bool) -> None:
-        incarnation = self.holder.member.incarnation
-        message = messages.LeaveMembership(self._process.name, incarnation, stopped)
-        for address in self._process.controllers:
-            self._links.send(address, message)
+        membership.leave(self._process, self.holder, self._links, stopped)
 
     async def _tick(self) -> None:
         reported_ms = 0
