Measure a gateway to 2,500 sidecars, and run the losses of places

Slopes of a gateway ended at 200 sidecars in one process, and losses of a rack, a domain, controllers and regions were derived. Slopes are three experiments now; sidecars are held by processes of 500. A role under benchmarks.partition loses frames both ways from SIGUSR1 to SIGUSR2, which replaces the relay.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -36,6 +36,8 @@
     "domain": Experiment("domain", BOTH),
     "removal": Experiment("removal"),
     "failover": Experiment("failover"),
+    "losses": Experiment("losses"),
+    "losses-regions": Experiment("losses", function="run_regions"),
     "leases-removal": Experiment("control", function="run_removal"),
     "leases-failover": Experiment("control", function="run_failover"),
     "config": Experiment("control", function="run_config"),
@@ -46,7 +48,9 @@
     "desk": Experiment("desk", "wijesekera"),
     "gateway": Experiment("gateway"),
     "sidecar": Experiment("sidecar"),
-    "slopes": Experiment("slopes"),
+    "slopes-gateway": Experiment("slopes", function="run_gateway"),
+    "slopes-controllers": Experiment("slopes", function="run_controllers"),
+    "slopes-sidecar": Experiment("slopes", function="run_sidecar"),
     "soak": Experiment("soak", "wijesekera"),
 }
 LOADS = (0.5, 0.8, 0.95)
--- a/benchmarks/domain.py
+++ b/benchmarks/domain.py
@@ -47,8 +47,8 @@
 
     def compare(self, to_ms: float) -> float:
         """Return work done from the removal up to a time against the ideal."""
-        done = _measure_between(self.spans, self.out_ms, to_ms)
-        return done / _measure_between(self.best, self.out_ms, to_ms)
+        done = ideal.measure_between(self.spans, self.out_ms, to_ms)
+        return done / ideal.measure_between(self.best, self.out_ms, to_ms)
 
 
 async def run(options: trials.Options) -> outcomes.Outcome:
@@ -160,11 +160,6 @@
     )
 
 
-def _measure_between(spans: list[Span], from_ms: float, to_ms: float) -> float:
-    done = ideal.measure_work(spans, to_ms) - ideal.measure_work(spans, from_ms)
-    return max(done, 1.0)
-
-
 def _add_measures(
     outcome: outcomes.Outcome, place: str, result: Result, end_ms: float
 ) -> None:
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -49,10 +49,12 @@
     Attributes:
         times: Times to send again.
         seconds: Pause before.
+        refused: Whether what a gateway refused as not run is sent again as well.
     """
 
     times: int
     seconds: float
+    refused: bool = False
 
 
 class Driver:
@@ -134,7 +136,10 @@
         for attempt in range(self.resend.times + 1):
             target = self.clients[(arrival.number + attempt) % len(self.clients)]
             try:
-                return await send_arrival(target, arrival)
+                reply = await send_arrival(target, arrival)
+                if reply.status != 503 or not self.resend.refused:
+                    return reply
+                unsent = reply.outcome == "not-run"
             except client.ClientError as error:
                 reply = client.Reply(0, "unknown", str(error).encode())
                 # As the balancer would, for what was never sent.
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -63,7 +63,7 @@
         try:
             await asyncio.sleep(self.chance.uniform(*AWAY_SECONDS))
         finally:
-            self._start_again(process)
+            self.trial.fleet.start_again(process.name)
         return f"killed {process.name}"
 
     async def _restart(self) -> str:
@@ -75,18 +75,9 @@
             if process.popen.poll() is None:
                 process.popen.kill()
                 process.popen.wait()
-            self._start_again(process)
+            self.trial.fleet.start_again(process.name)
         return f"restarted {process.name}"
 
-    def _start_again(self, process: fleet.Process) -> None:
-        role, _, number = process.name.rpartition("-")
-        starts = {
-            "gateway": self.trial.fleet.start_gateway,
-            "sidecar": self.trial.fleet.start_sidecar,
-            "controller": self.trial.fleet.start_controller,
-        }
-        starts[role](int(number) - 1)
-
     async def _stop_and_continue(self) -> str:
         process = self._choose()
         process.send_signal(signal.SIGSTOP)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -17,7 +17,7 @@
 import psutil
 
 from amaranthspar import client, configuration, options, ports, tokens
-from benchmarks import firms, loglines, relay
+from benchmarks import firms, loglines
 
 CONTROLLERS = 3
 GATEWAYS = 2
@@ -70,7 +70,9 @@
         gateways: Number of gateways.
         controllers: Number of controllers.
         heartbeat_ms: Interval between heartbeats on links.
-        relayed: Processes that reach the controllers through relays.
+        cuttable: Processes that can be cut off from the controllers.
+        regions: Loopback address of each failure domain's region, where there are
+            several regions; these can be cut off from each other.
         desks: Home of each desk.
         groups: Upstream group by number of the upstream, where not the main one.
         processes: Started processes by name.
@@ -85,8 +87,8 @@
     gateways: int = GATEWAYS
     controllers: int = CONTROLLERS
     heartbeat_ms: int = 500
-    relayed: frozenset[str] = frozenset()
-    relays: list[relay.Relay] = attrs.field(factory=list)
+    cuttable: frozenset[str] = frozenset()
+    regions: dict[str, str] = attrs.field(factory=dict)
     desks: dict[str, str] = attrs.field(factory=dict)
     groups: dict[int, str] = attrs.field(factory=dict)
     token: str = attrs.field(factory=lambda: secrets.token_hex(16))
@@ -105,8 +107,6 @@
         """
         self.start_upstreams()
         self.start_controllers()
-        if self.relayed:
-            await self._open_relays()
         for number in range(self.firm.upstreams):
             self.start_sidecar(number)
         for number in range(self.gateways):
@@ -129,7 +129,9 @@
         """Start the controllers with a first configuration."""
         bootstrap = self.folder / "bootstrap.ini"
         bootstrap.write_text(str(self.build_configuration()))
-        self.controller_addresses = ports.find_addresses(self.controllers)
+        self.controller_addresses = [
+            self._choose_address(number) for number in range(self.controllers)
+        ]
         for number in range(self.controllers):
             self.start_controller(number)
 
@@ -169,6 +171,16 @@
         section = options.GatewayOptions(http, tokens.hash_token(self.token), 100)
         self._start_role(name, "gateway", number, section)
 
+    def start_again(self, name: str) -> None:
+        """Start a role that has ended, by its process name."""
+        role, _, number = name.rpartition("-")
+        starts = {
+            "gateway": self.start_gateway,
+            "sidecar": self.start_sidecar,
+            "controller": self.start_controller,
+        }
+        starts[role](int(number) - 1)
+
     def build_configuration(self) -> configuration.Configuration:
         """Return the first configuration."""
         result = configuration.Configuration()
@@ -197,16 +209,16 @@
         self.spawn("naive", words, address)
         return f"http://{address}"
 
-    async def wait_ready(self, sidecars: int) -> None:
+    async def wait_ready(self, sidecars: int, seconds: float = READY_SECONDS) -> None:
         """Wait until each gateway is ready and sees a number of sidecars."""
         for url in self.urls:
             caller = client.Client(url, self.token)
             try:
-                async with asyncio.timeout(READY_SECONDS):
+                async with asyncio.timeout(seconds):
                     while not await _is_ready(caller, sidecars):
                         await asyncio.sleep(READY_POLL_SECONDS)
             except TimeoutError as error:
-                text = f"{url} not ready in {READY_SECONDS} s, see {self.folder}"
+                text = f"{url} not ready in {seconds} s, see {self.folder}"
                 raise FleetError(text) from error
             finally:
                 await caller.close()
@@ -281,8 +293,6 @@
                     del self.processes[item.name]
         finally:
             self.kill()
-            for link in self.relays:
-                await link.close()
         return codes
 
     def kill(self) -> None:
@@ -293,35 +303,44 @@
             item.popen.wait()
         self.processes.clear()
 
-    async def _open_relays(self) -> None:
-        for address in self.controller_addresses:
-            self.relays.append(relay.Relay(address))
-            await self.relays[-1].open()
-
     def cut_off(self, silent: bool) -> None:
-        """Cut the relayed processes off from the controllers, or let them back."""
-        for item in self.relays:
-            item.silent = silent
+        """Cut the cuttable processes or the regions off silently, or mend it."""
+        number = signal.SIGUSR1 if silent else signal.SIGUSR2
+        for item in self.processes.values():
+            if self._list_foreign(item.name) and item.popen.poll() is None:
+                item.send_signal(number)
+
+    def _list_foreign(self, name: str) -> list[str]:
+        """Return starts of the addresses that a process can be cut off from."""
+        if name not in self.link_addresses:
+            return []
+        if name in self.cuttable:
+            return self.controller_addresses
+        home = self.link_addresses[name].partition(":")[0]
+        return sorted({f"{item}:" for item in self.regions.values() if item != home})
+
+    def _choose_address(self, number: int) -> str:
+        host = self.regions.get(self.firm.find_domain(number), ports.HOST)
+        return ports.find_addresses()[0].replace(ports.HOST, host)
 
     def _start_role(
         self, name: str, role: str, number: int, section: Any, listen: str = ""
     ) -> Process:
-        domain = self.firm.domains[number % len(self.firm.domains)]
-        listen = listen or self.link_addresses.get(name) or ports.find_addresses()[0]
+        domain = self.firm.find_domain(number)
+        listen = listen or self.link_addresses.get(name) or self._choose_address(number)
         self.link_addresses[name] = listen
-        controllers = self.controller_addresses
-        if name in self.relayed:
-            controllers = [item.address for item in self.relays]
         process = options.ProcessOptions(
-            name, listen, controllers, domain, statsd=self.statsd
+            name, listen, self.controller_addresses, domain, statsd=self.statsd
         )
         link = options.LinkOptions(self.heartbeat_ms)
         path = self.folder / f"{name}.ini"
         path.write_text(
             format_settings({"process": process, "links": link, role: section})
         )
-        words = ["-m", "amaranthspar", role, "--settings", str(path)]
-        return self.spawn(name, words, listen)
+        words = ["-m", "amaranthspar"]
+        if foreign := self._list_foreign(name):
+            words = ["-m", "benchmarks.partition", "--foreign", ",".join(foreign)]
+        return self.spawn(name, [*words, role, "--settings", str(path)], listen)
 
 
 def name_upstream(number: int) -> str:
--- a/benchmarks/ideal.py
+++ b/benchmarks/ideal.py
@@ -95,3 +95,16 @@
     return sum(
         min(end_ms, to_ms) - start_ms for start_ms, end_ms in spans if start_ms < to_ms
     )
+
+
+def measure_between(
+    spans: Sequence[tuple[float, float]], from_ms: float, to_ms: float
+) -> float:
+    """Return the work done between two times in slot ms, at least 1.
+
+    Args:
+        spans: Start and end of each run.
+        from_ms: Time from which runs are counted, also in part.
+        to_ms: Time up to which runs are counted, also in part.
+    """
+    return max(measure_work(spans, to_ms) - measure_work(spans, from_ms), 1.0)
--- /dev/null
+++ b/benchmarks/losses.py
@@ -0,0 +1,208 @@
+"""Work and promises through the loss of a place, and after its return."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from amaranthspar import standin
+from benchmarks import audit, driver, firms, fleet, ideal, outcomes, timing, trials
+
+LOAD = 0.5
+SETTLE_SECONDS = 4.0
+AFTER_SECONDS = 10.0
+WORK_TARGET = 0.9
+LAST_START_TARGET_MS = 3000
+RESEND = driver.Resend(400, 0.25, refused=True)
+REGIONS = ("127.0.0.1", "127.0.0.2")
+DOMAINS = ("domain-1", "domain-2", "domain-3", "domain-4", "domain-5")
+FAR_DOMAINS = DOMAINS[2:4]
+
+Choice = Callable[[fleet.Fleet], list[str]]
+
+
+@attrs.frozen(slots=True)
+class Loss:
+    """One loss.
+
+    Attributes:
+        name: What is lost.
+        controllers: Number of controllers.
+        domains: Failure domains that may start nothing until they are back.
+        choose: Names of the processes that are killed; none cuts the regions.
+        upstreams: Numbers of the upstreams lost, where not those of the domains.
+    """
+
+    name: str
+    controllers: int
+    domains: tuple[str, ...] = ()
+    choose: Choice | None = None
+    upstreams: tuple[int, ...] = ()
+
+    def list_upstreams(self, firm: firms.Firm) -> set[str]:
+        """Return the names of the upstreams that may start nothing."""
+        return {
+            fleet.name_upstream(number)
+            for number in range(firm.upstreams)
+            if number in self.upstreams or firm.find_domain(number) in self.domains
+        }
+
+
+@attrs.frozen(slots=True)
+class Times:
+    """Monotonic times of a loss and of the return in ms."""
+
+    lost_ms: float
+    back_ms: float
+
+
+async def run(options: trials.Options) -> outcomes.Outcome:
+    """Lose a rack, a failure domain, and the majority of the controllers.
+
+    Args:
+        options: Options of the run; its length is that of each loss.
+    """
+    firm = options.firms[0]
+    rack = (0, 1, 2)
+    losses = [
+        Loss("rack", 3, choose=_choose_sidecars(rack), upstreams=rack),
+        Loss("domain", 3, firm.domains[:1], _list_domain),
+        Loss("2 of 3 controllers", 3, firm.domains, _list_two_controllers),
+        Loss("2 of 5 controllers", 5, choose=_list_two_controllers),
+    ]
+    return await _run_losses(options, firm, losses)
+
+
+async def run_regions(options: trials.Options) -> outcomes.Outcome:
+    """Cut two regions off from each other; the fifth domain stays with the first.
+
+    Args:
+        options: Options of the run; its length is that of the partition.
+    """
+    firm = attrs.evolve(options.firms[0], domains=DOMAINS)
+    loss = Loss("regions", 5, FAR_DOMAINS)
+    return await _run_losses(options, firm, [loss])
+
+
+async def _run_losses(
+    options: trials.Options, firm: firms.Firm, losses: list[Loss]
+) -> outcomes.Outcome:
+    outcome = outcomes.Outcome("losses", options.seed, options.seconds)
+    for loss in losses:
+        await _measure(outcome, options, firm, loss)
+    return outcome
+
+
+async def _measure(
+    outcome: outcomes.Outcome, options: trials.Options, firm: firms.Firm, loss: Loss
+) -> None:
+    regions = {} if loss.choose else _place_regions()
+    seconds = SETTLE_SECONDS + options.seconds + AFTER_SECONDS
+    arrivals = firms.generate(firm, options.seed, seconds, LOAD)
+    async with trials.open_trial(
+        firm, controllers=loss.controllers, gateways=3, regions=regions
+    ) as trial:
+        earlier = len(await trial.read_spans())
+        trial.driver.resend = RESEND
+        driving = trial.driver.run(arrivals, loss.name)
+        _, times = await asyncio.gather(driving, _lose(trial, loss, options.seconds))
+        await trial.fleet.wait_ready(firm.upstreams)
+        spans = await trial.read_spans(earlier)
+    sender = trial.driver
+    end_ms = sender.started_ms + seconds * 1000
+    lost = loss.list_upstreams(firm)
+    gone = ideal.Outage(
+        len(lost) * firm.slots,
+        times.lost_ms - sender.started_ms,
+        times.back_ms - sender.started_ms,
+    )
+    best = ideal.schedule(arrivals, firm.total_slots, gone)
+    ideal_spans = [
+        (item.started_ms + sender.started_ms, item.ended_ms + sender.started_ms)
+        for item in best.spans
+    ]
+    whole = [(item.started_ms, item.ended_ms) for item in spans if not item.cut]
+    work = ideal.measure_between(whole, times.lost_ms, end_ms)
+    work /= ideal.measure_between(ideal_spans, times.lost_ms, end_ms)
+    found = audit.check(sender.samples, spans)
+    outcome.measures += [
+        outcomes.Measure(f"{loss.name} work / ideal", work, WORK_TARGET, "at least"),
+        outcomes.Measure(
+            f"{loss.name} last start ms",
+            _find_last_start(spans, lost, times),
+            LAST_START_TARGET_MS,
+        ),
+        outcomes.Measure(
+            f"{loss.name} all upstreams work after ms",
+            _find_return(spans, lost, times),
+        ),
+        *found.list_measures(loss.name),
+        outcomes.Measure(f"{loss.name} submissions", len(sender.samples)),
+        outcomes.Measure(
+            f"{loss.name} driver lag p99 ms", driver.measure_lag(sender.samples)
+        ),
+    ]
+    outcome.notes += trials.describe_failures(sender.samples)
+
+
+async def _lose(trial: trials.Trial, loss: Loss, seconds: float) -> Times:
+    await asyncio.sleep(SETTLE_SECONDS)
+    group = trial.fleet
+    names = loss.choose(group) if loss.choose else []
+    lost_ms = timing.read_ms()
+    if not loss.choose:
+        group.cut_off(silent=True)
+    for name in names:
+        group.processes[name].popen.kill()
+    for name in names:
+        group.processes[name].popen.wait()
+    await asyncio.sleep(seconds)
+    back_ms = timing.read_ms()
+    if not loss.choose:
+        group.cut_off(silent=False)
+    for name in names:
+        group.start_again(name)
+    return Times(lost_ms, back_ms)
+
+
+def _find_last_start(spans: list[standin.Span], lost: set[str], times: Times) -> float:
+    starts = [
+        item.started_ms - times.lost_ms
+        for item in spans
+        if item.upstream in lost and times.lost_ms < item.started_ms < times.back_ms
+    ]
+    return max(starts, default=0.0)
+
+
+def _find_return(spans: list[standin.Span], lost: set[str], times: Times) -> float:
+    """Return the time in ms from the return until each upstream has work again."""
+    first = dict.fromkeys(lost, float("inf"))
+    for item in spans:
+        if item.upstream in lost and item.started_ms > times.back_ms:
+            wait_ms = item.started_ms - times.back_ms
+            first[item.upstream] = min(first[item.upstream], wait_ms)
+    return max(first.values(), default=0.0)
+
+
+def _place_regions() -> dict[str, str]:
+    return {domain: REGIONS[domain in FAR_DOMAINS] for domain in DOMAINS}
+
+
+def _choose_sidecars(numbers: tuple[int, ...]) -> Choice:
+    return lambda group: [f"sidecar-{number + 1}" for number in numbers]
+
+
+def _list_domain(group: fleet.Fleet) -> list[str]:
+    """Return the processes of the first failure domain."""
+    count = len(group.firm.domains)
+    return [
+        name
+        for name in group.link_addresses
+        if (int(name.rpartition("-")[2]) - 1) % count == 0
+    ]
+
+
+def _list_two_controllers(group: fleet.Fleet) -> list[str]:
+    return ["controller-1", "controller-2"]
--- a/benchmarks/manysidecars.py
+++ b/benchmarks/manysidecars.py
@@ -1,6 +1,6 @@
 """Process with many real sidecars that share one stand-in upstream.
 
-Run as ``python -m benchmarks.manysidecars --controllers A --count N --domain D``.
+Run as ``python -m benchmarks.manysidecars --controllers A --first N --count N ...``.
 """
 
 import argparse
@@ -18,19 +18,21 @@
     for wanted in (signal.SIGTERM, signal.SIGINT):
         running.add_signal_handler(wanted, stopping.set)
     address = ports.find_addresses()[0]
-    stand_in = standin.StandIn("upstream", arguments.domain, standin.StartRecord())
+    domains = arguments.domains.split(",")
+    stand_in = standin.StandIn("upstream", domains[0], standin.StartRecord())
     await stand_in.open(address)
-    for number in range(arguments.count):
+    for number in range(arguments.first, arguments.first + arguments.count):
         listen = ports.find_addresses()[0]
-        name = f"sidecar-{number + 1}"
+        domain = domains[number % len(domains)]
         process = options.ProcessOptions(
-            name, listen, arguments.controllers.split(","), arguments.domain
+            f"sidecar-{number + 1}", listen, arguments.controllers.split(","), domain
         )
         section = options.SidecarOptions(
             address, f"worker-{number + 1}", "rack-1", [arguments.service], slots=SLOTS
         )
         role = sidecar.Sidecar(process, options.LinkOptions(), section)
         await role.start()
+        await asyncio.sleep(0)
     await stopping.wait()
     return 0
 
@@ -39,8 +41,9 @@
     """Run the sidecars until SIGTERM, then end without a drain."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--controllers", required=True)
+    parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, required=True)
-    parser.add_argument("--domain", required=True)
+    parser.add_argument("--domains", required=True)
     parser.add_argument("--service", required=True)
     return loop.run_loop(_serve(parser.parse_args()))
 
--- /dev/null
+++ b/benchmarks/partition.py
@@ -0,0 +1,49 @@
+"""Role whose links can be cut off silently, in both directions.
+
+Run as ``python -m benchmarks.partition --foreign A,B ROLE --settings FILE``. From
+SIGUSR1 to SIGUSR2 the role loses each frame to and from addresses that start with one
+of the foreign ones, while every connection stays open.
+"""
+
+import signal
+import sys
+
+from amaranthspar import codec, links, program
+
+_foreign: tuple[str, ...] = ()
+_is_cut = False
+
+
+class CutLinks(links.Links):
+    """Links that lose what goes to or comes from foreign addresses while cut."""
+
+    def _send_frame(
+        self, peer: links._Peer, parts: list[codec.Message], numbered: bool = True
+    ) -> bool:
+        if _is_cut and peer.address.startswith(_foreign):
+            return True
+        return super()._send_frame(peer, parts, numbered)
+
+    def _accept(self, data: bytes, peer_name: str | None) -> None:
+        if _is_cut and codec.decode_frame(data).address.startswith(_foreign):
+            return
+        super()._accept(data, peer_name)
+
+
+def _switch(number: int, frame: object) -> None:
+    global _is_cut
+    _is_cut = number == signal.SIGUSR1
+
+
+def main() -> int:
+    """Run the role until it ends."""
+    global _foreign
+    _foreign = tuple(sys.argv[2].split(","))
+    for number in (signal.SIGUSR1, signal.SIGUSR2):
+        signal.signal(number, _switch)
+    links.Links = CutLinks  # type: ignore[misc]
+    return program.main(sys.argv[3:])
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/benchmarks/removal.py
+++ b/benchmarks/removal.py
@@ -67,7 +67,7 @@
     arrivals = firms.generate(firm, options.seed, seconds, LOAD)
     rows: list[tuple[int, float, int, int]] = []
     island = frozenset(["gateway-1", *list_sidecars(firm, domain)])
-    async with trials.open_trial(firm, relayed=island) as trial:
+    async with trials.open_trial(firm, cuttable=island) as trial:
         trial.operator = 1
         driving = asyncio.create_task(trial.driver.run(arrivals, "removal"))
         for number in range(1, ROUNDS + 1):
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -6,9 +6,13 @@
 import pathlib
 import tempfile
 import time
+from collections.abc import Awaitable
+
+import psutil
 
 from benchmarks import (
     control,
+    counters,
     driver,
     firms,
     fits,
@@ -20,96 +24,127 @@
     trials,
 )
 
-SIDECARS = (25, 50, 100, 200)
+SIDECARS = (200, 400, 800, 1600, 2500)
+HELD = 500
+GATEWAY_COSTS = (
+    "idle CPU %",
+    "us a request",
+    "us a task of a job",
+    "MB",
+    "file descriptors",
+    "bytes/s",
+    "failures",
+)
 SIDECAR_RATES = (13.0, 26.0, 52.0, 104.0)
 SIDECAR_GATEWAYS = (5, 10, 20, 40)
 LEASES = (250, 500, 1000, 2500)
 CHANGES = 30
 CHANGE_SECONDS = 0.25
-WATCH_SECONDS = 6.0
+WATCH_SECONDS = 5.0
 SETTLE_SECONDS = 3.0
 REQUESTS_PER_SECOND = 100.0
-MEMBERSHIP_SECONDS = 40.0
+JOBS_PER_SECOND = 5.0
+JOB_TASKS = 100
+MEMBERSHIP_SECONDS = 90.0
 SERVICE = "lookup"
 
 
-async def run(options: trials.Options) -> outcomes.Outcome:
-    """Measure each slope over four sizes.
-
-    Args:
-        options: Options of the run; the first firm gives the configuration.
-    """
-    outcome = outcomes.Outcome("slopes", options.seed, options.seconds)
-    await _measure_gateway(outcome, options)
-    await _measure_changes(outcome, options)
-    await _measure_sidecar(outcome)
-    return outcome
-
-
 def _add_fit(
     outcome: outcomes.Outcome, name: str, x: list[float], y: list[float]
 ) -> None:
     outcome.notes.append(f"- {name}: {fits.fit_line(x, y)}.")
 
 
-async def _measure_gateway(outcome: outcomes.Outcome, options: trials.Options) -> None:
-    rows: list[tuple[object, ...]] = []
-    points: list[tuple[float, ...]] = []
-    for count in SIDECARS:
-        point = await _serve_sidecars(options, count)
-        points.append(point)
-        rows.append((count, *point))
-    headers = ("sidecars", "idle CPU %", "us a request", "MB", "requests failed")
+async def run_gateway(options: trials.Options) -> outcomes.Outcome:
+    """Measure one gateway by its sidecars.
+
+    Args:
+        options: Options of the run; the first firm gives the configuration.
+    """
+    outcome = outcomes.Outcome("slopes-gateway", options.seed, options.seconds)
+    points = [await _serve_sidecars(options, count) for count in SIDECARS]
+    rows: list[tuple[object, ...]] = [
+        (count, *point) for count, point in zip(SIDECARS, points, strict=True)
+    ]
+    headers = ("sidecars", *GATEWAY_COSTS)
     outcome.tables.append(outcomes.Table("Gateway by sidecars", headers, rows))
     sizes = [float(count) for count in SIDECARS]
-    names = ("idle CPU %", "us a request", "MB")
-    for index, name in enumerate(names):
+    for index, name in enumerate(GATEWAY_COSTS):
         values = [point[index] for point in points]
-        _add_fit(outcome, f"gateway {name} by sidecars", sizes, values)
+        if all(values):
+            _add_fit(outcome, f"gateway {name} by sidecars", sizes, values)
+    return outcome
 
 
 async def _serve_sidecars(options: trials.Options, count: int) -> tuple[float, ...]:
+    firm = options.firms[0]
+    listener = counters.Counters()
+    await listener.open()
     with tempfile.TemporaryDirectory(prefix="bench-") as name:
         group = fleet.Fleet(
-            options.firms[0], pathlib.Path(name), gateways=1, controllers=1
+            firm, pathlib.Path(name), listener.address, gateways=1, controllers=1
         )
         try:
             group.start_controllers()
             words = ["-m", "benchmarks.manysidecars", "--service", SERVICE]
             words += ["--controllers", ",".join(group.controller_addresses)]
-            words += ["--count", str(count), "--domain", options.firms[0].domains[0]]
-            group.spawn("many", words, "")
+            words += ["--domains", ",".join(firm.domains)]
+            for first in range(0, count, HELD):
+                part = ["--first", str(first), "--count", str(min(HELD, count - first))]
+                group.spawn(f"many-{first}", words + part, "")
             group.start_gateway(0)
-            async with asyncio.timeout(MEMBERSHIP_SECONDS):
-                await group.wait_ready(count)
+            await group.wait_ready(count, MEMBERSHIP_SECONDS)
             await asyncio.sleep(SETTLE_SECONDS)
-            return await _watch_gateway(group, options)
+            return await _watch_gateway(group, listener)
         finally:
             group.kill()
+            listener.close()
 
 
 async def _watch_gateway(
-    group: fleet.Fleet, options: trials.Options
+    group: fleet.Fleet, listener: counters.Counters
 ) -> tuple[float, ...]:
     process = group.processes["gateway-1"]
-    before = process.read_cpu()
-    await asyncio.sleep(WATCH_SECONDS)
-    idle = (process.read_cpu() - before) / WATCH_SECONDS
-    arrivals = [
-        firms.Arrival(number, number * 1000 / REQUESTS_PER_SECOND, SERVICE, (20.0,))
-        for number in range(int(WATCH_SECONDS * REQUESTS_PER_SECOND))
-    ]
+    sent = _count_bytes(listener)
+    cpu, seconds = await _spend([process], asyncio.sleep(WATCH_SECONDS))
+    idle = cpu / seconds
+    sent = (_count_bytes(listener) - sent) / seconds
     sender = driver.Driver(group.urls, group.token)
-    before = process.read_cpu()
-    await sender.run(arrivals, "requests")
-    spent = process.read_cpu() - before - idle * WATCH_SECONDS
+    lone = _build_arrivals(REQUESTS_PER_SECOND, 1)
+    cpu, seconds = await _spend([process], sender.run(lone, "requests"))
+    request = (cpu - idle * seconds) / len(lone)
+    jobs = _build_arrivals(JOBS_PER_SECOND, JOB_TASKS)
+    cpu, seconds = await _spend([process], sender.run(jobs, "jobs"))
+    task = (cpu - idle * seconds) / len(jobs) / JOB_TASKS
     failures = trials.count_failures(sender.samples)
     await sender.close()
-    cost = spent / len(arrivals) * 1e6
-    return idle * 100, cost, process.read_memory(), float(failures)
+    files = float(psutil.Process(process.popen.pid).num_fds())
+    costs = (idle * 100, request * 1e6, task * 1e6, process.read_memory())
+    return (*costs, files, sent, float(failures))
+
+
+def _count_bytes(listener: counters.Counters) -> float:
+    sums = listener.sum_metric("links.", ("gateway",))
+    frames = sums["frames.sent"] + sums["frames.received"]
+    payload = sums["bytes.sent"] + sums["bytes.received"]
+    return payload + frames * sidecar.FRAME_OVERHEAD_BYTES
+
+
+def _build_arrivals(rate: float, tasks: int) -> list[firms.Arrival]:
+    sleeps = (20.0,) * tasks
+    return [
+        firms.Arrival(number, number * 1000 / rate, SERVICE, sleeps, tasks > 1)
+        for number in range(int(WATCH_SECONDS * rate))
+    ]
 
 
-async def _measure_changes(outcome: outcomes.Outcome, options: trials.Options) -> None:
+async def run_controllers(options: trials.Options) -> outcomes.Outcome:
+    """Measure three controllers by the leases that they renew.
+
+    Args:
+        options: Options of the run; the first firm gives the configuration.
+    """
+    outcome = outcomes.Outcome("slopes-controllers", options.seed, options.seconds)
     rows: list[tuple[object, ...]] = []
     renewals: list[float] = []
     changes: list[float] = []
@@ -138,11 +173,14 @@
     sizes = [float(count) for count in LEASES]
     _add_fit(outcome, "one controller CPU us/s by leases", sizes, renewals)
     _add_fit(outcome, "all controllers CPU ms a change by leases", sizes, changes)
+    return outcome
 
 
-async def _spend(group: list[fleet.Process], work: object) -> tuple[float, float]:
+async def _spend(
+    group: list[fleet.Process], work: Awaitable[None]
+) -> tuple[float, float]:
     before, started = gateway.read_cpu(group), time.monotonic()
-    await work  # type: ignore[misc]
+    await work
     return gateway.read_cpu(group) - before, time.monotonic() - started
 
 
@@ -155,7 +193,13 @@
         await asyncio.sleep(CHANGE_SECONDS)
 
 
-async def _measure_sidecar(outcome: outcomes.Outcome) -> None:
+async def run_sidecar(options: trials.Options) -> outcomes.Outcome:
+    """Measure one sidecar by its gateways and its tasks.
+
+    Args:
+        options: Options of the run; only the seed and the length are told.
+    """
+    outcome = outcomes.Outcome("slopes-sidecar", options.seed, options.seconds)
     rows: list[tuple[object, ...]] = []
     idle: list[float] = []
     bytes_idle: list[float] = []
@@ -182,3 +226,4 @@
     _add_fit(outcome, "sidecar idle bytes/s by gateways", sizes, bytes_idle)
     _add_fit(outcome, "sidecar MB by gateways", sizes, memory)
     _add_fit(outcome, "sidecar CPU % by tasks/s", list(SIDECAR_RATES), loaded)
+    return outcome
