--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -8,6 +8,7 @@
 import subprocess
 
 import attrs
+import pytest
 
 from amaranthspar import client, cluster, ports, standin
 from tests import builders_shell
@@ -16,6 +17,25 @@
 CALLERS = 24
 SLEEP_MS = 150
 DRAIN_MS = 1500
+STOPPED_TWICE = """
+import asyncio, os, signal
+from amaranthspar import loop, stopping
+
+async def serve():
+    stop = stopping.watch_signals()
+    os.kill(os.getpid(), signal.{first})
+    await asyncio.wait_for(stop.wait(), 10)
+    os.kill(os.getpid(), signal.SIGTERM)
+
+class EndOfInterpreter:
+    def __del__(self, kill=os.kill, pid=os.getpid(), number=signal.SIGTERM):
+        kill(pid, number)
+
+end = EndOfInterpreter()
+loop.run_loop(serve())
+os.kill(os.getpid(), signal.SIGINT)
+os.kill(os.getpid(), signal.SIGTERM)
+"""
 
 
 @attrs.define
@@ -150,6 +170,14 @@
     return load
 
 
+@pytest.mark.parametrize("first", ["SIGTERM", "SIGINT"])
+def test_a_signal_while_the_stopped_process_exits_changes_nothing(first: str) -> None:
+    program = ("-c", STOPPED_TWICE.format(first=first))
+    process = builders_shell.start_program(program=program)
+    code = process.wait(builders_shell.START_S)
+    assert code == 0, builders_shell.read_output(process)
+
+
 def test_planned_stops_cut_off_no_answer(tmp_path: pathlib.Path) -> None:
     office = Office(tmp_path)
     try:
