Stop a leading controller only after it has heard the new leader

A stopping leader ended 10 ms after it had stepped down, which it does on the candidate's request for its vote: where the third replica is lost, its vote is needed, and a synced vote may take longer. The others then waited for an election timeout, or had no leader at all. Ruled out: the handover itself (the target had term 2).

Change: it waits, within the same second, until it has heard the new leader.

Two tests that gave different verdicts on a busy machine are mended as strictly: test_restart_after_hundreds_of_changes took a lost leadership (150 ms election timeout, three replicas on one loop) as a refusal; the test client now sends the same change id again on `unavailable`, as control.Control does, and each change must still be accepted once with its exact version. test_one_file_serves read the descriptors of a process that closed one meanwhile (FileNotFoundError).

--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -30,6 +30,7 @@
 
 FOLDER_BITS = 62
 HAND_OVER_MS = 1_000
+HAND_OVER_POLL_MS = 10
 EXPIRE_INTERVAL_MS = 500
 SNAPSHOT_ENTRIES = 2_000
 SNAPSHOT_MIN_BYTES = 4 * 1024 * 1024
@@ -144,16 +145,18 @@
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
 
     async def stop(self) -> None:
-        """Hand leadership over if this replica has it, then stop."""
+        """Hand leadership over if this replica has it, then stop.
+
+        It stops only once it has heard the new leader, which may need its vote.
+        """
         if self.stopped.is_set():
             return
         if self.leading:
             self._step(transitions.HandOver())
-            for _ in range(HAND_OVER_MS // 10):
-                if not self.leading:
+            for _ in range(HAND_OVER_MS // HAND_OVER_POLL_MS):
+                if self._machine.leader not in ("", self._machine.replica):
                     break
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(0.01)
+                await asyncio.sleep(HAND_OVER_POLL_MS / 1000)
         self.abort()
 
     def abort(self) -> None:
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -1,12 +1,14 @@
 """Builders of controllers in one process, and a client that asks them."""
 
 import asyncio
+import itertools
 import pathlib
 
 from amaranthspar import clock, codec, controller, links, messages, options, ports
 
 TEXT = "[service lookup]\nidempotent = yes\n\n[domain gyor]\n\n[domain pecs]\n"
 WAIT_S = 10
+UNAVAILABLE_PAUSE_S = 0.05
 
 
 def find_address() -> str:
@@ -53,13 +55,24 @@
         self.links.send(address, message)
 
     async def ask(self, addresses, message, kind, wait_s=0.5):
-        """Return the first answer of a kind; asks the next address on silence."""
-        for attempt in range(int(WAIT_S / wait_s)):
-            self.send(addresses[attempt % len(addresses)], message)
+        """Return the first decided answer of a kind.
+
+        Asks the next address on silence, and again while there is no leader, as
+        ``control.Control`` does.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_S
+        for target in itertools.cycle(addresses):
+            if loop.time() >= until:
+                break
+            self.send(target, message)
             answer = await self.wait(kind, wait_s)
-            if answer is not None:
+            if answer is None:
+                continue
+            if getattr(answer, "outcome", "") != "unavailable":
                 return answer
-        raise AssertionError(f"no {kind.__name__} within {WAIT_S} s")
+            await asyncio.sleep(UNAVAILABLE_PAUSE_S)
+        raise AssertionError(f"no {kind} within {WAIT_S} s")
 
     async def wait(self, kind, wait_s=WAIT_S):
         loop = asyncio.get_running_loop()
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -1,5 +1,6 @@
 """Tests of the one file that holds the program."""
 
+import contextlib
 import os
 import pathlib
 
@@ -9,6 +10,16 @@
 from tools import bundle
 
 
+def list_files(pid: int) -> list[str]:
+    """Return what a process has open, but for what it closes meanwhile."""
+    folder = f"/proc/{pid}/fd"
+    files = []
+    for name in os.listdir(folder):
+        with contextlib.suppress(FileNotFoundError):
+            files.append(os.readlink(f"{folder}/{name}"))
+    return files
+
+
 def test_one_file_serves_without_children_or_io_uring(tmp_path: pathlib.Path) -> None:
     target = tmp_path / "dist" / "amaranthspar"
     bundle.build_file(target)
@@ -23,8 +34,7 @@
         assert answer.decode()["echo"] == 1
         process = psutil.Process(served.process.pid)
         assert process.children(recursive=True) == []
-        folder = f"/proc/{process.pid}/fd"
-        files = [os.readlink(f"{folder}/{name}") for name in os.listdir(folder)]
+        files = list_files(process.pid)
         assert len(files) > 10
         assert not [name for name in files if "io_uring" in name]
         maps = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,6 +1,7 @@
 """Controllers over real links and disks in one process."""
 
 import asyncio
+import time
 
 import pytest
 import uvloop
@@ -8,6 +9,8 @@
 from amaranthspar import controller, disk, errors, messages, recovery
 from tests import builders_control
 
+SLOW_WRITE_S = 0.03
+
 
 def run(scenario, tmp_path, **changes):
     """Run a scenario with three controllers and a client."""
@@ -78,9 +81,14 @@
 def test_racing_operators_get_one_winner_and_one_conflict(tmp_path):
     async def scenario(cluster, client):
         one, other = build_proposal("c1"), build_proposal("c2")
-        client.send(cluster.targets[0], one)
-        client.send(cluster.targets[1], other)
-        answers = [await client.wait(messages.ConfigurationDecided) for _ in range(2)]
+        answers = {}
+        while len(answers) < 2:
+            for target, proposal in zip(cluster.targets, (one, other), strict=False):
+                client.send(target, proposal)
+            answer = await client.wait(messages.ConfigurationDecided)
+            if answer.outcome != "unavailable":
+                answers.setdefault(answer.change_id, answer)
+        answers = list(answers.values())
         assert sorted(item.outcome for item in answers) == ["accepted", "conflict"]
         assert {item.version for item in answers} == {2}
 
@@ -98,8 +106,6 @@
         await cluster.find_leader()
         targets = [cluster.addresses[name] for name in cluster.running]
         again = await client.ask(targets, proposal, kind)
-        while again.outcome == "unavailable":
-            again = await client.ask(targets, proposal, kind)
         assert again == first
         fetch = messages.FetchConfiguration(7, 0)
         fetched = await client.ask(targets, fetch, messages.ConfigurationFetched)
@@ -173,6 +179,24 @@
     run(scenario, tmp_path)
 
 
+def test_planned_stop_waits_until_its_vote_has_made_a_leader(tmp_path, monkeypatch):
+    async def scenario(cluster, client):
+        leader = await cluster.find_leader()
+        lost, kept = [name for name in cluster.running if name != leader]
+        cluster.kill(lost)
+        monkeypatch.setattr(disk.Folder, "write", write_slowly)
+        await cluster.running.pop(leader).stop()
+        assert cluster.running[kept].leading
+
+    original = disk.Folder.write
+
+    def write_slowly(folder, changes):
+        time.sleep(SLOW_WRITE_S)
+        original(folder, changes)
+
+    run(scenario, tmp_path)
+
+
 def test_state_survives_a_restart_of_all(tmp_path):
     async def scenario(cluster, client):
         kind = messages.ConfigurationDecided
