Scan no list of all sidecars at each tick and submission

Cause: a tick of 50 ms looked at every sidecar twice, admission read every announcement for each submission, and a gateway with more work than sidecars added up all tasks at every event. Change: turns divide the sidecars over at most 8 ticks, admission asks the index of capacity, an appeal looks at most each 20 ms.

Let a link to an absent peer rest

Cause: a socket that dials in vain keeps nng's timer threads busy. Change: a link that is unheard and not connected is closed until something is to be sent or heard.

--- a/amaranthspar/admission.py
+++ b/amaranthspar/admission.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from amaranthspar import backlog, entries, leaseholder, routing, submissions
+from amaranthspar import backlog, capacity, entries, leaseholder, routing, submissions
 
 UNAVAILABLE_RETRY_MS = 1000
 LEAST_RETRY_MS = 500
@@ -27,6 +27,7 @@
         holder: Lease of this gateway.
         waiting: Tasks that wait.
         routes: Sidecars by process name.
+        index: The same sidecars by what they offer.
     """
 
     def __init__(
@@ -34,10 +35,12 @@
         holder: leaseholder.LeaseHolder,
         waiting: backlog.Backlog,
         routes: Mapping[str, routing.Route],
+        index: capacity.Capacity,
     ) -> None:
         self._holder = holder
         self._backlog = waiting
         self._routes = routes
+        self._capacity = index
         self._slots = 0
 
     def measure_slots(self) -> None:
@@ -81,11 +84,11 @@
 
     def _judge_feasibility(self, submission: submissions.Submission) -> _Refusal | None:
         known = self._holder.view
-        announcements = [item.announcement for item in self._routes.values()]
         for asked in set(routing.list_needs(submission, known)):
             needs = routing.resolve_home(asked, known)
-            if any(routing.is_feasible(needs, item) for item in announcements):
+            if self._capacity.find_pool(needs):
                 continue
+            announcements = (item.announcement for item in self._routes.values())
             if any(routing.is_served(needs, item) for item in announcements):
                 detail = "can never run: no upstream has what it needs"
                 return _Refusal(submissions.Failure.INFEASIBLE, detail)
--- a/amaranthspar/capacity.py
+++ b/amaranthspar/capacity.py
@@ -131,7 +131,9 @@
                 for shape, example in self._examples.items()
                 if routing.is_feasible(needs, example)
             )
-            self._pools[needs] = pool
+            # What no upstream has is refused, and its variety is without bound.
+            if pool:
+                self._pools[needs] = pool
         return pool
 
     def update(self, route: routing.Route) -> None:
--- a/amaranthspar/demand.py
+++ b/amaranthspar/demand.py
@@ -37,9 +37,9 @@
             return []
         if self._backlog.measure_oldest_wait(now_ms) < APPEAL_WAIT_MS:
             return []
+        self._appealed_ms = now_ms
         if sum(len(route.in_flight) for route in routes) >= len(routes):
             return []
-        self._appealed_ms = now_ms
         result = []
         for _ in range(min(APPEAL_SIDECARS, len(routes))):
             self._turn = (self._turn + 1) % len(routes)
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -22,6 +22,7 @@
     retries,
     routing,
     submissions,
+    turns,
 )
 
 REASONS = {
@@ -80,7 +81,9 @@
         self._capacity = capacity.Capacity(near_domain)
         self._backlog = backlog.Backlog(holder)
         self._estimates = estimates.Estimates()
-        self._admission = admission.Admission(holder, self._backlog, self.routes)
+        self._admission = admission.Admission(
+            holder, self._backlog, self.routes, self._capacity
+        )
         self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder, self.counts)
@@ -90,6 +93,7 @@
         self._health = health.Health(self.routes)
         self._retries = retries.RetryBudget(holder)
         self._deadlines: list[tuple[int, str]] = []
+        self._turns = turns.Turns(self.routes)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -125,8 +129,9 @@
                 result += self._abandon(name, submissions.Failure.OVERDUE)
         for route in self._health.tick(now_ms):
             self._capacity.update(route)
-        self._admission.measure_slots()
-        for route in self.routes.values():
+        if self._turns.is_round_over:
+            self._admission.measure_slots()
+        for route in self._turns.take():
             result += self._keep_in_touch(route, now_ms)
         result += self._pools.inquire(now_ms)
         return result + self._pump(now_ms)
--- a/amaranthspar/heartbeats.py
+++ b/amaranthspar/heartbeats.py
@@ -56,6 +56,14 @@
         """
         self.used_ms = now_ms
 
+    def note_dial(self, now_ms: int) -> None:
+        """Note that a link that rested is dialled again.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        self._waiting_ms = now_ms
+
     def take_number(self, now_ms: int) -> int:
         """Return the number of the next frame, which tells what was heard.
 
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -2,7 +2,8 @@
 
 Each process listens with one pull socket and dials one push socket for each
 peer. A link whose peer has not been heard for three heartbeat intervals is
-closed and dialled anew.
+closed and dialled anew, but only when there is something to send if the peer could
+not even be connected: a socket that dials in vain costs more than one in use.
 """
 
 import asyncio
@@ -55,10 +56,10 @@
 
 @attrs.define(slots=True)
 class _Peer:
-    """Link to one peer and what waits to be sent on it."""
+    """Link to one peer and what waits to be sent on it; without socket it rests."""
 
     address: str
-    socket: pynng.Push0
+    socket: pynng.Push0 | None
     health: heartbeats.Heartbeats
     queue: collections.deque[msgspec.Raw] = attrs.field(factory=collections.deque)
     queue_bytes: int = 0
@@ -165,7 +166,7 @@
             address: Address at which the peer listens.
         """
         peer = self._peers.pop(address, None)
-        if peer is not None:
+        if peer is not None and peer.socket is not None:
             peer.socket.close()
 
     def _count_sent(self, address: str, kind: str) -> None:
@@ -174,7 +175,7 @@
 
     def _find_peer(self, address: str) -> _Peer | None:
         peer = self._peers.get(address)
-        if peer is not None:
+        if peer is not None and peer.socket is not None:
             return peer
         try:
             socket = self._dial(address)
@@ -182,6 +183,10 @@
             self.counts["links.addresses.invalid"] += 1
             return None
         now_ms = self._clock.read_monotonic()
+        if peer is not None:
+            peer.socket = socket
+            peer.health.note_dial(now_ms)
+            return peer
         health = heartbeats.Heartbeats(self._heartbeat_ms, now_ms)
         peer = self._peers[address] = _Peer(address, socket, health)
         return peer
@@ -212,6 +217,8 @@
         self, peer: _Peer, parts: list[codec.Message], numbered: bool = True
     ) -> bool:
         """Send one frame, and return whether the socket took or refused it."""
+        if peer.socket is None:
+            return True
         health = peer.health
         number = health.number + 1 if numbered else 0
         frame = codec.Frame(
@@ -292,19 +299,28 @@
             case heartbeats.Action.PROBE:
                 self._count_sent(peer.address, "Heartbeat")
                 self._send_frame(peer, [])
-            case heartbeats.Action.REDIAL:
-                self.counts["links.redialled"] += 1
-                peer.socket.close()
-                peer.socket = self._dial(peer.address)
-                told = messages.LinkRedialled(peer.health.number)
-                self._count_sent(peer.address, "LinkRedialled")
-                self._send_frame(peer, [told])
+            case heartbeats.Action.REDIAL if peer.socket is not None:
+                self._redial(peer, peer.socket)
             case heartbeats.Action.CLOSE:
                 self.counts["links.closed"] += 1
                 self.forget(peer.address)
-            case heartbeats.Action.NONE:
+            case _:
                 pass
 
+    def _redial(self, peer: _Peer, socket: pynng.Push0) -> None:
+        """Replace a silent connection; a link without one rests until it is used."""
+        is_connected = bool(socket.pipes)
+        socket.close()
+        if not is_connected:
+            self.counts["links.rested"] += 1
+            peer.socket = None
+            return
+        self.counts["links.redialled"] += 1
+        peer.socket = self._dial(peer.address)
+        told = messages.LinkRedialled(peer.health.number)
+        self._count_sent(peer.address, "LinkRedialled")
+        self._send_frame(peer, [told])
+
 
 def _take_parts(peer: _Peer) -> list[msgspec.Raw]:
     """Take messages off the queue that fit into one frame."""
--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -41,6 +41,13 @@
                 await self._arrived.wait()
 
 
+async def wait_count(peer: Peer, name: str, least: int) -> None:
+    """Wait until a counter of a peer's links has reached a number."""
+    async with asyncio.timeout(WAIT_S):
+        while peer.links.counts[name] < least:
+            await asyncio.sleep(0.01)
+
+
 class Relay:
     """Forwards connections, and can fall silent on those that are open."""
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from amaranthspar import admission, backlog, quotas, retries, routing, submissions
+from amaranthspar import (
+    admission,
+    backlog,
+    capacity,
+    quotas,
+    retries,
+    routing,
+    submissions,
+)
 from tests import builders_gateway
 
 POOL = frozenset()
@@ -13,7 +21,9 @@
     holder = builders_gateway.build_holder(builders_gateway.build_sidecar(), **team)
     waiting = backlog.Backlog(holder)
     routes = {"s1": builders_gateway.build_route(limit=4)}
-    return holder, waiting, admission.Admission(holder, waiting, routes)
+    index = capacity.Capacity("gyor")
+    index.rebuild(routes.values(), routes.values())
+    return holder, waiting, admission.Admission(holder, waiting, routes, index)
 
 
 def queue(waiting, submission, cost_ms=100.0):
@@ -41,7 +51,7 @@
 
 def test_service_without_upstream_is_unavailable_for_now():
     holder, waiting, _ = build()
-    judge = admission.Admission(holder, waiting, {})
+    judge = admission.Admission(holder, waiting, {}, capacity.Capacity("gyor"))
     answer = judge.judge(builders_gateway.build_submission(), 1)
     assert answer.failure is Failure.UNAVAILABLE
     assert answer.retry_after_ms
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -36,9 +36,7 @@
             await there.wait_for(1)
             relay.silence()
             here.send(relay.address, 2)
-            async with asyncio.timeout(builders_links.WAIT_S):
-                while here.links.counts["links.redialled"] == 0:
-                    await asyncio.sleep(0.01)
+            await builders_links.wait_count(here, "links.redialled", 1)
             here.send(relay.address, 3)
             await there.wait_for(3)
             assert 2 not in there.received
@@ -47,6 +45,29 @@
     asyncio.run(run())
 
 
+def test_link_to_an_absent_peer_rests_until_it_is_used_or_heard():
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here):
+            for number in (1, 2):
+                here.send(there.address, number)
+                await builders_links.wait_count(here, "links.rested", number)
+            assert here.links.counts["links.redialled"] == 0
+            async with open_links(there):
+                here.send(there.address, 3)
+                await there.wait_for(3)
+            here.send(there.address, 4)
+            await builders_links.wait_count(here, "links.rested", 3)
+            again = builders_links.Peer("there", address=there.address)
+            again.links.incarnation = 2
+            async with open_links(again):
+                again.send(here.address, 5)
+                await here.wait_for(5)
+                await builders_links.wait_count(again, "links.frames.received", 1)
+
+    asyncio.run(run())
+
+
 def test_busy_link_needs_no_probes():
     async def run() -> None:
         here, there = builders_links.Peer("here"), builders_links.Peer("there")
@@ -262,6 +283,16 @@
     assert health.tick(unused_ms) is not heartbeats.Action.CLOSE
 
 
+def test_link_that_rested_has_the_full_patience_again():
+    health = build_health()
+    health.take_number(0)
+    later_ms = 50 * INTERVAL_MS
+    health.note_dial(later_ms)
+    health.take_number(later_ms)
+    assert health.tick(later_ms + INTERVAL_MS) is heartbeats.Action.NONE
+    assert health.tick(later_ms + 3 * INTERVAL_MS) is heartbeats.Action.REDIAL
+
+
 def test_redial_of_the_peer_has_the_link_probed_with_less_patience():
     health = build_health()
     assert health.note_redial() is heartbeats.Action.NONE
