Lose the leading controller in the losses' benchmark, and tell operators of losses

failover.py did the same as losses.py for one process. Refusals that were sent again are counted, and none is allowed when only the leader is lost. Many sidecars listen at a loopback address for each process: their searches for free ports met.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -35,7 +35,7 @@
     "waste": Experiment("waste", BOTH),
     "domain": Experiment("domain", BOTH),
     "removal": Experiment("removal"),
-    "failover": Experiment("failover"),
+    "losses-leader": Experiment("losses", function="run_leader"),
     "losses": Experiment("losses"),
     "losses-regions": Experiment("losses", function="run_regions"),
     "leases-removal": Experiment("control", function="run_removal"),
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -70,6 +70,7 @@
         self.started_ms = 0.0
         self.samples: list[Sample] = []
         self.resend = Resend(0, 0.0)
+        self.refusals = 0
         self._calls: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -140,6 +141,7 @@
                 if reply.status != 503 or not self.resend.refused:
                     return reply
                 unsent = reply.outcome == "not-run"
+                self.refusals += unsent
             except client.ClientError as error:
                 reply = client.Reply(0, "unknown", str(error).encode())
                 # As the balancer would, for what was never sent.
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import Callable
 
 import attrs
@@ -33,6 +34,8 @@
         domains: Failure domains that may start nothing until they are back.
         choose: Names of the processes that are killed; none cuts the regions.
         upstreams: Numbers of the upstreams lost, where not those of the domains.
+        signal: Signal that the chosen processes get.
+        refusals: Refusals allowed; none where the figure is only told.
     """
 
     name: str
@@ -40,6 +43,8 @@
     domains: tuple[str, ...] = ()
     choose: Choice | None = None
     upstreams: tuple[int, ...] = ()
+    signal: signal.Signals = signal.SIGKILL
+    refusals: int | None = None
 
     def list_upstreams(self, firm: firms.Firm) -> set[str]:
         """Return the names of the upstreams that may start nothing."""
@@ -75,6 +80,19 @@
     return await _run_losses(options, firm, losses)
 
 
+async def run_leader(options: trials.Options) -> outcomes.Outcome:
+    """Kill the leading controller, and stop it without a sound.
+
+    Args:
+        options: Options of the run; its length is that of each loss.
+    """
+    losses = [
+        Loss("leader killed", 3, choose=_list_leader, refusals=0),
+        Loss("leader silent", 3, (), _list_leader, (), signal.SIGSTOP, 0),
+    ]
+    return await _run_losses(options, options.firms[0], losses)
+
+
 async def run_regions(options: trials.Options) -> outcomes.Outcome:
     """Cut two regions off from each other; the fifth domain stays with the first.
 
@@ -139,6 +157,9 @@
             _find_return(spans, lost, times),
         ),
         *found.list_measures(loss.name),
+        outcomes.Measure(
+            f"{loss.name} refused and sent again", sender.refusals, loss.refusals
+        ),
         outcomes.Measure(f"{loss.name} submissions", len(sender.samples)),
         outcomes.Measure(
             f"{loss.name} driver lag p99 ms", driver.measure_lag(sender.samples)
@@ -155,15 +176,15 @@
     if not loss.choose:
         group.cut_off(silent=True)
     for name in names:
-        group.processes[name].popen.kill()
-    for name in names:
-        group.processes[name].popen.wait()
+        group.processes[name].send_signal(loss.signal)
     await asyncio.sleep(seconds)
     back_ms = timing.read_ms()
     if not loss.choose:
         group.cut_off(silent=False)
     for name in names:
-        group.start_again(name)
+        group.processes[name].send_signal(signal.SIGCONT)
+        if group.processes[name].popen.poll() is not None:
+            group.start_again(name)
     return Times(lost_ms, back_ms)
 
 
@@ -204,5 +225,12 @@
     ]
 
 
+def _list_leader(group: fleet.Fleet) -> list[str]:
+    leader = group.find_leader()
+    if leader is None:
+        raise fleet.FleetError("no leader in the logs")
+    return [leader.name]
+
+
 def _list_two_controllers(group: fleet.Fleet) -> list[str]:
     return ["controller-1", "controller-2"]
--- a/benchmarks/manysidecars.py
+++ b/benchmarks/manysidecars.py
@@ -22,7 +22,7 @@
     stand_in = standin.StandIn("upstream", domains[0], standin.StartRecord())
     await stand_in.open(address)
     for number in range(arguments.first, arguments.first + arguments.count):
-        listen = ports.find_addresses()[0]
+        listen = ports.find_addresses()[0].replace(ports.HOST, arguments.host)
         domain = domains[number % len(domains)]
         process = options.ProcessOptions(
             f"sidecar-{number + 1}", listen, arguments.controllers.split(","), domain
@@ -41,6 +41,7 @@
     """Run the sidecars until SIGTERM, then end without a drain."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--controllers", required=True)
+    parser.add_argument("--host", default=ports.HOST, help="loopback address")
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, required=True)
     parser.add_argument("--domains", required=True)
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -91,6 +91,8 @@
             words += ["--domains", ",".join(firm.domains)]
             for first in range(0, count, HELD):
                 part = ["--first", str(first), "--count", str(min(HELD, count - first))]
+                # Processes search for free ports at the same time.
+                part += ["--host", f"127.0.1.{first // HELD + 1}"]
                 group.spawn(f"many-{first}", words + part, "")
             group.start_gateway(0)
             await group.wait_ready(count, MEMBERSHIP_SECONDS)
