--- a/amaranthspar/consensus.py
+++ b/amaranthspar/consensus.py
@@ -70,6 +70,8 @@
         Returns:
             Effects to carry out in order.
         """
+        if self.journal.is_synced:
+            self.follower.disk_moved_ms = now_ms
         match event:
             case transitions.Tick():
                 self._tick(now_ms)
@@ -294,10 +296,28 @@
                 self._commit(min(message.commit_index, matched))
             self.follower.note_statement(message)
             self.follower.confirm_view(self.commit_index)
+        if matched is not None and self._is_disk_slow(now_ms):
+            self._answer_early(address, message, matched, now_ms)
         hint = following.find_hint(self.journal.log, self.commit_index, message)
         answer = self.follower.build_answer(message, self.term, matched, hint, now_ms)
         self.journal.answer(address, answer)
 
+    def _is_disk_slow(self, now_ms: int) -> bool:
+        return now_ms - self.follower.disk_moved_ms >= self._settings.heartbeat_ms
+
+    def _answer_early(
+        self, address: str, message: messages.AppendEntries, matched: int, now_ms: int
+    ) -> None:
+        """Confirm the leader before a slow write ends, with what is on disk.
+
+        A snapshot takes longer to write than an election timeout may be.
+        """
+        if not self.journal.is_vote_synced:
+            return
+        durable = min(matched, self.journal.durable_index)
+        answer = self.follower.build_answer(message, self.term, durable, 0, now_ms)
+        self.journal.emit(effects.Send(address, answer))
+
     def _take_chunk(
         self, address: str, message: messages.InstallSnapshot, now_ms: int
     ) -> None:
@@ -324,6 +344,7 @@
 
     def _note_persisted(self, number: int, now_ms: int) -> None:
         self.journal.note_persisted(number)
+        self.follower.disk_moved_ms = now_ms
         if self.role == "candidate" and number >= self._vote_number:
             self._count_vote(self.replica, self.folder, now_ms)
         self._advance_commit(now_ms)
--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -29,7 +29,7 @@
 )
 
 FOLDER_BITS = 62
-HAND_OVER_MS = 1_000
+HAND_OVER_MS = 2_000
 HAND_OVER_POLL_MS = 10
 EXPIRE_INTERVAL_MS = 500
 SNAPSHOT_ENTRIES = 2_000
@@ -147,18 +147,24 @@
     async def stop(self) -> None:
         """Hand leadership over if this replica has it, then stop.
 
-        It stops only once it has heard the new leader, which may need its vote.
+        It stops only once it has heard the new leader, which may need its vote, and
+        tries the next replica where the first does not take leadership.
         """
         if self.stopped.is_set():
             return
         if self.leading:
-            self._step(transitions.HandOver())
-            for _ in range(HAND_OVER_MS // HAND_OVER_POLL_MS):
-                if self._machine.leader not in ("", self._machine.replica):
-                    break
-                await asyncio.sleep(HAND_OVER_POLL_MS / 1000)
+            await self._hand_over()
         self.abort()
 
+    async def _hand_over(self) -> None:
+        for _ in range(HAND_OVER_MS // HAND_OVER_POLL_MS):
+            if self._machine.accepts_proposals:
+                self._step(transitions.HandOver())
+            has_no_target = self._machine.accepts_proposals
+            if has_no_target or self._machine.leader not in ("", self._machine.replica):
+                return
+            await asyncio.sleep(HAND_OVER_POLL_MS / 1000)
+
     def abort(self) -> None:
         """Stop at once, as after a failure."""
         if self.stopped.is_set():
--- a/amaranthspar/following.py
+++ b/amaranthspar/following.py
@@ -33,11 +33,15 @@
         replica: Replica id.
         folder: Random number of its data folder.
         chance: Source of the first round, so that no two runs share rounds.
+
+    Attributes:
+        disk_moved_ms: Time at which a write last ended or none was under way in ms.
     """
 
     def __init__(self, replica: str, folder: int, chance: random.Random) -> None:
         self.leader_address = ""
         self.view_ms = -1
+        self.disk_moved_ms = 0
         self.seen: set[str] = set()
         self._replica = replica
         self._folder = folder
--- a/amaranthspar/journal.py
+++ b/amaranthspar/journal.py
@@ -66,6 +66,7 @@
         self.durable_index = self.log.last_index
         self.issued = 0
         self.done = 0
+        self._vote_issued = 0
         self._writes: list[_Write] = []
         self._held: list[tuple[int, effects.Send]] = []
         self._step = _Step()
@@ -85,6 +86,16 @@
         """Whether the log holds any entry."""
         return self.log.last_index > 0
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether all writes asked for are on disk."""
+        return self.done >= self.issued
+
+    @property
+    def is_vote_synced(self) -> bool:
+        """Whether the current term and vote are on disk."""
+        return not self._step.state_changed and self.done >= self._vote_issued
+
     def find_members(self, index: int) -> messages.ChangeReplicas:
         """Return the set of replicas as of an index.
 
@@ -211,7 +222,7 @@
         if step.changed:
             result.append(self._write(step))
         result += step.emitted
-        if self.done < self.issued:
+        if not self.is_synced:
             self._held += [(self.issued, send) for send in step.gated]
         else:
             result += step.gated
@@ -219,6 +230,8 @@
 
     def _write(self, step: _Step) -> transitions.Effect:
         self.issued += 1
+        if step.state_changed:
+            self._vote_issued = self.issued
         self._writes.append(_Write(self.issued, self.log.last_index))
         state = messages.ReplicaState(self.term, self.vote)
         if step.saved is None:
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -67,7 +67,7 @@
                 break
             self.send(target, message)
             answer = await self.wait(kind, wait_s)
-            if answer is None:
+            if answer is None or not _belongs(answer, message):
                 continue
             if getattr(answer, "outcome", "") != "unavailable":
                 return answer
@@ -93,6 +93,12 @@
         return messages.RenewLease(member, now_ms, version, revision)
 
 
+def _belongs(answer: codec.Message, message: codec.Message) -> bool:
+    """Whether an answer is to this change, and not to an earlier one sent again."""
+    change = getattr(message, "change_id", "")
+    return getattr(answer, "change_id", change) == change
+
+
 class Cluster:
     """Controllers of one process."""
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -6,10 +6,11 @@
 import pytest
 import uvloop
 
-from amaranthspar import controller, disk, errors, messages, recovery
+from amaranthspar import controller, disk, errors, messages, recovery, transitions
 from tests import builders_control
 
 SLOW_WRITE_S = 0.03
+SLOW_SNAPSHOT_S = 0.8
 
 
 def run(scenario, tmp_path, **changes):
@@ -309,6 +310,34 @@
     run(scenario, tmp_path)
 
 
+def test_leader_stays_while_snapshots_are_written_slowly(tmp_path, monkeypatch):
+    monkeypatch.setattr(controller, "SNAPSHOT_ENTRIES", 5)
+
+    async def scenario(cluster, client):
+        leader = await cluster.find_leader()
+        term = cluster.running[leader].machine.term
+        for version in range(1, 12):
+            text = f"{builders_control.TEXT}\n[team t]\nweight = {version}\n"
+            proposal = build_proposal(f"c{version}", version, text)
+            kind = messages.ConfigurationDecided
+            decided = await client.ask(cluster.targets, proposal, kind)
+            assert decided.outcome == "accepted"
+        snapshots = [item.machine.journal.snapshot for item in cluster.running.values()]
+        assert all(snapshot is not None for snapshot in snapshots)
+        assert await cluster.find_leader() == leader
+        assert cluster.running[leader].machine.term == term
+
+    original = disk.Folder.write
+
+    def write_slowly(folder, changes):
+        if any(isinstance(item, transitions.SaveSnapshot) for item in changes):
+            time.sleep(SLOW_SNAPSHOT_S)
+        original(folder, changes)
+
+    monkeypatch.setattr(disk.Folder, "write", write_slowly)
+    run(scenario, tmp_path)
+
+
 def test_restart_after_hundreds_of_changes_reads_snapshot_and_tail(
     tmp_path, monkeypatch
 ):
