--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -33,6 +33,7 @@
     "MB",
     "file descriptors",
     "bytes/s",
+    "CPU % while up to 500 are lost",
     "failures",
 )
 SIDECAR_RATES = (13.0, 26.0, 52.0, 104.0)
@@ -41,6 +42,7 @@
 CHANGES = 30
 CHANGE_SECONDS = 0.25
 WATCH_SECONDS = 5.0
+LOST_SECONDS = 10.0
 SETTLE_SECONDS = 3.0
 REQUESTS_PER_SECOND = 100.0
 JOBS_PER_SECOND = 5.0
@@ -122,7 +124,9 @@
     await sender.close()
     files = float(psutil.Process(process.popen.pid).num_fds())
     costs = (idle * 100, request * 1e6, task * 1e6, process.read_memory())
-    return (*costs, files, sent, float(failures))
+    group.processes["many-0"].popen.kill()
+    cpu, seconds = await _spend([process], asyncio.sleep(LOST_SECONDS))
+    return (*costs, files, sent, cpu / seconds * 100, float(failures))
 
 
 def _count_bytes(listener: counters.Counters) -> float:
