Rest an idle link as soon as its peer is gone

Cause: a link without traffic sent its next frame within 10 s, and only 1.5 s after that it was judged. Until then its socket dialled in vain. Change: a link that is not connected, and has not been dialled for three intervals, rests at the next beat.

--- a/amaranthspar/heartbeats.py
+++ b/amaranthspar/heartbeats.py
@@ -57,13 +57,21 @@
         self.used_ms = now_ms
 
     def note_dial(self, now_ms: int) -> None:
-        """Note that a link that rested is dialled again.
+        """Note that a link is dialled, for the first time or after a rest.
 
         Args:
             now_ms: Monotonic time in ms.
         """
         self._waiting_ms = now_ms
 
+    def may_rest(self, now_ms: int) -> bool:
+        """Return whether a link that is not connected may stop dialling.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        return now_ms - self._waiting_ms >= SILENT_INTERVALS * self.interval_ms
+
     def take_number(self, now_ms: int) -> int:
         """Return the number of the next frame, which tells what was heard.
 
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -183,12 +183,11 @@
             self.counts["links.addresses.invalid"] += 1
             return None
         now_ms = self._clock.read_monotonic()
-        if peer is not None:
-            peer.socket = socket
-            peer.health.note_dial(now_ms)
-            return peer
-        health = heartbeats.Heartbeats(self._heartbeat_ms, now_ms)
-        peer = self._peers[address] = _Peer(address, socket, health)
+        if peer is None:
+            health = heartbeats.Heartbeats(self._heartbeat_ms, now_ms)
+            peer = self._peers[address] = _Peer(address, None, health)
+        peer.socket = socket
+        peer.health.note_dial(now_ms)
         return peer
 
     def _dial(self, address: str) -> pynng.Push0:
@@ -289,6 +288,8 @@
             await asyncio.sleep(self._heartbeat_ms / 2000)
             now_ms = self._clock.read_monotonic()
             for peer in list(self._peers.values()):
+                if peer.socket is not None and peer.health.may_rest(now_ms):
+                    self._rest(peer, peer.socket)
                 self._carry_out(peer, peer.health.tick(now_ms))
 
     def _carry_out(self, peer: _Peer, action: heartbeats.Action) -> None:
@@ -300,22 +301,27 @@
                 self._count_sent(peer.address, "Heartbeat")
                 self._send_frame(peer, [])
             case heartbeats.Action.REDIAL if peer.socket is not None:
-                self._redial(peer, peer.socket)
+                if not self._rest(peer, peer.socket):
+                    self._redial(peer, peer.socket)
             case heartbeats.Action.CLOSE:
                 self.counts["links.closed"] += 1
                 self.forget(peer.address)
             case _:
                 pass
 
-    def _redial(self, peer: _Peer, socket: pynng.Push0) -> None:
-        """Replace a silent connection; a link without one rests until it is used."""
-        is_connected = bool(socket.pipes)
+    def _rest(self, peer: _Peer, socket: pynng.Push0) -> bool:
+        """Stop dialling a peer that is not connected, and return whether it is so."""
+        if socket.pipes:
+            return False
+        self.counts["links.rested"] += 1
         socket.close()
-        if not is_connected:
-            self.counts["links.rested"] += 1
-            peer.socket = None
-            return
+        peer.socket = None
+        return True
+
+    def _redial(self, peer: _Peer, socket: pynng.Push0) -> None:
+        """Replace a silent connection."""
         self.counts["links.redialled"] += 1
+        socket.close()
         peer.socket = self._dial(peer.address)
         told = messages.LinkRedialled(peer.health.number)
         self._count_sent(peer.address, "LinkRedialled")
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -283,13 +283,30 @@
     assert health.tick(unused_ms) is not heartbeats.Action.CLOSE
 
 
+def test_idle_link_rests_once_its_peer_is_gone():
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here):
+            async with open_links(there):
+                here.send(there.address, 1)
+                await there.wait_for(1)
+                await builders_links.wait_count(here, "links.frames.received", 1)
+            sent = here.links.counts["links.frames.sent"]
+            await builders_links.wait_count(here, "links.rested", 1)
+            assert here.links.counts["links.frames.sent"] == sent
+
+    asyncio.run(run())
+
+
 def test_link_that_rested_has_the_full_patience_again():
     health = build_health()
     health.take_number(0)
     later_ms = 50 * INTERVAL_MS
     health.note_dial(later_ms)
     health.take_number(later_ms)
+    assert not health.may_rest(later_ms + INTERVAL_MS)
     assert health.tick(later_ms + INTERVAL_MS) is heartbeats.Action.NONE
+    assert health.may_rest(later_ms + 3 * INTERVAL_MS)
     assert health.tick(later_ms + 3 * INTERVAL_MS) is heartbeats.Action.REDIAL
 
 
