Limit sidecars that run everything slowly, and send retries elsewhere

Cause: a slow sidecar was judged by a smoothed ratio in which one task of 3 s weighed as much as ten slow ones, and was ranked behind only within its failure domain; the near domain's slow sidecar came before any far one. Retries took the sidecar with the most room, which is the one that fails at once.

Change: `speeds` compares logarithms of run times with those of the fleet, by service and group, and calls a sidecar slow only beyond four standard deviations and a factor of 2; it then gets one task each 4 s unless tasks would wait longer than it takes or no other sidecar serves them. `steering` sends a service past a sidecar that is slow for that service alone, and a retry to another domain, rack or worker; it waits up to 1 s for one. The fuzzer's upstreams now report their run times, as real ones do.

--- a/amaranthspar/admission.py
+++ b/amaranthspar/admission.py
@@ -46,6 +46,10 @@
             len(route.in_flight) + max(0, route.room) for route in self._routes.values()
         )
 
+    def measure_wait(self) -> float:
+        """Return how long in ms all that waits keeps the slots busy."""
+        return self._backlog.count_cost() / max(1, self._slots)
+
     def judge(
         self, submission: submissions.Submission, now_ms: int
     ) -> submissions.Answer | None:
--- a/amaranthspar/backlog.py
+++ b/amaranthspar/backlog.py
@@ -78,6 +78,10 @@
         """Return how many tasks of a team wait."""
         return self._teams.get(team, 0)
 
+    def count_cost(self) -> float:
+        """Return the expected run time in ms of all that waits."""
+        return sum(self._costs_ms.values())
+
     def find_cost_ahead(self, team: str, service: entries.Service) -> float:
         """Return the expected run time in ms that is served before a new task.
 
--- a/amaranthspar/capacity.py
+++ b/amaranthspar/capacity.py
@@ -1,6 +1,6 @@
 """Index of the sidecars that have room, for a choice without a scan of them all."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -56,6 +56,20 @@
             return 0, None
         return self._top, next(iter(self._rungs[self._top].values()))
 
+    def find_accepted(
+        self, accept: Callable[[routing.Route], bool]
+    ) -> tuple[int, routing.Route | None]:
+        """Return the greatest height with a route that is accepted, and the route.
+
+        Args:
+            accept: Whether a route will do.
+        """
+        for height in range(self._top, 0, -1):
+            for route in self._rungs[height].values():
+                if accept(route):
+                    return height, route
+        return 0, None
+
 
 Pool = frozenset[Shape]
 """Shapes of the upstreams that may take a task."""
@@ -160,6 +174,24 @@
                 best, best_rank = route, rank
         return best
 
+    def find(
+        self, pool: Pool, accept: Callable[[routing.Route], bool]
+    ) -> routing.Route | None:
+        """Return the best sidecar that is accepted, none if none of these has room.
+
+        Args:
+            pool: Shapes that may take the task.
+            accept: Whether a sidecar will do.
+        """
+        best: routing.Route | None = None
+        best_rank = (False, 0)
+        for group in self._list_groups(pool):
+            height, route = group.room.find_accepted(accept)
+            rank = (group.near, height)
+            if route is not None and (best is None or rank > best_rank):
+                best, best_rank = route, rank
+        return best
+
     def is_usable(self, pool: Pool, route: routing.Route) -> bool:
         """Return whether a sidecar may be sent a task now.
 
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -21,6 +21,8 @@
     quotas,
     retries,
     routing,
+    speeds,
+    steering,
     submissions,
 )
 
@@ -88,6 +90,8 @@
         self._offers = offers.Offers(holder, self._backlog, self._demand, self._doubts)
         self._quotas = quotas.Quotas(holder, self._backlog)
         self._health = health.Health(self.routes)
+        self._steering = steering.Steering(self._capacity)
+        self._speeds = speeds.Speeds(self.routes)
         self._retries = retries.RetryBudget(holder)
         self._deadlines: list[tuple[int, str]] = []
 
@@ -126,6 +130,8 @@
         for route in self._health.tick(now_ms):
             self._capacity.update(route)
         self._admission.measure_slots()
+        for route in self._speeds.tick(now_ms, self._admission.measure_wait()):
+            self._capacity.update(route)
         for route in self.routes.values():
             result += self._keep_in_touch(route, now_ms)
         result += self._pools.inquire(now_ms)
@@ -210,7 +216,7 @@
             return []
         batches: dict[tuple[str, str], list[backlog.Waiting]] = {}
         for pool in self._backlog.list_pools():
-            self._assign(pool, batches)
+            self._assign(pool, batches, now_ms)
         result: list[Effect] = []
         for (sidecar, _), batch in batches.items():
             route = self.routes[sidecar]
@@ -221,31 +227,42 @@
         self,
         pool: capacity.Pool,
         batches: dict[tuple[str, str], list[backlog.Waiting]],
+        now_ms: int,
     ) -> None:
+        deferred: list[backlog.Waiting] = []
         while True:
-            route = self._capacity.choose(pool) or self._find_lender(pool)
+            first = self._capacity.choose(pool) or self._find_lender(pool)
+            waiting = None if first is None else self._backlog.pop(pool)
+            if first is None or waiting is None:
+                break
+            usable = self._open_routes
+            route = self._steering.choose(pool, waiting, first, usable, now_ms)
             if route is None:
-                return
-            waiting = self._backlog.pop(pool)
-            if waiting is None:
-                return
-            if route.room <= 0:
-                route.spare -= 1
-                route.limit += 1
-                self.counts["credits.borrowed"] += 1
-            submission, task = waiting.submission, waiting.task
-            route.sent += 1
-            route.unsent += 1
-            route.in_flight[submission.name, task.index] = task
-            self._capacity.update(route)
-            self._quotas.start(submission.team)
-            name = (route.member.process, submission.name)
+                deferred.append(waiting)
+                continue
+            self._reserve(route, waiting)
+            name = (route.member.process, waiting.submission.name)
             batches.setdefault(name, []).append(waiting)
+        for waiting in deferred:
+            self._backlog.push(pool, waiting)
+
+    def _reserve(self, route: routing.Route, waiting: backlog.Waiting) -> None:
+        """Count a task that is about to be sent."""
+        if route.room <= 0:
+            route.spare -= 1
+            route.limit += 1
+            self.counts["credits.borrowed"] += 1
+        submission = waiting.submission
+        route.sent += 1
+        route.unsent += 1
+        route.in_flight[submission.name, waiting.task.index] = waiting.task
+        self._capacity.update(route)
+        self._quotas.start(submission.team)
 
     def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
         """Return the sidecar just heard if it has slots idle for other gateways."""
         route = self._lender
-        if route is None or route.spare <= 0 or route.allowance is not None:
+        if route is None or route.spare <= 0 or route.is_limited:
             return None
         return route if self._capacity.is_usable(pool, route) else None
 
@@ -297,18 +314,27 @@
             if submission is not None:
                 self._quotas.end(submission.team)
                 task, item = receipt.task, receipt.result
-                self._health.note_result(route, task, item, now_ms)
-                result += self._take_result(submission, receipt)
+                self._health.note_result(route, item, now_ms)
+                if submissions.is_success(item, is_job=True):
+                    times = (item.run_ms, task.cost_ms, now_ms)
+                    self._speeds.note(route, submission.service, *times)
+                result += self._take_result(submission, receipt, route.member, now_ms)
         self._capacity.update(route)
         self._lender = route
         return result
 
     def _take_result(
-        self, submission: submissions.Submission, receipt: doubts.Receipt
+        self,
+        submission: submissions.Submission,
+        receipt: doubts.Receipt,
+        sender: messages.Member,
+        now_ms: int,
     ) -> list[Effect]:
         task, item = receipt.task, receipt.result
         if item.outcome == submissions.NOT_RUN:
             self.counts["tasks.refused"] += 1
+            if item.reason not in health.REFUSALS:
+                task.note_failure(sender, now_ms)
             self._enqueue(submission, task)
             return []
         if item.outcome == submissions.UNKNOWN and self._retries.spend(
@@ -316,6 +342,7 @@
         ):
             self.counts["tasks.retried"] += 1
             task.may_have_run = True
+            task.note_failure(sender, now_ms)
             self._enqueue(submission, task)
             return []
         submission.end_task(task, item)
@@ -335,7 +362,7 @@
             if member is None or member.incarnation != route.member.incarnation:
                 self._parted[name] = self.routes.pop(name)
                 self._health.forget(name)
-                result += self._give_up(route)
+                result += self._give_up(route, now_ms)
         for name, member in current.items():
             if name in self.routes:
                 self.routes[name].member = member
@@ -363,7 +390,7 @@
         route.heard_ms = now_ms
         return route
 
-    def _give_up(self, route: routing.Route) -> list[Effect]:
+    def _give_up(self, route: routing.Route, now_ms: int) -> list[Effect]:
         result: list[Effect] = []
         for verdict in self._doubts.give_up(route, self.submissions):
             submission = verdict.submission
@@ -373,6 +400,7 @@
                 case doubts.Retry() if self._retries.spend(submission, verdict.task):
                     self.counts["tasks.retried"] += 1
                     self._quotas.end(submission.team)
+                    verdict.task.note_failure(route.member, now_ms)
                     self._enqueue(submission, verdict.task)
                 case _:
                     self._quotas.end(submission.team)
--- a/amaranthspar/health.py
+++ b/amaranthspar/health.py
@@ -3,8 +3,7 @@
 A sidecar whose tasks fail one after another while the fleet's succeed is ejected
 and gets single probes, at growing intervals, until one succeeds. A payload that fails
 everywhere raises the fleet's failures as well and ejects nobody. An ejected sidecar
-that recovers takes its load in steps, and one that runs slower than expected ranks
-behind others.
+that recovers takes its load in steps.
 """
 
 from collections.abc import Mapping
@@ -21,8 +20,6 @@
 MOST_PROBE_MS = 30_000
 STEPS = 4
 STEP_MS = 250
-SPEED_SMOOTHING = 0.05
-MOST_SLOWNESS = 16.0
 REFUSALS = frozenset(item.value for item in starts.Refusal)
 """Reasons for which a healthy sidecar starts nothing."""
 
@@ -67,7 +64,6 @@
     def note_result(
         self,
         route: routing.Route,
-        task: submissions.Task,
         result: messages.TaskResult,
         now_ms: int,
     ) -> None:
@@ -75,7 +71,6 @@
 
         Args:
             route: Sidecar that ran it.
-            task: Task.
             result: How it ended.
             now_ms: Monotonic time in ms.
         """
@@ -88,8 +83,6 @@
             name = "" if result.outcome == submissions.NOT_RUN else result.submission
             self._note_failure(route, standing, name, now_ms)
             return
-        ratio = min(MOST_SLOWNESS, max(result.run_ms, 1) / max(task.cost_ms, 1.0))
-        route.slowness += SPEED_SMOOTHING * (ratio - route.slowness)
         standing.failures = 0
         standing.submission = ""
         if standing.ejected_ms is not None:
--- a/amaranthspar/routing.py
+++ b/amaranthspar/routing.py
@@ -4,7 +4,22 @@
 
 from amaranthspar import messages, submissions, view
 
-SLOW = 1.5
+
+@attrs.define(slots=True)
+class Pace:
+    """Run times on one sidecar.
+
+    Attributes:
+        results: Results averaged.
+        mean: Mean logarithm of run times against those of the fleet.
+        expected_ms: Mean run time expected in ms.
+        slow: Whether other sidecars are faster.
+    """
+
+    results: int = 0
+    mean: float = 0.0
+    expected_ms: float = 0.0
+    slow: bool = False
 
 
 @attrs.define(slots=True)
@@ -23,7 +38,9 @@
         stated: Acknowledged sequence that the sidecar was told last.
         spare: Idle slots last seen there that stand for others' credits.
         allowance: Tasks that may be in flight there; none for no limit.
-        slowness: Run time against that expected, smoothed.
+        pace_limit: Tasks that may be in flight there as it is slow; none for no limit.
+        pace: Run times there of all services.
+        paces: Run times there by service.
         closed: Whether it may be sent no new work.
         group: Sidecars among which it is indexed, none if it is not.
         doubt_ms: Monotonic time since which a start is not accounted for.
@@ -42,7 +59,9 @@
     stated: int = 0
     spare: int = 0
     allowance: int | None = None
-    slowness: float = 1.0
+    pace_limit: int | None = None
+    pace: Pace = attrs.field(factory=Pace)
+    paces: dict[str, Pace] = attrs.field(factory=dict)
     closed: bool = False
     group: object = None
     doubt_ms: int = 0
@@ -57,17 +76,30 @@
     @property
     def room(self) -> int:
         """Tasks that should be sent now."""
-        if self.allowance is None:
+        if not self.is_limited:
             return self.credits
-        return min(self.credits, self.allowance - len(self.in_flight))
+        limits = [
+            item for item in (self.allowance, self.pace_limit) if item is not None
+        ]
+        return min(self.credits, min(limits) - len(self.in_flight))
 
     @property
     def rank(self) -> int:
-        """Room, discounted for a sidecar that runs slower than expected."""
+        """Room; a slow sidecar that is due for a task comes first."""
         room = self.room
-        if room <= 0 or self.slowness < SLOW:
-            return room
-        return max(1, int(room / self.slowness))
+        if room > 0 and self.pace_limit is not None:
+            return room + self.announcement.slots
+        return room
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether it may be sent fewer tasks than it has slots."""
+        return self.allowance is not None or self.pace_limit is not None
+
+    def is_slow(self, service: str) -> bool:
+        """Return whether other sidecars are faster at a service."""
+        pace = self.paces.get(service)
+        return pace is not None and pace.slow
 
     @property
     def announcement(self) -> messages.Announcement:
--- a/amaranthspar/submissions.py
+++ b/amaranthspar/submissions.py
@@ -66,6 +66,8 @@
         accelerators: Declared accelerators.
         sequence: Sequence of the start message that last carried it.
         may_have_run: Whether a sidecar that had it is gone.
+        failed_at: Sidecar at which it failed last, none if nowhere.
+        failed_ms: Monotonic time of that failure.
     """
 
     index: int
@@ -81,8 +83,20 @@
     attempts: int = 0
     sequence: int = 0
     may_have_run: bool = False
+    failed_at: messages.Member | None = None
+    failed_ms: int = 0
     result: messages.TaskResult | None = None
 
+    def note_failure(self, sidecar: messages.Member, now_ms: int) -> None:
+        """Note where the task has failed.
+
+        Args:
+            sidecar: Sidecar that had it.
+            now_ms: Monotonic time in ms.
+        """
+        self.failed_at = sidecar
+        self.failed_ms = now_ms
+
 
 @attrs.define(slots=True)
 class Submission:
--- a/tests/builders_dispatch.py
+++ b/tests/builders_dispatch.py
@@ -189,6 +189,7 @@
     holder: leaseholder.LeaseHolder
     machine: Any
     running: dict[tuple[str, int], executor.RunTask] = attrs.field(factory=dict)
+    run_ms: dict[tuple[str, int], int] = attrs.field(factory=dict)
     draining: bool = False
 
     @property
@@ -493,6 +494,7 @@
         run_ms = self.chance.choice((5, 50, 50, 300, 1000, 3000))
         if run_ms > run.timeout_ms:
             run_ms, failed = run.timeout_ms, "timeout"
+        process.run_ms[name] = run_ms
         self._push(run_ms, ("end", process, run, failed))
 
     def _check_start(self, process: Process, run: executor.RunTask) -> None:
@@ -549,6 +551,7 @@
                     "done",
                     status=500 if failed else 200,
                     body=body,
+                    run_ms=process.run_ms[name],
                     digest=doubts.digest_body(body),
                 )
             case _:
--- /dev/null
+++ b/tests/test_speeds.py
@@ -0,0 +1,117 @@
+"""Tests of the speeds of sidecars."""
+
+import math
+import random
+
+import pytest
+
+from amaranthspar import speeds
+from tests import builders_gateway
+
+EXPECTED_MS = 200.0
+
+
+def build(count=10):
+    routes = {f"s{n}": builders_gateway.build_route(f"s{n}") for n in range(count)}
+    return routes, speeds.Speeds(routes)
+
+
+def feed(judge, routes, results, factor, services=("lookup",), seed=1):
+    """Report run times between a quarter and twice the expected, and long ones."""
+    chance = random.Random(seed)
+    for _ in range(results):
+        for name, route in routes.items():
+            service = chance.choice(services)
+            run_ms = EXPECTED_MS * math.exp(chance.uniform(-1.4, 0.7))
+            if chance.random() < 0.02:
+                run_ms = 3000
+            run_ms *= factor(name, service)
+            judge.note(route, service, int(run_ms), EXPECTED_MS, 0)
+
+
+def list_limited(routes):
+    return [name for name, route in routes.items() if route.pace_limit is not None]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_long_tasks_are_not_taken_for_a_slow_sidecar(seed):
+    routes, judge = build()
+    feed(judge, routes, 200, lambda _, __: 1, ("lookup", "recalculate"), seed)
+    assert list_limited(routes) == []
+
+
+@pytest.mark.parametrize("factor", [0.1, 10.0])
+def test_wrong_expectations_limit_nobody(factor):
+    routes, judge = build()
+    feed(judge, routes, 100, lambda _, __: factor)
+    assert list_limited(routes) == []
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_sidecar_four_times_slower_is_limited(seed):
+    routes, judge = build()
+    feed(judge, routes, 20, lambda _, __: 1, seed=seed)
+    feed(judge, routes, 20, lambda name, _: 4 if name == "s0" else 1, seed=seed + 100)
+    assert list_limited(routes) == ["s0"]
+    assert routes["s0"].room == 0
+
+
+def test_sidecar_slow_for_one_service_is_slow_for_that_alone():
+    routes, judge = build()
+    services = ("lookup", "hold", "hold", "hold")
+
+    def find_factor(name, service):
+        return 5 if name == "s0" and service == "lookup" else 1
+
+    feed(judge, routes, 100, find_factor, services)
+    assert routes["s0"].is_slow("lookup")
+    assert not routes["s0"].is_slow("hold")
+    assert list_limited(routes) == []
+
+
+def test_limited_sidecar_gets_single_tasks_and_recovers():
+    routes, judge = build()
+    feed(judge, routes, 60, lambda name, _: 5 if name == "s0" else 1)
+    route = routes["s0"]
+    assert judge.tick(speeds.PROBE_MS - 1, 0.0) == []
+    assert judge.tick(speeds.PROBE_MS, 0.0) == [route]
+    assert route.room == 1
+    for _ in range(4):
+        judge.note(route, "lookup", 150, EXPECTED_MS, speeds.PROBE_MS)
+    assert route.pace_limit is None
+
+
+def test_slow_sidecar_is_used_while_tasks_wait_longer_than_it_takes():
+    routes, judge = build()
+    feed(judge, routes, 60, lambda name, _: 5 if name == "s0" else 1)
+    assert judge.tick(1, 10_000.0) == [routes["s0"]]
+    assert routes["s0"].pace_limit is None
+    judge.note(routes["s0"], "lookup", 1000, EXPECTED_MS, 1)
+    assert routes["s0"].pace_limit is None
+    assert judge.tick(2, 0.0) == [routes["s0"]]
+    assert routes["s0"].pace_limit == 0
+
+
+def test_no_more_than_a_fifth_is_limited():
+    routes, judge = build()
+    feed(judge, routes, 20, lambda _, __: 1)
+    feed(judge, routes, 40, lambda name, _: 4 if name in ("s0", "s1", "s2") else 1)
+    assert len(list_limited(routes)) == 2
+
+
+def test_slow_sidecar_is_used_if_there_is_no_other():
+    routes, judge = build()
+    feed(judge, routes, 60, lambda name, _: 5 if name == "s0" else 1)
+    assert list_limited(routes) == ["s0"]
+    for name in list(routes)[1:]:
+        routes[name].closed = True
+    judge.tick(1, 0.0)
+    assert routes["s0"].pace_limit is None
+
+
+def test_restarted_sidecar_is_not_limited():
+    routes, judge = build()
+    feed(judge, routes, 60, lambda name, _: 5 if name == "s0" else 1)
+    routes["s0"] = builders_gateway.build_route("s0")
+    assert judge.tick(1, 0.0) == []
+    assert list_limited(routes) == []
