Serve the submissions of a caller in the order in which even shares would end them

Cause: jobs of one caller shared the slots evenly, so that in a burst all of them ended near its end. Change: each gets the tag at which it would end by even shares when it comes (fair sojourn), and the least tag is served first; small ones still pass large ones. Levels above (team, objective, caller) share as before.

--- a/amaranthspar/fairqueue.py
+++ b/amaranthspar/fairqueue.py
@@ -1,8 +1,11 @@
 """Queue that shares its service fairly among flows at several levels.
 
 A path names the flow at each level, as in team, caller and submission. At each
-level the flow that has had the least service for its weight is served next.
-Within the last level the items with the longest expected run time come first.
+level but the last the flow that has had the least service for its weight is served
+next. Flows of the last level are served one after another, in the order in which
+they would end if they shared the service evenly: a small one passes a large one, and
+none ends later than by even shares. Its items with the longest expected run time
+come first.
 Flows of the first level can be held back while others are served.
 """
 
@@ -35,10 +38,13 @@
 
 @attrs.define(slots=True, eq=False)
 class _Leaf(Generic[Item]):
-    """Items of one submission."""
+    """Items of one submission.
+
+    Attributes:
+        served: Service of the branch at which it would end by even shares.
+    """
 
     name: str
-    weight: float
     served: float = 0.0
     waiting: list[tuple[float, int, Item]] = attrs.field(factory=list)
 
@@ -95,11 +101,12 @@
             branch = flow
         leaf = branch.flows.get(path[-1].name)
         if leaf is None:
-            leaf = _Leaf(path[-1].name, path[-1].weight)
+            leaf = _Leaf(path[-1].name)
             self._join(branch, leaf)
         assert isinstance(leaf, _Leaf)
         self._serial += 1
         heapq.heappush(leaf.waiting, (-cost_ms, self._serial, item))
+        leaf.served += max(cost_ms, LEAST_COST_MS)
 
     def pop(self) -> Item | None:
         """Remove and return the item served next, none if none may be served."""
@@ -162,24 +169,40 @@
             if branch.flows.get(flow.name) is not flow:
                 heapq.heappop(order)
                 continue
+            if isinstance(flow, _Leaf) and flow.served > served:
+                self._serial += 1
+                heapq.heapreplace(order, (flow.served, self._serial, flow))
+                continue
             if self._held and branch is self._root and flow.name in self._held:
                 heapq.heappop(order)
                 self._parked[flow.name] = flow
                 continue
-            branch.clock = max(branch.clock, served)
             popped = self._serve(flow)
-            if popped is not None:
-                flow.served = served + max(popped[1], LEAST_COST_MS) / flow.weight
+            self._charge(branch, flow, 0.0 if popped is None else popped[1])
             if popped is None or not flow.waiting:
                 del branch.flows[flow.name]
                 heapq.heappop(order)
-            else:
+            elif isinstance(flow, _Branch):
                 self._serial += 1
                 heapq.heapreplace(order, (flow.served, self._serial, flow))
             if popped is not None:
                 return popped
         return None
 
+    def _charge(
+        self,
+        branch: _Branch[Item],
+        flow: _Branch[Item] | _Leaf[Item],
+        cost_ms: float,
+    ) -> None:
+        """Count the service of a flow; the branch's clock is that of a new one."""
+        cost_ms = max(cost_ms, LEAST_COST_MS)
+        if isinstance(flow, _Leaf):
+            branch.clock += cost_ms / len(branch.flows)
+            return
+        branch.clock = max(branch.clock, flow.served)
+        flow.served += cost_ms / flow.weight
+
     def _serve(self, flow: _Branch[Item] | _Leaf[Item]) -> tuple[Item, float] | None:
         if isinstance(flow, _Branch):
             return self._pop_from(flow)
