Test declared run times that are off by ten times, and measure them

The estimates correct a constant factor and give no weight to noise; nothing showed it for the whole dispatcher. A test compares mean and longest response at 90% load with half of the work in jobs, declared exactly, ten times too long, ten times too short and at random between; `python -m benchmarks declared` does so over processes.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -32,6 +32,7 @@
 
 EXPERIMENTS = {
     "response": Experiment("response", BOTH),
+    "declared": Experiment("response", function="run_declared"),
     "waste": Experiment("waste", BOTH),
     "domain": Experiment("domain", BOTH),
     "removal": Experiment("removal"),
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -169,8 +169,13 @@
     if not arrival.is_job:
         body = msgspec.json.encode(bodies[0])
         return await target.send_request(arrival.service, body, headers)
-    tasks = {"tasks": [{"payload": item} for item in bodies]}
-    return await target.submit_job(arrival.service, msgspec.json.encode(tasks), headers)
+    expected_ms = arrival.expected_ms or (0,) * len(bodies)
+    tasks = [
+        {"payload": body, "expected_ms": run_ms}
+        for body, run_ms in zip(bodies, expected_ms, strict=True)
+    ]
+    body = msgspec.json.encode({"tasks": tasks})
+    return await target.submit_job(arrival.service, body, headers)
 
 
 def measure_lag(samples: Sequence[Sample]) -> float:
--- a/benchmarks/firms.py
+++ b/benchmarks/firms.py
@@ -1,5 +1,6 @@
 """Seeded firms of the two firms."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -25,6 +26,7 @@
         key: Idempotency key; empty for none.
         desk: Desk name; empty for none.
         deadline_ms: Deadline after the arrival; 0 for the service's own.
+        expected_ms: Declared run time of each task; empty for none.
     """
 
     number: int
@@ -35,6 +37,7 @@
     key: str = ""
     desk: str = ""
     deadline_ms: int = 0
+    expected_ms: tuple[int, ...] = ()
 
 
 @attrs.frozen(slots=True)
@@ -151,6 +154,26 @@
         result.append(_draw(firm, chance, len(result), now_ms, f"{seed}-{load}"))
 
 
+def declare(arrivals: list[Arrival], low: float, high: float) -> list[Arrival]:
+    """Return arrivals whose declared run times are off by factors in a range.
+
+    Args:
+        arrivals: Arrivals.
+        low: Least factor.
+        high: Greatest factor; factors are drawn evenly by their logarithm.
+    """
+    chance = random.Random(len(arrivals))
+
+    def draw(sleep_ms: float) -> int:
+        factor = math.exp(chance.uniform(math.log(low), math.log(high)))
+        return max(1, int(sleep_ms * factor))
+
+    return [
+        attrs.evolve(item, expected_ms=tuple(map(draw, item.sleeps_ms)))
+        for item in arrivals
+    ]
+
+
 def _draw(
     firm: Firm, chance: random.Random, number: int, at_ms: float, prefix: str
 ) -> Arrival:
--- a/benchmarks/response.py
+++ b/benchmarks/response.py
@@ -9,6 +9,8 @@
 TARGETS = {50.0: 1.05, 99.0: 1.10, 99.9: 1.25}
 CURVE_PERCENTILES = (50.0, 99.0)
 BASELINE = "naive round robin"
+DECLARED_LOAD = 0.9
+DECLARED = {"exact": (1, 1), "x10": (10, 10), "/10": (0.1, 0.1), "random": (0.1, 10)}
 
 
 @attrs.define(slots=True)
@@ -68,6 +70,32 @@
     return outcome
 
 
+async def run_declared(options: trials.Options) -> outcomes.Outcome:
+    """Measure with declared run times of jobs that are off by 10 times.
+
+    Args:
+        options: Options of the run; the load is fixed.
+    """
+    outcome = outcomes.Outcome("declared", options.seed, options.seconds)
+    for firm in options.firms:
+        rows = []
+        arrivals = firms.generate(firm, options.seed, options.seconds, DECLARED_LOAD)
+        best = ideal.schedule(arrivals, firm.total_slots)
+        async with trials.open_trial(firm) as trial:
+            for number, (label, factors) in enumerate(DECLARED.items()):
+                declared = [
+                    attrs.evolve(item, key=item.key and f"{number}-{item.key}")
+                    for item in firms.declare(arrivals, *factors)
+                ]
+                trial.driver.samples.clear()
+                await trial.driver.run(declared, f"{firm.name} {label}")
+                pool = Pool()
+                pool.add(trial.driver.samples, best)
+                rows.append(describe(firm, DECLARED_LOAD, label, pool))
+        outcome.tables.append(build_table(f"Declared run times, {firm.name}", rows))
+    return outcome
+
+
 async def _measure(
     trial: trials.Trial, sender: driver.Driver, options: trials.Options, load: float
 ) -> Pool:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,8 +1,12 @@
 """Stateful test of a gateway alone, and a comparison with blind dispatch."""
 
 import collections
+import math
+import random
 
+import attrs
 import hypothesis
+import pytest
 from hypothesis import stateful, strategies
 
 from amaranthspar import dispatcher, effects, messages, submissions
@@ -229,6 +233,38 @@
     assert fleet.record.outcomes == {"done": len(found)}
 
 
+def measure_declared(found, factors, seed=9):
+    """Return the mean response in ms, and the longest, with run times declared off."""
+    chance = random.Random(seed)
+    low, high = (math.log(factor) for factor in factors)
+    declared = [
+        attrs.evolve(
+            item,
+            declared_ms=[
+                max(1, int(run_ms * math.exp(chance.uniform(low, high))))
+                for run_ms in item.runs_ms
+            ],
+        )
+        for item in found
+    ]
+    fleet = virtual.Fleet()
+    fleet.feed(declared)
+    fleet.loop.run(found[-1].at_ms + 30_000)
+    assert fleet.record.outcomes == {"done": len(found)}
+    responses = fleet.record.responses_ms.values()
+    return sum(responses) / len(responses), max(responses)
+
+
+@pytest.mark.parametrize("factors", [(10, 10), (0.1, 0.1), (0.1, 10)])
+def test_declared_run_times_off_by_ten_times_change_little(factors):
+    mix = arrivals.Mix(load=0.9, seconds=15, job_share=0.5, job_sizes=(4, 24))
+    found = arrivals.build_mix(mix, seed=2)
+    exact_ms, longest_ms = measure_declared(found, (1, 1))
+    mean_ms, worst_ms = measure_declared(found, factors)
+    assert mean_ms < 1.05 * exact_ms
+    assert worst_ms < 1.2 * longest_ms
+
+
 def test_wave_of_cancels_leaves_nothing_queued():
     fleet = virtual.Fleet()
     jobs = [
