Share upstreams between pools by the weights of the teams that wait

Cause: the least served pool came first, whatever teams waited in it, so that a team of weight 3 got as much of a shared upstream as one of weight 1 with another set of services. Rule: pools share by the sum of the weights of the teams that wait in them and are not held by a quota; a team that waits in several pools counts in equal parts; within a pool teams share by weight. A team in two pools may still get more than its weight in all, as a pool does not know what the team got in another.

--- a/amaranthspar/backlog.py
+++ b/amaranthspar/backlog.py
@@ -29,10 +29,25 @@
 
 @attrs.define(slots=True)
 class _Queue:
-    """Tasks of one pool."""
+    """Tasks of one pool.
+
+    Attributes:
+        served_ms: Expected run time served, by the weight of those that waited.
+        tasks: What waits.
+        teams: Waiting tasks by team.
+    """
 
     served_ms: float
     tasks: fairqueue.FairQueue[Waiting] = attrs.field(factory=fairqueue.FairQueue)
+    teams: dict[str, int] = attrs.field(factory=dict)
+
+    def count(self, team: str, amount: int) -> None:
+        """Change the count of a team's waiting tasks."""
+        count = self.teams.get(team, 0) + amount
+        if count:
+            self.teams[team] = count
+        else:
+            self.teams.pop(team, None)
 
 
 @attrs.frozen(slots=True, cache_hash=True)
@@ -55,6 +70,10 @@
 class Backlog:
     """Queues of waiting tasks, one for each pool.
 
+    Pools with waiting tasks share what they compete for by the weights of the
+    teams that wait in them; a team that waits in several counts in equal parts.
+    Within a pool the teams share by their weights.
+
     Args:
         holder: Lease of this gateway; its view names services and teams.
     """
@@ -120,7 +139,9 @@
         entry = self._entries.get(submission.name)
         if entry is None:
             entry = self._add_entry(submission)
-        self._find_queue(pool).tasks.push(entry.path, waiting, waiting.cost_ms)
+        queue = self._find_queue(pool)
+        queue.tasks.push(entry.path, waiting, waiting.cost_ms)
+        queue.count(submission.team, 1)
         entry.counts[pool] = entry.counts.get(pool, 0) + 1
         self._count(entry, waiting, 1)
 
@@ -137,7 +158,8 @@
         if waiting is None:
             return None
         self._clock_ms = queue.served_ms
-        queue.served_ms += waiting.cost_ms
+        queue.served_ms += waiting.cost_ms / self._measure_weight(queue)
+        queue.count(waiting.submission.team, -1)
         self._count(self._entries[waiting.submission.name], waiting, -1)
         self._forget_one(waiting.submission.name, pool)
         self._clean(pool)
@@ -153,8 +175,10 @@
         if entry is None:
             return
         for pool in entry.counts:
-            for waiting in self._queues[pool].tasks.drop(entry.path):
+            queue = self._queues[pool]
+            for waiting in queue.tasks.drop(entry.path):
                 self._count(entry, waiting, -1)
+                queue.count(submission.team, -1)
             self._clean(pool)
         self._urgent.pop(submission.name, None)
 
@@ -188,8 +212,9 @@
             while (waiting := queue.tasks.pop()) is not None:
                 pool = find_pool(waiting.needs)
                 entry = self._entries[waiting.submission.name]
-                tasks = self._find_queue(pool).tasks
-                tasks.push(entry.path, waiting, waiting.cost_ms)
+                regrouped = self._find_queue(pool)
+                regrouped.tasks.push(entry.path, waiting, waiting.cost_ms)
+                regrouped.count(waiting.submission.team, 1)
                 entry.counts[pool] = entry.counts.get(pool, 0) + 1
         for team in held:
             self.hold_team(team)
@@ -213,6 +238,15 @@
                 queue.tasks.hold(team)
         return queue
 
+    def _measure_weight(self, queue: _Queue) -> float:
+        """Return the weight of a pool against others by the teams that wait in it."""
+        weight = 0.0
+        for team in queue.teams:
+            if team not in self._held:
+                spread = sum(team in other.teams for other in self._queues.values())
+                weight += self._find_weight(team) / spread
+        return weight or 1.0
+
     def _clean(self, pool: capacity.Pool) -> None:
         if not len(self._queues[pool].tasks):
             del self._queues[pool]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,8 +1,18 @@
 """Tests of admission, quotas and retries."""
 
+import collections
+
 import pytest
 
-from amaranthspar import admission, backlog, quotas, retries, routing, submissions
+from amaranthspar import (
+    admission,
+    backlog,
+    capacity,
+    quotas,
+    retries,
+    routing,
+    submissions,
+)
 from tests import builders_gateway
 
 POOL = frozenset()
@@ -85,6 +95,34 @@
     assert waiting.pop(POOL) is not None
 
 
+def serve_pools(*places, count=400):
+    """Serve the pool that comes first; return how often each submission was served."""
+    _, waiting, _ = build()
+    shape = capacity.Shape(("recalculate",), "main", 1, 1, 0)
+    pools = {"one": POOL, "two": frozenset({shape})}
+    for name, team, pool in places:
+        submission = builders_gateway.build_submission(name, "recalculate", 400, team)
+        for task in submission.tasks:
+            needs = routing.Needs("recalculate", "main")
+            waiting.push(pools[pool], backlog.Waiting(submission, task, needs, 10.0))
+    served = collections.Counter()
+    for _ in range(count):
+        found = waiting.pop(waiting.list_pools()[0])
+        served[found.submission.name] += 1
+    return served
+
+
+def test_pools_share_by_the_weights_of_the_teams_that_wait_in_them():
+    served = serve_pools(("light", "field", "one"), ("heavy", "office", "two"))
+    assert abs(served["heavy"] - 300) <= 2
+
+
+def test_team_that_waits_in_two_pools_counts_by_half_in_each():
+    places = [("a", "field", "one"), ("b", "field", "two"), ("c", "sales", "two")]
+    served = serve_pools(*places, count=300)
+    assert abs(served["a"] - 75) <= 2
+
+
 def test_cancelled_submission_leaves_nothing_behind():
     _, waiting, _ = build()
     submission = builders_gateway.build_submission("j", "recalculate", 50)
