--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -24,6 +24,7 @@
     speeds,
     steering,
     submissions,
+    turns,
 )
 
 REASONS = {
@@ -82,7 +83,9 @@
         self._capacity = capacity.Capacity(near_domain)
         self._backlog = backlog.Backlog(holder)
         self._estimates = estimates.Estimates()
-        self._admission = admission.Admission(holder, self._backlog, self.routes)
+        self._admission = admission.Admission(
+            holder, self._backlog, self.routes, self._capacity
+        )
         self._parted: dict[str, routing.Route] = {}
         self._demand = demand.Demand(self._backlog)
         self._doubts = doubts.Doubts(holder, self.counts)
@@ -94,6 +97,7 @@
         self._speeds = speeds.Speeds(self.routes)
         self._retries = retries.RetryBudget(holder)
         self._deadlines: list[tuple[int, str]] = []
+        self._turns = turns.Turns(self.routes)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event.
@@ -129,10 +133,11 @@
                 result += self._abandon(name, submissions.Failure.OVERDUE)
         for route in self._health.tick(now_ms):
             self._capacity.update(route)
-        self._admission.measure_slots()
+        if self._turns.is_round_over:
+            self._admission.measure_slots()
         for route in self._speeds.tick(now_ms, self._admission.measure_wait()):
             self._capacity.update(route)
-        for route in self.routes.values():
+        for route in self._turns.take():
             result += self._keep_in_touch(route, now_ms)
         result += self._pools.inquire(now_ms)
         return result + self._pump(now_ms)
