--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -38,6 +38,7 @@
     "failover": Experiment("failover"),
     "leases-removal": Experiment("control", function="run_removal"),
     "leases-failover": Experiment("control", function="run_failover"),
+    "leases-restart": Experiment("control", function="run_restarts"),
     "config": Experiment("control", function="run_config"),
     "burst": Experiment("burst"),
     "badworker": Experiment("badworker"),
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import signal
 import statistics
 import tempfile
 import time
@@ -41,6 +42,11 @@
 REMOVAL_TARGET_MS = 3_000
 RESTART_TARGET_MS = 1_000
 SYNCS = 200
+RESTART_LEASES = (250, 1_000)
+IN_TURN = "one after the other"
+RESTART_WAYS = {IN_TURN: 0.0, "killed": 0.0, "killed, 10 s down": 10.0}
+START_EVERY_MS = 100
+STORM_TARGET = 2.0
 
 
 @attrs.define(slots=True)
@@ -200,6 +206,112 @@
     return max(b - a for a, b in zip(times, times[1:], strict=False))
 
 
+async def run_restarts(options: trials.Options) -> outcomes.Outcome:
+    """Restart all controllers while leases are held, in each of the ways.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("restarts", options.seed, options.seconds)
+    rows: list[tuple[object, ...]] = []
+    for count in RESTART_LEASES:
+        async with open_cluster(options) as cluster:
+            held = holders.Holders(count, cluster.addresses, options.seed)
+            await held.open()
+            await asyncio.sleep(SETTLE_SECONDS)
+            for way in RESTART_WAYS:
+                restart = await _measure_restarts(cluster, held, way)
+                rows.append((count, way, *attrs.astuple(restart)))
+                _judge_restart(outcome, f"{count} leases, {way}", restart)
+            held.close()
+    headers = ("leases", "way", *(field.name for field in attrs.fields(Restart)))
+    outcome.tables.append(outcomes.Table("Restarts of all controllers", headers, rows))
+    return outcome
+
+
+@attrs.frozen(slots=True)
+class Restart:
+    """What a restart of all controllers did.
+
+    Attributes:
+        lapsed: Leases lapsed.
+        refused: Starts refused, if each holder had one every 100 ms.
+        down_ms: Time from the first stop until the last start.
+        back_ms: Time from the last start until all leases are in force.
+        usual: Most renewals in 200 ms before, as a rate per s.
+        peak: Most renewals in 200 ms from the first stop on, as a rate per s.
+    """
+
+    lapsed: int
+    refused: int
+    down_ms: float
+    back_ms: float
+    usual: float
+    peak: float
+
+
+def _judge_restart(outcome: outcomes.Outcome, place: str, restart: Restart) -> None:
+    target = 0 if place.endswith(IN_TURN) else None
+    outcome.measures += [
+        outcomes.Measure(f"{place}: lapsed leases", restart.lapsed, target),
+        outcomes.Measure(f"{place}: refused starts", restart.refused, target),
+        outcomes.Measure(f"{place}: leases back after ms", restart.back_ms),
+        outcomes.Measure(
+            f"{place}: peak of renewals to the usual peak",
+            restart.peak / restart.usual,
+            STORM_TARGET,
+        ),
+    ]
+
+
+async def _measure_restarts(
+    cluster: Cluster, held: holders.Holders, way: str
+) -> Restart:
+    lapses, lapsed_ms = held.lapses, held.lapsed_ms
+    now_ms = clock.Clock().read_monotonic
+    stopped_ms = now_ms()
+    usual = held.find_peak(stopped_ms - int(SETTLE_SECONDS * 1000))
+    if way == IN_TURN:
+        await _restart_in_turn(cluster)
+    else:
+        await _restart_at_once(cluster, RESTART_WAYS[way])
+    started_ms = now_ms()
+    await held.wait_held()
+    back_ms = now_ms() - started_ms
+    await asyncio.sleep(2 * SETTLE_SECONDS)
+    return Restart(
+        held.lapses - lapses,
+        (held.lapsed_ms - lapsed_ms) // START_EVERY_MS,
+        started_ms - stopped_ms,
+        back_ms,
+        usual,
+        held.find_peak(stopped_ms),
+    )
+
+
+async def _restart_in_turn(cluster: Cluster) -> None:
+    """Stop and start each controller, the next once this one has a leader."""
+    for position, address in enumerate(cluster.addresses):
+        process = cluster.fleet.processes[f"controller-{position + 1}"]
+        process.send_signal(signal.SIGTERM)
+        await fleet.wait_exit(process)
+        cluster.restart(position)
+        request = messages.ReplaceReplica(0, "", "", "", "")
+        while await cluster.client.ask(address, request) is None:
+            await asyncio.sleep(PROBE_MS / 1000)
+
+
+async def _restart_at_once(cluster: Cluster, down_seconds: float) -> None:
+    group = cluster.fleet.list_processes("controller")
+    for process in group:
+        process.popen.kill()
+    for process in group:
+        process.popen.wait()
+    await asyncio.sleep(down_seconds)
+    for position in range(len(group)):
+        cluster.restart(position)
+
+
 async def run_removal(options: trials.Options) -> outcomes.Outcome:
     """Take a failure domain out while its holders are cut off.
 
--- a/benchmarks/holders.py
+++ b/benchmarks/holders.py
@@ -1,15 +1,34 @@
-"""Many leases held by one process, as a stand-in for their real holders."""
+"""Many leases held by one process, as a stand-in for their real holders.
+
+Run as ``python -m benchmarks.holders --controllers A --count N --seed N`` each lease
+has links of its own, and the process counts until SIGTERM and prints the counts.
+"""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
+import collections
+import json
 import random
+import signal
 
 import attrs
 
-from amaranthspar import clock, codec, leaseholder, links, messages, ports
+from amaranthspar import (
+    clock,
+    codec,
+    effects,
+    leaseholder,
+    links,
+    loop,
+    messages,
+    ports,
+)
 
 TICK_MS = 10
+PEAK_MS = 200
+START_SECONDS = 60
 
 
 @attrs.define(slots=True)
@@ -17,111 +36,156 @@
     """One lease.
 
     Attributes:
-        member: What the holder states of itself.
-        expires_ms: End of the lease on the monotonic clock; 0 before the first.
-        next_ms: Time of the next renewal.
-        target: Position of the controller asked.
+        machine: Rules of the holder.
+        links: Links over which it renews.
+        expired_ms: Time at which its lapsed lease ended; 0 while it is in force.
     """
 
-    member: messages.Member
-    next_ms: int
-    target: int
-    expires_ms: int = 0
-    version: int = 0
-    revision: int = 0
-    unanswered: bool = False
-    lapsed: bool = False
+    machine: leaseholder.LeaseHolder
+    links: links.Links
+    expired_ms: int = 0
+
+    @property
+    def version(self) -> int:
+        """Configuration version held."""
+        return self.machine.view.configuration_version
 
 
 class Holders:
-    """Renews many leases by the rules of `leaseholder.LeaseHolder`.
+    """Renews many leases.
 
     Args:
         count: Number of leases.
         controllers: Addresses of the controllers.
         seed: Seed of jitter and targets.
+        separate: Whether each lease has links of its own.
     """
 
-    def __init__(self, count: int, controllers: list[str], seed: int) -> None:
+    def __init__(
+        self, count: int, controllers: list[str], seed: int, separate: bool = False
+    ) -> None:
         self.grants = 0
+        self.denials = 0
         self.lapses = 0
-        self.version_ms: dict[int, int] = {}
-        self._chance = random.Random(seed)
+        self.lapsed_ms = 0
+        self.sent: collections.Counter[int] = collections.Counter()
+        self._separate = separate
         self._clock = clock.Clock()
-        self._controllers = controllers
-        self._sent: dict[int, tuple[Holder, int]] = {}
-        self._number = 0
-        address = ports.find_addresses()[0]
-        self._links = links.Links(f"holders-{seed}", 1, address, self._receive)
-        now_ms = self._clock.read_monotonic()
+        self._asked: dict[int, tuple[Holder, int]] = {}
+        self._links: list[links.Links] = []
+        chance = random.Random(seed)
+        if not separate:
+            self._add_links(f"holders-{seed}")
         self.holders = [
-            Holder(
-                build_member(f"holder-{seed}-{number}", address),
-                now_ms + self._chance.randrange(leaseholder.RENEW_MS),
-                self._chance.randrange(len(controllers)),
-            )
+            self._build_holder(f"holder-{seed}-{number}", controllers, chance)
             for number in range(count)
         ]
         self._running: asyncio.Task[None] | None = None
 
+    @property
+    def held(self) -> int:
+        """Leases in force now."""
+        now_ms = self._clock.read_monotonic()
+        return sum(holder.machine.is_valid(now_ms) for holder in self.holders)
+
+    def find_peak(self, from_ms: int = 0) -> float:
+        """Return the most renewals sent in any part of a second, as a rate per s.
+
+        Args:
+            from_ms: Monotonic time from which they count.
+        """
+        first = from_ms // PEAK_MS
+        most = max((n for part, n in self.sent.items() if part > first), default=0)
+        return most * 1000 / PEAK_MS
+
     async def open(self) -> None:
         """Start renewing and wait until every holder has its lease."""
-        await self._links.open()
+        for item in self._links:
+            await item.open()
         self._running = asyncio.get_running_loop().create_task(self._run())
-        async with asyncio.timeout(30):
-            while not all(holder.expires_ms for holder in self.holders):
-                await asyncio.sleep(0.02)
+        await self.wait_held()
+
+    async def wait_held(self) -> None:
+        """Wait until every lease is in force."""
+        async with asyncio.timeout(START_SECONDS):
+            while self.held < len(self.holders):
+                await asyncio.sleep(TICK_MS / 1000)
 
     def close(self) -> None:
         """Stop renewing."""
         if self._running is not None:
             self._running.cancel()
-        self._links.close()
+        for item in self._links:
+            item.close()
+
+    def _add_links(self, name: str) -> links.Links:
+        address = ports.find_addresses()[0]
+        number = len(self._links)
+        added = links.Links(
+            name, 1, address, lambda frame: self._receive(frame, number)
+        )
+        self._links.append(added)
+        return added
+
+    def _build_holder(
+        self, name: str, controllers: list[str], chance: random.Random
+    ) -> Holder:
+        own = self._add_links(name) if self._separate else self._links[0]
+        machine = leaseholder.LeaseHolder(
+            build_member(name, own.address),
+            controllers,
+            self._clock.read_monotonic() + chance.randrange(leaseholder.RENEW_MS),
+            random.Random(chance.random()),
+        )
+        return Holder(machine, own)
 
     async def _run(self) -> None:
         while True:
             now_ms = self._clock.read_monotonic()
             for holder in self.holders:
-                self._check(holder, now_ms)
+                self._note_lapse(holder, now_ms)
+                if not holder.machine.count_until_renewal(now_ms):
+                    self._carry_out(holder, holder.machine.tick(now_ms))
             await asyncio.sleep(TICK_MS / 1000)
 
-    def _check(self, holder: Holder, now_ms: int) -> None:
-        lapsed = 0 < holder.expires_ms <= now_ms
-        if lapsed and not holder.lapsed:
+    def _note_lapse(self, holder: Holder, now_ms: int) -> None:
+        lapsed = holder.version > 0 and not holder.machine.is_valid(now_ms)
+        if lapsed and not holder.expired_ms:
             self.lapses += 1
-        holder.lapsed = lapsed
-        if now_ms < holder.next_ms:
-            return
-        if holder.unanswered:
-            holder.target = (holder.target + 1) % len(self._controllers)
-        holder.unanswered = True
-        holder.next_ms = now_ms + leaseholder.RETRY_MS
-        self._number += 1
-        self._sent[self._number] = (holder, now_ms)
-        renewal = messages.RenewLease(
-            holder.member, self._number, holder.version, holder.revision
-        )
-        self._links.send(self._controllers[holder.target], renewal)
-
-    def _receive(self, frame: codec.Frame) -> None:
+            holder.expired_ms = now_ms
+        elif holder.expired_ms and not lapsed:
+            self.lapsed_ms += now_ms - holder.expired_ms
+            holder.expired_ms = 0
+
+    def _carry_out(self, holder: Holder, found: list[leaseholder.Effect]) -> None:
+        for effect in found:
+            if not isinstance(effect, effects.Send):
+                continue
+            renewal = effect.message
+            assert isinstance(renewal, messages.RenewLease)
+            number = len(self._asked) + 1
+            self._asked[number] = (holder, renewal.sent_ms)
+            self.sent[renewal.sent_ms // PEAK_MS] += 1
+            renewal = attrs.evolve(renewal, sent_ms=number)
+            holder.links.send(effect.peer, renewal)
+
+    def _receive(self, frame: codec.Frame, number: int) -> None:
+        now_ms = self._clock.read_monotonic()
         for message in frame.messages:
-            if isinstance(message, messages.LeaseGranted):
-                self._accept(message)
-
-    def _accept(self, grant: messages.LeaseGranted) -> None:
-        sent = self._sent.pop(grant.sent_ms, None)
-        if sent is None:
-            return
-        holder, sent_ms = sent
-        self.grants += 1
-        holder.version = grant.configuration_version
-        holder.revision = grant.membership_revision
-        length_ms = grant.duration_ms - grant.age_ms
-        margin = 1 - leaseholder.DRIFT_RATIO
-        holder.expires_ms = max(holder.expires_ms, sent_ms + int(length_ms * margin))
-        holder.unanswered = False
-        jitter = self._chance.uniform(-1, 1) * leaseholder.JITTER_RATIO
-        holder.next_ms = sent_ms + int(leaseholder.RENEW_MS * (1 + jitter))
+            match message:
+                case messages.LeaseGranted() | messages.LeaseDenied():
+                    holder, sent_ms = self._asked[message.sent_ms]
+                    self.grants += isinstance(message, messages.LeaseGranted)
+                    self.denials += isinstance(message, messages.LeaseDenied)
+                    answer = attrs.evolve(message, sent_ms=sent_ms)
+                    self._carry_out(holder, holder.machine.handle(answer, now_ms))
+                case messages.AnnounceVersion():
+                    reached = self.holders
+                    if self._separate:
+                        reached = [self.holders[number]]
+                    for holder in reached:
+                        found = holder.machine.handle(message, now_ms)
+                        self._carry_out(holder, found)
 
 
 def build_member(process: str, address: str) -> messages.Member:
@@ -130,3 +194,34 @@
         process, "rack-1", "main", "gyor", ["lookup"], 8, 64, 64, 262_144, 0
     )
     return messages.Member(process, "sidecar", 1, address, 0, False, announcement)
+
+
+async def _serve(arguments: argparse.Namespace) -> int:
+    stopping = asyncio.Event()
+    running = asyncio.get_running_loop()
+    for wanted in (signal.SIGTERM, signal.SIGINT):
+        running.add_signal_handler(wanted, stopping.set)
+    addresses = arguments.controllers.split(",")
+    held = Holders(arguments.count, addresses, arguments.seed, separate=True)
+    await held.open()
+    print("held", flush=True)
+    await stopping.wait()
+    held.close()
+    counts: collections.Counter[str] = collections.Counter()
+    for item in held._links:
+        counts.update(item.counts)
+    print(json.dumps({"lapses": held.lapses, "grants": held.grants, **counts}))
+    return 0
+
+
+def main() -> int:
+    """Hold the leases until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--controllers", required=True)
+    parser.add_argument("--count", type=int, required=True)
+    parser.add_argument("--seed", type=int, required=True)
+    return loop.run_loop(_serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
