Spread renewals again after an outage and after a push

Cause: holders that wait for the same controllers ask every 300 ms, are granted in the same moment and then renew in step; each push of a version did the same. Change: after six fast retries a holder retries as rarely as it renews, and after a renewal out of turn the next is anywhere in a second. Two tests fail before and pass after. Tests of restarts of all controllers, of a replaced host by the actual command and of a stop of the leader itself run over processes.

--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -14,6 +14,8 @@
 
 RENEW_MS = 1000
 RETRY_MS = 300
+FAST_RETRIES = 6
+SLOW_RETRY_RATIOS = (0.5, 1.0)
 DRIFT_RATIO = 0.1
 JITTER_RATIO = 0.1
 INCARNATION_STEP = 1000
@@ -62,7 +64,8 @@
         self._started_ms = started_ms
         self._expires_ms = started_ms
         self._next_ms = started_ms
-        self._unanswered = False
+        self._unanswered = 0
+        self._out_of_turn = False
         self._announced_version = 0
         self.rejected_configurations = 0
         self._granted = False
@@ -98,8 +101,8 @@
             return []
         if self._unanswered:
             self._target = (self._target + 1) % len(self._controllers)
-        self._unanswered = True
-        self._next_ms = now_ms + RETRY_MS
+        self._unanswered += 1
+        self._next_ms = now_ms + self._choose_pause()
         renewal = messages.RenewLease(
             self.member,
             now_ms,
@@ -108,6 +111,16 @@
         )
         return [effects.Send(self._controllers[self._target], renewal)]
 
+    def _choose_pause(self) -> int:
+        """Return the time until a retry in ms.
+
+        While the lease may still be in force, retries are fast. Later they are as
+        frequent as renewals, as all holders then wait for the same controllers.
+        """
+        if self._unanswered <= FAST_RETRIES:
+            return RETRY_MS
+        return int(RENEW_MS * self._chance.uniform(*SLOW_RETRY_RATIOS))
+
     def announce(self, member: messages.Member, now_ms: int) -> list[Effect]:
         """Replace what the process states about itself and renew at once."""
         self.member = member
@@ -137,6 +150,7 @@
         if version <= self.view.configuration_version or self._unanswered:
             return []
         self._next_ms = now_ms
+        self._out_of_turn = True
         return self.tick(now_ms)
 
     def _yield_place(self, denial: messages.LeaseDenied, now_ms: int) -> list[Effect]:
@@ -181,10 +195,23 @@
         expires_ms = grant.sent_ms + length_ms
         if expires_ms <= self._expires_ms:
             return
+        out_of_turn = self._out_of_turn or not self.is_valid(now_ms)
         self._expires_ms = expires_ms
         self._granted = True
-        self._unanswered = False
-        jitter_ms = self._chance.uniform(-JITTER_RATIO, JITTER_RATIO) * RENEW_MS
-        self._next_ms = max(now_ms, grant.sent_ms + RENEW_MS + int(jitter_ms))
+        self._unanswered = 0
+        self._out_of_turn = False
+        self._next_ms = max(now_ms, grant.sent_ms + self._choose_turn(out_of_turn))
         if self.view.configuration_version < self._announced_version:
             self._next_ms = now_ms
+            self._out_of_turn = True
+
+    def _choose_turn(self, out_of_turn: bool) -> int:
+        """Return the time until the next renewal in ms.
+
+        What made this holder renew out of turn, as a change or the end of an
+        outage, did so to all of them at once: the next turn is anywhere in a second.
+        """
+        if out_of_turn:
+            return int(self._chance.uniform(0, RENEW_MS))
+        jitter = self._chance.uniform(-JITTER_RATIO, JITTER_RATIO)
+        return int(RENEW_MS * (1 + jitter))
--- a/tests/test_leaseholder.py
+++ b/tests/test_leaseholder.py
@@ -1,5 +1,6 @@
 """Tests of the holder's side of a lease."""
 
+import collections
 import random
 
 from amaranthspar import effects, leaseholder, messages
@@ -8,9 +9,9 @@
 DURATION_MS = 3000
 
 
-def build_holder() -> leaseholder.LeaseHolder:
+def build_holder(seed: int = 1) -> leaseholder.LeaseHolder:
     member = messages.Member("s1", "sidecar", 5, "127.0.0.1:9", 0)
-    return leaseholder.LeaseHolder(member, CONTROLLERS, 0, random.Random(1))
+    return leaseholder.LeaseHolder(member, CONTROLLERS, 0, random.Random(seed))
 
 
 def grant(
@@ -70,3 +71,34 @@
     assert not holder.handle(messages.AnnounceVersion(2), 1)
     holder.handle(grant(0, version=1), 5)
     assert find_renewals(holder.tick(6))
+
+
+def test_holders_that_lapsed_together_renew_spread_again() -> None:
+    down_ms = 20_000
+    holders = [build_holder(seed) for seed in range(100)]
+    sent: collections.Counter[int] = collections.Counter()
+    for now_ms in range(0, down_ms + 5_000, 5):
+        for holder in holders:
+            for renewal in find_renewals(holder.tick(now_ms)):
+                sent[now_ms // 500] += 1
+                if now_ms >= down_ms or now_ms < 3_000:
+                    holder.handle(grant(renewal.sent_ms), now_ms)
+    parts = range(8_000 // 500, (down_ms + 5_000) // 500)
+    assert max(sent[part] for part in parts) < 100
+    assert min(sent[part] for part in parts) > 20
+
+
+def test_push_of_a_version_leaves_renewals_spread() -> None:
+    holders = [build_holder(seed) for seed in range(100)]
+    sent: collections.Counter[int] = collections.Counter()
+    for now_ms in range(0, 8_000, 5):
+        for holder in holders:
+            found = holder.tick(now_ms)
+            if now_ms == 5_000:
+                found += holder.handle(messages.AnnounceVersion(1), now_ms)
+            for renewal in find_renewals(found):
+                sent[now_ms // 100] += 1
+                version = int(now_ms >= 5_000)
+                held = renewal.configuration_version
+                holder.handle(grant(renewal.sent_ms, 0, version, held), now_ms)
+    assert max(sent[part] for part in range(51, 80)) < 35
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,109 @@
+"""Restarts of all controllers and replacement of hosts, over processes."""
+
+import asyncio
+import json
+import pathlib
+import shutil
+
+from amaranthspar import configuration, messages
+from tests import builders_control, builders_shell, test_stopping
+
+CALLERS = test_stopping.CALLERS
+
+
+async def wait_led(office: test_stopping.Office, number: int) -> None:
+    """Wait until a controller knows a leader."""
+    asker = builders_control.Client()
+    await asker.links.open()
+    address = f"127.0.0.1:{office.ports[number]}"
+    request = messages.ReplaceReplica(0, "", "", "", "")
+    await asker.ask([address], request, messages.ReplicasChanged)
+    asker.links.close()
+
+
+def test_restart_of_controllers_in_turn_lapses_no_lease(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def scenario(office: test_stopping.Office) -> None:
+        async with test_stopping.open_load(office) as (load, _):
+            for number in range(3):
+                await office.stop(f"controller-{number + 1}")
+                office.start_controller(number)
+                await wait_led(office, number)
+                await load.wait_answered(CALLERS)
+        assert load.failures == []
+
+    test_stopping.run(tmp_path, scenario)
+
+
+def test_loss_of_all_controllers_refuses_truthfully_and_all_comes_back(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def scenario(office: test_stopping.Office) -> None:
+        async with test_stopping.open_load(office) as (load, record):
+            office.kill(*(f"controller-{number + 1}" for number in range(3)))
+            async with asyncio.timeout(builders_shell.START_S):
+                while load.ready:
+                    await asyncio.sleep(0.05)
+            for number in range(3):
+                office.start_controller(number)
+            await load.wait_answered(2 * CALLERS)
+        started = [span.echo for span in record.spans]
+        assert not [echo for echo in load.refused if echo in started]
+        assert len(load.refused) == len(load.failures)
+
+    test_stopping.run(tmp_path, scenario)
+
+
+class Operator:
+    """Runs an operator's commands against a gateway."""
+
+    def __init__(self, url: str) -> None:
+        self.access = {"AMARANTHSPAR_GATEWAY": url, "AMARANTHSPAR_TOKEN": "secret"}
+
+    def run(self, *words: str, text: str | None = None) -> str:
+        result = builders_shell.run_program(*words, text=text, **self.access)
+        assert result.returncode == 0, result.stderr
+        return result.stdout
+
+    def add_team(self, team: str) -> None:
+        shown = json.loads(self.run("config", "show", "--json"))
+        changed = configuration.parse_text(shown["text"]).add_team(team)
+        words = ("config", "submit", "-", "--base-version", str(shown["version"]))
+        self.run(*words, "--change-id", team, text=str(changed))
+
+    def list_replicas(self) -> dict[str, bool]:
+        """Return whether each replica is a voter."""
+        shown = json.loads(self.run("replica", "show", "--json"))
+        return {item["id"]: item["voter"] for item in shown["replicas"]}
+
+
+def lose_host(office: test_stopping.Office, number: int) -> None:
+    """Kill a controller and remove its disk."""
+    office.kill(f"controller-{number + 1}")
+    shutil.rmtree(office.folder / f"data-{number}")
+
+
+def test_replaced_host_votes_and_a_second_loss_loses_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def scenario(office: test_stopping.Office) -> None:
+        office.start_controllers()
+        operator = Operator(office.start_gateway(0))
+        operator.add_team("before")
+        lose_host(office, 0)
+        operator.add_team("between")
+        office.start_controller(3)
+        address = f"127.0.0.1:{office.ports[test_stopping.SPARE_PORT]}"
+        words = ("--remove", "c0", "--add", "c3", "--address", address)
+        operator.run("replica", "replace", *words)
+        builders_shell.wait_until(lambda: operator.list_replicas().get("c3", False))
+        assert operator.list_replicas() == {"c1": True, "c2": True, "c3": True}
+        operator.add_team("after")
+        lose_host(office, 1)
+        operator.add_team("last")
+        history = json.loads(operator.run("config", "history", "--json"))
+        found = [item["change_id"] for item in history]
+        assert found == ["bootstrap", "before", "between", "after", "last"]
+
+    test_stopping.run(tmp_path, scenario)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import subprocess
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import attrs
 
@@ -16,6 +17,7 @@
 CALLERS = 24
 SLEEP_MS = 150
 DRAIN_MS = 1500
+SPARE_PORT = 13
 
 
 @attrs.define
@@ -26,8 +28,15 @@
     ready: list[str] = attrs.field(factory=list)
     answered: int = 0
     failures: list[str] = attrs.field(factory=list)
+    refused: list[list[int]] = attrs.field(factory=list)
     over: bool = False
 
+    async def wait_answered(self, count: int) -> None:
+        wanted = self.answered + count
+        async with asyncio.timeout(builders_shell.START_S):
+            while self.answered < wanted:
+                await asyncio.sleep(0.1)
+
     async def watch(self) -> None:
         clients = {url: client.Client(url, "") for url in self.urls}
         while not self.over:
@@ -50,13 +59,12 @@
                 continue
             count += 1
             item = clients[self.ready[(number + count) % len(self.ready)]]
-            body = {"sleep_ms": SLEEP_MS, "echo": [number, count]}
+            echo = [number, count]
+            body = {"sleep_ms": SLEEP_MS, "echo": echo}
             try:
                 reply = await item.send_request("lookup", json.dumps(body).encode())
-                own = reply.status == 200 and json.loads(reply.body)["echo"] == [
-                    number,
-                    count,
-                ]
+                own = reply.status == 200 and json.loads(reply.body)["echo"] == echo
+                self.refused += [echo] if reply.outcome == "not-run" else []
                 failure = "" if own else f"{reply.status} {reply.body[:300]!r}"
             except client.ClientError as error:
                 failure = repr(error)
@@ -80,36 +88,53 @@
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[process]\nname = {name}\nlisten = 127.0.0.1:{listen}\n"
-            f"controllers = {controllers}\nfailure_domain = {DOMAINS[number]}\n"
+            f"controllers = {controllers}\nfailure_domain = {DOMAINS[number % 3]}\n"
             f"[{role}]\n{section}"
         )
         self.processes[name] = builders_shell.start_program(
             role, "--settings", str(path)
         )
 
-    def start_all(self, upstreams: list[int]) -> list[str]:
-        bootstrap = self.folder / "bootstrap.ini"
-        bootstrap.write_text(str(cluster.build_configuration("secret")))
+    def start_controller(self, number: int) -> None:
         replicas = ", ".join(
             f"c{number}=127.0.0.1:{port}" for number, port in enumerate(self.ports[:3])
         )
+        section = (
+            f"replica = c{number}\nreplicas = {replicas}\n"
+            f"data = {self.folder}/data-{number}\n"
+            f"bootstrap = {self.folder}/bootstrap.ini\n"
+        )
+        listen = self.ports[number if number < 3 else SPARE_PORT]
+        self.start("controller", number, listen, section)
+
+    def start_gateway(self, number: int) -> str:
+        address = f"127.0.0.1:{self.ports[8 + number]}"
+        section = f"http = {address}\ndrain_ms = {DRAIN_MS}\n"
+        self.start("gateway", number, self.ports[6 + number], section)
+        return f"http://{address}"
+
+    def start_controllers(self) -> None:
+        bootstrap = self.folder / "bootstrap.ini"
+        bootstrap.write_text(str(cluster.build_configuration("secret")))
         for number in range(3):
-            section = (
-                f"replica = c{number}\nreplicas = {replicas}\n"
-                f"data = {self.folder}/data-{number}\nbootstrap = {bootstrap}\n"
-            )
-            self.start("controller", number, self.ports[number], section)
+            self.start_controller(number)
+
+    def start_all(self, upstreams: list[int]) -> list[str]:
+        self.start_controllers()
         for number, port in enumerate(upstreams):
             section = (
                 f"upstream = 127.0.0.1:{port}\nworker = w{number}\nrack = r{number}\n"
                 "services = lookup, recalculate, hold\n"
             )
             self.start("sidecar", number, self.ports[3 + number], section)
-        for number in range(2):
-            section = f"http = 127.0.0.1:{self.ports[8 + number]}\n"
-            section += f"drain_ms = {DRAIN_MS}\n"
-            self.start("gateway", number, self.ports[6 + number], section)
-        return [f"http://127.0.0.1:{self.ports[8 + number]}" for number in range(2)]
+        return [self.start_gateway(number) for number in range(2)]
+
+    def kill(self, *names: str) -> None:
+        """Kill processes and wait for their ends."""
+        for name in names:
+            self.processes[name].kill()
+        for name in names:
+            self.processes.pop(name).wait()
 
     async def stop(self, name: str) -> None:
         """Send SIGTERM twice and check the exit code."""
@@ -122,8 +147,21 @@
         assert code == 0, (name, builders_shell.read_output(process))
 
 
-async def run_stops(office: Office) -> Load:
-    record = standin.StartRecord()
+Scenario = Callable[[Office], Awaitable[None]]
+
+
+async def find_leader(url: str) -> str:
+    """Return the name of the leading controller."""
+    caller = client.Client(url, "secret")
+    leader = (await caller.fetch_replicas()).leader
+    await caller.close()
+    return f"controller-{int(leader.removeprefix('c')) + 1}"
+
+
+@contextlib.asynccontextmanager
+async def open_load(office: Office) -> AsyncIterator[tuple[Load, standin.StartRecord]]:
+    """Run every role under load, then stop what is left."""
+    record = standin.StartRecord(None)
     stand_ins = []
     for number, domain in enumerate(DOMAINS):
         item = standin.StandIn(f"upstream-{number}", domain, record)
@@ -132,34 +170,35 @@
     load = Load(office.start_all(office.ports[10:13]))
     running = [asyncio.create_task(load.watch())]
     running += [asyncio.create_task(load.ask(number)) for number in range(CALLERS)]
-    async with asyncio.timeout(builders_shell.START_S):
-        while load.answered < 3 * CALLERS:
-            await asyncio.sleep(0.1)
-    for name in ("sidecar-2", "controller-1", "gateway-1"):
-        answered = load.answered
-        await office.stop(name)
-        async with asyncio.timeout(builders_shell.START_S):
-            while load.answered < answered + 2 * CALLERS:
-                await asyncio.sleep(0.1)
+    await load.wait_answered(3 * CALLERS)
+    yield load, record
     load.over = True
     await asyncio.gather(*running)
     for name in list(office.processes):
         await office.stop(name)
     await asyncio.gather(*(item.close() for item in stand_ins))
     assert not record.list_doubled()
-    return load
 
 
-def test_planned_stops_cut_off_no_answer(tmp_path: pathlib.Path) -> None:
+def run(tmp_path: pathlib.Path, scenario: Scenario) -> None:
+    """Run a scenario and kill whatever it leaves."""
     office = Office(tmp_path)
     try:
-        load = asyncio.run(run_stops(office))
+        asyncio.run(scenario(office))
     finally:
-        for process in office.processes.values():
-            process.kill()
-            process.wait()
-    assert load.failures == []
-    assert load.answered > 0
+        office.kill(*office.processes)
+
+
+def test_planned_stops_cut_off_no_answer(tmp_path: pathlib.Path) -> None:
+    async def scenario(office: Office) -> None:
+        async with open_load(office) as (load, _):
+            leader = await find_leader(load.urls[0])
+            for name in ("sidecar-2", leader, "gateway-1"):
+                await office.stop(name)
+                await load.wait_answered(2 * CALLERS)
+        assert load.failures == []
+
+    run(tmp_path, scenario)
 
 
 def test_served_demo_stops_in_order_under_load() -> None:
