Find silent links among controllers before they cost the quorum

Cause: with all links to the leader silent for good, the followers' answers did not arrive until the links were dialled anew after three link heartbeats of 500 ms, while a leader steps down after two election timeouts (1.2 s). Change: links among controllers are looked after every two heartbeats of consensus (200 ms), which costs no frame as those heartbeats keep them busy.

--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -34,6 +34,7 @@
 SNAPSHOT_ENTRIES = 2_000
 SNAPSHOT_MIN_BYTES = 4 * 1024 * 1024
 VIEW_AGE_PARTS = (2, 3)
+LINK_HEARTBEATS = 2
 BOOTSTRAP = "bootstrap"
 
 _log = structlog.get_logger()
@@ -141,6 +142,7 @@
         except errors.LinkError:
             folder.close()
             raise
+        self._watch_replicas()
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
 
     async def stop(self) -> None:
@@ -178,8 +180,19 @@
                 self._expire_ms = standing.now_ms + EXPIRE_INTERVAL_MS
                 self.requests.expire(standing)
                 self._plan_flush()
+                self._watch_replicas()
                 self._report()
 
+    def _watch_replicas(self) -> None:
+        """Have a silent link among replicas found before it costs the quorum.
+
+        Heartbeats of consensus keep these links busy, so this sends no more frames.
+        """
+        interval_ms = LINK_HEARTBEATS * self._options.heartbeat_ms
+        for replica in self._machine.journal.members.replicas:
+            if replica.id != self._options.replica:
+                self._links.watch(replica.address, interval_ms)
+
     def _report(self) -> None:
         rejected = self._machine.rejected_folders
         if rejected and not self._counts.get("rejected_folders"):
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -91,6 +91,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._receive = receive
         self._heartbeat_ms = options.heartbeat_ms
+        self._intervals_ms: dict[str, int] = {}
         self._encryption = encryption.Encryption(options)
         self._peers: dict[str, _Peer] = {}
         self._clock = clock.Clock()
@@ -168,6 +169,19 @@
         if peer is not None:
             peer.socket.close()
 
+    def watch(self, address: str, heartbeat_ms: int) -> None:
+        """Look after the link to one peer at an interval of its own.
+
+        Args:
+            address: Address at which the peer listens.
+            heartbeat_ms: Heartbeat interval in ms, if it is the shorter one.
+        """
+        interval_ms = min(heartbeat_ms, self._heartbeat_ms)
+        self._intervals_ms[address] = interval_ms
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.health.interval_ms = interval_ms
+
     def _count_sent(self, address: str, kind: str) -> None:
         group = "control" if address in self.controllers else "peer"
         self.counts[f"sent.{group}.{kind}"] += 1
@@ -182,7 +196,8 @@
             self.counts["links.addresses.invalid"] += 1
             return None
         now_ms = self._clock.read_monotonic()
-        health = heartbeats.Heartbeats(self._heartbeat_ms, now_ms)
+        interval_ms = self._intervals_ms.get(address, self._heartbeat_ms)
+        health = heartbeats.Heartbeats(interval_ms, now_ms)
         peer = self._peers[address] = _Peer(address, socket, health)
         return peer
 
@@ -277,9 +292,10 @@
                 peer.health.note_use(now_ms)
 
     async def _beat(self) -> None:
-        """Look after the links twice in each heartbeat interval."""
+        """Look after the links twice in the shortest heartbeat interval."""
         while True:
-            await asyncio.sleep(self._heartbeat_ms / 2000)
+            intervals_ms = [self._heartbeat_ms, *self._intervals_ms.values()]
+            await asyncio.sleep(min(intervals_ms) / 2000)
             now_ms = self._clock.read_monotonic()
             for peer in list(self._peers.values()):
                 self._carry_out(peer, peer.health.tick(now_ms))
