--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -41,6 +41,7 @@
     "losses-regions": Experiment("losses", function="run_regions"),
     "leases-removal": Experiment("control", function="run_removal"),
     "leases-failover": Experiment("control", function="run_failover"),
+    "leases-restart": Experiment("control", function="run_restarts"),
     "config": Experiment("control", function="run_config"),
     "burst": Experiment("burst"),
     "badworker": Experiment("badworker"),
