--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -32,14 +32,16 @@
 
 EXPERIMENTS = {
     "response": Experiment("response", BOTH),
+    "declared": Experiment("response", function="run_declared"),
     "waste": Experiment("waste", BOTH),
     "domain": Experiment("domain", BOTH),
     "removal": Experiment("removal"),
-    "losses-leader": Experiment("losses", function="run_leader"),
+    "failover": Experiment("losses", function="run_leader"),
     "losses": Experiment("losses"),
     "losses-regions": Experiment("losses", function="run_regions"),
     "leases-removal": Experiment("control", function="run_removal"),
     "leases-failover": Experiment("control", function="run_failover"),
+    "leases-restart": Experiment("control", function="run_restarts"),
     "config": Experiment("control", function="run_config"),
     "burst": Experiment("burst"),
     "badworker": Experiment("badworker"),
