Have the platform stop tasks that their upstream does not

Cause: an upstream that does not notice when its caller has gone ran on after a deadline or a cancel, while its slot was given to the next task. Nothing used the platform's interface.

The slot of an overdue or cancelled task is free only then; a lost connection is answered at once and stopped meanwhile. Stand-ins: tasks that are deaf to their callers, and the platform's interface, also in the benchmarks. Throttling and checkpoints are not used: a throttled straggler still holds its slot.

--- a/amaranthspar/options.py
+++ b/amaranthspar/options.py
@@ -81,6 +81,7 @@
         worker: Name of the worker.
         rack: Rack of the worker.
         services: Services served.
+        platform: Address of the platform's HTTP server, which stops tasks; empty for none.
         group: Upstream group.
         slots: Tasks that may run at once.
         connections: Connections that may be open at once.
@@ -93,6 +94,7 @@
     worker: str
     rack: str
     services: list[str]
+    platform: str = ""
     group: str = "main"
     slots: Annotated[int, msgspec.Meta(ge=1)] = 8
     connections: Annotated[int, msgspec.Meta(ge=1)] = 64
--- a/amaranthspar/settings.py
+++ b/amaranthspar/settings.py
@@ -116,6 +116,8 @@
             yield from _check_address(section, "http", entry.http)
         case options.SidecarOptions():
             yield from _check_address(section, "upstream", entry.upstream)
+            if entry.platform:
+                yield from _check_address(section, "platform", entry.platform)
             if not entry.services:
                 yield f"[{section}] services = : expected at least one service"
         case options.ControllerOptions():
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -17,6 +17,7 @@
     options,
     traces,
     upstream,
+    worker,
 )
 
 TICK_MS = 50
@@ -52,6 +53,7 @@
         self._tracer = traces.build_tracer(process)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
+        self._platform: worker.Worker | None = None
         self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
         self._ticking: asyncio.Task[None] | None = None
 
@@ -61,8 +63,10 @@
         Raises:
             errors.LinkError: The address for links cannot be used.
         """
+        if self._options.platform:
+            self._platform = worker.Worker(self._options.platform)
         self._upstream = upstream.Upstream(
-            self._options.upstream, self._options.connections
+            self._options.upstream, self._options.connections, self._platform
         )
         await self._links.open()
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
@@ -92,6 +96,8 @@
         self._links.close()
         if self._upstream is not None:
             await self._upstream.close()
+        if self._platform is not None:
+            await self._platform.close()
         if self._tracer is not None:
             await asyncio.to_thread(self._tracer.close)
 
--- a/amaranthspar/standin.py
+++ b/amaranthspar/standin.py
@@ -16,6 +16,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 RECORDED_SPANS = 10_000
 STUCK_MS = 60_000
+STOPPED_STATUS = 503
 
 
 @attrs.frozen(slots=True)
@@ -55,7 +56,7 @@
         echo: Value that the task had sent back.
         started_ms: Monotonic time of the start.
         ended_ms: Monotonic time of the end; 0 while it runs.
-        cut: Whether the caller went away before the end.
+        cut: Whether it was ended before its run time was over.
     """
 
     submission: str
@@ -76,11 +77,13 @@
         slow_factor: Factor on each run time.
         failing: Whether each task fails at once.
         stuck_ratio: Share of starts, by counting, that take a minute longer.
+        deaf: Whether a task runs on when its caller has gone away.
     """
 
     slow_factor: float = 1.0
     failing: bool = False
     stuck_ratio: float = 0.0
+    deaf: bool = False
 
 
 class StartRecord:
@@ -127,6 +130,7 @@
         self._clock = clock.Clock()
         self._slots = asyncio.Semaphore(slots) if slots else None
         self._stuck = 0.0
+        self._running: dict[tuple[str, str], asyncio.Future[bool]] = {}
         self._server = _httpserver.HttpServer(MAX_BODY_BYTES)
 
     async def open(self, address: str) -> None:
@@ -142,6 +146,22 @@
         """Stop listening and close the connections."""
         await self._server.close()
 
+    def stop_task(self, submission: str, task: str) -> bool:
+        """End a task before its run time is over, as the platform would.
+
+        Args:
+            submission: Submission id.
+            task: Position in the submission.
+
+        Returns:
+            Whether it ran here.
+        """
+        running = self._running.get((submission, task))
+        if running is None or running.done():
+            return False
+        running.set_result(False)
+        return True
+
     async def _serve(self, request: Any, service: str) -> response.HTTPResponse:
         try:
             work = msgspec.json.decode(request.body or b"{}", type=Work)
@@ -149,6 +169,14 @@
             return response.raw(msgspec.json.encode(str(error)), 400, content_type=JSON)
         submission = request.headers.get(upstream.SUBMISSION_HEADER, "")
         task = request.headers.get(upstream.TASK_HEADER, "")
+        answer = self._occupy(work, submission, task)
+        if self.behaviour.deaf:
+            return await asyncio.shield(asyncio.ensure_future(answer))
+        return await answer
+
+    async def _occupy(
+        self, work: Work, submission: str, task: str
+    ) -> response.HTTPResponse:
         if self._slots is None:
             return await self._work(work, submission, task)
         if self._slots.locked():
@@ -166,16 +194,30 @@
         self._record.spans.append(span)
         failing = work.fail or self.behaviour.failing
         try:
-            await asyncio.sleep(self._choose_sleep(work) / 1000)
+            span.cut = not await self._sleep((submission, task), work)
         except asyncio.CancelledError:
             span.cut = True
             raise
         finally:
             span.ended_ms = self._clock.read_monotonic()
+        if span.cut:
+            return response.empty(STOPPED_STATUS)
         done = Done(work.echo, self.name, self._failure_domain, starts)
         status = 500 if failing else 200
         return response.raw(msgspec.json.encode(done), status, content_type=JSON)
 
+    async def _sleep(self, name: tuple[str, str], work: Work) -> bool:
+        """Return whether the whole run time has passed."""
+        loop = asyncio.get_running_loop()
+        running: asyncio.Future[bool] = loop.create_future()
+        self._running[name] = running
+        timer = loop.call_later(self._choose_sleep(work) / 1000, _end, running)
+        try:
+            return await running
+        finally:
+            timer.cancel()
+            del self._running[name]
+
     def _choose_sleep(self, work: Work) -> float:
         if self.behaviour.failing:
             return 0.0
@@ -185,3 +227,8 @@
             self._stuck -= 1
             sleep_ms += STUCK_MS
         return sleep_ms
+
+
+def _end(running: asyncio.Future[bool]) -> None:
+    if not running.done():
+        running.set_result(True)
--- a/amaranthspar/upstream.py
+++ b/amaranthspar/upstream.py
@@ -6,7 +6,7 @@
 import aiohttp
 import attrs
 
-from amaranthspar import clock, doubts, executor, messages
+from amaranthspar import clock, doubts, executor, messages, worker
 
 SUBMISSION_HEADER = "Amaranthspar-Submission"
 TASK_HEADER = "Amaranthspar-Task"
@@ -15,6 +15,7 @@
 KEEP_ALIVE_S = 1
 CONNECT_RETRY_MS = 250
 CONNECT_PAUSE_MS = 50
+STOP_GRACE_MS = 200
 
 _NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
@@ -31,6 +32,7 @@
     transport: asyncio.Transport | None = None
     stopped: bool = False
     task: asyncio.Task[messages.TaskResult] | None = None
+    kill: asyncio.Task[bool] | None = None
 
 
 _current: contextvars.ContextVar[_Call] = contextvars.ContextVar("call")
@@ -59,12 +61,18 @@
     Args:
         address: Address of the upstream's HTTP server.
         connections: Connections that may be open at once.
+        platform: Platform's interface, which stops what the upstream does not; none
+            to wait for the upstream, or until the deadline.
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, platform: worker.Worker | None = None
+    ) -> None:
         self._address = address
+        self._platform = platform
         self._clock = clock.Clock()
         self._calls: dict[tuple[str, int], _Call] = {}
+        self._kills: set[asyncio.Task[bool]] = set()
         self._session = aiohttp.ClientSession(
             connector=_Connector(limit=connections, keepalive_timeout=KEEP_ALIVE_S),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -74,6 +82,8 @@
 
     async def close(self) -> None:
         """Close every connection."""
+        for kill in self._kills:
+            kill.cancel()
         await self._session.close()
 
     async def call(self, run: executor.RunTask) -> messages.TaskResult:
@@ -98,6 +108,7 @@
             reason = f"upstream: {type(error).__name__}"
             if call.stopped:
                 reason = "cancelled"
+            await self._make_sure(call, call.stopped or isinstance(error, TimeoutError))
             return messages.TaskResult(*name, "unknown", reason)
         except asyncio.CancelledError:
             if call.transport is None:
@@ -131,8 +142,50 @@
                 call.task.cancel()
         elif call.transport.can_write_eof() and not call.transport.is_closing():
             call.transport.write_eof()
+            self._watch_stop(call)
         return True
 
+    async def _make_sure(self, call: _Call, awaited: bool) -> None:
+        """Have the platform stop what may still run after its connection has ended.
+
+        The slot of a task that nobody waits for is free only once it has stopped; a
+        caller who still waits is told at once.
+        """
+        if self._platform is None:
+            return
+        kill = self._kill(call, self._platform)
+        if awaited:
+            await kill
+
+    def _watch_stop(self, call: _Call) -> None:
+        """Have the platform stop what its upstream does not stop by itself."""
+        platform = self._platform
+        if platform is None:
+            return
+
+        def kill() -> None:
+            if self._find(call.run) is call:
+                self._kill(call, platform).add_done_callback(end)
+
+        def end(killed: asyncio.Task[bool]) -> None:
+            confirmed = not killed.cancelled() and killed.result()
+            if confirmed and call.transport is not None and self._find(call.run):
+                call.transport.abort()
+
+        asyncio.get_running_loop().call_later(STOP_GRACE_MS / 1000, kill)
+
+    def _find(self, run: executor.RunTask) -> _Call | None:
+        return self._calls.get((run.submission, run.index))
+
+    def _kill(self, call: _Call, platform: worker.Worker) -> asyncio.Task[bool]:
+        """Ask the platform once for each call."""
+        if call.kill is None:
+            stop = platform.stop_task(call.run.submission, call.run.index)
+            call.kill = asyncio.get_running_loop().create_task(stop)
+            self._kills.add(call.kill)
+            call.kill.add_done_callback(self._kills.discard)
+        return call.kill
+
     async def _request(self, call: _Call) -> messages.TaskResult:
         until_ms = self._clock.read_monotonic() + CONNECT_RETRY_MS
         while True:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -152,6 +152,7 @@
             worker=f"worker-{number + 1}",
             rack=f"rack-{number // 3 + 1}",
             services=[kind.service for kind in self.firm.kinds],
+            platform=self.control,
             group=self.groups.get(number, "main"),
             slots=self.firm.slots,
             connections=firms.CONNECTIONS,
--- a/benchmarks/straggler.py
+++ b/benchmarks/straggler.py
@@ -1,4 +1,7 @@
-"""Jobs with a task that hardly ends, held to their deadline."""
+"""Jobs with a task that hardly ends, held to their deadline.
+
+The upstreams do not notice when a caller has gone: the platform stops such tasks.
+"""
 
 from __future__ import annotations
 
@@ -28,10 +31,15 @@
     for firm in options.firms:
         arrivals = generate(firm, options)
         async with trials.open_trial(firm) as trial:
+            for number in range(firm.upstreams):
+                await trial.set_behaviour(number, deaf=True)
             earlier = len(await trial.read_spans())
             await trial.driver.run(arrivals, "straggler")
             spans = await trial.read_spans(earlier)
             _evaluate(outcome, firm, arrivals, trial.driver.samples, spans)
+            full = await trial.read_waited()
+            name = f"{firm.name} starts that found no free slot"
+            outcome.measures.append(outcomes.Measure(name, full, 0))
     return outcome
 
 
--- a/benchmarks/upstreams.py
+++ b/benchmarks/upstreams.py
@@ -14,14 +14,14 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, loop, standin
+from amaranthspar import _httpserver, loop, standin, workerstandin
 
 JSON = "application/json"
 MAX_BODY_BYTES = 1024 * 1024
 
 
 class Upstreams:
-    """Stand-ins with one control interface.
+    """Stand-ins with one control interface, which is the platform's also.
 
     Args:
         slots: Slots of each stand-in.
@@ -47,6 +47,7 @@
             self._stand_ins[name] = stand_in
         self._server.add("GET", "/spans", self._show_spans)
         self._server.add("GET", "/waited", self._show_waited)
+        workerstandin.WorkerStandIn(self._stand_ins.values()).add_to(self._server)
         self._server.add("PUT", "/behaviour/<name:str>", self._change)
         await self._server.open(control)
 
