End a gateway or sidecar whose name another process has taken

Cause: a process that lost its place logged it, started nothing and stayed unready for ever; only an operator could see it.

The test takes the name by a renewal with a newer incarnation.

--- a/amaranthspar/errors.py
+++ b/amaranthspar/errors.py
@@ -40,6 +40,17 @@
     """A process cannot start or go on."""
 
 
+class SupersededError(RoleError):
+    """Another process holds the name of this one with a newer incarnation.
+
+    Args:
+        process: Process name.
+    """
+
+    def __init__(self, process: str) -> None:
+        super().__init__(f"another process runs as {process}; this one has ended")
+
+
 class SettingsError(RoleError):
     """A settings file is wrong.
 
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -11,6 +11,7 @@
     control,
     dispatcher,
     effects,
+    errors,
     hops,
     intake,
     keys,
@@ -50,6 +51,8 @@
         self.options = gateway
         self.draining = False
         self.closing = False
+        self.failure: errors.SupersededError | None = None
+        self.stopped = asyncio.Event()
         self._process = process
         self._log = logs.get_logger(process.name)
         self._metrics = metrics.Metrics(process.name, process.statsd)
@@ -258,6 +261,12 @@
         if self._hops is not None:
             self._hops.settle(answer)
 
+    def _yield_place(self) -> None:
+        """Admit nothing more, and have the process end once nothing is open."""
+        self._log.error("another incarnation took over")
+        self.failure = errors.SupersededError(self._process.name)
+        self.stopped.set()
+
     def _act(
         self, performed: list[dispatcher.Effect] | list[leaseholder.Effect]
     ) -> None:
@@ -277,4 +286,4 @@
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
-                    self._log.error("another incarnation took over")
+                    self._yield_place()
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -8,6 +8,7 @@
     clock,
     codec,
     effects,
+    errors,
     executor,
     leaseholder,
     logs,
@@ -48,6 +49,8 @@
         announcement = _build_announcement(process, sidecar)
         self.holder = membership.build_holder(process, "sidecar", announcement)
         self.executor = executor.Executor(self.holder)
+        self.failure: errors.SupersededError | None = None
+        self.stopped = asyncio.Event()
         self._links = membership.build_links(process, self.holder, self._receive, link)
         self._tracer = traces.build_tracer(process)
         self._options = sidecar
@@ -148,7 +151,13 @@
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
-                    self._log.error("another incarnation took over")
+                    self._yield_place()
+
+    def _yield_place(self) -> None:
+        """Start nothing more, and have the process end once nothing runs."""
+        self._log.error("another incarnation took over")
+        self.failure = errors.SupersededError(self._process.name)
+        self.stopped.set()
 
     def _run(self, run: executor.RunTask) -> None:
         assert self._upstream is not None
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,14 +5,16 @@
 import signal
 
 import attrs
+import psutil
 import uvloop
 
-from amaranthspar import client, cluster
+from amaranthspar import client, cluster, exits, links, messages
 from benchmarks import sidecar as site
 from tests import builders_links, test_cluster
 
 HOLDS = 120
 SLEEP_MS = 200
+TAKE_OVER_S = 30
 
 
 def hold(caller: client.Client, number: int):
@@ -101,3 +103,35 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         assert runner.run(run()) == (site.SLOTS, 0)
+
+
+@attrs.define
+class Rival:
+    """Takes the name of a process with a newer incarnation."""
+
+    link: links.Links
+    control: str
+
+    async def take_over(self, member: messages.Member, process: psutil.Process) -> int:
+        """Return the exit code of the process whose name is taken."""
+        newer = attrs.evolve(member, incarnation=member.incarnation + 1_000_000)
+        renewal = messages.RenewLease(newer, 1, 0, 0)
+        async with asyncio.timeout(TAKE_OVER_S):
+            while process.is_running() and process.status() != psutil.STATUS_ZOMBIE:
+                self.link.send(self.control, renewal)
+                await asyncio.sleep(0.2)
+        return process.wait()
+
+
+def test_process_whose_name_is_taken_ends_with_an_error() -> None:
+    async def run() -> int:
+        async with site.open_site(1) as place:
+            gateway = place.gateways[0]
+            while not any(item.limit for item in gateway.dispatcher.routes.values()):
+                await asyncio.sleep(0.05)
+            member = next(iter(gateway.dispatcher.routes.values())).member
+            rival = Rival(gateway.links, gateway.holder._controllers[0])
+            return await rival.take_over(member, place.process)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(run()) == exits.REFUSED
