--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -29,11 +29,13 @@
 )
 
 FOLDER_BITS = 62
-HAND_OVER_MS = 1_000
+HAND_OVER_MS = 2_000
+HAND_OVER_POLL_MS = 10
 EXPIRE_INTERVAL_MS = 500
 SNAPSHOT_ENTRIES = 2_000
 SNAPSHOT_MIN_BYTES = 4 * 1024 * 1024
 VIEW_AGE_PARTS = (2, 3)
+LINK_HEARTBEATS = 2
 BOOTSTRAP = "bootstrap"
 
 _log = structlog.get_logger()
@@ -141,21 +143,30 @@
         except errors.LinkError:
             folder.close()
             raise
+        self._watch_replicas()
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
 
     async def stop(self) -> None:
-        """Hand leadership over if this replica has it, then stop."""
+        """Hand leadership over if this replica has it, then stop.
+
+        It stops only once it has heard the new leader, which may need its vote, and
+        tries the next replica where the first does not take leadership.
+        """
         if self.stopped.is_set():
             return
         if self.leading:
-            self._step(transitions.HandOver())
-            for _ in range(HAND_OVER_MS // 10):
-                if not self.leading:
-                    break
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(0.01)
+            await self._hand_over()
         self.abort()
 
+    async def _hand_over(self) -> None:
+        for _ in range(HAND_OVER_MS // HAND_OVER_POLL_MS):
+            if self._machine.accepts_proposals:
+                self._step(transitions.HandOver())
+            has_no_target = self._machine.accepts_proposals
+            if has_no_target or self._machine.leader not in ("", self._machine.replica):
+                return
+            await asyncio.sleep(HAND_OVER_POLL_MS / 1000)
+
     def abort(self) -> None:
         """Stop at once, as after a failure."""
         if self.stopped.is_set():
@@ -178,8 +189,19 @@
                 self._expire_ms = standing.now_ms + EXPIRE_INTERVAL_MS
                 self.requests.expire(standing)
                 self._plan_flush()
+                self._watch_replicas()
                 self._report()
 
+    def _watch_replicas(self) -> None:
+        """Have a silent link among replicas found before it costs the quorum.
+
+        Heartbeats of consensus keep these links busy, so this sends no more frames.
+        """
+        interval_ms = LINK_HEARTBEATS * self._options.heartbeat_ms
+        for replica in self._machine.journal.members.replicas:
+            if replica.id != self._options.replica:
+                self._links.watch(replica.address, interval_ms)
+
     def _report(self) -> None:
         rejected = self._machine.rejected_folders
         if rejected and not self._counts.get("rejected_folders"):
