Test a sidecar's restart while its gateway has starts in doubt

Change: tests that a late refusal and late credits of the old incarnation change nothing at the gateway, and that the new one answers no inquiry meant for the old.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -280,3 +280,31 @@
     assert not gateway.submissions
     fleet.loop.run(5000)
     assert len(fleet.record.starts) <= 72 + 18
+
+
+@pytest.mark.parametrize(
+    ("service", "outcome"), [("hold", submissions.UNKNOWN), ("lookup", None)]
+)
+def test_start_in_doubt_at_a_restarted_sidecar(service, outcome):
+    """A late "not run" of the old incarnation, and credits of it, change nothing."""
+    now_ms = 1000
+    holder = builders_gateway.build_holder(builders_gateway.build_sidecar())
+    machine = dispatcher.Dispatcher(holder, "gyor")
+    machine.handle(dispatcher.ViewChanged(), now_ms)
+    grant = dispatcher.Received("s1", 1, messages.GrantCredits(SLOTS, 1))
+    machine.handle(grant, now_ms)
+    submitted = builders_gateway.build_submission("r1", service)
+    sent = machine.handle(dispatcher.Submitted(submitted), now_ms)
+    assert [type(item.message) for item in sent] == [messages.StartTasks]
+    member = builders_gateway.build_sidecar(incarnation=2)
+    settings = builders_gateway.build_settings()
+    builders_gateway.grant_view(holder, [member], settings, 2, now_ms)
+    performed = machine.handle(dispatcher.ViewChanged(), now_ms)
+    refused = messages.TaskResult("r1", 0, "not-run", "refused", start=1)
+    report = messages.ReportResults(1, 1, [refused], 2 * SLOTS, 1)
+    performed += machine.handle(dispatcher.Received("s1", 1, report), now_ms)
+    performed += machine.handle(grant, now_ms)
+    answers = [item for item in performed if isinstance(item, submissions.Answer)]
+    assert [item.outcome for item in answers] == ([outcome] if outcome else [])
+    sends = [item.message for item in performed if isinstance(item, effects.Send)]
+    assert not any(isinstance(item, messages.StartTasks) for item in sends)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -100,6 +100,12 @@
     assert sidecar.slots.shares["g1"].used == 1
 
 
+def test_restarted_sidecar_answers_no_inquiry_of_the_old_one(sidecar):
+    inquiry = messages.InquireTasks(6, 3, [messages.TaskReference("job", 0, 3)])
+    assert not list_results(receive(sidecar, inquiry))
+    assert list_runs(receive(sidecar, build_start(sequence=1))) == [0]
+
+
 def test_result_of_older_gateway_is_not_given_to_newer(sidecar):
     receive(sidecar, build_start())
     receive(sidecar, messages.ReportDemand(7, 0, 0, 0, 0), incarnation=2)
