Name the allowed methods in a 405, and log configurations only when they change

Change: the header that sanic has is passed on; the line is "configuration changed" and comes only with a newer configuration (the benchmarks' log reader follows).

Before: the new test of the header fails (KeyError). After: test_web and test_leaseholder pass (84).

--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -280,8 +280,9 @@
                 case submissions.Answer():
                     self._settle(effect)
                 case leaseholder.ViewChanged():
-                    version = self.holder.view.configuration_version
-                    self._log.info("view changed", configuration=version)
+                    if effect.is_configured:
+                        version = self.holder.view.configuration_version
+                        self._log.info("configuration changed", configuration=version)
                     self.handle(dispatcher.ViewChanged())
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -23,7 +23,13 @@
 
 @attrs.frozen(slots=True)
 class ViewChanged:
-    """Tells that a newer configuration or membership is held."""
+    """Tells that a newer configuration or membership is held.
+
+    Attributes:
+        is_configured: Whether the configuration is newer.
+    """
+
+    is_configured: bool
 
 
 @attrs.frozen(slots=True)
@@ -176,17 +182,17 @@
             return []
         if self._lost:
             return []
-        changed = False
+        is_configured = changed = False
         if grant.configuration is not None:
             try:
-                changed |= self.view.apply_configuration(grant.configuration)
+                is_configured = self.view.apply_configuration(grant.configuration)
             except errors.DecisionError:
                 self.rejected_configurations += 1
                 return []
         if grant.membership is not None:
-            changed |= self.view.apply_membership(grant.membership)
+            changed = self.view.apply_membership(grant.membership)
         self._extend(grant, now_ms)
-        return [ViewChanged()] if changed else []
+        return [ViewChanged(is_configured)] if is_configured or changed else []
 
     def _extend(self, grant: messages.LeaseGranted, now_ms: int) -> None:
         if self.view.configuration_version < grant.configuration_version:
--- a/amaranthspar/replies.py
+++ b/amaranthspar/replies.py
@@ -69,7 +69,10 @@
     name = _NAMES.get(status, f"http-{status}")
     # A handler never runs for these, so nothing was started.
     outcome = submissions.NOT_RUN if status < 500 else submissions.UNKNOWN
-    return build_problem(problems.ProblemError(status, name, detail, outcome))
+    result = build_problem(problems.ProblemError(status, name, detail, outcome))
+    if isinstance(error, exceptions.MethodNotAllowed):
+        result.headers.update(error.headers)
+    return result
 
 
 def _judge_exception(error: exceptions.SanicException) -> int:
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -151,8 +151,9 @@
                 case executor.StopTask():
                     self._stop_call(effect)
                 case leaseholder.ViewChanged():
-                    version = self.holder.view.configuration_version
-                    self._log.info("view changed", configuration=version)
+                    if effect.is_configured:
+                        version = self.holder.view.configuration_version
+                        self._log.info("configuration changed", configuration=version)
                     self._act(self.executor.tick(self._clock.read_monotonic()))
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
--- a/benchmarks/loglines.py
+++ b/benchmarks/loglines.py
@@ -56,6 +56,6 @@
         Wall clock in ms, none if the log does not tell it.
     """
     for line in read_lines(path):
-        if line.event == "view changed" and line.configuration >= version:
+        if line.event == "configuration changed" and line.configuration >= version:
             return line.read_wall_ms()
     return None
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -86,6 +86,11 @@
     assert answer.outcome == "not-run"
 
 
+def test_refused_method_is_answered_with_those_allowed(served) -> None:
+    answer = builders_shell.call(served.urls[0] + "/healthz", "POST", b"{}")
+    assert answer.headers["allow"] == "GET"
+
+
 @pytest.mark.parametrize("token", [None, "", "wrong", "x" * 5000])
 @pytest.mark.parametrize(
     ("method", "path"),
