Split what a sidecar knows of gateways and their credits out of the executor

Cause: executor.py had grown to 523 lines.

Change: peers has the gateways (hearing, silence, parting), grants the credits told to them; executor is 422 lines. No change of behaviour: the tests of executor, dispatch and edges with their fixed seeds pass unchanged, but for a constant that moved (executor.GATEWAY_SILENT_MS is peers.SILENT_MS).

--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -8,15 +8,15 @@
     deliveries,
     desks,
     effects,
+    grants,
     holding,
     leaseholder,
     messages,
+    peers,
     slots,
     starts,
 )
 
-GATEWAY_SILENT_MS = 5000
-IDLE_SILENT_MS = 20000
 RETAIN_MS = 30000
 
 
@@ -83,30 +83,11 @@
 )
 
 
-@attrs.define(slots=True)
-class _Gateway:
-    """What the sidecar knows of the newest incarnation of one gateway.
-
-    The sequences outlive a silence of the gateway, so that a start message
-    which was under way for long starts nothing.
-    """
-
-    name: str
-    incarnation: int
-    address: str
-    heard_ms: int
-    results: deliveries.Deliveries
-    last_sequence: int = 0
-    received: int = 0
-    started: starts.TaskMemory = attrs.field(factory=starts.TaskMemory)
-    parted: slots.Share | None = None
-
-
 @attrs.frozen(slots=True)
 class _Running:
     """A started task and the start message that carried it."""
 
-    gateway: _Gateway
+    gateway: peers.Peer
     sequence: int
     task: desks.RunningTask
 
@@ -126,17 +107,16 @@
         self._holder = holder
         self._announcement = holder.member.announcement
         self.slots = slots.Slots(self._announcement.slots)
-        self._gateways: dict[str, _Gateway] = {}
+        self._peers = peers.Peers(self.slots, self.counts)
+        self._grants = grants.Grants(self.slots, self._peers)
         self._running: dict[tuple[str, int], _Running] = {}
         self._held = holding.Holding()
-        self._open = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no task runs and every gateway that is heard has its results."""
         waiting = any(
-            item.parted is None and not item.results.is_empty
-            for item in self._gateways.values()
+            item.parted is None and not item.results.is_empty for item in self._peers
         )
         return not self._running and not len(self._held) and not waiting
 
@@ -160,33 +140,21 @@
             now_ms: Monotonic time in ms.
         """
         result: list[Effect] = []
-        for gateway in self._gateways.values():
+        for gateway in self._peers:
             silent_ms = now_ms - gateway.heard_ms
             if silent_ms > RETAIN_MS and not gateway.results.is_empty:
                 self.counts["results.dropped"] += gateway.results.drop()
                 gateway.received = 0
-            if silent_ms > self._measure_patience(gateway):
-                self._part(gateway)
+            if self._peers.is_silent(gateway, now_ms):
+                self._peers.part(gateway)
                 continue
             result += self._resend(gateway, now_ms)
-        was_open, self._open = self._open, self._may_start(now_ms)
+        was_open = self._grants.is_open
+        self._grants.is_open = self._may_start(now_ms)
         result += self._advance_held(now_ms)
-        if was_open and not self._open:
-            return result + self._take_credits_back()
-        told = dict.fromkeys(self._redistribute())
-        told.update(dict.fromkeys(self.slots.list_untold()))
-        return result + self._grant(list(told))
-
-    def _measure_patience(self, gateway: _Gateway) -> int:
-        """Return after which silence in ms a gateway is parted with.
-
-        One that holds nothing here speaks less often.
-        """
-        share = self.slots.shares.get(gateway.name)
-        holding = share is not None and share.unused > 0
-        if holding or not gateway.results.is_empty:
-            return GATEWAY_SILENT_MS
-        return IDLE_SILENT_MS
+        if was_open and not self._grants.is_open:
+            return result + self._grants.take_back()
+        return result + self._grants.state_changes()
 
     def drain(self, now_ms: int) -> list[Effect]:
         """Refuse new work from now on.
@@ -195,8 +163,8 @@
             now_ms: Monotonic time in ms.
         """
         self.leaving = True
-        self._open = False
-        return self._advance_held(now_ms) + self._take_credits_back()
+        self._grants.is_open = False
+        return self._advance_held(now_ms) + self._grants.take_back()
 
     def _may_start(self, now_ms: int) -> bool:
         domain = self._announcement.failure_domain
@@ -210,7 +178,9 @@
         if not isinstance(event.message, _GATEWAY_MESSAGES):
             self.counts["messages.unexpected"] += 1
             return []
-        gateway = self._find_gateway(event, now_ms)
+        gateway = self._peers.hear(
+            event.gateway, event.incarnation, event.address, now_ms
+        )
         if gateway is None:
             return []
         if isinstance(event.message, messages.CancelTasks):
@@ -218,7 +188,7 @@
         if event.message.target != self._holder.member.incarnation:
             self.counts["messages.stale"] += 1
             return []
-        self._open = self._may_start(now_ms)
+        self._grants.is_open = self._may_start(now_ms)
         match event.message:
             case messages.StartTasks():
                 return self._start(gateway, event.message, now_ms)
@@ -230,27 +200,8 @@
                 return self._answer_inquiry(gateway, event.message, now_ms)
         return []
 
-    def _find_gateway(self, event: Received, now_ms: int) -> _Gateway | None:
-        gateway = self._gateways.get(event.gateway)
-        if gateway is not None and event.incarnation < gateway.incarnation:
-            self.counts["messages.stale"] += 1
-            return None
-        if gateway is None or event.incarnation > gateway.incarnation:
-            results = deliveries.Deliveries(event.incarnation)
-            gateway = _Gateway(
-                event.gateway, event.incarnation, event.address, now_ms, results
-            )
-            self._gateways[event.gateway] = gateway
-            self.slots.add_gateway(event.gateway)
-        if gateway.parted is not None:
-            self.slots.shares[gateway.name] = gateway.parted
-            gateway.parted = None
-        gateway.heard_ms = now_ms
-        gateway.address = event.address
-        return gateway
-
     def _start(
-        self, gateway: _Gateway, message: messages.StartTasks, now_ms: int
+        self, gateway: peers.Peer, message: messages.StartTasks, now_ms: int
     ) -> list[Effect]:
         situation = self._describe(gateway.last_sequence, now_ms)
         refusal = starts.judge_message(message, situation)
@@ -261,7 +212,7 @@
             gateway.received = message.sequence
         gateway.last_sequence = message.sequence
         gateway.results.acknowledge(message.acknowledged)
-        self._note_share(gateway, message)
+        self._grants.note_share(gateway, message)
         result: list[Effect] = []
         for task in message.tasks:
             name = (message.submission, task.index)
@@ -275,12 +226,12 @@
                 left_ms = message.deadline_ms
                 result.append(self._run(gateway, message, task, left_ms))
         if gateway.results.is_ready:
-            told = self._redistribute(gateway.name)
-            return result + self._report(gateway, now_ms) + self._grant(told)
-        return result + self._grant(self._redistribute())
+            told = self._grants.redistribute(gateway.name)
+            return result + self._report(gateway, now_ms) + self._grants.state(told)
+        return result + self._grants.state(self._grants.redistribute())
 
     def _judge_task(
-        self, gateway: _Gateway, name: tuple[str, int]
+        self, gateway: peers.Peer, name: tuple[str, int]
     ) -> starts.Refusal | None:
         if name in gateway.started or name in self._held:
             return starts.Refusal.DUPLICATE
@@ -290,7 +241,7 @@
 
     def _run(
         self,
-        gateway: _Gateway,
+        gateway: peers.Peer,
         message: messages.StartTasks,
         task: messages.TaskStart,
         left_ms: int,
@@ -313,7 +264,7 @@
 
     def _hold(
         self,
-        gateway: _Gateway,
+        gateway: peers.Peer,
         message: messages.StartTasks,
         task: messages.TaskStart,
         now_ms: int,
@@ -328,7 +279,7 @@
         result: list[Effect] = []
         while len(self._held) and self._has_slot_or_closes():
             held = self._held.take_first()
-            gateway = self._gateways[held.gateway]
+            gateway = self._peers[held.gateway]
             if gateway.incarnation != held.incarnation:
                 self.slots.end("")
                 continue
@@ -346,7 +297,7 @@
         return result
 
     def _has_slot_or_closes(self) -> bool:
-        return len(self._running) < self.slots.count or not self._open
+        return len(self._running) < self.slots.count or not self._grants.is_open
 
     def _describe(self, last_sequence: int, now_ms: int) -> starts.Situation:
         return starts.Situation(
@@ -360,7 +311,7 @@
 
     def _refuse(
         self,
-        gateway: _Gateway,
+        gateway: peers.Peer,
         name: tuple[str, int],
         sequence: int,
         reason: starts.Refusal,
@@ -380,10 +331,10 @@
         gateway = running.gateway
         if ended.outcome == "not-run":
             gateway.started.remove(name)
-        current = self._gateways[gateway.name] is gateway
+        current = self._peers[gateway.name] is gateway
         self.slots.end(gateway.name if current else "")
         result = self._advance_held(now_ms)
-        result += self._grant(self._redistribute(gateway.name))
+        result += self._grants.state(self._grants.redistribute(gateway.name))
         if not current:
             self.counts["results.undeliverable"] += 1
             return result
@@ -393,18 +344,18 @@
         self._limit_results(gateway)
         return self._report(gateway, now_ms) + result
 
-    def _limit_results(self, gateway: _Gateway) -> None:
+    def _limit_results(self, gateway: peers.Peer) -> None:
         if gateway.results.retained_bytes > deliveries.RETAINED_BYTES:
             self.counts["results.dropped"] += gateway.results.drop_bodies()
 
-    def _report(self, gateway: _Gateway, now_ms: int) -> list[Effect]:
+    def _report(self, gateway: peers.Peer, now_ms: int) -> list[Effect]:
         limit = self.slots.state_limit(gateway.name)
         spare = self.slots.count_spare(gateway.name)
         reports = gateway.results.report(limit, gateway.received, now_ms, spare)
         return [effects.Send(gateway.address, item) for item in reports]
 
     def _resend(
-        self, gateway: _Gateway, now_ms: int, at_once: bool = False
+        self, gateway: peers.Peer, now_ms: int, at_once: bool = False
     ) -> list[Effect]:
         result: list[Effect] = []
         if at_once or gateway.results.is_overdue(now_ms):
@@ -416,54 +367,14 @@
             result += self._report(gateway, now_ms)
         return result
 
-    def _note_share(
-        self, gateway: _Gateway, message: messages.StartTasks | messages.ReportDemand
-    ) -> None:
-        self.slots.note_demand(
-            gateway.name, message.sent, message.queued, message.oldest_wait_ms
-        )
-
     def _note_demand(
-        self, gateway: _Gateway, message: messages.ReportDemand
+        self, gateway: peers.Peer, message: messages.ReportDemand
     ) -> list[Effect]:
         gateway.results.acknowledge(message.acknowledged)
-        self._note_share(gateway, message)
-        share = self.slots.shares[gateway.name]
-        told = dict.fromkeys(self._redistribute())
-        asks = self._open and not message.limit > message.sent
-        if asks and (self.slots.lend(gateway.name) or not share.unused):
-            told.update(dict.fromkeys(self.slots.recall(gateway.name)))
-        if message.limit < share.limit:
-            told[gateway.name] = None
-        return self._grant(list(told))
-
-    def _redistribute(self, freed_for: str = "") -> list[str]:
-        if not self._open:
-            return []
-        return self.slots.distribute(freed_for)
-
-    def _grant(self, names: list[str]) -> list[Effect]:
-        result: list[Effect] = []
-        for name in names:
-            gateway = self._gateways[name]
-            share = self.slots.shares[name]
-            grant = messages.GrantCredits(
-                self.slots.state_limit(name),
-                gateway.incarnation,
-                share.recalled,
-                self.slots.count,
-                gateway.received,
-            )
-            result.append(effects.Send(gateway.address, grant))
-        return result
-
-    def _take_credits_back(self) -> list[Effect]:
-        for share in self.slots.shares.values():
-            share.recalled = max(0, share.unused)
-        return self._grant(list(self.slots.shares))
+        return [*self._grants.answer_demand(gateway, message)]
 
     def _cancel(
-        self, gateway: _Gateway, message: messages.CancelTasks, now_ms: int
+        self, gateway: peers.Peer, message: messages.CancelTasks, now_ms: int
     ) -> list[Effect]:
         result: list[Effect] = []
         for index in message.indexes:
@@ -480,7 +391,7 @@
             result += self._report(gateway, now_ms)
         return result
 
-    def _report_settled(self, gateway: _Gateway) -> list[Effect]:
+    def _report_settled(self, gateway: peers.Peer) -> list[Effect]:
         known = self._holder.view
         version = desks.find_settled_version(
             known.configuration_version,
@@ -492,7 +403,7 @@
         return [effects.Send(gateway.address, report)]
 
     def _answer_inquiry(
-        self, gateway: _Gateway, message: messages.InquireTasks, now_ms: int
+        self, gateway: peers.Peer, message: messages.InquireTasks, now_ms: int
     ) -> list[Effect]:
         gateway.last_sequence = max(gateway.last_sequence, message.sequence)
         for task in message.tasks:
@@ -508,16 +419,4 @@
             self._refuse(gateway, name, message.sequence, starts.Refusal.NOT_RECEIVED)
         gateway.received = max(gateway.received, message.sequence)
         result = self._resend(gateway, now_ms, at_once=True)
-        return result or self._grant([gateway.name])
-
-    def _part(self, gateway: _Gateway) -> None:
-        """Take back the credits of a silent gateway."""
-        if gateway.parted is not None:
-            return
-        self.counts["gateways.silent"] += 1
-        share = self.slots.shares[gateway.name]
-        share.used = max(share.used, share.limit)
-        share.queued = 0
-        share.recalled = 0
-        gateway.parted = share
-        self.slots.remove_gateway(gateway.name)
+        return result or [*self._grants.state([gateway.name])]
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -10,6 +10,7 @@
     executor,
     leaseholder,
     messages,
+    peers,
     starts,
 )
 from tests import builders_dispatch
@@ -144,7 +145,7 @@
     end(sidecar)
     sidecar.drain(NOW_MS)
     assert not sidecar.is_idle
-    sidecar.tick(NOW_MS + executor.GATEWAY_SILENT_MS + 1)
+    sidecar.tick(NOW_MS + peers.SILENT_MS + 1)
     assert sidecar.is_idle
 
 
