Take an upstream's answer that comes before it has read the request

Cause: the call waited until the whole request was handed to the connection before it read the answer, so that an upstream which refuses a large body early was answered at the deadline as unknown (since the client session went).

Change: the answer is read at once, and a connection with an unsent rest is closed, not used again. The test fails before (6.15 s, unknown) and passes after.

--- a/amaranthspar/exchange.py
+++ b/amaranthspar/exchange.py
@@ -120,7 +120,8 @@
     protocol.set_response_params(read_until_eof=True, auto_decompress=False)
     writer = http.StreamWriter(protocol, asyncio.get_running_loop())
     await writer.write_headers(f"POST {path} HTTP/1.1", headers)
-    await writer.write_eof(body)
+    # An answer may come before the upstream has read the whole body.
+    await writer.write(body, drain=False)
 
 
 async def read_response(connection: aiohttp.connector.Connection) -> Response:
@@ -147,6 +148,21 @@
     return Response(message.code, content_type, body)
 
 
+def end_exchange(connection: aiohttp.connector.Connection, whole: bool) -> None:
+    """Give a connection back to the pool, or close it with what it has not sent.
+
+    Args:
+        connection: Connection of the exchange.
+        whole: Whether the answer was whole and the connection may carry another.
+    """
+    transport = connection.transport
+    if transport is None or (whole and not transport.get_write_buffer_size()):
+        connection.release()
+        return
+    transport.abort()
+    connection.close()
+
+
 async def _read_body(payload: aiohttp.StreamReader) -> bytes:
     first = await payload.readany()
     if payload.at_eof() and len(first) <= MAX_BODY_BYTES:
--- a/amaranthspar/upstream.py
+++ b/amaranthspar/upstream.py
@@ -106,12 +106,9 @@
             started_ms = self._clock.read_monotonic()
             response = await self._exchange(call, connection)
         except BaseException:
-            connection.close()
+            exchange.end_exchange(connection, whole=False)
             raise
-        if call.stopped:
-            connection.close()
-        else:
-            connection.release()
+        exchange.end_exchange(connection, whole=not call.stopped)
         return messages.TaskResult(
             call.run.submission,
             call.run.index,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,14 +12,15 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-def build_run(index=0, timeout_ms=5000) -> executor.RunTask:
-    return executor.RunTask("job", index, "hold", "json", b"{}", timeout_ms, "")
+def build_run(index=0, timeout_ms=5000, payload=b"{}") -> executor.RunTask:
+    return executor.RunTask("job", index, "hold", "json", payload, timeout_ms, "")
 
 
 class Server:
     """Answers each request with the next script: bytes, or what to do.
 
-    ``wait`` never answers, ``leave`` closes at once, ``end`` answers and closes.
+    ``wait`` never answers, ``leave`` closes at once, ``end`` answers and closes,
+    ``early`` answers without reading the whole request.
     """
 
     def __init__(self, *scripts) -> None:
@@ -29,6 +30,7 @@
         self.heads: list[bytes] = []
         self.closed = asyncio.Event()
         self.asked = asyncio.Event()
+        self.leaving = asyncio.Event()
         self._scripts = list(scripts)
         self._tasks: set[asyncio.Task] = set()
 
@@ -37,6 +39,7 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     def close(self) -> None:
+        self.leaving.set()
         self._server.close()
 
     async def _serve(self, reader, writer) -> None:
@@ -55,6 +58,10 @@
                     break
                 if script == "leave":
                     break
+                if script == "early":
+                    writer.write(WHOLE)
+                    await self.leaving.wait()
+                    break
                 writer.write(WHOLE if script == "end" else script)
                 if script != WHOLE:
                     break
@@ -163,6 +170,14 @@
     assert server.requests == 1
 
 
+def test_answer_that_does_not_wait_for_the_whole_request_is_taken():
+    run = build_run(payload=b"x" * 16 * 1024 * 1024)
+    server = Server("early", WHOLE)
+    results = call(server, run, build_run(1))
+    assert [item.outcome for item in results] == ["done", "done"]
+    assert server.connections == 2
+
+
 def test_silent_connection_ends_at_the_deadline_and_is_replaced():
     server = Server("wait", WHOLE)
     results = call(server, build_run(0, timeout_ms=100), build_run(1))
