Leave only once every gateway has handed its credits back

Cause: a stopping sidecar ended 20 ms after it was idle. A gateway that still held credits could have sent a start meanwhile, whose refusal was never delivered: a request in doubt, "unknown" if it is not idempotent, in a planned stop. Its last results also told gateways of idle slots.

Change: `Executor.is_drained`; the stop waits for it for 2 s at most (a killed gateway hands nothing back), results of a leaving sidecar state no idle slots, and the stop of a stopped sidecar returns.

Before: the new test of the second stop does not end (killed after 100 s); the two of the executor need what did not exist.

--- a/amaranthspar/executor.py
+++ b/amaranthspar/executor.py
@@ -120,6 +120,12 @@
         )
         return not self._running and not len(self._held) and not waiting
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether it is idle and no gateway that is heard may still send a start."""
+        shares = self.slots.shares.values()
+        return self.is_idle and not any(share.unused > 0 for share in shares)
+
     def handle(self, event: Received | TaskEnded, now_ms: int) -> list[Effect]:
         """Take one event.
 
@@ -350,7 +356,7 @@
 
     def _report(self, gateway: peers.Peer, now_ms: int) -> list[Effect]:
         limit = self.slots.state_limit(gateway.name)
-        spare = self.slots.count_spare(gateway.name)
+        spare = 0 if self.leaving else self.slots.count_spare(gateway.name)
         reports = gateway.results.report(limit, gateway.received, now_ms, spare)
         return [effects.Send(gateway.address, item) for item in reports]
 
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -26,6 +26,7 @@
 COLLECT_THRESHOLD = 20_000
 METRICS_MS = 1000
 LEAVE_POLL_MS = 20
+CREDITS_MS = 2000
 
 
 class Sidecar:
@@ -59,6 +60,7 @@
         self._platform: worker.Worker | None = None
         self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
         self._ticking: asyncio.Task[None] | None = None
+        self._is_closed = False
 
     async def start(self) -> None:
         """Listen, announce the upstream and take work.
@@ -79,19 +81,32 @@
         self._log.info("started", upstream=self._options.upstream)
 
     async def stop(self) -> None:
-        """Refuse new work, finish what runs and leave."""
+        """Refuse new work, finish what runs and leave.
+
+        A start that was under way is still answered: it waits, for 2 s at most, until
+        every gateway has handed its credits back.
+        """
+        if self._is_closed:
+            return
         self._log.info("draining")
-        self._act(self.executor.drain(self._clock.read_monotonic()))
+        now_ms = self._clock.read_monotonic()
+        self._act(self.executor.drain(now_ms))
         self._leave(stopped=False)
-        while not self.executor.is_idle:
+        until_ms = now_ms + CREDITS_MS
+        while not self._may_end(until_ms):
             await asyncio.sleep(LEAVE_POLL_MS / 1000)
         self._leave(stopped=True)
         await asyncio.sleep(LEAVE_POLL_MS / 1000)
         await self.close()
         self._log.info("stopped")
 
+    def _may_end(self, until_ms: int) -> bool:
+        is_late = self._clock.read_monotonic() >= until_ms
+        return self.executor.is_idle if is_late else self.executor.is_drained
+
     async def close(self) -> None:
         """Close everything at once, as a crash would."""
+        self._is_closed = True
         if self._ticking is not None:
             self._ticking.cancel()
         for call in self._calls.values():
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -140,6 +140,32 @@
     assert [item.message.credit_limit for item in again] == [builders_dispatch.SLOTS]
 
 
+def test_drain_waits_for_the_credits_of_every_gateway(sidecar):
+    receive(sidecar, messages.ReportDemand(7, 5, 10, 0, 0))
+    receive(sidecar, messages.ReportDemand(7, 5, 10, 0, 0), gateway="g2")
+    limits = {name: share.limit for name, share in sidecar.slots.shares.items()}
+    assert max(limits.values()) > 0
+    sidecar.drain(NOW_MS)
+    assert sidecar.is_idle
+    for name, limit in limits.items():
+        assert sidecar.is_drained == all(
+            share.unused <= 0 for share in sidecar.slots.shares.values()
+        )
+        receive(sidecar, messages.ReportDemand(7, 5, 10, limit, 0), gateway=name)
+    assert sidecar.is_drained
+
+
+def test_drained_sidecar_tells_of_no_idle_slots(sidecar):
+    receive(sidecar, build_start())
+    sidecar.drain(NOW_MS)
+    reports = [
+        item.message
+        for item in end(sidecar)
+        if isinstance(getattr(item, "message", None), messages.ReportResults)
+    ]
+    assert [report.spare for report in reports] == [0]
+
+
 def test_dead_gateway_does_not_hold_a_drain_up(sidecar):
     receive(sidecar, build_start())
     end(sidecar)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,13 +8,14 @@
 import psutil
 import uvloop
 
-from amaranthspar import client, cluster, exits, links, messages
+from amaranthspar import client, cluster, executor, exits, links, messages
 from benchmarks import sidecar as site
 from tests import builders_links, test_cluster
 
 HOLDS = 120
 SLEEP_MS = 200
 TAKE_OVER_S = 30
+TASK = messages.TaskStart(0, b"{}")
 
 
 def hold(caller: client.Client, number: int):
@@ -39,6 +40,24 @@
     assert not running.record.list_doubled()
 
 
+def test_second_stop_of_a_stopped_sidecar_ends(tmp_path: pathlib.Path) -> None:
+    async def scenario(running: cluster.Cluster, caller: client.Client) -> None:
+        item = running.sidecars[0]
+        assert {reply.status for reply in [await hold(caller, 1)]} == {200}
+        await item.stop()
+        own = item.holder.member
+        late = messages.StartTasks(
+            1, own.incarnation, 1, "late", "hold", "json", 4000, 0, 0, 1, 0, [TASK]
+        )
+        received = executor.Received("late", 1, own.address, late)
+        item.executor.handle(received, item._clock.read_monotonic())
+        assert not item.executor.is_idle
+        async with asyncio.timeout(TAKE_OVER_S):
+            await item.stop()
+
+    test_cluster.run_scenario(tmp_path, scenario)
+
+
 async def relay_role(role, relays) -> None:
     """Let a role's peers reach it over a relay."""
     relay = builders_links.Relay(role.holder.member.address)
