Let a gateway without work keep one freed slot at a sidecar

Cause: each slot freed by a gateway without work went to the other by a grant of its own. Change: the first one stays, the next goes.

--- a/amaranthspar/slots.py
+++ b/amaranthspar/slots.py
@@ -209,7 +209,7 @@
                 return freed_for
             return least
         neediest = max(starving, key=self._rank_need)
-        if owner is None or not owner.is_starving:
+        if owner is None or (owner.unused > 0 and not owner.is_starving):
             return neediest
         if not self.shares[neediest].running:
             return neediest
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -32,13 +32,15 @@
     assert allocation.shares["a"].unused == 2
 
 
-def test_slot_freed_by_a_gateway_without_work_goes_to_one_that_waits():
+def test_gateway_without_work_keeps_one_freed_slot_and_leaves_the_next():
     allocation = build_slots()
     for name in ("a", "a", "b", "b"):
         use(allocation, name, queued=0 if name == "a" else 5)
     allocation.end("a")
+    assert allocation.distribute("a") == []
+    allocation.end("a")
     assert allocation.distribute("a") == ["b"]
-    assert allocation.shares["b"].unused == 1
+    assert [allocation.shares[name].unused for name in "ab"] == [1, 1]
 
 
 def test_waiting_request_takes_a_slot_from_a_job():
