--- a/amaranthspar/upstream.py
+++ b/amaranthspar/upstream.py
@@ -8,12 +8,13 @@
 import attrs
 import multidict
 
-from amaranthspar import clock, doubts, exchange, executor, messages
+from amaranthspar import clock, doubts, exchange, executor, messages, worker
 
 SUBMISSION_HEADER = "Amaranthspar-Submission"
 TASK_HEADER = "Amaranthspar-Task"
 CONNECT_RETRY_MS = 250
 CONNECT_PAUSE_MS = 50
+STOP_GRACE_MS = 200
 CACHED_PATHS = 256
 
 _NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -27,6 +28,7 @@
     transport: asyncio.Transport | None = None
     stopped: bool = False
     task: asyncio.Task[messages.TaskResult] | None = None
+    kill: asyncio.Task[bool] | None = None
 
 
 class Upstream:
@@ -38,15 +40,23 @@
     Args:
         address: Address of the upstream's HTTP server.
         connections: Connections that may be open at once.
+        platform: Platform's interface, which stops what the upstream does not; none
+            to wait for the upstream, or until the deadline.
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, platform: worker.Worker | None = None
+    ) -> None:
+        self._platform = platform
         self._clock = clock.Clock()
         self._calls: dict[tuple[str, int], _Call] = {}
+        self._kills: set[asyncio.Task[bool]] = set()
         self._pool = exchange.Pool(address, connections)
 
     async def close(self) -> None:
         """Close every connection."""
+        for kill in self._kills:
+            kill.cancel()
         await self._pool.close()
 
     async def call(self, run: executor.RunTask) -> messages.TaskResult:
@@ -65,6 +75,7 @@
             async with asyncio.timeout(run.timeout_ms / 1000):
                 return await self._request(call)
         except (TimeoutError, aiohttp.ClientError, RuntimeError, ValueError) as error:
+            await self._make_sure(call, call.stopped or isinstance(error, TimeoutError))
             return _build_failure(call, f"upstream: {type(error).__name__}")
         except asyncio.CancelledError:
             if call.transport is None:
@@ -98,8 +109,50 @@
                 call.task.cancel()
         elif call.transport.can_write_eof() and not call.transport.is_closing():
             call.transport.write_eof()
+            self._watch_stop(call)
         return True
 
+    async def _make_sure(self, call: _Call, awaited: bool) -> None:
+        """Have the platform stop what may still run after its connection has ended.
+
+        The slot of a task that nobody waits for is free only once it has stopped; a
+        caller who still waits is told at once.
+        """
+        if self._platform is None or call.transport is None:
+            return
+        kill = self._kill(call, self._platform)
+        if awaited:
+            await kill
+
+    def _watch_stop(self, call: _Call) -> None:
+        """Have the platform stop what its upstream does not stop by itself."""
+        platform = self._platform
+        if platform is None:
+            return
+
+        def kill() -> None:
+            if self._find(call.run) is call:
+                self._kill(call, platform).add_done_callback(end)
+
+        def end(killed: asyncio.Task[bool]) -> None:
+            confirmed = not killed.cancelled() and killed.result()
+            if confirmed and call.transport is not None and self._find(call.run):
+                call.transport.abort()
+
+        asyncio.get_running_loop().call_later(STOP_GRACE_MS / 1000, kill)
+
+    def _find(self, run: executor.RunTask) -> _Call | None:
+        return self._calls.get((run.submission, run.index))
+
+    def _kill(self, call: _Call, platform: worker.Worker) -> asyncio.Task[bool]:
+        """Ask the platform once for each call."""
+        if call.kill is None:
+            stop = platform.stop_task(call.run.submission, call.run.index)
+            call.kill = asyncio.get_running_loop().create_task(stop)
+            self._kills.add(call.kill)
+            call.kill.add_done_callback(self._kills.discard)
+        return call.kill
+
     async def _request(self, call: _Call) -> messages.TaskResult:
         connection = await self._connect()
         try:
