--- a/amaranthspar/consensus.py
+++ b/amaranthspar/consensus.py
@@ -82,7 +82,7 @@
             case transitions.Persisted():
                 self._note_persisted(event.number, now_ms)
             case transitions.Compact():
-                self.journal.compact(self.commit_index, event.state)
+                self.journal.compact(event.index, event.state)
             case transitions.Confirm():
                 self._broadcast(now_ms)
             case transitions.HandOver():
--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -25,6 +25,7 @@
     options,
     registry,
     requests,
+    snapshots,
     transitions,
 )
 
@@ -94,6 +95,7 @@
         self._bytes = 0
         self._snapshot_bytes = 0
         self._expire_ms = 0
+        self._saving: snapshots.Saving | None = None
 
     @property
     def leading(self) -> bool:
@@ -311,17 +313,29 @@
         covered = snapshot.index if snapshot is not None else 0
         entries = self._machine.commit_index - covered
         limit = max(SNAPSHOT_MIN_BYTES, self._snapshot_bytes)
-        if entries >= SNAPSHOT_ENTRIES or self._bytes > limit:
-            state = self._registry.save()
+        due = entries >= SNAPSHOT_ENTRIES or self._bytes > limit
+        if due and self._saving is None:
             self._bytes = 0
-            self._snapshot_bytes = len(state)
-            self._step(transitions.Compact(state))
+            self._saving = snapshots.Saving(self._registry)
+            self._save_piece(self._machine.commit_index)
         leading = self._machine.leading
         if leading is None or self._machine.commit_index < leading.first_index:
             return
         if self._registry.version == 0 and self._bootstrap_term < leading.term:
             self._propose_bootstrap(leading.term)
 
+    def _save_piece(self, index: int) -> None:
+        """Encode a piece of the snapshot in each turn of the loop."""
+        if self.stopped.is_set() or self._saving is None:
+            return
+        state = self._saving.advance()
+        if state is None:
+            asyncio.get_running_loop().call_soon(self._save_piece, index)
+            return
+        self._saving = None
+        self._snapshot_bytes = len(state)
+        self._step(transitions.Compact(index, state))
+
     def _propose_bootstrap(self, term: int) -> None:
         self._bootstrap_term = term
         if not self._bootstrap:
--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -102,7 +102,7 @@
         if self._unanswered:
             self._target = (self._target + 1) % len(self._controllers)
         self._unanswered += 1
-        self._next_ms = now_ms + self._choose_pause()
+        self._next_ms = now_ms + self._choose_pause(now_ms)
         renewal = messages.RenewLease(
             self.member,
             now_ms,
@@ -111,13 +111,13 @@
         )
         return [effects.Send(self._controllers[self._target], renewal)]
 
-    def _choose_pause(self) -> int:
+    def _choose_pause(self, now_ms: int) -> int:
         """Return the time until a retry in ms.
 
-        While the lease may still be in force, retries are fast. Later they are as
-        frequent as renewals, as all holders then wait for the same controllers.
+        While the lease is in force, retries are fast. Later they are as frequent
+        as renewals, as all holders then wait for the same controllers.
         """
-        if self._unanswered <= FAST_RETRIES:
+        if self.is_valid(now_ms) or self._unanswered <= FAST_RETRIES:
             return RETRY_MS
         return int(RENEW_MS * self._chance.uniform(*SLOW_RETRY_RATIOS))
 
@@ -195,7 +195,7 @@
         expires_ms = grant.sent_ms + length_ms
         if expires_ms <= self._expires_ms:
             return
-        out_of_turn = self._out_of_turn or not self.is_valid(now_ms)
+        out_of_turn = self._out_of_turn or self._unanswered > 1
         self._expires_ms = expires_ms
         self._granted = True
         self._unanswered = 0
--- a/amaranthspar/registry.py
+++ b/amaranthspar/registry.py
@@ -8,7 +8,15 @@
 
 import attrs
 
-from amaranthspar import claims, codec, configuration, desks, errors, messages
+from amaranthspar import (
+    claims,
+    codec,
+    configuration,
+    desks,
+    errors,
+    messages,
+    snapshots,
+)
 
 KEPT_VERSIONS = 128
 KEPT_CHANGES = 10_000
@@ -57,7 +65,7 @@
         self._oldest_version = 0
         self._versions: list[dict[str, messages.Section]] = [{}]
         self._changes: dict[str, messages.KeptChange] = {}
-        self._floor_revision = 0
+        self.floor_revision = 0
         self._joined: list[tuple[int, str]] = []
         self._tombstones: list[messages.MemberTombstone] = []
         self._floors: dict[str, messages.MemberTombstone] = {}
@@ -228,7 +236,7 @@
         Args:
             base_revision: Revision held.
         """
-        if not self._floor_revision <= base_revision <= self.revision:
+        if not self.floor_revision <= base_revision <= self.revision:
             return None
         first = bisect.bisect_right(self._joined, (base_revision, "\U0010ffff"))
         names = dict.fromkeys(name for _, name in self._joined[first:])
@@ -288,7 +296,7 @@
     def _forget_old_revisions(self) -> None:
         while len(self._tombstones) > KEPT_TOMBSTONES:
             oldest = self._tombstones.pop(0)
-            self._floor_revision = oldest.revision
+            self.floor_revision = oldest.revision
             if self._floors.get(oldest.removal.process) is oldest:
                 del self._floors[oldest.removal.process]
         if len(self._joined) > KEPT_TOMBSTONES + 2 * len(self.members):
@@ -299,23 +307,19 @@
 
     def save(self) -> bytes:
         """Return the whole state as bytes."""
-        changes = [
-            _compare(self._versions[offset], newer, self._oldest_version + offset)
-            for offset, newer in enumerate(self._versions[1:])
-        ]
-        return codec.encode_message(
-            messages.RegistrySnapshot(
-                list(self._versions[0].values()),
-                self._oldest_version,
-                changes,
-                list(self._changes.values()),
-                list(self.members.values()),
-                self.revision,
-                self._floor_revision,
-                self._tombstones,
-                list(self.claims.kept.values()),
-            )
-        )
+        return snapshots.Saving(self).finish()
+
+    def list_versions(self) -> list[dict[str, messages.Section]]:
+        """Return the sections of the versions kept by name, oldest first."""
+        return list(self._versions)
+
+    def list_changes(self) -> list[messages.KeptChange]:
+        """Return the accepted changes that are kept, in order."""
+        return list(self._changes.values())
+
+    def list_tombstones(self) -> list[messages.MemberTombstone]:
+        """Return the latest removals of members, in order."""
+        return list(self._tombstones)
 
     def restore(self, state: bytes) -> None:
         """Replace the whole state.
@@ -333,7 +337,7 @@
         self._changes = {kept.item.change_id: kept for kept in saved.history}
         self.members = {item.process: item for item in saved.members}
         self.revision = saved.revision
-        self._floor_revision = saved.floor_revision
+        self.floor_revision = saved.floor_revision
         self._tombstones = list(saved.tombstones)
         self._joined = sorted((item.revision, item.process) for item in saved.members)
         self._floors = {item.removal.process: item for item in saved.tombstones}
@@ -350,16 +354,3 @@
             item.change_id, "invalid", item.version, [reason]
         )
     return messages.ConfigurationDecided(item.change_id, "accepted", item.version, [])
-
-
-def _compare(
-    older: dict[str, messages.Section],
-    newer: dict[str, messages.Section],
-    base_version: int,
-) -> messages.ConfigurationChange:
-    sections, removed = configuration.compare_configurations(
-        list(older.values()), list(newer.values())
-    )
-    return messages.ConfigurationChange(
-        base_version, base_version + 1, sections, removed
-    )
--- a/amaranthspar/transitions.py
+++ b/amaranthspar/transitions.py
@@ -52,8 +52,14 @@
 
 @attrs.frozen(slots=True)
 class Compact:
-    """The role took a snapshot of all that was applied."""
+    """The role took a snapshot.
 
+    Attributes:
+        index: Last index that was applied to it.
+        state: Encoded state of the registry at that index.
+    """
+
+    index: int
     state: bytes
 
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -2,7 +2,7 @@
 
 import random
 
-from amaranthspar import leases, messages, registry, requests
+from amaranthspar import leases, messages, registry, requests, snapshots
 from tests import builders_control
 
 
@@ -187,3 +187,33 @@
         other = copy(state)
         member = builders_control.build_member("p", incarnation=4)
         assert other.is_superseded(member) == state.is_superseded(member)
+
+
+def test_snapshot_in_pieces_holds_the_state_of_its_beginning(monkeypatch):
+    monkeypatch.setattr(snapshots, "PIECE_ITEMS", 3)
+    state = registry.Registry()
+
+    def claim(number):
+        item = messages.ClaimSubmission(f"k{number}", "f", "s", "g", 1)
+        apply(state, messages.RecordClaims([item], 1_000, 100))
+
+    def change(number):
+        accept(state, f"c{number}", number, [build_section(f"team t{number}", 1)])
+        join(state, builders_control.build_member(f"p{number}"))
+        remove(state, f"p{number - 1}", 1)
+        claim(number)
+
+    for number in range(40):
+        change(number)
+    whole = state.save()
+    saving = snapshots.Saving(state)
+    pieces = 0
+    while (saved := saving.advance()) is None:
+        change(40 + pieces)
+        pieces += 1
+    assert pieces > 20
+    assert saved == whole
+    other = registry.Registry()
+    other.restore(saved)
+    assert other.save() == whole
+    assert len(other.claims.kept) == 40
--- a/tools/simulation.py
+++ b/tools/simulation.py
@@ -86,6 +86,7 @@
     machine: consensus.Consensus | None = None
     state: registry.Registry = attrs.field(factory=registry.Registry)
     applied: int = 0
+    saving: tuple[int, bytes] | None = None
 
 
 @attrs.frozen
@@ -157,6 +158,7 @@
         )
         node.state = registry.Registry()
         node.applied = 0
+        node.saving = None
         if stored.snapshot is not None:
             node.state.restore(stored.snapshot.state)
             node.applied = stored.snapshot.index
@@ -404,7 +406,12 @@
         covered = snapshot.index if snapshot is not None else 0
         if machine.commit_index - covered < SNAPSHOT_ENTRIES:
             return
-        event = transitions.Compact(node.state.save())
+        if node.saving is None:
+            # It is encoded in pieces while further entries are applied.
+            node.saving = (node.applied, node.state.save())
+            return
+        event = transitions.Compact(*node.saving)
+        node.saving = None
         for effect in machine.step(event, self.read_clock(node)):
             if isinstance(effect, transitions.SaveSnapshot):
                 node.disk.pending.append(effect)
