--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -39,6 +39,7 @@
     "leases-removal": Experiment("control", function="run_removal"),
     "leases-failover": Experiment("control", function="run_failover"),
     "leases-restart": Experiment("control", function="run_restarts"),
+    "leases-links": Experiment("control", function="run_links"),
     "config": Experiment("control", function="run_config"),
     "burst": Experiment("burst"),
     "badworker": Experiment("badworker"),
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
+import json
 import os
 import pathlib
 import random
@@ -27,7 +29,7 @@
     ports,
     registry,
 )
-from benchmarks import fleet, holders, outcomes, trials
+from benchmarks import fits, fleet, holders, outcomes, trials
 
 LEASES = 500
 KILLS = 5
@@ -47,6 +49,7 @@
 RESTART_WAYS = {IN_TURN: 0.0, "killed": 0.0, "killed, 10 s down": 10.0}
 START_EVERY_MS = 100
 PEAK_TARGET = 4.0
+HOLDER_PROCESSES = 5
 SETTLED_TARGET = 1.5
 
 
@@ -517,6 +520,56 @@
     ]
 
 
+async def run_links(options: trials.Options) -> outcomes.Outcome:
+    """Measure renewals of holders that have links of their own.
+
+    Args:
+        options: Options of the run.
+    """
+    outcome = outcomes.Outcome("links", options.seed, options.seconds)
+    rows = [await _measure_links(options, count) for count in SLOPE_COUNTS[1:]]
+    headers = ("leases", "us/s of one controller", "MB", "bytes a renewal", "lapses")
+    outcome.tables.append(outcomes.Table("Separate links", headers, [*rows]))
+    sizes = [float(row[0]) for row in rows]
+    for index in (1, 2, 3):
+        fit = fits.fit_line(sizes, [float(row[index]) for row in rows])
+        outcome.notes.append(f"- {headers[index]} by leases: {fit}.")
+    lapses = sum(row[4] for row in rows)
+    outcome.measures.append(outcomes.Measure("leases lapsed", lapses, 0))
+    return outcome
+
+
+async def _measure_links(
+    options: trials.Options, count: int
+) -> tuple[int, float, float, float, int]:
+    async with open_cluster(options) as cluster:
+        group = cluster.fleet
+        names = [f"holders-{number + 1}" for number in range(HOLDER_PROCESSES)]
+        for number, name in enumerate(names):
+            words = ["-m", "benchmarks.holders", "--seed", str(number + 1)]
+            words += ["--controllers", ",".join(cluster.addresses)]
+            words += ["--count", str(count // HOLDER_PROCESSES)]
+            group.spawn(name, words, "")
+            async with asyncio.timeout(holders.START_SECONDS):
+                while not (group.folder / f"{name}.log").read_text():
+                    await asyncio.sleep(PROBE_MS / 1000)
+        await asyncio.sleep(SETTLE_SECONDS)
+        controllers = group.list_processes("controller")
+        before = sum(item.read_cpu() for item in controllers)
+        await asyncio.sleep(2 * SLOPE_SECONDS)
+        spent = sum(item.read_cpu() for item in controllers) - before
+        cost = spent / (2 * SLOPE_SECONDS) / len(controllers) * 1e6
+        memory = max(item.read_memory() for item in controllers)
+        totals: collections.Counter[str] = collections.Counter()
+        for name in names:
+            group.processes[name].send_signal(signal.SIGTERM)
+            await fleet.wait_exit(group.processes[name])
+            last = (group.folder / f"{name}.log").read_text().splitlines()[-1]
+            totals.update(json.loads(last))
+    size = totals["links.bytes.sent"] + totals["links.bytes.received"]
+    return count, cost, memory, size / totals["grants"], totals["lapses"]
+
+
 def _count_renewal_bytes() -> int:
     member = holders.build_member("holder-1-1000", "127.0.0.1:20000")
     renewal = messages.RenewLease(member, 1_000_000_000, 6_200, 2_500)
--- a/benchmarks/holders.py
+++ b/benchmarks/holders.py
@@ -98,6 +98,13 @@
         most = max((n for part, n in self.sent.items() if part > first), default=0)
         return most * 1000 / PEAK_MS
 
+    def count_all(self) -> collections.Counter[str]:
+        """Return grants, lapses and the counters of all links."""
+        counts = collections.Counter(grants=self.grants, lapses=self.lapses)
+        for item in self._links:
+            counts.update(item.counts)
+        return counts
+
     async def open(self) -> None:
         """Start renewing and wait until every holder has its lease."""
         for item in self._links:
@@ -207,10 +214,7 @@
     print("held", flush=True)
     await stopping.wait()
     held.close()
-    counts: collections.Counter[str] = collections.Counter()
-    for item in held._links:
-        counts.update(item.counts)
-    print(json.dumps({"lapses": held.lapses, "grants": held.grants, **counts}))
+    print(json.dumps(held.count_all()))
     return 0
 
 
