--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -49,10 +49,12 @@
     Attributes:
         times: Times to send again.
         seconds: Pause before.
+        refused: Whether what a gateway refused as not run is sent again as well.
     """
 
     times: int
     seconds: float
+    refused: bool = False
 
 
 class Driver:
@@ -68,6 +70,7 @@
         self.started_ms = 0.0
         self.samples: list[Sample] = []
         self.resend = Resend(0, 0.0)
+        self.refusals = 0
         self._calls: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -134,7 +137,11 @@
         for attempt in range(self.resend.times + 1):
             target = self.clients[(arrival.number + attempt) % len(self.clients)]
             try:
-                return await send_arrival(target, arrival)
+                reply = await send_arrival(target, arrival)
+                if reply.status != 503 or not self.resend.refused:
+                    return reply
+                unsent = reply.outcome == "not-run"
+                self.refusals += unsent
             except client.ClientError as error:
                 reply = client.Reply(0, "unknown", str(error).encode())
                 # As the balancer would, for what was never sent.
@@ -169,8 +176,13 @@
     if not arrival.is_job:
         body = msgspec.json.encode(bodies[0])
         return await target.send_request(arrival.service, body, headers)
-    tasks = {"tasks": [{"payload": item} for item in bodies]}
-    return await target.submit_job(arrival.service, msgspec.json.encode(tasks), headers)
+    expected_ms = arrival.expected_ms or (0,) * len(bodies)
+    tasks = [
+        {"payload": body, "expected_ms": run_ms}
+        for body, run_ms in zip(bodies, expected_ms, strict=True)
+    ]
+    body = msgspec.json.encode({"tasks": tasks})
+    return await target.submit_job(arrival.service, body, headers)
 
 
 def measure_lag(samples: Sequence[Sample]) -> float:
