Send what waits once for all results that came together

Cause: the gateway looked for work after each result, though the frames of one burst are taken in one turn and its own messages leave after that turn.

Change: links tell the end of a burst; the gateway hands the dispatcher all of its messages at once, in order and before any other event. A sidecar that leaves in the same burst is no longer taken for a lender.

--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -76,7 +76,7 @@
         self.routes: dict[str, routing.Route] = {}
         self._holder = holder
         self._open_routes: list[routing.Route] = []
-        self._lender: routing.Route | None = None
+        self._heard: dict[str, routing.Route] = {}
         self._capacity = capacity.Capacity(near_domain)
         self._backlog = backlog.Backlog(holder)
         self._estimates = estimates.Estimates()
@@ -98,18 +98,34 @@
             event: What has happened.
             now_ms: Monotonic time in ms.
         """
+        return self.handle_burst([event], now_ms)
+
+    def handle_burst(self, events: list[Event], now_ms: int) -> list[Effect]:
+        """Take events that came together, and only then send what waits.
+
+        Args:
+            events: What has happened, in order.
+            now_ms: Monotonic time in ms.
+        """
+        result: list[Effect] = []
+        for event in events:
+            result += self._take(event, now_ms)
+        for route in self._heard.values():
+            self._capacity.update(route)
+        result += self._pump(now_ms)
+        self._heard.clear()
+        return result
+
+    def _take(self, event: Event, now_ms: int) -> list[Effect]:
         match event:
+            case Received():
+                return self._receive(event, now_ms)
             case Submitted():
-                result = self._admit(event.submission, now_ms)
+                return self._admit(event.submission, now_ms)
             case Cancelled():
-                result = self._cancel(event.submission)
-            case Received():
-                result = self._receive(event, now_ms)
+                return self._cancel(event.submission)
             case ViewChanged():
-                result = self._follow_membership(now_ms)
-        result += self._pump(now_ms)
-        self._lender = None
-        return result
+                return self._follow_membership(now_ms)
 
     def tick(self, now_ms: int) -> list[Effect]:
         """End what is overdue and ask after silent sidecars.
@@ -242,11 +258,13 @@
             batches.setdefault(name, []).append(waiting)
 
     def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
-        """Return the sidecar just heard if it has slots idle for other gateways."""
-        route = self._lender
-        if route is None or route.spare <= 0 or route.allowance is not None:
-            return None
-        return route if self._capacity.is_usable(pool, route) else None
+        """Return a sidecar just heard that has slots idle for other gateways."""
+        for route in self._heard.values():
+            if route.spare <= 0 or route.allowance is not None:
+                continue
+            if self._capacity.is_usable(pool, route):
+                return route
+        return None
 
     def _receive(self, event: Received, now_ms: int) -> list[Effect]:
         route = self.routes.get(event.sidecar)
@@ -298,8 +316,7 @@
                 task, item = receipt.task, receipt.result
                 self._health.note_result(route, task, item, now_ms)
                 result += self._take_result(submission, receipt)
-        self._capacity.update(route)
-        self._lender = route
+        self._heard[route.member.process] = route
         return result
 
     def _take_result(
@@ -349,6 +366,8 @@
         for route in closed:
             if not route.closed:
                 self._health.welcome(route, now_ms)
+        for route in self._parted.values():
+            self._heard.pop(route.member.process, None)
         self._quotas.follow()
         if self._pools.follow(self.routes.values(), self._open_routes):
             self._backlog.regroup(self._pools.find)
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/gateway.py
@@ -56,11 +56,13 @@
         self.holder = membership.build_holder(process, "gateway")
         self.dispatcher = dispatcher.Dispatcher(self.holder, process.failure_domain)
         self._links = membership.build_links(process, self.holder, self._receive, link)
+        self._links.end_burst = self._end_burst
         self.control = control.Control(self._links, process.controllers)
         self._tracer = traces.build_tracer(process)
         self._hops = None if self._tracer is None else hops.Hops(self._tracer)
         self._answers = answers.Answers()
         self._numbers = itertools.count(1)
+        self._burst: list[dispatcher.Event] = []
         self._attachments = attachments.Attachments(
             self.holder, self._links, self._answers
         )
@@ -207,10 +209,20 @@
     def handle(self, event: dispatcher.Event) -> None:
         """Give the dispatcher an event and carry out what follows.
 
+        What came before it in the same burst is taken first.
+
         Args:
             event: What has happened.
         """
-        self._act(self.dispatcher.handle(event, self.clock.read_monotonic()))
+        self._burst.append(event)
+        self._end_burst()
+
+    def _end_burst(self) -> None:
+        """Give the dispatcher all that came together."""
+        if self._burst:
+            events, self._burst = self._burst, []
+            now_ms = self.clock.read_monotonic()
+            self._act(self.dispatcher.handle_burst(events, now_ms))
 
     async def _tick(self) -> None:
         kept_ms = 0
@@ -243,7 +255,7 @@
                     if self._hops is not None:
                         self._hops.receive(message)
                     sender = (frame.sender, frame.incarnation)
-                    self.handle(dispatcher.Received(*sender, message))
+                    self._burst.append(dispatcher.Received(*sender, message))
                 case messages.AttachSubmission():
                     self._attachments.serve(frame.address, message)
                 case messages.SubmissionAnswered():
--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -68,6 +68,9 @@
 class Links:
     """All links of one process.
 
+    Attributes:
+        end_burst: Called once all frames that have come together are handed over.
+
     Args:
         name: Process name, sent with each frame.
         incarnation: Incarnation of this process.
@@ -89,6 +92,7 @@
         self.address = address
         self.controllers: frozenset[str] = frozenset()
         self.counts: collections.Counter[str] = collections.Counter()
+        self.end_burst: Callable[[], None] = _ignore_end
         self._receive = receive
         self._heartbeat_ms = options.heartbeat_ms
         self._encryption = encryption.Encryption(options)
@@ -234,15 +238,23 @@
         return True
 
     def _drain_inbox(self) -> None:
+        try:
+            if self._accept_burst():
+                asyncio.get_running_loop().call_soon(self._drain_inbox)
+        finally:
+            self.end_burst()
+
+    def _accept_burst(self) -> bool:
+        """Take the frames that have come, and return whether there may be more."""
         for _ in range(RECEIVE_BURST_FRAMES):
             if self._inbox is None:
-                return
+                return False
             try:
                 data, peer_name = self._encryption.receive(self._inbox)
             except pynng.TryAgain:
-                return
+                return False
             self._accept(data, peer_name)
-        asyncio.get_running_loop().call_soon(self._drain_inbox)
+        return True
 
     def _accept(self, data: bytes, peer_name: str | None) -> None:
         self.counts["links.bytes.received"] += len(data)
@@ -306,6 +318,10 @@
                 pass
 
 
+def _ignore_end() -> None:
+    pass
+
+
 def _take_parts(peer: _Peer) -> list[msgspec.Raw]:
     """Take messages off the queue that fit into one frame."""
     parts = [peer.queue.popleft()]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -241,3 +241,56 @@
     assert not gateway.submissions
     fleet.loop.run(5000)
     assert len(fleet.record.starts) <= 72 + 18
+
+
+def report_ends(submission, indexes, limit):
+    return [
+        dispatcher.Received(
+            "s1",
+            1,
+            messages.ReportResults(
+                1,
+                number,
+                [messages.TaskResult(submission.name, index, "done", start=1)],
+                limit + number,
+                1,
+                spare=1,
+            ),
+        )
+        for number, index in enumerate(indexes, 1)
+    ]
+
+
+def open_gateway(tasks):
+    members = [builders_gateway.build_sidecar(name, "gyor", 4) for name in ("s1", "s2")]
+    holder = builders_gateway.build_holder(*members)
+    machine = dispatcher.Dispatcher(holder, "gyor")
+    machine.handle(dispatcher.ViewChanged(), 0)
+    granted = messages.GrantCredits(4, holder.member.incarnation)
+    machine.handle(dispatcher.Received("s1", 1, granted), 0)
+    job = builders_gateway.build_submission("job", "recalculate", tasks)
+    performed = machine.handle(dispatcher.Submitted(job), 0)
+    return holder, machine, job, list_starts(performed)
+
+
+def list_starts(performed):
+    found = [item.message for item in performed if isinstance(item, effects.Send)]
+    return [item for item in found if isinstance(item, messages.StartTasks)]
+
+
+def test_results_of_one_burst_are_followed_by_one_start_message():
+    _, machine, job, started = open_gateway(tasks=12)
+    ended = [task.index for task in started[0].tasks]
+    performed = machine.handle_burst(report_ends(job, ended, limit=4), 10)
+    (start,) = list_starts(performed)
+    # Four freed slots, and one that the last result tells to be idle.
+    assert len(start.tasks) == 5
+
+
+def test_sidecar_that_leaves_within_a_burst_is_sent_nothing():
+    holder, machine, job, started = open_gateway(tasks=12)
+    ended = [task.index for task in started[0].tasks]
+    left = [builders_gateway.build_sidecar("s2", "gyor", 4)]
+    builders_gateway.grant_view(holder, left, builders_gateway.build_settings(), 2, 10)
+    events = [*report_ends(job, ended, limit=4), dispatcher.ViewChanged()]
+    assert not list_starts(machine.handle_burst(events, 10))
