--- a/amaranthspar/fairqueue.py
+++ b/amaranthspar/fairqueue.py
@@ -1,8 +1,11 @@
 """Queue that shares its service fairly among flows at several levels.
 
 A path names the flow at each level, as in team, caller and submission. At each
-level the flow that has had the least service for its weight is served next.
-Within the last level the items with the longest expected run time come first.
+level but the last the flow that has had the least service for its weight is served
+next. Flows of the last level are served one after another, in the order in which
+they would end if they shared the service evenly: a small one passes a large one, and
+none ends later than by even shares. Its items with the longest expected run time
+come first.
 Flows of the first level can be held back while others are served.
 """
 
@@ -35,10 +38,13 @@
 
 @attrs.define(slots=True, eq=False)
 class _Leaf(Generic[Item]):
-    """Items of one submission."""
+    """Items of one submission.
+
+    Attributes:
+        served: Service of the branch at which it would end by even shares.
+    """
 
     name: str
-    weight: float
     served: float = 0.0
     waiting: list[tuple[float, int, Item]] = attrs.field(factory=list)
 
@@ -95,11 +101,12 @@
             branch = flow
         leaf = branch.flows.get(path[-1].name)
         if leaf is None:
-            leaf = _Leaf(path[-1].name, path[-1].weight)
+            leaf = _Leaf(path[-1].name)
             self._join(branch, leaf)
         assert isinstance(leaf, _Leaf)
         self._serial += 1
         heapq.heappush(leaf.waiting, (-cost_ms, self._serial, item))
+        leaf.served += max(cost_ms, LEAST_COST_MS)
 
     def pop(self) -> Item | None:
         """Remove and return the item served next, none if none may be served."""
@@ -167,9 +174,12 @@
         """Return the flow served next, past those that are gone or held back."""
         order = branch.order
         while order:
-            flow = order[0][2]
+            served, _, flow = order[0]
             if branch.flows.get(flow.name) is not flow:
                 heapq.heappop(order)
+            elif isinstance(flow, _Leaf) and flow.served > served:
+                self._serial += 1
+                heapq.heapreplace(order, (flow.served, self._serial, flow))
             elif self._held and branch is self._root and flow.name in self._held:
                 heapq.heappop(order)
                 self._parked[flow.name] = flow
@@ -178,16 +188,20 @@
         return None
 
     def _charge(
-        self, branch: _Branch[Item], flow: _Branch[Item] | _Leaf[Item], cost_ms: float
+        self,
+        branch: _Branch[Item],
+        flow: _Branch[Item] | _Leaf[Item],
+        cost_ms: float,
     ) -> None:
-        """Note that the first flow of a branch was served."""
-        served = branch.order[0][0]
-        if served > branch.clock:
-            branch.clock = served
-        flow.served = served + cost_ms / flow.weight
-        if flow.waiting:
-            self._serial += 1
-            heapq.heapreplace(branch.order, (flow.served, self._serial, flow))
+        """Count the service of the first flow; the clock is that of a new one."""
+        if isinstance(flow, _Leaf):
+            branch.clock += cost_ms / len(branch.flows)
         else:
+            branch.clock = max(branch.clock, flow.served)
+            flow.served += cost_ms / flow.weight
+        if not flow.waiting:
             del branch.flows[flow.name]
             heapq.heappop(branch.order)
+        elif isinstance(flow, _Branch):
+            self._serial += 1
+            heapq.heapreplace(branch.order, (flow.served, self._serial, flow))
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -32,12 +32,16 @@
 
 EXPERIMENTS = {
     "response": Experiment("response", BOTH),
+    "declared": Experiment("response", function="run_declared"),
     "waste": Experiment("waste", BOTH),
     "domain": Experiment("domain", BOTH),
     "removal": Experiment("removal"),
-    "failover": Experiment("failover"),
+    "failover": Experiment("losses", function="run_leader"),
+    "losses": Experiment("losses"),
+    "losses-regions": Experiment("losses", function="run_regions"),
     "leases-removal": Experiment("control", function="run_removal"),
     "leases-failover": Experiment("control", function="run_failover"),
+    "leases-restart": Experiment("control", function="run_restarts"),
     "config": Experiment("control", function="run_config"),
     "burst": Experiment("burst"),
     "badworker": Experiment("badworker"),
@@ -46,7 +50,9 @@
     "desk": Experiment("desk", "wijesekera"),
     "gateway": Experiment("gateway"),
     "sidecar": Experiment("sidecar"),
-    "slopes": Experiment("slopes"),
+    "slopes-gateway": Experiment("slopes", function="run_gateway"),
+    "slopes-controllers": Experiment("slopes", function="run_controllers"),
+    "slopes-sidecar": Experiment("slopes", function="run_sidecar"),
     "soak": Experiment("soak", "wijesekera"),
 }
 LOADS = (0.5, 0.8, 0.95)
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -1,12 +1,15 @@
 """Builders of controllers in one process, and a client that asks them."""
 
 import asyncio
+import itertools
 import pathlib
 
 from amaranthspar import clock, codec, controller, links, messages, options, ports
+from tests import builders_links
 
 TEXT = "[service lookup]\nidempotent = yes\n\n[domain gyor]\n\n[domain pecs]\n"
 WAIT_S = 10
+UNAVAILABLE_PAUSE_S = 0.05
 
 
 def find_address() -> str:
@@ -39,9 +42,10 @@
 class Client:
     """Sends requests to controllers and keeps the answers."""
 
-    def __init__(self, name: str = "client") -> None:
+    def __init__(self, name: str = "client", section=None) -> None:
         self.address = find_address()
-        self.links = links.Links(name, 1, self.address, self._receive)
+        section = section or options.LinkOptions()
+        self.links = links.Links(name, 1, self.address, self._receive, section)
         self.clock = clock.Clock()
         self._answers: asyncio.Queue[codec.Message] = asyncio.Queue()
 
@@ -53,13 +57,24 @@
         self.links.send(address, message)
 
     async def ask(self, addresses, message, kind, wait_s=0.5):
-        """Return the first answer of a kind; asks the next address on silence."""
-        for attempt in range(int(WAIT_S / wait_s)):
-            self.send(addresses[attempt % len(addresses)], message)
+        """Return the first decided answer of a kind.
+
+        Asks the next address on silence, and again while there is no leader, as
+        ``control.Control`` does.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_S
+        for target in itertools.cycle(addresses):
+            if loop.time() >= until:
+                break
+            self.send(target, message)
             answer = await self.wait(kind, wait_s)
-            if answer is not None:
+            if answer is None or not _belongs(answer, message):
+                continue
+            if getattr(answer, "outcome", "") != "unavailable":
                 return answer
-        raise AssertionError(f"no {kind.__name__} within {WAIT_S} s")
+            await asyncio.sleep(UNAVAILABLE_PAUSE_S)
+        raise AssertionError(f"no {kind} within {WAIT_S} s")
 
     async def wait(self, kind, wait_s=WAIT_S):
         loop = asyncio.get_running_loop()
@@ -80,6 +95,12 @@
         return messages.RenewLease(member, now_ms, version, revision)
 
 
+def _belongs(answer: codec.Message, message: codec.Message) -> bool:
+    """Whether an answer is to this change, and not to an earlier one sent again."""
+    change = getattr(message, "change_id", "")
+    return getattr(answer, "change_id", change) == change
+
+
 class Cluster:
     """Controllers of one process."""
 
@@ -89,6 +110,9 @@
         self.first = names
         self.changes = changes
         self.running: dict[str, controller.Controller] = {}
+        self.listens = dict(self.addresses)
+        self.sections: dict[str, options.LinkOptions] = {}
+        self.relays: dict[str, builders_links.Relay] = {}
         self.bootstrap = folder / "first.ini"
         self.bootstrap.write_text(TEXT)
 
@@ -98,9 +122,7 @@
 
     def build(self, name: str) -> controller.Controller:
         replicas = [f"{key}={self.addresses[key]}" for key in self.first]
-        process = options.ProcessOptions(
-            name, self.addresses[name], self.targets, "gyor"
-        )
+        process = options.ProcessOptions(name, self.listens[name], self.targets, "gyor")
         settings = {
             "replica": name,
             "replicas": replicas,
@@ -111,13 +133,24 @@
             **self.changes,
         }
         return controller.Controller(
-            process, options.LinkOptions(), options.ControllerOptions(**settings)
+            process,
+            self.sections.get(name, options.LinkOptions()),
+            options.ControllerOptions(**settings),
         )
 
+    async def open_relays(self) -> None:
+        """Have every replica reached by a relay only."""
+        for name, address in self.listens.items():
+            self.relays[name] = builders_links.Relay(address)
+            self.addresses[name] = self.relays[name].address
+            await self.relays[name].open()
+
     async def start(self, *names: str) -> None:
         for name in names or self.addresses:
+            self.listens.setdefault(name, self.addresses[name])
             self.running[name] = self.build(name)
             await self.running[name].start()
+            self.running[name]._links.address = self.addresses[name]
 
     async def find_leader(self) -> str:
         for _ in range(WAIT_S * 100):
