State all messages against a start and a result for each task as well

Cause: the strict count takes the start batches as they are, so that fewer and larger batches raise what it calls wasted, though fewer messages are sent.

Change: the benchmark also tells how far all messages are from two a task. The strict count and its target stay as they were.

--- a/benchmarks/waste.py
+++ b/benchmarks/waste.py
@@ -19,7 +19,9 @@
     """Count messages by kind at each load.
 
     The least is one start message and one result message for a request, and
-    for each batch of a job's tasks that a sidecar was sent at once.
+    for each batch of a job's tasks that a sidecar was sent at once. Told besides
+    is how far all messages are from a start and a result for each task; that
+    count is below 0 where batches spare more than all else adds.
 
     Args:
         options: Options of the run.
@@ -73,6 +75,7 @@
     least = LEAST_MESSAGES * counts["StartTasks"]
     figures = {
         "messages a task": total / tasks,
+        "messages a task beyond a start and a result": total / tasks - LEAST_MESSAGES,
         "heartbeats a task": liveness / tasks,
         "wasted a task without heartbeats": (total - liveness - least) / tasks,
     }
