--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatcher.py
@@ -79,7 +79,7 @@
         self.routes: dict[str, routing.Route] = {}
         self._holder = holder
         self._open_routes: list[routing.Route] = []
-        self._lender: routing.Route | None = None
+        self._heard: dict[str, routing.Route] = {}
         self._capacity = capacity.Capacity(near_domain)
         self._backlog = backlog.Backlog(holder)
         self._estimates = estimates.Estimates()
@@ -106,18 +106,34 @@
             event: What has happened.
             now_ms: Monotonic time in ms.
         """
+        return self.handle_burst([event], now_ms)
+
+    def handle_burst(self, events: list[Event], now_ms: int) -> list[Effect]:
+        """Take events that came together, and only then send what waits.
+
+        Args:
+            events: What has happened, in order.
+            now_ms: Monotonic time in ms.
+        """
+        result: list[Effect] = []
+        for event in events:
+            result += self._take(event, now_ms)
+        for route in self._heard.values():
+            self._capacity.update(route)
+        result += self._pump(now_ms)
+        self._heard.clear()
+        return result
+
+    def _take(self, event: Event, now_ms: int) -> list[Effect]:
         match event:
+            case Received():
+                return self._receive(event, now_ms)
             case Submitted():
-                result = self._admit(event.submission, now_ms)
+                return self._admit(event.submission, now_ms)
             case Cancelled():
-                result = self._cancel(event.submission)
-            case Received():
-                result = self._receive(event, now_ms)
+                return self._cancel(event.submission)
             case ViewChanged():
-                result = self._follow_membership(now_ms)
-        result += self._pump(now_ms)
-        self._lender = None
-        return result
+                return self._follow_membership(now_ms)
 
     def tick(self, now_ms: int) -> list[Effect]:
         """End what is overdue and ask after silent sidecars.
@@ -265,11 +281,13 @@
         self._quotas.start(submission.team)
 
     def _find_lender(self, pool: capacity.Pool) -> routing.Route | None:
-        """Return the sidecar just heard if it has slots idle for other gateways."""
-        route = self._lender
-        if route is None or route.spare <= 0 or route.is_limited:
-            return None
-        return route if self._capacity.is_usable(pool, route) else None
+        """Return a sidecar just heard that has slots idle for other gateways."""
+        for route in self._heard.values():
+            if route.spare <= 0 or route.is_limited:
+                continue
+            if self._capacity.is_usable(pool, route):
+                return route
+        return None
 
     def _receive(self, event: Received, now_ms: int) -> list[Effect]:
         route = self.routes.get(event.sidecar)
@@ -324,8 +342,7 @@
                     times = (item.run_ms, task.cost_ms, now_ms)
                     self._speeds.note(route, submission.service, *times)
                 result += self._take_result(submission, receipt, route.member, now_ms)
-        self._capacity.update(route)
-        self._lender = route
+        self._heard[route.member.process] = route
         return result
 
     def _take_result(
@@ -366,6 +383,7 @@
             member = current.get(name)
             if member is None or member.incarnation != route.member.incarnation:
                 self._parted[name] = self.routes.pop(name)
+                self._heard.pop(name, None)
                 self._health.forget(name)
                 result += self._give_up(route, now_ms)
         for name, member in current.items():
--- a/amaranthspar/fairqueue.py
+++ b/amaranthspar/fairqueue.py
@@ -110,13 +110,21 @@
 
     def pop(self) -> Item | None:
         """Remove and return the item served next, none if none may be served."""
-        if not self._count:
-            return None
-        popped = self._pop_from(self._root)
-        if popped is None:
+        way = []
+        flow: _Branch[Item] | _Leaf[Item] | None = self._root
+        while isinstance(flow, _Branch):
+            branch = flow
+            flow = self._find_first(branch)
+            if flow is not None:
+                way.append((branch, flow))
+        if flow is None:
             return None
+        negative_cost_ms, _, item = heapq.heappop(flow.waiting)
+        cost_ms = max(-negative_cost_ms, LEAST_COST_MS)
+        for branch, served in reversed(way):
+            self._charge(branch, served, cost_ms)
         self._count -= 1
-        return popped[0]
+        return item
 
     def drop(self, path: Path) -> list[Item]:
         """Remove a flow with all that waits in it.
@@ -162,31 +170,21 @@
         self._serial += 1
         heapq.heappush(branch.order, (flow.served, self._serial, flow))
 
-    def _pop_from(self, branch: _Branch[Item]) -> tuple[Item, float] | None:
+    def _find_first(self, branch: _Branch[Item]) -> _Branch[Item] | _Leaf[Item] | None:
+        """Return the flow served next, past those that are gone or held back."""
         order = branch.order
         while order:
             served, _, flow = order[0]
             if branch.flows.get(flow.name) is not flow:
                 heapq.heappop(order)
-                continue
-            if isinstance(flow, _Leaf) and flow.served > served:
+            elif isinstance(flow, _Leaf) and flow.served > served:
                 self._serial += 1
                 heapq.heapreplace(order, (flow.served, self._serial, flow))
-                continue
-            if self._held and branch is self._root and flow.name in self._held:
+            elif self._held and branch is self._root and flow.name in self._held:
                 heapq.heappop(order)
                 self._parked[flow.name] = flow
-                continue
-            popped = self._serve(flow)
-            self._charge(branch, flow, 0.0 if popped is None else popped[1])
-            if popped is None or not flow.waiting:
-                del branch.flows[flow.name]
-                heapq.heappop(order)
-            elif isinstance(flow, _Branch):
-                self._serial += 1
-                heapq.heapreplace(order, (flow.served, self._serial, flow))
-            if popped is not None:
-                return popped
+            else:
+                return flow
         return None
 
     def _charge(
@@ -195,16 +193,15 @@
         flow: _Branch[Item] | _Leaf[Item],
         cost_ms: float,
     ) -> None:
-        """Count the service of a flow; the branch's clock is that of a new one."""
-        cost_ms = max(cost_ms, LEAST_COST_MS)
+        """Count the service of the first flow; the clock is that of a new one."""
         if isinstance(flow, _Leaf):
             branch.clock += cost_ms / len(branch.flows)
-            return
-        branch.clock = max(branch.clock, flow.served)
-        flow.served += cost_ms / flow.weight
-
-    def _serve(self, flow: _Branch[Item] | _Leaf[Item]) -> tuple[Item, float] | None:
-        if isinstance(flow, _Branch):
-            return self._pop_from(flow)
-        negative_cost_ms, _, item = heapq.heappop(flow.waiting)
-        return item, -negative_cost_ms
+        else:
+            branch.clock = max(branch.clock, flow.served)
+            flow.served += cost_ms / flow.weight
+        if not flow.waiting:
+            del branch.flows[flow.name]
+            heapq.heappop(branch.order)
+        elif isinstance(flow, _Branch):
+            self._serial += 1
+            heapq.heapreplace(branch.order, (flow.served, self._serial, flow))
