--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/sidecar.py
@@ -8,6 +8,7 @@
     clock,
     codec,
     effects,
+    errors,
     executor,
     leaseholder,
     logs,
@@ -17,6 +18,7 @@
     options,
     traces,
     upstream,
+    worker,
 )
 
 TICK_MS = 50
@@ -24,6 +26,7 @@
 COLLECT_THRESHOLD = 20_000
 METRICS_MS = 1000
 LEAVE_POLL_MS = 20
+CREDITS_MS = 2000
 
 
 class Sidecar:
@@ -48,12 +51,16 @@
         announcement = _build_announcement(process, sidecar)
         self.holder = membership.build_holder(process, "sidecar", announcement)
         self.executor = executor.Executor(self.holder)
+        self.failure: errors.SupersededError | None = None
+        self.stopped = asyncio.Event()
         self._links = membership.build_links(process, self.holder, self._receive, link)
         self._tracer = traces.build_tracer(process)
         self._options = sidecar
         self._upstream: upstream.Upstream | None = None
+        self._platform: worker.Worker | None = None
         self._calls: dict[tuple[str, int], asyncio.Task[messages.TaskResult]] = {}
         self._ticking: asyncio.Task[None] | None = None
+        self._is_closed = False
 
     async def start(self) -> None:
         """Listen, announce the upstream and take work.
@@ -61,8 +68,10 @@
         Raises:
             errors.LinkError: The address for links cannot be used.
         """
+        if self._options.platform:
+            self._platform = worker.Worker(self._options.platform)
         self._upstream = upstream.Upstream(
-            self._options.upstream, self._options.connections
+            self._options.upstream, self._options.connections, self._platform
         )
         await self._links.open()
         self._ticking = asyncio.get_running_loop().create_task(self._tick())
@@ -72,19 +81,32 @@
         self._log.info("started", upstream=self._options.upstream)
 
     async def stop(self) -> None:
-        """Refuse new work, finish what runs and leave."""
+        """Refuse new work, finish what runs and leave.
+
+        A start that was under way is still answered: it waits, for 2 s at most, until
+        every gateway has handed its credits back.
+        """
+        if self._is_closed:
+            return
         self._log.info("draining")
-        self._act(self.executor.drain(self._clock.read_monotonic()))
+        now_ms = self._clock.read_monotonic()
+        self._act(self.executor.drain(now_ms))
         self._leave(stopped=False)
-        while not self.executor.is_idle:
+        until_ms = now_ms + CREDITS_MS
+        while not self._may_end(until_ms):
             await asyncio.sleep(LEAVE_POLL_MS / 1000)
         self._leave(stopped=True)
         await asyncio.sleep(LEAVE_POLL_MS / 1000)
         await self.close()
         self._log.info("stopped")
 
+    def _may_end(self, until_ms: int) -> bool:
+        is_late = self._clock.read_monotonic() >= until_ms
+        return self.executor.is_idle if is_late else self.executor.is_drained
+
     async def close(self) -> None:
         """Close everything at once, as a crash would."""
+        self._is_closed = True
         if self._ticking is not None:
             self._ticking.cancel()
         for call in self._calls.values():
@@ -92,6 +114,8 @@
         self._links.close()
         if self._upstream is not None:
             await self._upstream.close()
+        if self._platform is not None:
+            await self._platform.close()
         if self._tracer is not None:
             await asyncio.to_thread(self._tracer.close)
 
@@ -142,13 +166,20 @@
                 case executor.StopTask():
                     self._stop_call(effect)
                 case leaseholder.ViewChanged():
-                    version = self.holder.view.configuration_version
-                    self._log.info("view changed", configuration=version)
+                    if effect.is_configured:
+                        version = self.holder.view.configuration_version
+                        self._log.info("configuration changed", configuration=version)
                     self._act(self.executor.tick(self._clock.read_monotonic()))
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
-                    self._log.error("another incarnation took over")
+                    self._yield_place()
+
+    def _yield_place(self) -> None:
+        """Start nothing more, and have the process end once nothing runs."""
+        self._log.error("another incarnation took over")
+        self.failure = errors.SupersededError(self._process.name)
+        self.stopped.set()
 
     def _run(self, run: executor.RunTask) -> None:
         assert self._upstream is not None
