Take no denial after a planned stop for a lost place

A sidecar tells that it has stopped and lives 20 ms more; a renewal under way then is denied as superseded, which ends a process with an error since. Ruled out: the stop itself (all 8 tasks ended).

Change: a holder that has told that it stopped renews no more and takes no denial, for gateways and sidecars alike.

Before: the denial gave LeaseLost. After: the new test, and test_sidecar, pass (13).

--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/leaseholder.py
@@ -127,6 +127,13 @@
             return RETRY_MS
         return int(RENEW_MS * self._chance.uniform(*SLOW_RETRY_RATIOS))
 
+    def retire(self) -> None:
+        """Renew no more, as the process has told that it has stopped.
+
+        A renewal that is under way is denied then, which is no loss of the place.
+        """
+        self._lost = True
+
     def announce(self, member: messages.Member, now_ms: int) -> list[Effect]:
         """Replace what the process states about itself and renew at once."""
         self.member = member
--- a/amaranthspar/membership.py
+++ b/amaranthspar/membership.py
@@ -66,6 +66,8 @@
         link: Links of the process.
         stopped: Whether the process has finished its work.
     """
+    if stopped:
+        holder.retire()
     incarnation = holder.member.incarnation
     message = messages.LeaveMembership(process.name, incarnation, stopped)
     for address in process.controllers:
--- a/tests/test_leaseholder.py
+++ b/tests/test_leaseholder.py
@@ -102,3 +102,15 @@
                 held = renewal.configuration_version
                 holder.handle(grant(renewal.sent_ms, 0, version, held), now_ms)
     assert max(sent[part] for part in range(51, 80)) < 35
+
+
+def test_denial_after_a_planned_stop_is_no_lost_place() -> None:
+    holder = build_holder()
+    (renewal,) = find_renewals(holder.tick(0))
+    holder.handle(grant(renewal.sent_ms), 1)
+    assert find_renewals(holder.tick(1_500))
+    holder.retire()
+    denied = messages.LeaseDenied(1_500, "superseded", holder.member.incarnation)
+    assert holder.handle(denied, 1_501) == []
+    assert holder.is_valid(1_501)
+    assert holder.tick(2_600) == []
