Carry links over asyncio transports instead of pynng

Change: connections.py frames bytes with a length of four bytes over asyncio transports, with TLS by the standard library, TCP_USER_TIMEOUT and bounded buffers. Heartbeats, redial and queues stay as they were.

--- a/amaranthspar/links.py
+++ b/amaranthspar/links.py
@@ -1,26 +1,22 @@
-"""Links between processes over pynng.
+"""Links between processes over TCP.
 
-Each process listens with one pull socket and dials one push socket for each
-peer. A link whose peer has not been heard for three heartbeat intervals is
+Each process listens, and dials a connection of its own to each peer that it sends
+to. A link whose peer has not been heard for three heartbeat intervals is
 closed and dialled anew, but only when there is something to send if the peer could
 not even be connected: a socket that dials in vain costs more than one in use.
 """
 
 import asyncio
 import collections
-import os
 from collections.abc import Callable
 
 import attrs
 import msgspec
 
-os.environ.setdefault("NNG_LOG_LEVEL", "none")
-
-import pynng  # noqa: E402
-
-from amaranthspar import (  # noqa: E402
+from amaranthspar import (
     clock,
     codec,
+    connections,
     encryption,
     errors,
     heartbeats,
@@ -29,27 +25,11 @@
 )
 
 QUEUE_BYTES = 16 * 1024 * 1024
-FRAME_BYTES = 4 * 1024 * 1024
-MAX_MESSAGE_BYTES = 32 * 1024 * 1024
-MAX_FRAME_BYTES = FRAME_BYTES + MAX_MESSAGE_BYTES
-BUFFER_FRAMES = 128
-RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 500
-RECEIVE_BURST_FRAMES = 64
+FRAME_BYTES = connections.FRAME_BYTES
+MAX_MESSAGE_BYTES = connections.MAX_MESSAGE_BYTES
+MAX_FRAME_BYTES = connections.MAX_FRAME_BYTES
 FULL_RETRY_MS = 5
 
-
-def _limit_threads() -> None:
-    """Limit the threads that nng starts; must run before the first socket."""
-    library = pynng.lib
-    for name in ("NUM_TASK_THREADS", "MAX_TASK_THREADS", "NUM_EXPIRE_THREADS"):
-        library.nng_init_set_parameter(getattr(library, f"NNG_INIT_{name}"), 2)
-    for name in ("MAX_EXPIRE_THREADS", "NUM_POLLER_THREADS", "MAX_POLLER_THREADS"):
-        library.nng_init_set_parameter(getattr(library, f"NNG_INIT_{name}"), 2)
-
-
-_limit_threads()
-
 Receive = Callable[[codec.Frame], None]
 """Called with each frame that holds messages."""
 
@@ -59,7 +39,7 @@
     """Link to one peer and what waits to be sent on it; without socket it rests."""
 
     address: str
-    socket: pynng.Push0 | None
+    socket: connections.Dialled | None
     health: heartbeats.Heartbeats
     queue: collections.deque[msgspec.Raw] = attrs.field(factory=collections.deque)
     queue_bytes: int = 0
@@ -100,7 +80,7 @@
         self._encryption = encryption.Encryption(options)
         self._peers: dict[str, _Peer] = {}
         self._clock = clock.Clock()
-        self._inbox: pynng.Pull0 | None = None
+        self._listener: connections.Listener | None = None
         self._beating: asyncio.Task[None] | None = None
 
     async def open(self) -> None:
@@ -109,27 +89,20 @@
         Raises:
             errors.LinkError: The address is in use or not valid.
         """
-        self._inbox = pynng.Pull0(recv_buffer_size=BUFFER_FRAMES)
-        self._inbox.recv_max_size = MAX_FRAME_BYTES
-        try:
-            self._encryption.listen(self._inbox, self.address)
-        except pynng.NNGException as error:
-            raise errors.LinkError(
-                f"cannot listen on {self.address}: {error}"
-            ) from error
+        self._encryption.find_client()
+        listener = connections.Listener(self._accept, self._end_burst)
+        await listener.open(self.address, self._encryption.build_server())
+        self._listener = listener
         loop = asyncio.get_running_loop()
-        loop.add_reader(self._inbox.recv_fd, self._drain_inbox)
         self._beating = loop.create_task(self._beat())
 
     def close(self) -> None:
         """Close every socket; messages not yet sent are lost."""
-        loop = asyncio.get_running_loop()
         if self._beating is not None:
             self._beating.cancel()
-        if self._inbox is not None:
-            loop.remove_reader(self._inbox.recv_fd)
-            self._inbox.close()
-            self._inbox = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
         for address in list(self._peers):
             self.forget(address)
 
@@ -143,7 +116,7 @@
             address: Address at which the peer listens.
             message: Message to send.
         """
-        if self._inbox is None:
+        if self._listener is None:
             return
         peer = self._find_peer(address)
         if peer is None:
@@ -197,7 +170,7 @@
             return peer
         try:
             socket = self._dial(address)
-        except pynng.NNGException:
+        except errors.LinkError:
             self.counts["links.addresses.invalid"] += 1
             return None
         now_ms = self._clock.read_monotonic()
@@ -210,14 +183,8 @@
         peer = self._peers[address] = _Peer(address, socket, health)
         return peer
 
-    def _dial(self, address: str) -> pynng.Push0:
-        socket = pynng.Push0(
-            send_buffer_size=BUFFER_FRAMES,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
-        self._encryption.dial(socket, address)
-        return socket
+    def _dial(self, address: str) -> connections.Dialled:
+        return connections.Dialled(address, self._encryption.find_client())
 
     def _flush(self, peer: _Peer) -> None:
         """Send what is queued, as many frames as it takes."""
@@ -244,13 +211,8 @@
             self.name, self.incarnation, self.address, parts, number, health.heard
         )
         data = codec.encode_frame(frame)
-        try:
-            peer.socket.send(data, block=False)
-        except pynng.TryAgain:
+        if not peer.socket.send(data):
             return False
-        except pynng.NNGException:
-            self.counts["links.messages.dropped"] += len(parts)
-            return True
         self.counts["links.bytes.sent"] += len(data)
         self.counts["links.frames.sent"] += 1
         if numbered:
@@ -259,24 +221,8 @@
             health.note_answer()
         return True
 
-    def _drain_inbox(self) -> None:
-        try:
-            if self._accept_burst():
-                asyncio.get_running_loop().call_soon(self._drain_inbox)
-        finally:
-            self.end_burst()
-
-    def _accept_burst(self) -> bool:
-        """Take the frames that have come, and return whether there may be more."""
-        for _ in range(RECEIVE_BURST_FRAMES):
-            if self._inbox is None:
-                return False
-            try:
-                data, peer_name = self._encryption.receive(self._inbox)
-            except pynng.TryAgain:
-                return False
-            self._accept(data, peer_name)
-        return True
+    def _end_burst(self) -> None:
+        self.end_burst()
 
     def _accept(self, data: bytes, peer_name: str | None) -> None:
         self.counts["links.bytes.received"] += len(data)
@@ -335,10 +281,10 @@
             case _:
                 pass
 
-    def _redial(self, peer: _Peer, socket: pynng.Push0) -> None:
+    def _redial(self, peer: _Peer, socket: connections.Dialled) -> None:
         """Replace a silent connection; a link without one rests until it is used."""
-        is_connected = bool(socket.pipes)
-        socket.close()
+        is_connected = socket.is_connected
+        socket.abort()
         if not is_connected:
             self.counts["links.rested"] += 1
             peer.socket = None
