--- a/amaranthspar/administration.py
+++ b/amaranthspar/administration.py
@@ -6,11 +6,14 @@
 
 import attrs
 
-from amaranthspar import effects, messages, replicas, transitions
+from amaranthspar import effects, messages, replacement, replicas, transitions
 
 if TYPE_CHECKING:
     from amaranthspar import consensus
 
+REPLACED_SILENCE_MS = 3_000
+"""Silence after which a replica gives way to a new one; a restart takes about 1 s."""
+
 
 @attrs.frozen(slots=True)
 class _Waiting:
@@ -58,6 +61,29 @@
         self._waiting.append(_Waiting(address, index, self._machine.term, request))
         return result
 
+    def join(
+        self, joining: messages.JoinReplicas, now_ms: int
+    ) -> list[transitions.Effect]:
+        """Take a replica that asks for it into the set; it asks again until it is.
+
+        Args:
+            joining: New replica.
+            now_ms: Monotonic clock in ms.
+
+        Returns:
+            Effects to carry out in order.
+        """
+        leading = self._machine.leading
+        if leading is None:
+            return []
+        silent = leading.list_silent(now_ms, REPLACED_SILENCE_MS)
+        members = self._machine.journal.members
+        removed = replacement.plan_join(members, joining, silent)
+        if removed is None:
+            return []
+        event = transitions.Replace(removed, joining.replica, joining.address)
+        return self._machine.step(event, now_ms)
+
     def answer_committed(self) -> list[effects.Send]:
         """Answer the replacements that are committed, and forget those of old terms."""
         machine = self._machine
--- /dev/null
+++ b/amaranthspar/commands_platform.py
@@ -0,0 +1,25 @@
+"""Command ``platform``: runs a role on the users' platform."""
+
+import argparse
+
+from amaranthspar.platform import program
+
+EXAMPLES = """\
+examples:
+  amaranthspar platform gateway     # reads the settings that the platform wrote
+"""
+
+
+def fill_parser(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments.
+
+    Args:
+        parser: Parser of the first word.
+    """
+    parser.epilog = EXAMPLES
+    parser.add_argument("role", choices=("gateway", "sidecar", "controller"))
+    parser.set_defaults(run=_run)
+
+
+def _run(arguments: argparse.Namespace) -> int:
+    return program.run_role(arguments.role)
--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -14,7 +14,9 @@
     codec,
     configuration,
     consensus,
+    directory,
     disk,
+    documentrequests,
     effects,
     errors,
     files,
@@ -24,6 +26,7 @@
     metrics,
     options,
     registry,
+    replicas,
     requests,
     snapshots,
     transitions,
@@ -38,6 +41,8 @@
 VIEW_AGE_PARTS = (2, 3)
 LINK_HEARTBEATS = 2
 BOOTSTRAP = "bootstrap"
+JOIN_INTERVAL_MS = 500
+"""Interval in which a replica outside the set asks to be taken in."""
 
 _log = structlog.get_logger()
 _REPLICA_MESSAGES = (
@@ -95,6 +100,9 @@
         self._bytes = 0
         self._snapshot_bytes = 0
         self._expire_ms = 0
+        self._join_ms = 0
+        self.directory = directory.Directory()
+        self.document_requests = documentrequests.DocumentRequests(self._ask_leader)
         self._saving: snapshots.Saving | None = None
 
     @property
@@ -189,10 +197,32 @@
             standing = self._find_standing()
             if standing.now_ms >= self._expire_ms:
                 self._expire_ms = standing.now_ms + EXPIRE_INTERVAL_MS
+                for process in self.directory.expire(standing.now_ms):
+                    _log.info("process not heard", name=self.name, peer=process)
                 self.requests.expire(standing)
                 self._plan_flush()
                 self._watch_replicas()
                 self._report()
+            self._ask_to_join(standing.now_ms)
+
+    def _ask_to_join(self, now_ms: int) -> None:
+        """Ask for a place in the set where this replica has none."""
+        members = self._machine.journal.members
+        is_member = replicas.find_replica(members, self._options.replica) is not None
+        if is_member or not self._options.join or now_ms < self._join_ms:
+            return
+        self._join_ms = now_ms + JOIN_INTERVAL_MS
+        joining = messages.JoinReplicas(self._options.replica, self._links.address)
+        for address in self._options.join:
+            if address != self._links.address:
+                self._links.send(address, joining)
+
+    def _ask_leader(self, message: codec.Message) -> None:
+        """Take a request of this process itself, as one that came over a link."""
+        request = requests.Request(
+            self.name, self._links.incarnation, self._links.address, message
+        )
+        self._take(request)
 
     def _watch_replicas(self) -> None:
         """Have a silent link among replicas found before it costs the quorum.
@@ -230,6 +260,16 @@
     def _take(self, request: requests.Request) -> None:
         standing = self._find_standing()
         message = request.message
+        if isinstance(message, messages.DocumentState):
+            self.document_requests.resolve(message)
+            return
+        if isinstance(message, messages.Announce):
+            self._list_process(request.address, message, standing.now_ms)
+            return
+        if isinstance(message, messages.JoinReplicas) and standing.leading:
+            for effect in self._administration.join(message, standing.now_ms):
+                self._carry_out(effect)
+            return
         if isinstance(message, messages.ReplaceReplica) and standing.leading:
             found = self._administration.take(request.address, message, standing.now_ms)
             for effect in found:
@@ -238,6 +278,18 @@
         self._send(self.requests.take(request, standing))
         self._plan_flush()
 
+    def _list_process(
+        self, address: str, message: messages.Announce, now_ms: int
+    ) -> None:
+        members = self._machine.journal.members.replicas
+        view = self.directory.announce(
+            message,
+            self._registry.documents,
+            [item.address for item in members],
+            now_ms,
+        )
+        self._links.send(address, view)
+
     def _pass_seen(self) -> None:
         if not self.leading:
             self._machine.follower.seen |= self.requests.seen
--- a/amaranthspar/disk.py
+++ b/amaranthspar/disk.py
@@ -161,6 +161,23 @@
         raise
 
 
+def find_replica(content: files.Files) -> str:
+    """Return the replica id that a data folder belongs to, empty for a new folder.
+
+    Args:
+        content: Files of the folder.
+
+    Raises:
+        errors.DiskError: It cannot be read.
+    """
+    if content.read(IDENTITY) is None:
+        return ""
+    identity = _read_single(content, IDENTITY)
+    if not isinstance(identity, messages.FolderIdentity):
+        raise FormatError(f"{content.folder}/{IDENTITY} is of an unknown format")
+    return identity.replica
+
+
 def _open_locked(content: files.Files, replica: str, chance: int) -> Folder:
     if content.read(IDENTITY) is None:
         _create(content, replica, chance)
--- /dev/null
+++ b/amaranthspar/documents.py
@@ -0,0 +1,65 @@
+"""The replicated routing document and the failure domains that are out of service."""
+
+import attrs
+
+from amaranthspar import messages
+
+NO_VERSION = -1
+"""Version before the first document."""
+
+
+@attrs.define(slots=True)
+class Documents:
+    """State that committed entries have set; the highest version wins.
+
+    Attributes:
+        version: Version of the document.
+        content: The document, which is opaque here.
+        domains_revision: Grows with each change of the domains.
+        domains_out: Failure domains in which no run may start.
+    """
+
+    version: int = NO_VERSION
+    content: bytes = b""
+    domains_revision: int = 0
+    domains_out: set[str] = attrs.field(factory=set)
+
+    def put(self, command: messages.PutDocument) -> None:
+        """Take a document if its version is higher than the one held.
+
+        Args:
+            command: Committed entry.
+        """
+        if command.version > self.version:
+            self.version = command.version
+            self.content = command.content
+
+    def set_domain(self, command: messages.SetDomain) -> None:
+        """Take a failure domain out of service or back in.
+
+        Args:
+            command: Committed entry.
+        """
+        if command.is_out is (command.domain in self.domains_out):
+            return
+        self.domains_revision += 1
+        if command.is_out:
+            self.domains_out.add(command.domain)
+        else:
+            self.domains_out.discard(command.domain)
+
+    def answer(self, request: str) -> messages.DocumentState:
+        """Return that a request is done.
+
+        Args:
+            request: Unique name of the request.
+        """
+        return messages.DocumentState(request, self.version)
+
+    def fetch(self, request: str) -> messages.DocumentState:
+        """Return the document.
+
+        Args:
+            request: Unique name of the request.
+        """
+        return messages.DocumentState(request, self.version, self.content)
--- /dev/null
+++ b/amaranthspar/jobgateway.py
@@ -0,0 +1,259 @@
+"""The gateway of jobs with needs: admits them, places their tasks, answers callers."""
+
+import asyncio
+import collections
+import random
+import secrets
+
+import structlog
+
+from amaranthspar import (
+    announcer,
+    clock,
+    codec,
+    effects,
+    links,
+    messages,
+    metering,
+    options,
+    places,
+)
+from amaranthspar.scheduling import dispatcher, jobs
+
+TICK_MS = 10
+"""Interval of the gateway's clock; well below the least objective of a job."""
+LINK_HEARTBEAT_MS = 200
+"""Heartbeat of links; a silent one is dialled anew after three."""
+SEED_BITS = 64
+
+_log = structlog.get_logger()
+
+
+class JobGateway:
+    """One gateway process without its HTTP server.
+
+    Args:
+        place: Name and addresses.
+        meters: Counters and histograms.
+    """
+
+    def __init__(self, place: places.Place, meters: metering.Meters) -> None:
+        self.document: bytes = b""
+        self.meters = meters
+        self._clock = clock.Clock()
+        self._incarnation = self._clock.read_wall()
+        chance = random.Random(secrets.randbits(SEED_BITS))
+        self._dispatcher = dispatcher.Dispatcher(chance)
+        own = messages.Announce(
+            process=place.name,
+            role="gateway",
+            incarnation=self._incarnation,
+            address=place.listen,
+            service="",
+            is_leaving=False,
+            document_version=-1,
+            domains_revision=0,
+            wants_document=False,
+            wants_peers=True,
+            peers_digest=0,
+        )
+        self._announcer = announcer.Announcer(own, place.controllers)
+        section = options.LinkOptions(heartbeat_ms=LINK_HEARTBEAT_MS)
+        self._links = links.Links(
+            place.name, self._incarnation, place.listen, self._receive, section
+        )
+        self._links.end_burst = self._end_burst
+        self._heard: list[dispatcher.Heard] = []
+        self._callers: collections.Counter[str] = collections.Counter()
+        self._ends: dict[str, asyncio.Future[dispatcher.Ended]] = {}
+        self._ticking: asyncio.Task[None] | None = None
+        self._was_in_touch = False
+
+    @property
+    def version(self) -> int:
+        """Version of the routing document; -1 before the first."""
+        return self._announcer.version
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the gateway takes no new jobs."""
+        return self._dispatcher.is_draining
+
+    @property
+    def has_jobs(self) -> bool:
+        """Whether any admitted job has no answer yet."""
+        return bool(self._dispatcher.jobs)
+
+    async def start(self) -> None:
+        """Open the links and begin.
+
+        Raises:
+            errors.LinkError: The address cannot be listened on.
+        """
+        await self._links.open()
+        self._ticking = asyncio.get_running_loop().create_task(self._tick())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return not self.is_draining and bool(self._dispatcher.fleet.sidecars)
+
+    def drain(self, time_ms: int) -> None:
+        """Admit only jobs that end in time, and go on with those admitted.
+
+        Args:
+            time_ms: Time that is left in ms.
+        """
+        self._announcer.note_leaving()
+        until_ms = self._clock.read_monotonic() + time_ms
+        self._step(dispatcher.Drain(until_ms))
+
+    def abandon_all(self, why: str) -> None:
+        """End every job without a result, so that its caller sends it again.
+
+        Args:
+            why: Reason for the log.
+        """
+        for name, job in list(self._dispatcher.jobs.items()):
+            outcome = (
+                dispatcher.Outcome.ABANDONED
+                if job.is_offered
+                else dispatcher.Outcome.REFUSED
+            )
+            self._step(dispatcher.Cancel(name, outcome, why))
+
+    def close(self) -> None:
+        """End the links."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+        self._links.close()
+
+    async def submit(self, request: jobs.Request) -> dispatcher.Ended:
+        """Admit a job and wait for its end.
+
+        A job that is already here is not admitted again: both callers get its end.
+
+        Args:
+            request: Job as submitted.
+        """
+        future = self._ends.get(request.id)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._ends[request.id] = future
+            self._step(dispatcher.Submit(request))
+        self._callers[request.id] += 1
+        try:
+            return await asyncio.shield(future)
+        except asyncio.CancelledError:
+            if self._callers[request.id] == 1:
+                self._leave(request.id)
+            raise
+        finally:
+            self._callers[request.id] -= 1
+            if not self._callers[request.id]:
+                del self._callers[request.id]
+
+    def _leave(self, job: str) -> None:
+        """End a job whose last caller has gone."""
+        outcome = dispatcher.Outcome.ABANDONED
+        _log.info("caller left", request=job)
+        self._step(dispatcher.Cancel(job, outcome, "caller left"))
+
+    def find_state(self, job: str) -> str:
+        """Return whether a job is queued or running, empty if it is not here.
+
+        Args:
+            job: Id of the job.
+        """
+        found = self._dispatcher.jobs.get(job)
+        if found is None:
+            return ""
+        return "running" if found.is_offered else "queued"
+
+    def cancel(self, job: str, why: str) -> bool:
+        """End a job without a result.
+
+        Args:
+            job: Id of the job.
+            why: Reason for the log.
+
+        Returns:
+            Whether it was under way here.
+        """
+        if job not in self._dispatcher.jobs:
+            return False
+        self._step(dispatcher.Cancel(job, dispatcher.Outcome.CANCELLED, why))
+        return True
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have not been offered to an upstream.
+
+        Args:
+            queue: Name of the queue.
+        """
+        return self._dispatcher.waiting.count_unoffered(queue)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            now_ms = self._clock.read_monotonic()
+            for send in self._announcer.tick(now_ms):
+                self._links.send(send.peer, send.message)
+            is_in_touch = self._announcer.is_in_touch(now_ms)
+            if is_in_touch is not self._was_in_touch:
+                self._was_in_touch = is_in_touch
+                event = "controllers heard" if is_in_touch else "controllers silent"
+                _log.info(event, version=self.version)
+            self._step(dispatcher.Tick())
+            self.meters.waiting.set(len(self._dispatcher.waiting))
+
+    def _receive(self, frame: codec.Frame) -> None:
+        for message in frame.messages:
+            match message:
+                case messages.RunReports():
+                    self._heard.append(
+                        dispatcher.Heard(
+                            frame.sender, frame.incarnation, frame.address, message
+                        )
+                    )
+                case messages.View():
+                    self._take_view(frame.address, message)
+                case _:
+                    _log.warning("unexpected message", kind=type(message).__name__)
+
+    def _end_burst(self) -> None:
+        heard, self._heard = self._heard, []
+        for event in heard:
+            self._step(event)
+
+    def _take_view(self, address: str, view: messages.View) -> None:
+        now_ms = self._clock.read_monotonic()
+        changed = self._announcer.take(address, view, now_ms)
+        if changed is None:
+            return
+        _log.info(
+            "view changed",
+            source=address,
+            version=self.version,
+            domains_out=sorted(changed.domains_out),
+            peers=len(changed.peers),
+        )
+        if changed.document is not None:
+            self.document = changed.document
+        self._step(dispatcher.Found(changed.peers, changed.domains_out))
+
+    def _step(self, event: dispatcher.Event) -> None:
+        now_ms = self._clock.read_monotonic()
+        for effect in self._dispatcher.step(event, now_ms):
+            match effect:
+                case effects.Send(peer=peer, message=message):
+                    self._links.send(peer, message)
+                case dispatcher.Ended():
+                    self._finish(effect)
+                case dispatcher.Decided(event=name, job=job, details=details):
+                    _log.info(name, request=job, **dict(details))
+
+    def _finish(self, ended: dispatcher.Ended) -> None:
+        future = self._ends.pop(ended.job, None)
+        if future is not None and not future.done():
+            future.set_result(ended)
--- a/amaranthspar/leadership.py
+++ b/amaranthspar/leadership.py
@@ -126,6 +126,21 @@
         progress.next = max(progress.match + 1, hint)
         return progress.next < sent
 
+    def list_silent(self, now_ms: int, silence_ms: int) -> frozenset[str]:
+        """Return the followers that have not answered for some time.
+
+        Args:
+            now_ms: Current time in ms.
+            silence_ms: Time in ms.
+        """
+        if now_ms - self.elected_ms < silence_ms:
+            return frozenset()
+        return frozenset(
+            replica
+            for replica, progress in self.peers.items()
+            if now_ms - progress.acknowledged_ms >= silence_ms
+        )
+
     def find_confirmed_ms(self, members: messages.ChangeReplicas, now_ms: int) -> int:
         """Return the sending time of the newest round that a majority answered.
 
--- a/amaranthspar/messages.py
+++ b/amaranthspar/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeAlias
+from typing import Any, Literal, TypeAlias
 
 import attrs
 
@@ -904,6 +904,305 @@
     leader: str
 
 
+@attrs.frozen(slots=True)
+class Resources:
+    """Amounts that a task needs or an upstream offers.
+
+    Attributes:
+        cpu_millis: Thousandths of a processor core.
+        memory_mb: Memory in MB.
+        accelerators: Accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+@attrs.frozen(slots=True)
+class RunName:
+    """One start of one task.
+
+    Attributes:
+        task: Name of the task, unique among all jobs.
+        run: Number of the start; grows with each start of the task.
+    """
+
+    task: str
+    run: int
+
+
+@attrs.frozen(slots=True)
+class RunOrder:
+    """Asks for one start.
+
+    Attributes:
+        name: Task and number of the start.
+        needs: What the task occupies while it runs.
+        saved: Checkpoint to resume from; empty for none.
+        ticket: Permission of the queue's policy; empty for none.
+    """
+
+    name: RunName
+    needs: Resources
+    saved: str = ""
+    ticket: str = ""
+
+
+@attrs.frozen(slots=True)
+class StartRuns:
+    """Asks a sidecar to start tasks of one job.
+
+    Attributes:
+        number: Number of this message, which grows on the link.
+        upstream: Incarnation of the upstream that is meant.
+        spec: Specification that all these tasks share.
+        orders: Starts wanted.
+    """
+
+    number: int
+    upstream: str
+    spec: str
+    orders: list[RunOrder]
+
+
+@attrs.frozen(slots=True)
+class StopRuns:
+    """Asks a sidecar to stop runs and to start none of them any more.
+
+    Attributes:
+        names: Runs to stop.
+    """
+
+    names: list[RunName]
+
+
+@attrs.frozen(slots=True)
+class KeepRuns:
+    """Renews the lease of a gateway's runs on a sidecar; runs not named are stopped.
+
+    Attributes:
+        number: Number that the answer carries.
+        started: Number of the last `StartRuns` sent before this.
+        is_waiting: Whether the gateway has tasks that wait for room.
+        names: Runs that the gateway counts on.
+    """
+
+    number: int
+    started: int
+    is_waiting: bool
+    names: list[RunName]
+
+
+@attrs.frozen(slots=True)
+class Room:
+    """What a sidecar says of its upstream.
+
+    Attributes:
+        number: Number of this statement, which grows with each one.
+        started: Number of the last `StartRuns` of the receiver that it covers.
+        upstream: Incarnation of the upstream; empty while there is none.
+        service: Service of the upstream.
+        failure_domain: Failure domain of the upstream.
+        labels: Kind and rack of the upstream.
+        capacity: All that the upstream offers.
+        free: What no run occupies.
+        is_leaving: Whether the upstream or the sidecar takes no new runs.
+    """
+
+    number: int
+    started: int
+    upstream: str
+    service: str
+    failure_domain: str
+    labels: list[str]
+    capacity: Resources
+    free: Resources
+    is_leaving: bool
+
+
+@attrs.frozen(slots=True)
+class RunReport:
+    """What became of one run.
+
+    Attributes:
+        name: Task and number of the start.
+        state: All but `started` and `running` are final.
+        reason: Why it did not start or what ended it; the highest run known for `stale`.
+        elapsed_ms: Time since the start in ms.
+        percent: Share of the work that is done.
+        saved: Last checkpoint; empty for none.
+    """
+
+    name: RunName
+    state: Literal[
+        "started", "running", "refused", "stale", "done", "failed", "stopped", "lost"
+    ]
+    reason: str = ""
+    elapsed_ms: int = 0
+    percent: int = 0
+    saved: str = ""
+
+
+@attrs.frozen(slots=True)
+class RunReports:
+    """Tells a gateway what became of its runs.
+
+    Attributes:
+        kept: Number of the last `KeepRuns` received.
+        reports: Changes in order.
+        room: Room after these changes.
+    """
+
+    kept: int
+    reports: list[RunReport]
+    room: Room
+
+
+@attrs.frozen(slots=True)
+class Announce:
+    """Tells a controller of a process that runs, and asks what changed.
+
+    Attributes:
+        process: Unique process name.
+        role: Role of the process.
+        incarnation: Start time of the process in ms.
+        address: Address at which the process listens.
+        service: Service of a sidecar's upstream; empty for a gateway.
+        is_leaving: Whether the process is stopping.
+        document_version: Version of the document held; -1 for none.
+        domains_revision: Revision of the domains out that is held.
+        wants_document: Whether a newer document is to be sent.
+        wants_peers: Whether a changed list of processes is to be sent.
+        peers_digest: Digest of the list that this controller sent last; 0 for none.
+    """
+
+    process: str
+    role: Literal["gateway", "sidecar"]
+    incarnation: int
+    address: str
+    service: str
+    is_leaving: bool
+    document_version: int
+    domains_revision: int
+    wants_document: bool
+    wants_peers: bool
+    peers_digest: int
+
+
+@attrs.frozen(slots=True)
+class Peer:
+    """A process as controllers know it.
+
+    Attributes:
+        process: Unique process name.
+        role: `gateway` or `sidecar`.
+        incarnation: Start time of the process in ms.
+        address: Address at which the process listens.
+        service: Service of a sidecar's upstream.
+        is_leaving: Whether the process is stopping.
+    """
+
+    process: str
+    role: str
+    incarnation: int
+    address: str
+    service: str
+    is_leaving: bool
+
+
+@attrs.frozen(slots=True)
+class View:
+    """What a controller knows; answers an announcement.
+
+    Attributes:
+        document_version: Newest document version applied; -1 for none.
+        domains_revision: Revision of the domains out.
+        domains_out: Failure domains that are out of service.
+        controllers: Addresses of all controllers.
+        peers: Processes known, where the list has changed.
+        peers_digest: Digest of the whole list.
+        document: The document, where it is newer and wanted.
+    """
+
+    document_version: int
+    domains_revision: int
+    domains_out: list[str]
+    controllers: list[str]
+    peers: list[Peer]
+    peers_digest: int
+    document: bytes = b""
+
+
+@attrs.frozen(slots=True)
+class PutDocument:
+    """Proposes the routing document; the highest version wins.
+
+    Attributes:
+        request: Unique name of the request.
+        version: Version of the document.
+        content: The document, which controllers do not read.
+    """
+
+    request: str
+    version: int
+    content: bytes
+
+
+@attrs.frozen(slots=True)
+class SetDomain:
+    """Takes a failure domain out of service or back in.
+
+    Attributes:
+        request: Unique name of the request.
+        domain: Failure domain.
+        is_out: Whether no new runs may start there.
+    """
+
+    request: str
+    domain: str
+    is_out: bool
+
+
+@attrs.frozen(slots=True)
+class FetchDocument:
+    """Asks for the newest document, confirmed by a majority.
+
+    Attributes:
+        request: Unique name of the request.
+    """
+
+    request: str
+
+
+@attrs.frozen(slots=True)
+class DocumentState:
+    """Answers `PutDocument`, `SetDomain` and `FetchDocument`.
+
+    Attributes:
+        request: Copied from the request.
+        version: Newest version; -1 for none.
+        content: The document where it was fetched.
+    """
+
+    request: str
+    version: int
+    content: bytes = b""
+
+
+@attrs.frozen(slots=True)
+class JoinReplicas:
+    """Asks the leader to take a replica with an empty data folder into the set.
+
+    Attributes:
+        replica: Replica id.
+        address: Address of the replica.
+    """
+
+    replica: str
+    address: str
+
+
 @attrs.frozen(slots=True)
 class Section:
     """One section of the configuration in INI terms.
@@ -1041,6 +1340,10 @@
         floor_revision: Oldest revision from which deltas are known.
         tombstones: Latest removals in order.
         claims: Claims in order of decision.
+        document_version: Version of the routing document; -1 for none.
+        document: The routing document.
+        domains_revision: Revision of the domains out.
+        domains_out: Failure domains that are out of service.
     """
 
     sections: list[Section]
@@ -1052,3 +1355,7 @@
     floor_revision: int
     tombstones: list[MemberTombstone]
     claims: list[KeptClaim]
+    document_version: int = -1
+    document: bytes = b""
+    domains_revision: int = 0
+    domains_out: list[str] = attrs.field(factory=list)
--- /dev/null
+++ b/amaranthspar/platform/callers.py
@@ -0,0 +1,146 @@
+"""The callers' interface: jobs are submitted, shown, counted and cancelled over HTTP."""
+
+import math
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from amaranthspar import clock, jobgateway
+from amaranthspar.platform import servers, wire
+from amaranthspar.scheduling import dispatcher, jobs, routes
+
+OUTCOME_HEADER = "Amaranthspar-Outcome"
+RETRY_MIN_S = 1
+"""Least pause that a refused caller is asked for."""
+
+_log = structlog.get_logger()
+
+
+class Callers:
+    """Answers callers.
+
+    Args:
+        gateway: Gateway that owns the jobs.
+    """
+
+    def __init__(self, gateway: jobgateway.JobGateway) -> None:
+        self._gateway = gateway
+        self._clock = clock.Clock()
+        self._document = b""
+        self._table: routes.Table | None = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request.
+
+        Args:
+            request: Request of a caller.
+        """
+        response = await self._route(request)
+        if self._gateway.is_draining:
+            response.force_close()
+        return response
+
+    async def check_readiness(self, _request: web.BaseRequest) -> web.StreamResponse:
+        """Answer the balancer's check.
+
+        Args:
+            _request: Any request.
+        """
+        is_ready = self._find_table() is not None and self._gateway.is_ready
+        return servers.answer_json(200 if is_ready else 503)
+
+    async def _route(self, request: web.BaseRequest) -> web.Response:
+        table = self._find_table()
+        if table is None:
+            return _refuse("no configuration yet", RETRY_MIN_S)
+        route = table.find(request.host, request.path)
+        if route is None:
+            return servers.answer_json(404)
+        name = request.path[len(route.prefix) :]
+        match request.method:
+            case "POST" if wire.is_job_id(name):
+                return await self._submit(request, route.queue, name, table.version)
+            case "GET" if not name:
+                count = self._gateway.count_waiting(route.queue.name)
+                return _answer({"Pending": count})
+            case "GET" if wire.is_job_id(name):
+                return self._show(name)
+            case "DELETE" if wire.is_job_id(name):
+                return self._cancel(name)
+            case "POST" | "GET" | "DELETE":
+                return servers.answer_json(404)
+            case _:
+                return servers.answer_json(405)
+
+    def _find_table(self) -> routes.Table | None:
+        """Return the routing table of the newest document; its bytes were checked."""
+        document = self._gateway.document
+        if document is not self._document:
+            self._document = document
+            self._table = wire.decode_configuration(document)
+            _log.info("routes in force", version=self._table.version)
+        return self._table
+
+    async def _submit(
+        self, request: web.BaseRequest, queue: jobs.Queue, name: str, version: int
+    ) -> web.Response:
+        began_ms = self._clock.read_monotonic()
+        try:
+            job = wire.decode_job(await request.read(), name, queue)
+        except wire.BodyError as error:
+            _log.info("job not readable", request=name, reason=str(error))
+            return servers.answer_json(400)
+        if job.unsupported:
+            _log.info("job not offered", request=name, reason=job.unsupported)
+            return _refuse(f"{job.unsupported} are not offered", None)
+        ended = await self._gateway.submit(job.request)
+        took_ms = self._clock.read_monotonic() - began_ms
+        self._gateway.meters.answers.labels(queue.name, ended.outcome.value).inc()
+        self._gateway.meters.durations.labels(queue.name).observe(took_ms / 1000)
+        _log.info(
+            "job answered",
+            request=name,
+            queue=queue.name,
+            outcome=ended.outcome.value,
+            reason=ended.reason,
+            took_ms=took_ms,
+            version=version,
+        )
+        match ended.outcome:
+            case dispatcher.Outcome.COMPLETED | dispatcher.Outcome.FAILED:
+                return _answer({"State": ended.outcome.value}, "done")
+            case dispatcher.Outcome.REFUSED:
+                pause_s = max(RETRY_MIN_S, math.ceil(ended.retry_after_ms / 1000))
+                return _refuse(ended.reason, pause_s)
+            case dispatcher.Outcome.CANCELLED:
+                return _answer({"State": "cancelled"}, "unknown")
+            case _:
+                response = servers.answer_json(502)
+                response.headers[OUTCOME_HEADER] = "unknown"
+                return response
+
+    def _show(self, name: str) -> web.Response:
+        state = self._gateway.find_state(name)
+        return _answer({"State": state}) if state else servers.answer_json(410)
+
+    def _cancel(self, name: str) -> web.Response:
+        is_here = self._gateway.cancel(name, "caller cancelled it")
+        return servers.answer_json(200 if is_here else 410)
+
+
+def _answer(body: dict[str, str | int], outcome: str = "") -> web.Response:
+    response = servers.answer_json(200, msgspec.json.encode(body))
+    if outcome:
+        response.headers[OUTCOME_HEADER] = outcome
+    return response
+
+
+def _refuse(reason: str, retry_after_s: int | None) -> web.Response:
+    """Return that a request has not run, and when to come back."""
+    body = msgspec.json.encode({"detail": reason, "outcome": "not-run"})
+    response = servers.answer_json(503, body)
+    response.headers[OUTCOME_HEADER] = "not-run"
+    if retry_after_s is not None:
+        response.headers["Retry-After"] = str(retry_after_s)
+    return response
--- /dev/null
+++ b/amaranthspar/platform/operators.py
@@ -0,0 +1,76 @@
+"""The operators' interface: the configuration and the failure domains out of service."""
+
+import structlog
+from aiohttp import web
+
+from amaranthspar import documentrequests, documents
+from amaranthspar.platform import servers, wire
+
+PUT_PATH = "/amaranthspar/config/put"
+GET_PATH = "/amaranthspar/config/get"
+DOMAIN_PATH = "/amaranthspar/evacuations/"
+START = "start"
+FINISH = "finish"
+
+_log = structlog.get_logger()
+
+
+class Operators:
+    """Answers operators.
+
+    Args:
+        requests: Requests to the leading controller.
+    """
+
+    def __init__(self, requests: documentrequests.DocumentRequests) -> None:
+        self._requests = requests
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request.
+
+        Args:
+            request: Request of an operator.
+        """
+        try:
+            match request.method, request.path:
+                case "POST", path if path == PUT_PATH:
+                    return await self._put(request)
+                case "GET", path if path == GET_PATH:
+                    return await self._get()
+                case "POST", path if path.startswith(DOMAIN_PATH):
+                    return await self._set_domain(path.removeprefix(DOMAIN_PATH))
+                case _:
+                    return servers.answer_json(404)
+        except documentrequests.UnavailableError as error:
+            _log.info("operator not answered", path=request.path, reason=str(error))
+            return servers.answer_json(503)
+
+    async def _put(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        try:
+            table = wire.decode_configuration(body)
+        except wire.BodyError as error:
+            _log.info("configuration refused", reason=str(error))
+            return servers.answer_json(400)
+        state = await self._requests.put(table.version, body)
+        _log.info("configuration taken", version=table.version, newest=state.version)
+        return servers.answer_json(200)
+
+    async def _get(self) -> web.Response:
+        state = await self._requests.fetch()
+        if state.version == documents.NO_VERSION:
+            return servers.answer_json(503)
+        return servers.answer_json(200, state.content)
+
+    async def _set_domain(self, rest: str) -> web.Response:
+        domain, _, action = rest.partition("/")
+        if not domain or action not in (START, FINISH):
+            return servers.answer_json(404)
+        state = await self._requests.set_domain(domain, action == START)
+        _log.info(
+            "failure domain set",
+            failure_domain=domain,
+            is_out=action == START,
+            version=state.version,
+        )
+        return servers.answer_json(200)
--- /dev/null
+++ b/amaranthspar/platform/servers.py
@@ -0,0 +1,77 @@
+"""HTTP servers of the adapter."""
+
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+from amaranthspar import errors
+
+MAX_LINE_BYTES = 16_384
+"""Longest line of a request's head."""
+KEEP_ALIVE_S = 75
+"""Time for which an idle connection is kept."""
+SHUTDOWN_S = 0.2
+"""Time for handlers that are left when a server closes."""
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+_log = structlog.get_logger()
+
+
+class Server:
+    """One HTTP server.
+
+    Args:
+        handler: Answers each request.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._runner: web.ServerRunner | None = None
+
+    async def open(self, address: str) -> None:
+        """Listen.
+
+        Args:
+            address: Address as in ``10.0.0.1:8080``.
+
+        Raises:
+            errors.ListenError: The address cannot be listened on.
+        """
+        host, _, port = address.rpartition(":")
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            keepalive_timeout=KEEP_ALIVE_S,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
+        await self._runner.setup()
+        try:
+            await web.TCPSite(self._runner, host, int(port)).start()
+        except OSError as error:
+            raise errors.ListenError(f"cannot listen on {address}: {error}") from error
+
+    async def close(self) -> None:
+        """Close the connections and stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await self._handler(request)
+        except web.HTTPException as error:
+            return web.Response(status=error.status, text=error.reason)
+
+
+def answer_json(status: int, body: bytes = b"{}") -> web.Response:
+    """Return an answer with a JSON body.
+
+    Args:
+        status: HTTP status.
+        body: Encoded body.
+    """
+    return web.Response(status=status, body=body, content_type="application/json")
--- /dev/null
+++ b/amaranthspar/platform/settings.py
@@ -0,0 +1,160 @@
+"""Settings that the platform writes for each process."""
+
+import configparser
+import os
+import pathlib
+
+import attrs
+
+from amaranthspar import errors
+
+VARIABLE = "AMARANTHSPAR_SETTINGS"
+"""Environment variable with the path of the settings file."""
+_SECTION = "platform"
+_TRUE = "true"
+_ROLE_PORTS = {"controller": 0, "gateway": 1, "sidecar": 2}
+"""Offset of each role's port for links among the ports between processes."""
+
+
+@attrs.frozen(slots=True)
+class Settings:
+    """Settings of one process.
+
+    Attributes:
+        host: Name of the host.
+        ip: IP number of the host.
+        failure_domain: Failure domain of the host.
+        callers: Address that callers connect to; empty where the role has none.
+        readiness: Address for the balancer's check; empty where the role has none.
+        control: Address for upstreams and operators; empty where the role has none.
+        first_port: First port for links between processes.
+        seeds: IP numbers of the first controllers.
+        is_first_start: Whether the whole system starts for the first time.
+        data: Data folder; empty without a disk.
+        service: Service of the upstream on this host; empty for none.
+        upstream: Address of the upstream on this host; empty for none.
+        grace_ms: Time between the signal to stop and the kill in ms.
+        hold_ms: Longest lease of runs in ms.
+        stop_ms: Longest time that a stop of a run takes in ms.
+    """
+
+    host: str
+    ip: str
+    failure_domain: str
+    callers: str
+    readiness: str
+    control: str
+    first_port: int
+    seeds: list[str]
+    is_first_start: bool
+    data: str
+    service: str
+    upstream: str
+    grace_ms: int
+    hold_ms: int
+    stop_ms: int
+
+    def find_link_address(self, role: str, ip: str = "") -> str:
+        """Return the address for links of a role.
+
+        Args:
+            role: ``controller``, ``gateway`` or ``sidecar``.
+            ip: IP number of another host; this one if empty.
+        """
+        return f"{ip or self.ip}:{self.first_port + _ROLE_PORTS[role]}"
+
+    def list_controllers(self) -> list[str]:
+        """Return the addresses for links of the first controllers."""
+        return [self.find_link_address("controller", ip) for ip in self.seeds]
+
+
+def load_settings() -> Settings:
+    """Return the settings of this process.
+
+    Raises:
+        errors.SettingsError: The file is missing, or a key is missing or wrong.
+    """
+    path = os.environ.get(VARIABLE, "")
+    if not path:
+        raise errors.SettingsError([f"{VARIABLE} is not set"])
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as error:
+        raise errors.SettingsError([f"{path}: {error}"]) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Return the settings that a file holds; unknown keys are ignored.
+
+    Args:
+        text: Lines of the form ``a.b=value``, lists joined by commas.
+
+    Raises:
+        errors.SettingsError: A key is missing or wrong.
+    """
+    parser = configparser.ConfigParser(
+        delimiters=("=",), interpolation=None, strict=False, allow_no_value=True
+    )
+    parser.optionxform = str  # type: ignore[assignment, method-assign]
+    try:
+        parser.read_string(f"[{_SECTION}]\n{text}")
+    except configparser.Error as error:
+        raise errors.SettingsError([str(error)]) from error
+    return _Reader(dict(parser[_SECTION])).read()
+
+
+class _Reader:
+    """Reads typed values and gathers the faults."""
+
+    def __init__(self, values: dict[str, str | None]) -> None:
+        self._values = values
+        self._faults: list[str] = []
+
+    def read(self) -> Settings:
+        """Return all settings, or raise one error with every fault."""
+        settings = Settings(
+            host=self._require("Node"),
+            ip=self._require("Ip"),
+            failure_domain=self._require("Zone"),
+            callers=self._find("Listen.Front"),
+            readiness=self._find("Listen.ReadinessAddr"),
+            control=self._find("Listen.Control"),
+            first_port=self._read_integer(
+                "InternalPorts", self._require("InternalPorts").partition(",")[0]
+            ),
+            # The addresses named here are those of the operators' interface; links
+            # use the same IP numbers.
+            seeds=[
+                item.rpartition(":")[0]
+                for item in self._find("Seeds").split(",")
+                if item
+            ],
+            is_first_start=self._find("Bootstrap").lower() == _TRUE,
+            data=self._find("DataDir"),
+            service=self._find("Service"),
+            upstream=self._find("app"),
+            grace_ms=1000 * self._read_integer("Bounds.GraceS"),
+            hold_ms=self._read_integer("Bounds.MaxHoldMs"),
+            stop_ms=self._read_integer("Bounds.StopTimeoutMs"),
+        )
+        if self._faults:
+            raise errors.SettingsError(self._faults)
+        return settings
+
+    def _find(self, key: str) -> str:
+        return (self._values.get(key) or "").strip()
+
+    def _require(self, key: str) -> str:
+        value = self._find(key)
+        if not value:
+            self._faults.append(f"{key}: missing")
+        return value
+
+    def _read_integer(self, key: str, text: str | None = None) -> int:
+        found = self._require(key) if text is None else text
+        try:
+            return int(float(found))
+        except ValueError:
+            self._faults.append(f"{key} = {found}: not a number")
+            return 0
--- /dev/null
+++ b/amaranthspar/platform/statements.py
@@ -0,0 +1,64 @@
+"""The interface for an upstream on the same host: what it says of itself."""
+
+import structlog
+from aiohttp import web
+
+from amaranthspar import runsidecar
+from amaranthspar.platform import servers, upstreams, wire
+from amaranthspar.scheduling import keeper
+
+PATH = "/amaranthspar/instances/"
+
+_log = structlog.get_logger()
+
+
+class Statements:
+    """Answers the upstream of this host.
+
+    Args:
+        sidecar: Sidecar of the upstream.
+        service: Service that the upstream should have.
+    """
+
+    def __init__(self, sidecar: runsidecar.RunSidecar, service: str) -> None:
+        self._sidecar = sidecar
+        self._service = service
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request.
+
+        Args:
+            request: Request of the upstream.
+        """
+        name, _, action = request.path.removeprefix(PATH).partition("/")
+        if request.method != "POST" or not request.path.startswith(PATH) or not name:
+            return servers.answer_json(404)
+        match action:
+            case "heartbeat":
+                return await self._register(name, await request.read())
+            case "deregister":
+                _log.info("upstream leaves", upstream=name)
+                self._sidecar.deregister(name)
+                return servers.answer_json(200)
+            case _:
+                return servers.answer_json(404)
+
+    async def _register(self, name: str, body: bytes) -> web.Response:
+        try:
+            stated = wire.decode_heartbeat(body)
+        except wire.BodyError as error:
+            _log.info("statement not readable", upstream=name, reason=str(error))
+            return servers.answer_json(400)
+        if self._service and stated.service != self._service:
+            _log.info("unknown service", upstream=name, service=stated.service)
+            return servers.answer_json(400)
+        known = keeper.UpstreamKnown(
+            upstreams.build_incarnation(name, stated.born_ms),
+            stated.capacity,
+            stated.labels,
+            stated.is_leaving,
+        )
+        self._sidecar.register(
+            runsidecar.Registration(name, stated.born_ms, stated.sequence, known)
+        )
+        return servers.answer_json(200)
--- /dev/null
+++ b/amaranthspar/platform/upstreams.py
@@ -0,0 +1,202 @@
+"""Calls to the upstream of this host, as the platform's upstreams understand them."""
+
+import aiohttp
+
+from amaranthspar import clock, messages, runsidecar
+from amaranthspar.platform import wire
+from amaranthspar.scheduling import keeper
+
+START_PATH = "/amaranthspar/run-start"
+STOP_PATH = "/amaranthspar/run-stop"
+HOLD_PATH = "/amaranthspar/hold"
+LIFE_HEADER = "X-Amaranthspar-Expected-Instance"
+CALL_TIMEOUT_MS = 250
+"""Time for an answer on the same host, which takes about 1 ms."""
+START_VALID_MS = 600
+"""Time within which a start may be carried out; more than twice its time limit."""
+CONNECT_TIMEOUT_MS = 200
+"""Time for a connection on the same host."""
+HOLD_SLACK_MS = 250
+"""Time beyond the asked wait for the answer to a renewal."""
+CALL_CONNECTIONS = 4
+"""Connections for starts and stops; a burst of starts passes over them in some ms."""
+KEEP_ALIVE_S = 60
+"""Time for which an idle connection is kept; the upstream closes none before."""
+_OK = 200
+_CONFLICT = 409
+_OTHER_LIFE = 421
+_INVALID = 400
+_UNHEALTHY = (429, 503)
+_REASONS = {
+    "old": keeper.Answer.STALE,
+    "late": keeper.Answer.LATE,
+    "room": keeper.Answer.ROOM,
+    "ticket": keeper.Answer.INVALID,
+}
+_FENCE_REASON = "fence"
+
+
+class Upstream:
+    """Calls to one upstream.
+
+    Args:
+        address: Address of its HTTP server.
+        hold_ms: Longest lease of runs in ms.
+    """
+
+    def __init__(self, address: str, hold_ms: int) -> None:
+        self._url = f"http://{address}"
+        self._hold_ms = hold_ms
+        self._clock = clock.Clock()
+        self._calls = _open_session(CALL_CONNECTIONS)
+        self._holds = _open_session(1)
+        self._life = ""
+        self._offset_ms: int | None = None
+        self._lease_end_ms = 0
+
+    async def start(
+        self,
+        life: runsidecar.Registration,
+        order: messages.RunOrder,
+        spec: str,
+        fence: int,
+    ) -> keeper.Answer:
+        """Start a run.
+
+        Raises:
+            runsidecar.FenceError: A higher fence was seen.
+        """
+        until_ms = self._read_clock(life) + START_VALID_MS
+        body = wire.encode_start(order, spec, until_ms, fence)
+        return await self._call(life, START_PATH, body)
+
+    async def stop(
+        self, life: runsidecar.Registration, name: messages.RunName, fence: int
+    ) -> keeper.Answer:
+        """Stop a run and bar it.
+
+        Raises:
+            runsidecar.FenceError: A higher fence was seen.
+        """
+        return await self._call(life, STOP_PATH, wire.encode_stop(name, fence))
+
+    async def hold(
+        self, life: runsidecar.Registration, seen: int, wait_ms: int, fence: int
+    ) -> runsidecar.Holding:
+        """Renew the lease of everything and list it.
+
+        Raises:
+            runsidecar.SilentError: No answer in time.
+            runsidecar.ReplacedError: Another life answered.
+            runsidecar.FenceError: A higher fence was seen.
+        """
+        sent_ms = self._clock.read_monotonic()
+        until_ms = 0
+        if life.known.incarnation == self._life and self._offset_ms is not None:
+            until_ms = sent_ms + self._offset_ms + self._hold_ms
+            self._lease_end_ms = max(self._lease_end_ms, sent_ms + self._hold_ms)
+        else:
+            wait_ms = 0
+        body = wire.encode_hold(seen, wait_ms, until_ms, fence)
+        timeout = aiohttp.ClientTimeout(total=(wait_ms + HOLD_SLACK_MS) / 1000)
+        status, data = await self._post(self._holds, life, HOLD_PATH, body, timeout)
+        if status == _OTHER_LIFE:
+            raise runsidecar.ReplacedError("another life of the upstream answered")
+        if status == _CONFLICT and wire.decode_answer(data)[1] == _FENCE_REASON:
+            raise runsidecar.FenceError("the upstream has seen a higher fence")
+        if status != _OK:
+            raise runsidecar.SilentError(f"status {status} for a renewal")
+        try:
+            listing = wire.decode_listing(data)
+        except wire.BodyError as error:
+            raise runsidecar.SilentError(str(error)) from error
+        self._note_clock(life, listing.clock_ms)
+        incarnation = build_incarnation(life.id, listing.born_ms)
+        return runsidecar.Holding(
+            incarnation if listing.born_ms else "",
+            listing.last,
+            self._lease_end_ms,
+            listing.running,
+            listing.ends,
+        )
+
+    def find_lease_end_ms(self) -> int:
+        """Return the latest end of any lease that was asked for, in ms."""
+        return self._lease_end_ms
+
+    async def close(self) -> None:
+        """End the connections."""
+        await self._calls.close()
+        await self._holds.close()
+
+    def _read_clock(self, life: runsidecar.Registration) -> int:
+        """Return the upstream's clock in ms."""
+        offset_ms = self._offset_ms if life.known.incarnation == self._life else None
+        return self._clock.read_monotonic() + (offset_ms or 0)
+
+    def _note_clock(self, life: runsidecar.Registration, clock_ms: int) -> None:
+        """Take the upstream's clock from an answer that has just come."""
+        self._life = life.known.incarnation
+        self._offset_ms = clock_ms - self._clock.read_monotonic()
+
+    async def _call(
+        self, life: runsidecar.Registration, path: str, body: bytes
+    ) -> keeper.Answer:
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_MS / 1000, connect=CONNECT_TIMEOUT_MS / 1000
+        )
+        try:
+            status, data = await self._post(self._calls, life, path, body, timeout)
+        except runsidecar.SilentError:
+            return keeper.Answer.SILENT
+        if status == _OK:
+            return keeper.Answer.TAKEN
+        if status == _OTHER_LIFE:
+            return keeper.Answer.REPLACED
+        if status in _UNHEALTHY:
+            return keeper.Answer.UNHEALTHY
+        if status == _INVALID:
+            return keeper.Answer.INVALID
+        reason = wire.decode_answer(data)[1]
+        if status == _CONFLICT and reason == _FENCE_REASON:
+            raise runsidecar.FenceError("the upstream has seen a higher fence")
+        return _REASONS.get(reason, keeper.Answer.SILENT)
+
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        life: runsidecar.Registration,
+        path: str,
+        body: bytes,
+        timeout: aiohttp.ClientTimeout,
+    ) -> tuple[int, bytes]:
+        headers = {LIFE_HEADER: life.id, "Content-Type": "application/json"}
+        try:
+            async with session.post(
+                f"{self._url}{path}", data=body, headers=headers, timeout=timeout
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            reason = f"{type(error).__name__}: {error}"
+            raise runsidecar.SilentError(reason) from error
+
+
+def build_incarnation(upstream_id: str, born_ms: int) -> str:
+    """Return the name of one life of an upstream.
+
+    Args:
+        upstream_id: Name that the upstream gives itself, perhaps used before.
+        born_ms: Wall clock of its start in ms.
+    """
+    return f"{upstream_id}@{born_ms}"
+
+
+def _open_session(connections: int) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=connections, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    )
--- a/amaranthspar/program.py
+++ b/amaranthspar/program.py
@@ -39,6 +39,7 @@
     Command("gateway", "run a gateway", "commands_role"),
     Command("sidecar", "run a sidecar", "commands_role"),
     Command("controller", "run a controller", "commands_role"),
+    Command("platform", "run a role on the users' platform", "commands_platform"),
     Command("demo", "run every role in one process", "commands_demo"),
     Command("settings", "check settings files", "commands_settings"),
     Command("config", "submit or show the configuration", "commands_config"),
--- a/amaranthspar/registry.py
+++ b/amaranthspar/registry.py
@@ -13,6 +13,7 @@
     codec,
     configuration,
     desks,
+    documents,
     errors,
     messages,
     snapshots,
@@ -51,7 +52,18 @@
     holder: messages.ClaimSubmission
 
 
-Outcome = ConfigurationApplied | MembersApplied | ClaimApplied
+@attrs.frozen(slots=True)
+class DocumentApplied:
+    """A document or a failure domain was set.
+
+    Attributes:
+        state: Answer to the request.
+    """
+
+    state: messages.DocumentState
+
+
+Outcome = ConfigurationApplied | MembersApplied | ClaimApplied | DocumentApplied
 
 
 class Registry:
@@ -62,6 +74,7 @@
         self.revision = 0
         self.members: dict[str, messages.Member] = {}
         self.claims = claims.Claims()
+        self.documents = documents.Documents()
         self._oldest_version = 0
         self._versions: list[dict[str, messages.Section]] = [{}]
         self._changes: dict[str, messages.KeptChange] = {}
@@ -96,6 +109,12 @@
             case messages.ReleaseClaim() as command:
                 self.claims.release(command)
                 return []
+            case messages.PutDocument() as command:
+                self.documents.put(command)
+                return [DocumentApplied(self.documents.answer(command.request))]
+            case messages.SetDomain() as command:
+                self.documents.set_domain(command)
+                return [DocumentApplied(self.documents.answer(command.request))]
             case _:
                 raise errors.DecisionError(f"unknown entry kind {entry.kind!r}")
 
@@ -342,6 +361,12 @@
         self._joined = sorted((item.revision, item.process) for item in saved.members)
         self._floors = {item.removal.process: item for item in saved.tombstones}
         self.claims.restore(saved.claims)
+        self.documents = documents.Documents(
+            saved.document_version,
+            saved.document,
+            saved.domains_revision,
+            set(saved.domains_out),
+        )
 
 
 def _answer_again(
--- a/amaranthspar/replacement.py
+++ b/amaranthspar/replacement.py
@@ -42,6 +42,33 @@
     return messages.ChangeReplicas(kept, retired, reason)
 
 
+def plan_join(
+    members: messages.ChangeReplicas,
+    joining: messages.JoinReplicas,
+    silent: frozenset[str],
+) -> str | None:
+    """Return the replica that a new one replaces; empty for none.
+
+    A new replica at the address of a known one has lost that one's data folder. Any
+    other takes the place of one that has been silent for long.
+
+    Args:
+        members: Current set.
+        joining: New replica.
+        silent: Replicas that the leader has not heard for long.
+
+    Returns:
+        Replica id to remove, or nothing if the new one is in the set already.
+    """
+    if any(item.id == joining.replica for item in members.replicas):
+        return None
+    for item in members.replicas:
+        if item.address == joining.address:
+            return item.id
+    gone = [item.id for item in members.replicas if item.id in silent]
+    return gone[0] if gone else ""
+
+
 def plan_promotion(
     members: messages.ChangeReplicas, learner: str, folder: int
 ) -> messages.ChangeReplicas:
--- a/amaranthspar/requests.py
+++ b/amaranthspar/requests.py
@@ -104,7 +104,7 @@
         self._removals: dict[str, messages.MemberRemoval] = {}
         self._claims: list[messages.ClaimSubmission] = []
         self._releases: list[messages.ReleaseClaim] = []
-        self._changes: list[messages.AcceptConfiguration] = []
+        self._changes: list[codec.Message] = []
         self._renewing: dict[str, _Waiting] = {}
         self._claiming: dict[str, list[_Waiting]] = {}
         self._proposing: dict[str, list[_Waiting]] = {}
@@ -144,7 +144,7 @@
         match request.message:
             case messages.RenewLease() as message:
                 return self._renew(request, message, standing)
-            case messages.FetchConfiguration() as message:
+            case messages.FetchConfiguration() | messages.FetchDocument() as message:
                 waiting = _Waiting(request.address, standing.now_ms, message)
                 if standing.leading:
                     self._reading.append(waiting)
@@ -154,11 +154,13 @@
                 return self._propose(request, message, standing)
             case messages.ClaimSubmission() as message:
                 return self._claim(request, message, standing)
+            case messages.PutDocument() | messages.SetDomain() as message:
+                return self._change_document(request, message, standing)
             case messages.ReleaseClaim() as message:
                 if not standing.leading:
                     return _forward(request, standing)
                 self._releases.append(message)
-            case messages.ReplaceReplica():
+            case messages.ReplaceReplica() | messages.JoinReplicas():
                 return _forward(request, standing)
             case messages.LeaveMembership() as message:
                 if not standing.leading:
@@ -217,6 +219,9 @@
                     sends += [effects.Send(item.address, decision) for item in waiting]
                     if decision.outcome == ACCEPTED:
                         sends += self._announce_version(decision.version, standing)
+                case registry.DocumentApplied(state=state):
+                    waiting = self._proposing.pop(state.request, [])
+                    sends += [effects.Send(item.address, state) for item in waiting]
                 case registry.ClaimApplied(claim=claim):
                     waiting = self._claiming.pop(claim.key, [])
                     decided = self._decide_claim(claim.key)
@@ -255,10 +260,30 @@
         view_ms = standing.now_ms - standing.view_age_ms
         ready = [item for item in self._reading if item.since_ms <= view_ms]
         self._reading = [item for item in self._reading if item.since_ms > view_ms]
-        return [
-            effects.Send(item.address, self._state.fetch(item.message))
-            for item in ready
-        ]
+        return [effects.Send(item.address, self._fetch(item.message)) for item in ready]
+
+    def _fetch(
+        self, message: messages.FetchConfiguration | messages.FetchDocument
+    ) -> codec.Message:
+        match message:
+            case messages.FetchDocument(request=name):
+                return self._state.documents.fetch(name)
+            case _:
+                return self._state.fetch(message)
+
+    def _change_document(
+        self,
+        request: Request,
+        message: messages.PutDocument | messages.SetDomain,
+        standing: Standing,
+    ) -> list[effects.Send]:
+        """Propose a change; without a leader it stays unanswered, and is sent again."""
+        if not standing.leading:
+            return _forward(request, standing)
+        waiting = _Waiting(request.address, standing.now_ms, message)
+        self._proposing.setdefault(message.request, []).append(waiting)
+        self._changes.append(message)
+        return []
 
     def expire(self, standing: Standing) -> None:
         """Remove members that were not seen, and forget requests that waited long.
--- /dev/null
+++ b/amaranthspar/runsidecar.py
@@ -0,0 +1,402 @@
+"""The sidecar of jobs with needs: starts, holds and stops runs on its upstream."""
+
+import asyncio
+from typing import Protocol
+
+import attrs
+import structlog
+
+from amaranthspar import (
+    announcer,
+    clock,
+    codec,
+    errors,
+    links,
+    messages,
+    metering,
+    options,
+    places,
+)
+from amaranthspar.scheduling import keeper
+
+TICK_MS = 20
+"""Interval of the sidecar's clock."""
+LINK_HEARTBEAT_MS = 200
+"""Heartbeat of links; a silent one is dialled anew after three."""
+WAIT_BUSY_MS = 90
+"""Longest wait of the upstream's list while runs go on; bounds the age of progress."""
+WAIT_IDLE_MS = 300
+"""The same while nothing runs; three renewals fit into the shortest lease of 1 s."""
+PAUSE_MS = 50
+"""Pause after a renewal that failed."""
+LAPSE_MARGIN_MS = 60
+"""Time added to a lease's end for an upstream's clock that is 2% slow."""
+FENCE_STEP = 16
+"""First rise of the fence after the upstream has seen a higher one; doubled each time."""
+
+_log = structlog.get_logger()
+
+
+class SilentError(errors.UpstreamError):
+    """The upstream did not answer in time; a call may be carried out later."""
+
+
+class ReplacedError(errors.UpstreamError):
+    """Another life of the upstream answered."""
+
+
+class FenceError(errors.UpstreamError):
+    """The upstream has seen a higher fence and did nothing."""
+
+
+@attrs.frozen(slots=True)
+class Registration:
+    """What an upstream says of itself.
+
+    Attributes:
+        id: Name that the upstream gives itself; names its life together with `born_ms`.
+        born_ms: Wall clock of its start in ms.
+        sequence: Grows with each statement of this life.
+        known: The part that decisions need.
+    """
+
+    id: str
+    born_ms: int
+    sequence: int
+    known: keeper.UpstreamKnown
+
+
+@attrs.frozen(slots=True)
+class Holding:
+    """Answer to a renewal of the lease.
+
+    Attributes:
+        incarnation: Life of the upstream that answered; empty if it did not say.
+        last: Highest number of the ends listed; 0 for none.
+        lease_end_ms: Time on this host's monotonic clock when the lease ends, in ms.
+        running: Runs under way.
+        ends: Ends not forgotten yet.
+    """
+
+    incarnation: str
+    last: int
+    lease_end_ms: int
+    running: tuple[keeper.Progress, ...]
+    ends: tuple[keeper.End, ...]
+
+
+class Upstream(Protocol):
+    """Calls to the upstream of this host."""
+
+    async def start(
+        self, life: Registration, order: messages.RunOrder, spec: str, fence: int
+    ) -> keeper.Answer:
+        """Start a run.
+
+        Raises:
+            FenceError: A higher fence was seen.
+        """
+
+    async def stop(
+        self, life: Registration, name: messages.RunName, fence: int
+    ) -> keeper.Answer:
+        """Stop a run and bar it.
+
+        Raises:
+            FenceError: A higher fence was seen.
+        """
+
+    async def hold(
+        self, life: Registration, seen: int, wait_ms: int, fence: int
+    ) -> Holding:
+        """Renew the lease of everything and list it.
+
+        Raises:
+            SilentError: No answer in time.
+            ReplacedError: Another life answered.
+            FenceError: A higher fence was seen.
+        """
+
+    def find_lease_end_ms(self) -> int:
+        """Return the latest end of any lease that was asked for, in ms."""
+
+    async def close(self) -> None:
+        """End the connections."""
+
+
+class RunSidecar:
+    """One sidecar process without the HTTP server of its upstream's statements.
+
+    Args:
+        place: Name and addresses.
+        service: Service of the upstream.
+        failure_domain: Failure domain of the upstream.
+        upstream: Calls to the upstream.
+        meters: Counters and histograms.
+    """
+
+    def __init__(
+        self,
+        place: places.Place,
+        service: str,
+        failure_domain: str,
+        upstream: Upstream,
+        meters: metering.Meters,
+    ) -> None:
+        self._clock = clock.Clock()
+        self._incarnation = self._clock.read_wall()
+        self._failure_domain = failure_domain
+        self._upstream = upstream
+        self._meters = meters
+        self._keeper = keeper.Keeper(service, failure_domain)
+        self._life: Registration | None = None
+        self._retired: set[str] = set()
+        self._fence = self._incarnation
+        self._fence_step = FENCE_STEP
+        own = messages.Announce(
+            process=place.name,
+            role="sidecar",
+            incarnation=self._incarnation,
+            address=place.listen,
+            service=service,
+            is_leaving=False,
+            document_version=-1,
+            domains_revision=0,
+            wants_document=False,
+            wants_peers=False,
+            peers_digest=0,
+        )
+        self._announcer = announcer.Announcer(own, place.controllers)
+        section = options.LinkOptions(heartbeat_ms=LINK_HEARTBEAT_MS)
+        self._links = links.Links(
+            place.name, self._incarnation, place.listen, self._receive, section
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loops: list[asyncio.Task[None]] = []
+        self._registered = asyncio.Event()
+        self._was_in_touch = False
+
+    @property
+    def has_runs(self) -> bool:
+        """Whether any run may go on."""
+        return bool(self._keeper.runs)
+
+    async def start(self) -> None:
+        """Open the links and begin.
+
+        Raises:
+            errors.LinkError: The address cannot be listened on.
+        """
+        await self._links.open()
+        loop = asyncio.get_running_loop()
+        self._loops = [loop.create_task(self._tick()), loop.create_task(self._hold())]
+
+    def drain(self) -> None:
+        """Take no new runs and hold those under way."""
+        self._announcer.note_leaving()
+        self._step(keeper.Leave())
+
+    async def close(self) -> None:
+        """End the links and the calls."""
+        for task in [*self._loops, *self._tasks]:
+            task.cancel()
+        self._links.close()
+        await self._upstream.close()
+
+    def register(self, registration: Registration) -> bool:
+        """Take what the upstream says of itself.
+
+        Args:
+            registration: Its statement.
+
+        Returns:
+            Whether it is newer than what was known.
+        """
+        before = self._life
+        incarnation = registration.known.incarnation
+        if incarnation in self._retired:
+            return False
+        if before is not None and before.known.incarnation == incarnation:
+            if registration.sequence <= before.sequence:
+                return False
+        elif before is not None:
+            if registration.born_ms < before.born_ms:
+                return False
+            self._retired.add(before.known.incarnation)
+        if before is None or before.known != registration.known:
+            _log.info(
+                "upstream stated itself",
+                upstream=incarnation,
+                is_leaving=registration.known.is_leaving,
+                cpu_millis=registration.known.capacity.cpu_millis,
+                sequence=registration.sequence,
+            )
+        self._life = registration
+        self._registered.set()
+        self._step(registration.known)
+        return True
+
+    def deregister(self, upstream_id: str) -> None:
+        """Take that the upstream ends.
+
+        Args:
+            upstream_id: Name that the upstream gives itself.
+        """
+        if self._life is not None and self._life.id == upstream_id:
+            self._end_life("upstream has ended")
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            now_ms = self._clock.read_monotonic()
+            for send in self._announcer.tick(now_ms):
+                self._links.send(send.peer, send.message)
+            is_in_touch = self._announcer.is_in_touch(now_ms)
+            if is_in_touch is not self._was_in_touch:
+                self._was_in_touch = is_in_touch
+                event = "controllers heard" if is_in_touch else "controllers silent"
+                _log.info(event)
+            self._step(keeper.Tick())
+            self._meters.running.set(len(self._keeper.runs))
+
+    def _receive(self, frame: codec.Frame) -> None:
+        for message in frame.messages:
+            match message:
+                case messages.StartRuns() | messages.StopRuns() | messages.KeepRuns():
+                    sender = keeper.Sender(
+                        frame.sender, frame.incarnation, frame.address
+                    )
+                    self._step(keeper.Asked(sender, message))
+                case messages.View():
+                    self._take_view(frame.address, message)
+                case _:
+                    _log.warning("unexpected message", kind=type(message).__name__)
+
+    def _take_view(self, address: str, view: messages.View) -> None:
+        now_ms = self._clock.read_monotonic()
+        changed = self._announcer.take(address, view, now_ms)
+        if changed is None:
+            return
+        is_out = self._failure_domain in changed.domains_out
+        _log.info(
+            "view changed", source=address, domains_out=sorted(changed.domains_out)
+        )
+        self._step(keeper.DomainChanged(is_out))
+
+    def _step(self, event: keeper.Event) -> None:
+        now_ms = self._clock.read_monotonic()
+        for effect in self._keeper.step(event, now_ms):
+            match effect:
+                case keeper.CallStart():
+                    self._run(self._call_start(effect))
+                case keeper.CallStop(name=name):
+                    self._run(self._call_stop(name))
+                case keeper.Tell(address=address, reports=reports):
+                    self._links.send(address, reports)
+                case keeper.Decided(event=name, task=task, run=run, reason=reason):
+                    _log.info(
+                        name,
+                        request=task.partition(".")[0],
+                        task=task,
+                        run=run,
+                        reason=reason,
+                    )
+
+    def _run(self, call: "asyncio._CoroutineLike[None]") -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call_start(self, call: keeper.CallStart) -> None:
+        name = call.order.name
+        life = self._life
+        if life is None:
+            self._step(keeper.StartAnswered(name, keeper.Answer.REPLACED))
+            return
+        began_ms = self._clock.read_monotonic()
+        try:
+            answer = await self._upstream.start(
+                life, call.order, call.spec, self._fence
+            )
+        except FenceError:
+            self._raise_fence()
+            answer = keeper.Answer.UNHEALTHY
+        took_ms = self._clock.read_monotonic() - began_ms
+        self._meters.starts.observe(took_ms / 1000)
+        if answer is not keeper.Answer.TAKEN:
+            _log.info(
+                "start answered",
+                request=name.task.partition(".")[0],
+                task=name.task,
+                run=name.run,
+                answer=answer.value,
+                took_ms=took_ms,
+            )
+        self._step(keeper.StartAnswered(name, answer))
+
+    async def _call_stop(self, name: messages.RunName) -> None:
+        life = self._life
+        answer = keeper.Answer.REPLACED
+        if life is not None:
+            try:
+                answer = await self._upstream.stop(life, name, self._fence)
+            except FenceError:
+                self._raise_fence()
+                answer = keeper.Answer.SILENT
+                await asyncio.sleep(PAUSE_MS / 1000)
+        self._step(keeper.StopAnswered(name, answer))
+
+    async def _hold(self) -> None:
+        """Renew the lease for as long as there is an upstream."""
+        seen = 0
+        incarnation = ""
+        while True:
+            life = self._life
+            if life is None:
+                self._registered.clear()
+                await self._registered.wait()
+                continue
+            if life.known.incarnation != incarnation:
+                incarnation, seen = life.known.incarnation, 0
+            wait_ms = WAIT_BUSY_MS if self._keeper.runs else WAIT_IDLE_MS
+            asked_ms = self._clock.read_monotonic()
+            try:
+                holding = await self._upstream.hold(life, seen, wait_ms, self._fence)
+            except FenceError:
+                self._raise_fence()
+                continue
+            except ReplacedError as error:
+                self._end_life(str(error))
+                continue
+            except SilentError as error:
+                _log.info("lease not renewed", reason=str(error))
+                now_ms = self._clock.read_monotonic()
+                lapse_ms = self._upstream.find_lease_end_ms() + LAPSE_MARGIN_MS
+                if now_ms > lapse_ms and self._keeper.upstream is not None:
+                    self._step(keeper.UpstreamGone("lease has run out"))
+                await asyncio.sleep(PAUSE_MS / 1000)
+                continue
+            newest = self._life
+            if newest is None or newest.known.incarnation != incarnation:
+                continue
+            if holding.incarnation and holding.incarnation != incarnation:
+                self._end_life("another life of the upstream answered")
+                continue
+            seen = max(seen, holding.last)
+            if self._keeper.upstream is None and self._life is not None:
+                self._step(self._life.known)
+            self._step(keeper.Listed(asked_ms, holding.running, holding.ends))
+
+    def _end_life(self, reason: str) -> None:
+        if self._life is not None:
+            _log.info(
+                "upstream gone", upstream=self._life.known.incarnation, reason=reason
+            )
+            self._retired.add(self._life.known.incarnation)
+        self._life = None
+        self._step(keeper.UpstreamGone(reason))
+
+    def _raise_fence(self) -> None:
+        self._fence += self._fence_step
+        self._fence_step *= 2
+        _log.info("fence raised", fence=self._fence)
--- /dev/null
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -0,0 +1,651 @@
+"""Decides in a gateway which tasks start where and how each job ends.
+
+The gateway owns its jobs in memory. It sends starts to sidecars, which say what became
+of each; a task goes to another place only once its run is known to have ended or never
+to start, so no two runs of a task overlap.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from amaranthspar import effects, messages
+from amaranthspar.scheduling import durations, fleet, jobs, resources, waiting
+
+if TYPE_CHECKING:
+    import random
+
+KEEP_INTERVAL_MS = 200
+"""Interval of lease renewals to each sidecar; four fit into its limit of 800 ms."""
+RESEND_MS = 150
+"""Time without a word on a start after which it is sent again; a start takes some ms."""
+MAX_KEEPS = 64
+"""Renewals remembered for one sidecar that have not been answered."""
+SCANNED_JOBS = 64
+"""Waiting jobs looked at in one turn, so that a long queue costs bounded time."""
+RESERVED_SIDECARS = 8
+"""Sidecars kept free for jobs at the head that find no room."""
+FORGET_MS = 30_000
+"""Silence after which a sidecar that controllers no longer list is forgotten."""
+FREE_SHARE = 0.5
+"""Part of the free cores that a forecast counts on, as other gateways use them too."""
+RATE_SHARE = 0.7
+"""Part of an even share of all cores that a forecast counts on at least."""
+MOVE_RATIO = 2.5
+"""Slowness of a sidecar from which its runs are moved where that saves time."""
+MOVE_COST_MS = 20
+"""Time that a stop and a new start take in ms."""
+STALL_MS = 150
+"""Time without any progress after a start from which a run counts as stalled, in ms."""
+HALT_MS = 400
+"""Time in ms without further progress from which it counts as stalled; the longest
+sound tasks do one part in a hundred in 36 ms."""
+DRAIN_MARGIN = 2.0
+"""Multiple of a job's expected time that a stopping gateway must have left for it."""
+RETRY_SPREAD_MS = 2_000
+"""Time over which refused callers are spread in ms."""
+
+
+class Outcome(enum.Enum):
+    """How a job ends."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    REFUSED = "refused"
+    CANCELLED = "cancelled"
+    ABANDONED = "abandoned"
+
+
+@attrs.frozen(slots=True)
+class Submit:
+    """A caller submits a job."""
+
+    request: jobs.Request
+
+
+@attrs.frozen(slots=True)
+class Cancel:
+    """A job is to end without a result.
+
+    Attributes:
+        job: Id of the job.
+        outcome: How it ends.
+        why: What decided it.
+    """
+
+    job: str
+    outcome: Outcome
+    why: str
+
+
+@attrs.frozen(slots=True)
+class Heard:
+    """A sidecar sent reports."""
+
+    sidecar: str
+    incarnation: int
+    address: str
+    reports: messages.RunReports
+
+
+@attrs.frozen(slots=True)
+class Found:
+    """Controllers list these processes and domains out of service."""
+
+    peers: tuple[messages.Peer, ...]
+    domains_out: frozenset[str]
+
+
+@attrs.frozen(slots=True)
+class Drain:
+    """The gateway is to stop: it admits only jobs that end in time.
+
+    Attributes:
+        until_ms: Time in ms by which the last job must have ended.
+    """
+
+    until_ms: int
+
+
+@attrs.frozen(slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = Submit | Cancel | Heard | Found | Drain | Tick
+
+
+@attrs.frozen(slots=True)
+class Ended:
+    """A job has its outcome.
+
+    Attributes:
+        job: Id of the job.
+        outcome: How it ended.
+        reason: What decided it.
+        retry_after_ms: When the caller may come back in ms, for a refusal.
+    """
+
+    job: str
+    outcome: Outcome
+    reason: str
+    retry_after_ms: int = 0
+
+
+@attrs.frozen(slots=True)
+class Decided:
+    """Something worth a line in the log.
+
+    Attributes:
+        event: What was decided.
+        job: Job that it is about; empty for none.
+        details: What decided it, by name.
+    """
+
+    event: str
+    job: str = ""
+    details: tuple[tuple[str, str | int | float], ...] = ()
+
+
+Effect = effects.Send | Ended | Decided
+
+
+class Dispatcher:
+    """Jobs of one gateway.
+
+    Args:
+        chance: Source of random choices.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        self.jobs: dict[str, jobs.Job] = {}
+        self.waiting = waiting.Waiting()
+        self.fleet = fleet.Fleet(chance)
+        self.durations = durations.Durations()
+        self.is_draining = False
+        self.gateways = 1
+        self._chance = chance
+        self._tasks: dict[str, jobs.Task] = {}
+        self._listed: set[str] = set()
+        self._kept_ms = 0
+        self._until_ms = 0
+        self._was_waiting = False
+        self._effects: list[Effect] = []
+
+    def step(self, event: Event, now_ms: int) -> list[Effect]:
+        """Take an event.
+
+        Args:
+            event: What happened.
+            now_ms: Monotonic time in ms.
+
+        Returns:
+            What is to be done, in order.
+        """
+        match event:
+            case Submit(request=request):
+                self._submit(request, now_ms)
+            case Cancel(job=name, outcome=outcome, why=why):
+                job = self.jobs.get(name)
+                if job is not None:
+                    self._end(job, outcome, why)
+            case Heard():
+                self._hear(event, now_ms)
+            case Found():
+                self._find(event)
+            case Drain(until_ms=until_ms):
+                self.is_draining = True
+                self._until_ms = until_ms
+            case Tick():
+                self._tick(now_ms)
+        self._dispatch(now_ms)
+        is_waiting = len(self.waiting) > 0
+        if is_waiting and not self._was_waiting:
+            self._keep_all(now_ms)
+        self._was_waiting = is_waiting
+        found, self._effects = self._effects, []
+        return found
+
+    # Jobs.
+
+    def _submit(self, request: jobs.Request, now_ms: int) -> None:
+        if request.id in self.jobs:
+            return
+        reason = self._find_obstacle(request, now_ms)
+        if reason:
+            self._refuse(request.id, reason, now_ms)
+            return
+        job = jobs.build_job(request, now_ms)
+        entry = self._build_entry(job)
+        end_ms = now_ms + DRAIN_MARGIN * entry.chain_ms
+        if self.is_draining and end_ms > self._until_ms:
+            self._refuse(request.id, "gateway is stopping", now_ms)
+            return
+        forecast = self._forecast(request.queue.service, now_ms)
+        if not self.waiting.admit(entry, forecast):
+            self._refuse(request.id, "no room in time", now_ms)
+            return
+        self.jobs[request.id] = job
+        self._tasks.update((task.name, task) for task in job.tasks)
+        self._note(
+            "job admitted",
+            request.id,
+            queue=request.queue.name,
+            tasks=len(job.tasks),
+            expected_ms=entry.chain_ms,
+            spare_ms=job.start_by_ms - now_ms,
+            ahead=len(self.waiting) - 1,
+            cores_free=round(forecast.free),
+        )
+
+    def _find_obstacle(self, request: jobs.Request, now_ms: int) -> str:
+        """Return why a job cannot be served at all, empty if it can."""
+        service = request.queue.service
+        probe = jobs.build_job(request, now_ms)
+        firsts = {task.step: task for task in probe.tasks}
+        open_sidecars = self.fleet.list_open(service, now_ms)
+        if not open_sidecars:
+            return "no upstream takes runs"
+        for task in firsts.values():
+            if not any(fleet.may_run(task, sidecar) for sidecar in open_sidecars):
+                return "no upstream is large enough or of the right kind"
+        return ""
+
+    def _refuse(self, name: str, reason: str, now_ms: int) -> None:
+        backlog_ms = 0.0
+        rate = self._read_rate()
+        if rate > 0:
+            backlog_ms = self.waiting.work / rate
+        spread_ms = RETRY_SPREAD_MS * self._chance.random()
+        retry_ms = round(backlog_ms + spread_ms)
+        self._effects.append(Ended(name, Outcome.REFUSED, reason, retry_ms))
+
+    def _build_entry(self, job: jobs.Job) -> waiting.Entry:
+        queue = job.request.queue
+        expected = [
+            self.durations.expect_ms(queue.name, number, step.estimate_ms)
+            for number, step in enumerate(job.request.steps)
+        ]
+        cores = [task.definition.needs.cpu_millis / 1000 for task in job.waiting]
+        work = sum(
+            need * expected[task.step]
+            for need, task in zip(cores, job.waiting, strict=True)
+        )
+        chain_ms = jobs.find_chain_ms(job.request.steps, expected)
+        return waiting.Entry(job, sum(cores), work, chain_ms)
+
+    def _wait_again(self, job: jobs.Job) -> None:
+        """Put a job at its place in the order of those that wait."""
+        self.waiting.remove(job.request.id)
+        if job.waiting:
+            self.waiting.insert(self._build_entry(job))
+
+    def _end(
+        self, job: jobs.Job, outcome: Outcome, reason: str, retry_after_ms: int = 0
+    ) -> None:
+        name = job.request.id
+        del self.jobs[name]
+        self.waiting.remove(name)
+        stops: dict[str, list[messages.RunName]] = {}
+        for task in job.tasks:
+            del self._tasks[task.name]
+            if task.state is jobs.TaskState.PLACED:
+                stops.setdefault(task.sidecar, []).append(task.run_name)
+                self.fleet.sidecars[task.sidecar].tasks.pop(task.name, None)
+        for sidecar, names in stops.items():
+            address = self.fleet.sidecars[sidecar].address
+            self._effects.append(effects.Send(address, messages.StopRuns(names)))
+        self._effects.append(Ended(name, outcome, reason, retry_after_ms))
+
+    # Sidecars.
+
+    def _find(self, found: Found) -> None:
+        self.fleet.domains_out = found.domains_out
+        self._listed = {peer.process for peer in found.peers if peer.role == "sidecar"}
+        gateways = sum(peer.role == "gateway" for peer in found.peers)
+        self.gateways = max(1, gateways)
+        for peer in found.peers:
+            if peer.role != "sidecar":
+                continue
+            known = self.fleet.sidecars.get(peer.process)
+            if known is None:
+                sidecar = fleet.Sidecar(peer.process, 0, peer.address, peer.service)
+                self.fleet.sidecars[peer.process] = sidecar
+                self._note("sidecar found", sidecar=peer.process, address=peer.address)
+                self._keep(sidecar, 0)
+            else:
+                known.address = peer.address
+
+    def _hear(self, heard: Heard, now_ms: int) -> None:
+        sidecar = self.fleet.sidecars.get(heard.sidecar)
+        if sidecar is None:
+            return
+        if sidecar.incarnation != heard.incarnation:
+            self._restart(sidecar, heard.incarnation)
+        sidecar.address = heard.address
+        sidecar.heard_ms = now_ms
+        for number in [item for item in sidecar.keeps if item <= heard.reports.kept]:
+            sidecar.certain_ms = max(sidecar.certain_ms, sidecar.keeps.pop(number))
+        room = heard.reports.room
+        if sidecar.room is None or room.number > sidecar.room.number:
+            self._take_room(sidecar, room)
+        for report in heard.reports.reports:
+            task = self._tasks.get(report.name.task)
+            if task is None or task.state is not jobs.TaskState.PLACED:
+                continue
+            if task.sidecar == sidecar.name and task.run == report.name.run:
+                self._take_report(sidecar, task, report, now_ms)
+
+    def _restart(self, sidecar: fleet.Sidecar, incarnation: int) -> None:
+        """Start anew with a sidecar that has restarted; its old runs may still end."""
+        if sidecar.incarnation:
+            self._note("sidecar restarted", sidecar=sidecar.name)
+        sidecar.incarnation = incarnation
+        sidecar.room = None
+        sidecar.keeps.clear()
+        sidecar.unseen.clear()
+
+    def _take_room(self, sidecar: fleet.Sidecar, room: messages.Room) -> None:
+        before = sidecar.room
+        sidecar.room = room
+        for number in [item for item in sidecar.unseen if item <= room.started]:
+            del sidecar.unseen[number]
+        if before is None or before.upstream != room.upstream:
+            sidecar.slowness = 1.0
+            sidecar.failures = 0.0
+        if before is None or before.is_leaving != room.is_leaving:
+            self._note(
+                "sidecar changed",
+                sidecar=sidecar.name,
+                upstream=room.upstream,
+                is_leaving=room.is_leaving,
+            )
+
+    def _take_report(
+        self,
+        sidecar: fleet.Sidecar,
+        task: jobs.Task,
+        report: messages.RunReport,
+        now_ms: int,
+    ) -> None:
+        match report.state:
+            case "started":
+                task.is_running = True
+            case "running":
+                task.is_running = True
+                self._judge_progress(sidecar, task, report, now_ms)
+            case "done":
+                self._finish_task(sidecar, task, report, now_ms)
+            case "failed":
+                self._fail_task(sidecar, task, now_ms)
+            case "stale":
+                task.run = max(task.run, int(report.reason))
+                self._replace(task, report)
+            case _:
+                if report.state == "refused" and report.reason != "no room":
+                    task.avoided.add(sidecar.name)
+                self._replace(task, report)
+
+    def _finish_task(
+        self,
+        sidecar: fleet.Sidecar,
+        task: jobs.Task,
+        report: messages.RunReport,
+        now_ms: int,
+    ) -> None:
+        job = task.job
+        step = task.definition
+        queue = job.request.queue.name
+        expected_ms = self.durations.expect_ms(queue, task.step, step.estimate_ms)
+        sidecar.note_end(False, now_ms)
+        sidecar.note_speed(report.elapsed_ms / expected_ms, now_ms)
+        if sidecar.relative_slowness <= fleet.SOUND_RATIO:
+            declared_ms = step.estimate_ms
+            self.durations.note_run(queue, task.step, declared_ms, report.elapsed_ms)
+        sidecar.tasks.pop(task.name, None)
+        task.state = jobs.TaskState.DONE
+        job.undone[task.step] -= 1
+        if job.is_done:
+            self._end(job, Outcome.COMPLETED, "every task is done")
+        elif not job.undone[task.step]:
+            job.release_steps()
+            self._wait_again(job)
+
+    def _fail_task(self, sidecar: fleet.Sidecar, task: jobs.Task, now_ms: int) -> None:
+        task.failures += 1
+        sidecar.note_end(True, now_ms)
+        self._note(
+            "run failed",
+            task.job.request.id,
+            task=task.name,
+            run=task.run,
+            sidecar=sidecar.name,
+            failures=task.failures,
+        )
+        sidecar.tasks.pop(task.name, None)
+        if task.failures >= task.job.request.queue.max_attempts:
+            task.state = jobs.TaskState.DONE
+            self._end(task.job, Outcome.FAILED, f"task {task.name} failed each time")
+            return
+        task.avoided.add(sidecar.name)
+        task.job.return_task(task)
+        self._wait_again(task.job)
+
+    def _replace(self, task: jobs.Task, report: messages.RunReport) -> None:
+        """Let a task wait again whose run ended without a result."""
+        self._note(
+            "run over",
+            task.job.request.id,
+            task=task.name,
+            run=task.run,
+            sidecar=task.sidecar,
+            state=report.state,
+            reason=report.reason,
+        )
+        self.fleet.sidecars[task.sidecar].tasks.pop(task.name, None)
+        task.job.return_task(task)
+        self._wait_again(task.job)
+
+    def _judge_progress(
+        self,
+        sidecar: fleet.Sidecar,
+        task: jobs.Task,
+        report: messages.RunReport,
+        now_ms: int,
+    ) -> None:
+        """Move a run off a slow or stalled upstream where that ends it sooner."""
+        queue = task.job.request.queue.name
+        step = task.definition
+        expected_ms = self.durations.expect_ms(queue, task.step, step.estimate_ms)
+        elapsed_ms = report.elapsed_ms
+        if report.percent > task.percent:
+            task.percent = report.percent
+            task.moved_ms = elapsed_ms
+        still_ms = elapsed_ms - task.moved_ms
+        if still_ms >= (HALT_MS if task.percent else STALL_MS):
+            sidecar.note_stall(now_ms)
+            total_ms, remaining_ms = float(expected_ms), float("inf")
+        elif not task.percent:
+            return
+        else:
+            projected_ms = elapsed_ms * 100 / task.percent
+            sidecar.note_sample(projected_ms / expected_ms)
+            remaining_ms = projected_ms - elapsed_ms
+            total_ms = projected_ms / max(sidecar.relative_slowness, 1.0)
+        if sidecar.relative_slowness < MOVE_RATIO:
+            return
+        if remaining_ms <= total_ms + MOVE_COST_MS:
+            return
+        target = self.fleet.choose(task, {sidecar.name}, now_ms)
+        if target is None or target.is_suspect(now_ms):
+            return
+        self._note(
+            "run moved",
+            task.job.request.id,
+            task=task.name,
+            run=task.run,
+            sidecar=sidecar.name,
+            percent=report.percent,
+            elapsed_ms=elapsed_ms,
+            slowness=round(sidecar.relative_slowness, 2),
+        )
+        sidecar.slow_ms = now_ms
+        task.avoided.add(sidecar.name)
+        stop = messages.StopRuns([task.run_name])
+        self._effects.append(effects.Send(sidecar.address, stop))
+
+    # Time.
+
+    def _tick(self, now_ms: int) -> None:
+        if now_ms - self._kept_ms >= KEEP_INTERVAL_MS:
+            self._keep_all(now_ms)
+            self.fleet.update_norm()
+        for sidecar in list(self.fleet.sidecars.values()):
+            self._end_lost_runs(sidecar, now_ms)
+            self._send_again(sidecar, now_ms)
+            silent_ms = now_ms - sidecar.heard_ms
+            is_unlisted = sidecar.name not in self._listed
+            if is_unlisted and silent_ms > FORGET_MS and not sidecar.tasks:
+                del self.fleet.sidecars[sidecar.name]
+        for job in self.waiting.pop_useless(now_ms):
+            self._end(job, Outcome.REFUSED, "waited too long", RETRY_SPREAD_MS)
+
+    def _keep_all(self, now_ms: int) -> None:
+        self._kept_ms = now_ms
+        for sidecar in self.fleet.sidecars.values():
+            self._keep(sidecar, now_ms)
+
+    def _keep(self, sidecar: fleet.Sidecar, now_ms: int) -> None:
+        sidecar.number += 1
+        sidecar.keeps[sidecar.number] = now_ms
+        sidecar.keeps.pop(sidecar.number - MAX_KEEPS, None)
+        names = [task.run_name for task in sidecar.tasks.values()]
+        is_waiting = len(self.waiting) > 0
+        message = messages.KeepRuns(sidecar.number, sidecar.started, is_waiting, names)
+        self._effects.append(effects.Send(sidecar.address, message))
+
+    def _end_lost_runs(self, sidecar: fleet.Sidecar, now_ms: int) -> None:
+        """Let tasks wait again whose runs have ended for want of a lease."""
+        for task in list(sidecar.tasks.values()):
+            since_ms = max(sidecar.certain_ms, task.placed_ms)
+            if now_ms - since_ms > fleet.RUNS_END_MS:
+                report = messages.RunReport(
+                    task.run_name, "lost", f"sidecar silent for {now_ms - since_ms} ms"
+                )
+                self._replace(task, report)
+
+    def _send_again(self, sidecar: fleet.Sidecar, now_ms: int) -> None:
+        """Send starts again that a broken connection may have lost."""
+        if now_ms - sidecar.heard_ms > RESEND_MS or sidecar.room is None:
+            return
+        found = [
+            task
+            for task in sidecar.tasks.values()
+            if not task.is_running and now_ms - task.placed_ms > RESEND_MS
+        ]
+        by_job: dict[str, list[jobs.Task]] = {}
+        for task in found:
+            by_job.setdefault(task.job.request.id, []).append(task)
+        for tasks in by_job.values():
+            self._send_orders(sidecar, tasks)
+
+    # Placement.
+
+    def _forecast(self, service: str, now_ms: int) -> waiting.Forecast:
+        sidecars = self.fleet.list_open(service, now_ms)
+        free = sum(max(0, item.read_free().cpu_millis) for item in sidecars) / 1000
+        capacity = self.fleet.find_capacity(service, now_ms).cpu_millis / 1000
+        rate = max(self._read_rate(), RATE_SHARE * capacity / self.gateways)
+        return waiting.Forecast(now_ms, rate, FREE_SHARE * free)
+
+    def _read_rate(self) -> float:
+        """Return the cores that work for this gateway."""
+        return sum(
+            task.definition.needs.cpu_millis / 1000
+            for sidecar in self.fleet.sidecars.values()
+            for task in sidecar.tasks.values()
+        )
+
+    def _dispatch(self, now_ms: int) -> None:
+        """Send what fits, in order; a job without room keeps a sidecar for itself."""
+        orders: dict[tuple[str, str], list[jobs.Task]] = {}
+        reserved: set[str] = set()
+        for entry in self.waiting.list_entries()[:SCANNED_JOBS]:
+            job = entry.job
+            placed = self._place_tasks(job, reserved, orders, now_ms)
+            if placed:
+                self._wait_again(job)
+            if not job.waiting:
+                continue
+            if len(reserved) >= RESERVED_SIDECARS:
+                break
+            kept = self.fleet.find_roomiest(job.waiting[-1], reserved, now_ms)
+            if kept is None:
+                break
+            reserved.add(kept.name)
+        for (name, _), tasks in orders.items():
+            self._send_orders(self.fleet.sidecars[name], tasks)
+
+    def _place_tasks(
+        self,
+        job: jobs.Job,
+        reserved: set[str],
+        orders: dict[tuple[str, str], list[jobs.Task]],
+        now_ms: int,
+    ) -> int:
+        placed = 0
+        while job.waiting:
+            task = job.waiting[-1]
+            sidecar = self.fleet.choose(task, reserved, now_ms)
+            if sidecar is None:
+                break
+            job.waiting.pop()
+            task.state = jobs.TaskState.PLACED
+            task.run += 1
+            task.sidecar = sidecar.name
+            task.placed_ms = now_ms
+            task.is_running = False
+            sidecar.tasks[task.name] = task
+            if sidecar.failures >= fleet.FAILURE_SHARE:
+                sidecar.failed_ms = now_ms
+            if sidecar.relative_slowness >= fleet.SLOW_RATIO:
+                sidecar.slow_ms = now_ms
+            # The number is that of the message that will carry the order.
+            number = sidecar.started + 1
+            needs = sidecar.unseen.get(number)
+            own = task.definition.needs
+            sidecar.unseen[number] = own if needs is None else resources.add(needs, own)
+            job.is_offered = True
+            orders.setdefault((sidecar.name, job.request.id), []).append(task)
+            placed += 1
+        return placed
+
+    def _send_orders(self, sidecar: fleet.Sidecar, tasks: list[jobs.Task]) -> None:
+        if sidecar.room is None:
+            return
+        sidecar.started += 1
+        orders = [
+            messages.RunOrder(task.run_name, task.definition.needs) for task in tasks
+        ]
+        message = messages.StartRuns(
+            sidecar.started,
+            sidecar.room.upstream,
+            tasks[0].job.request.spec,
+            orders,
+        )
+        self._effects.append(effects.Send(sidecar.address, message))
+        for task in tasks:
+            self._note(
+                "run sent",
+                task.job.request.id,
+                task=task.name,
+                run=task.run,
+                sidecar=sidecar.name,
+                room=sidecar.room.number,
+            )
+
+    def _note(self, event: str, job: str = "", **details: str | int | float) -> None:
+        self._effects.append(Decided(event, job, tuple(details.items())))
--- /dev/null
+++ b/amaranthspar/scheduling/resources.py
@@ -0,0 +1,52 @@
+"""Arithmetic on amounts of processor, memory and accelerators."""
+
+from collections.abc import Iterable
+
+from amaranthspar import messages
+
+NONE = messages.Resources()
+
+
+def add(first: messages.Resources, second: messages.Resources) -> messages.Resources:
+    """Return the sum of two amounts."""
+    return messages.Resources(
+        first.cpu_millis + second.cpu_millis,
+        first.memory_mb + second.memory_mb,
+        first.accelerators + second.accelerators,
+    )
+
+
+def subtract(whole: messages.Resources, part: messages.Resources) -> messages.Resources:
+    """Return what is left of an amount; it may be negative."""
+    return messages.Resources(
+        whole.cpu_millis - part.cpu_millis,
+        whole.memory_mb - part.memory_mb,
+        whole.accelerators - part.accelerators,
+    )
+
+
+def total(amounts: Iterable[messages.Resources]) -> messages.Resources:
+    """Return the sum of many amounts."""
+    result = NONE
+    for amount in amounts:
+        result = add(result, amount)
+    return result
+
+
+def fits(need: messages.Resources, free: messages.Resources) -> bool:
+    """Return whether a need is covered in every dimension."""
+    return (
+        need.cpu_millis <= free.cpu_millis
+        and need.memory_mb <= free.memory_mb
+        and need.accelerators <= free.accelerators
+    )
+
+
+def read_share(used: messages.Resources, capacity: messages.Resources) -> float:
+    """Return the share of the scarcest dimension that is in use, from 0."""
+    pairs = (
+        (used.cpu_millis, capacity.cpu_millis),
+        (used.memory_mb, capacity.memory_mb),
+        (used.accelerators, capacity.accelerators),
+    )
+    return max((part / whole for part, whole in pairs if whole > 0), default=1.0)
--- a/amaranthspar/snapshots.py
+++ b/amaranthspar/snapshots.py
@@ -42,6 +42,10 @@
             {
                 "revision": state.revision,
                 "floor_revision": state.floor_revision,
+                "document_version": state.documents.version,
+                "document": state.documents.content,
+                "domains_revision": state.documents.domains_revision,
+                "domains_out": sorted(state.documents.domains_out),
             },
         )
 
@@ -64,9 +68,9 @@
     versions: list[dict[str, messages.Section]],
     newest: int,
     lists: dict[str, list[Any]],
-    numbers: dict[str, int],
+    values: dict[str, Any],
 ) -> Iterator[bytes | None]:
-    fields: dict[str, Any] = dict(numbers)
+    fields: dict[str, Any] = dict(values)
     oldest = newest - len(versions) + 1
     changes: list[messages.ConfigurationChange] = []
     for offset in range(len(versions) - 1):
--- /dev/null
+++ b/tests/builders_scheduling.py
@@ -0,0 +1,202 @@
+"""Builders of jobs, sidecars and a small world of gateways, sidecars and upstreams."""
+
+import collections
+import random
+
+import attrs
+
+from amaranthspar import effects, messages
+from amaranthspar.scheduling import dispatcher, jobs, keeper
+
+SERVICE = "quotes"
+DOMAINS = ("east", "west", "north")
+STEP_MS = 10
+HOLD_MS = 1_000
+
+
+def build_queue(**changes) -> jobs.Queue:
+    values = {
+        "name": "checks",
+        "service": SERVICE,
+        "priority": 0,
+        "max_attempts": 3,
+        "stretch": 1.6,
+        "target_ms": 60,
+    }
+    return jobs.Queue(**(values | changes))
+
+
+def build_step(count=1, cores=1.0, duration_ms=100, **changes) -> jobs.Step:
+    needs = messages.Resources(round(cores * 1000), 64, 0)
+    return jobs.Step(count, needs, duration_ms, **changes)
+
+
+def build_request(name="a1", queue=None, steps=None) -> jobs.Request:
+    queue = queue or build_queue()
+    return jobs.Request(name, queue, "spec", tuple(steps or [build_step()]))
+
+
+def build_room(number=1, upstream="u@1", free=8.0, capacity=8.0, **changes):
+    values = {
+        "number": number,
+        "started": 0,
+        "upstream": upstream,
+        "service": SERVICE,
+        "failure_domain": DOMAINS[0],
+        "labels": ["a", "r1"],
+        "capacity": messages.Resources(round(capacity * 1000), 65_536, 0),
+        "free": messages.Resources(round(free * 1000), 65_536, 0),
+        "is_leaving": False,
+    }
+    return messages.Room(**(values | changes))
+
+
+def build_peer(name: str) -> messages.Peer:
+    return messages.Peer(name, "sidecar", 1, f"{name}:1", SERVICE, False)
+
+
+class Gateway:
+    """A dispatcher with what it sent and how its jobs ended."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.dispatcher = dispatcher.Dispatcher(random.Random(seed))
+        self.ended: dict[str, dispatcher.Ended] = {}
+        self.sent: list[effects.Send] = []
+        self.now_ms = 1_000
+        self._numbers: collections.Counter[str] = collections.Counter()
+
+    def step(self, event: dispatcher.Event) -> list[effects.Send]:
+        """Take an event and return the messages that it caused."""
+        sent = []
+        for effect in self.dispatcher.step(event, self.now_ms):
+            match effect:
+                case effects.Send():
+                    sent.append(effect)
+                case dispatcher.Ended():
+                    self.ended[effect.job] = effect
+        self.sent += sent
+        return sent
+
+    def find(self, *names: str, domains_out=()) -> None:
+        """Let controllers list sidecars, and hear their room."""
+        peers = tuple(build_peer(name) for name in names)
+        self.step(dispatcher.Found(peers, frozenset(domains_out)))
+
+    def hear(self, name: str, room, *reports, kept=None, incarnation=1):
+        """Hear a sidecar and return the starts that it caused."""
+        sidecar = self.dispatcher.fleet.sidecars[name]
+        kept = sidecar.number if kept is None else kept
+        body = messages.RunReports(kept, list(reports), room)
+        event = dispatcher.Heard(name, incarnation, f"{name}:1", body)
+        return list_starts(self.step(event))
+
+    def hear_room(self, name: str, **changes):
+        """Hear a sidecar's newest statement of room."""
+        self._numbers[name] += 1
+        return self.hear(name, build_room(self._numbers[name], **changes))
+
+    def submit(self, request) -> list[messages.StartRuns]:
+        """Submit a job and return the starts that it caused."""
+        return list_starts(self.step(dispatcher.Submit(request)))
+
+    def wait(self, time_ms: int) -> list[effects.Send]:
+        """Let time pass and return what was sent."""
+        sent = []
+        for _ in range(0, time_ms, STEP_MS):
+            self.now_ms += STEP_MS
+            sent += self.step(dispatcher.Tick())
+        return sent
+
+
+def list_starts(sent) -> list[messages.StartRuns]:
+    """Return the messages with starts among those sent."""
+    return [
+        item.message for item in sent if isinstance(item.message, messages.StartRuns)
+    ]
+
+
+def list_orders(starts) -> list[str]:
+    """Return the names of the tasks that messages start."""
+    return [order.name.task for start in starts for order in start.orders]
+
+
+@attrs.define
+class FakeRun:
+    """A run on a fake upstream."""
+
+    name: messages.RunName
+    end_ms: int
+    fails: bool
+
+
+class FakeUpstream:
+    """An upstream with a lease, a guard of its room and calls that come late."""
+
+    def __init__(self, name: str, cores: int) -> None:
+        self.name = name
+        self.capacity = messages.Resources(cores * 1000, 65_536, 0)
+        self.life = 1
+        self.fence = 0
+        self.runs: dict[str, FakeRun] = {}
+        self.ends: list[tuple[int, keeper.End]] = []
+        self.barred: collections.Counter[str] = collections.Counter()
+        self.lease_ms = 0
+        self._count = 0
+
+    @property
+    def incarnation(self) -> str:
+        return f"{self.name}@{self.life}"
+
+    def crash(self) -> None:
+        self.life += 1
+        self.fence = 0
+        self.runs.clear()
+        self.ends.clear()
+        self.barred.clear()
+        self._count = 0
+
+    def advance(self, now_ms: int) -> None:
+        if now_ms > self.lease_ms:
+            for run in list(self.runs.values()):
+                self._end(run, "lapsed")
+        for run in list(self.runs.values()):
+            if now_ms >= run.end_ms:
+                self._end(run, "failed" if run.fails else "done")
+
+    def start(self, fence, name, until_ms, duration_ms, fails, now_ms):
+        if fence < self.fence:
+            return keeper.Answer.UNHEALTHY
+        self.fence = fence
+        if name.task in self.runs and self.runs[name.task].name == name:
+            return keeper.Answer.TAKEN
+        if name.task in self.runs or name.run <= self.barred[name.task]:
+            return keeper.Answer.STALE
+        if now_ms > until_ms:
+            return keeper.Answer.LATE
+        self.lease_ms = max(self.lease_ms, until_ms)
+        self.runs[name.task] = FakeRun(name, now_ms + duration_ms, fails)
+        return keeper.Answer.TAKEN
+
+    def stop(self, fence, name):
+        if fence < self.fence:
+            return
+        self.fence = fence
+        self.barred[name.task] = max(self.barred[name.task], name.run)
+        run = self.runs.get(name.task)
+        if run is not None and run.name.run <= name.run:
+            self._end(run, "stopped")
+
+    def hold(self, fence, seen, until_ms, now_ms):
+        if fence < self.fence:
+            return None
+        self.fence = fence
+        self.lease_ms = max(self.lease_ms, min(until_ms, now_ms + HOLD_MS))
+        self.ends = [item for item in self.ends if item[0] > seen]
+        running = tuple(keeper.Progress(run.name, "", 50) for run in self.runs.values())
+        return running, tuple(self.ends)
+
+    def _end(self, run, how) -> None:
+        del self.runs[run.name.task]
+        self.barred[run.name.task] = max(self.barred[run.name.task], run.name.run)
+        self._count += 1
+        self.ends.append((self._count, keeper.End(run.name, how, "")))
