Test the scheduling decisions and the whole path over the platform's protocol

The count now begins anew with the sidecar's incarnation. Found by a test: one unusually long task marked its upstream as slow. Slowness now needs three runs under way, of which the middle one counts.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -294,7 +294,7 @@
             del self._tasks[task.name]
             if task.state is jobs.TaskState.PLACED:
                 stops.setdefault(task.sidecar, []).append(task.run_name)
-                self.fleet.sidecars[task.sidecar].tasks.pop(task.name, None)
+                self.fleet.sidecars[task.sidecar].forget(task.name)
         for sidecar, names in stops.items():
             address = self.fleet.sidecars[sidecar].address
             self._effects.append(effects.Send(address, messages.StopRuns(names)))
@@ -345,6 +345,7 @@
             self._note("sidecar restarted", sidecar=sidecar.name)
         sidecar.incarnation = incarnation
         sidecar.room = None
+        sidecar.started = 0
         sidecar.keeps.clear()
         sidecar.unseen.clear()
 
@@ -405,7 +406,7 @@
         if sidecar.relative_slowness <= fleet.SOUND_RATIO:
             declared_ms = step.estimate_ms
             self.durations.note_run(queue, task.step, declared_ms, report.elapsed_ms)
-        sidecar.tasks.pop(task.name, None)
+        sidecar.forget(task.name)
         task.state = jobs.TaskState.DONE
         job.undone[task.step] -= 1
         if job.is_done:
@@ -425,7 +426,7 @@
             sidecar=sidecar.name,
             failures=task.failures,
         )
-        sidecar.tasks.pop(task.name, None)
+        sidecar.forget(task.name)
         if task.failures >= task.job.request.queue.max_attempts:
             task.state = jobs.TaskState.DONE
             self._end(task.job, Outcome.FAILED, f"task {task.name} failed each time")
@@ -445,7 +446,7 @@
             state=report.state,
             reason=report.reason,
         )
-        self.fleet.sidecars[task.sidecar].tasks.pop(task.name, None)
+        self.fleet.sidecars[task.sidecar].forget(task.name)
         task.job.return_task(task)
         self._wait_again(task.job)
 
@@ -472,7 +473,7 @@
             return
         else:
             projected_ms = elapsed_ms * 100 / task.percent
-            sidecar.note_sample(projected_ms / expected_ms)
+            sidecar.note_progress(task.name, projected_ms / expected_ms, now_ms)
             remaining_ms = projected_ms - elapsed_ms
             total_ms = projected_ms / max(sidecar.relative_slowness, 1.0)
         if sidecar.relative_slowness < MOVE_RATIO:
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import statistics
 from typing import TYPE_CHECKING
 
 import attrs
@@ -25,8 +26,10 @@
 silent gateway (800 ms) and the longest lease on an upstream (1 s), with clock drift."""
 SPEED_WEIGHT = 0.25
 """Weight of the newest run in a sidecar's slowness; about the last seven runs count."""
-SAMPLE_WEIGHT = 0.05
-"""Weight of one look at a run that has not ended."""
+SAMPLE_WEIGHT = 0.2
+"""Weight of one look at the runs that have not ended."""
+SAMPLED_RUNS = 3
+"""Runs from which their middle one tells more of the upstream than of the tasks."""
 MAX_SLOWNESS = 20.0
 """Highest ratio of measured to expected duration that is kept."""
 SLOW_RATIO = 1.7
@@ -73,6 +76,7 @@
         failures: Share of runs that failed lately.
         failed_ms: Time of the last failure, or try after one, in ms.
         tasks: Tasks placed here.
+        ratios: Projected over expected duration of runs under way, by task.
     """
 
     name: str
@@ -92,6 +96,7 @@
     failures: float = 0.0
     failed_ms: int = -FAILURE_RETRY_MS
     tasks: dict[str, jobs.Task] = attrs.field(factory=dict)
+    ratios: dict[str, float] = attrs.field(factory=dict)
 
     def read_free(self) -> messages.Resources:
         """Return the room less what was sent since it was stated."""
@@ -141,14 +146,30 @@
         if has_failed:
             self.failed_ms = now_ms
 
-    def note_sample(self, ratio: float) -> None:
-        """Take how far behind a run is that has not ended.
+    def note_progress(self, task: str, ratio: float, now_ms: int) -> None:
+        """Take how far a run is; a few runs together tell how slow the upstream is.
 
         Args:
+            task: Name of the task.
             ratio: Projected over expected duration.
+            now_ms: Current time in ms.
         """
-        ratio = min(ratio, MAX_SLOWNESS)
-        self.slowness += SAMPLE_WEIGHT * (ratio - self.slowness)
+        self.ratios[task] = min(ratio, MAX_SLOWNESS)
+        if len(self.ratios) < SAMPLED_RUNS:
+            return
+        middle = statistics.median(self.ratios.values())
+        self.slowness += SAMPLE_WEIGHT * (middle - self.slowness)
+        if self.relative_slowness >= SLOW_RATIO:
+            self.slow_ms = now_ms
+
+    def forget(self, task: str) -> None:
+        """Forget a task whose run is over.
+
+        Args:
+            task: Name of the task.
+        """
+        self.tasks.pop(task, None)
+        self.ratios.pop(task, None)
 
     def note_speed(self, ratio: float, now_ms: int) -> None:
         """Take how long a run took against what was expected.
--- /dev/null
+++ b/tests/test_gateway_dispatch.py
@@ -0,0 +1,282 @@
+"""Tests of a gateway's decisions on jobs with needs."""
+
+from amaranthspar import messages
+from amaranthspar.scheduling import dispatcher, fleet
+from tests import builders_scheduling as builders
+
+
+def build_gateway(*names, **room):
+    gateway = builders.Gateway()
+    gateway.find(*(names or ("one",)))
+    for name in names or ("one",):
+        gateway.hear_room(name, **room)
+    return gateway
+
+
+def report(order, state, reason="", **changes):
+    return messages.RunReport(order.name, state, reason, **changes)
+
+
+def test_job_is_complete_when_every_task_is_done():
+    gateway = build_gateway()
+    (start,) = gateway.submit(
+        builders.build_request(steps=[builders.build_step(count=3)])
+    )
+    assert len(start.orders) == 3
+    done = [report(order, "done", elapsed_ms=100) for order in start.orders]
+    gateway.hear("one", builders.build_room(2, started=1), *done[:2])
+    assert gateway.ended == {}
+    gateway.hear("one", builders.build_room(3, started=1), done[2])
+    assert gateway.ended["a1"].outcome is dispatcher.Outcome.COMPLETED
+
+
+def test_step_waits_for_the_steps_before_it():
+    gateway = build_gateway()
+    steps = [builders.build_step(), builders.build_step(after=(0,))]
+    (first,) = gateway.submit(builders.build_request(steps=steps))
+    assert builders.list_orders([first]) == ["a1.0.0.0"]
+    starts = gateway.hear(
+        "one", builders.build_room(2, started=1), report(first.orders[0], "done")
+    )
+    assert builders.list_orders(starts) == ["a1.0.1.0"]
+
+
+def test_nothing_is_sent_beyond_the_room_stated_and_promised():
+    gateway = build_gateway(free=3.0)
+    starts = gateway.submit(builders.build_request(steps=[builders.build_step(5)]))
+    assert len(builders.list_orders(starts)) == 3
+    assert gateway.hear_room("one", free=3.0) == []
+    again = gateway.hear_room("one", free=1.0, started=1)
+    assert len(builders.list_orders(again)) == 1
+
+
+def test_task_without_room_goes_elsewhere_under_a_higher_run():
+    gateway = build_gateway("one", "two")
+    (start,) = gateway.submit(builders.build_request())
+    name = gateway.sent[-1].peer.partition(":")[0]
+    refused = report(start.orders[0], "refused", "no room")
+    room = builders.build_room(2, free=0.0, started=1)
+    (again,) = gateway.hear(name, room, refused)
+    assert again.orders[0].name == messages.RunName("a1.0.0.0", 2)
+    assert gateway.sent[-1].peer.partition(":")[0] != name
+
+
+def test_stale_run_rises_above_the_highest_known():
+    gateway = build_gateway()
+    (start,) = gateway.submit(builders.build_request())
+    stale = report(start.orders[0], "stale", "7")
+    (again,) = gateway.hear("one", builders.build_room(2, started=1), stale)
+    assert again.orders[0].name.run == 8
+
+
+def test_task_that_fails_each_time_fails_its_job():
+    gateway = build_gateway("one", "two")
+    starts = gateway.submit(builders.build_request())
+    for number in range(2, 5):
+        name = gateway.sent[-1].peer.partition(":")[0]
+        failed = report(starts[0].orders[0], "failed")
+        starts = gateway.hear(name, builders.build_room(number, started=9), failed)
+    assert gateway.ended["a1"].outcome is dispatcher.Outcome.FAILED
+
+
+def test_failed_job_stops_its_other_tasks():
+    gateway = build_gateway()
+    queue = builders.build_queue(max_attempts=1)
+    request = builders.build_request(queue=queue, steps=[builders.build_step(2)])
+    (start,) = gateway.submit(request)
+    gateway.sent.clear()
+    failed = report(start.orders[0], "failed")
+    gateway.hear("one", builders.build_room(2, started=1), failed)
+    stops = [
+        item.message
+        for item in gateway.sent
+        if isinstance(item.message, messages.StopRuns)
+    ]
+    assert stops == [messages.StopRuns([start.orders[1].name])]
+
+
+def test_job_whose_caller_left_is_stopped():
+    gateway = build_gateway()
+    (start,) = gateway.submit(builders.build_request())
+    outcome = dispatcher.Outcome.ABANDONED
+    sent = gateway.step(dispatcher.Cancel("a1", outcome, "caller left"))
+    assert messages.StopRuns([start.orders[0].name]) in [item.message for item in sent]
+    assert gateway.ended["a1"].outcome is outcome
+
+
+def test_silent_sidecar_gets_no_runs():
+    gateway = build_gateway("one", "two")
+    gateway.now_ms += fleet.SILENCE_MS + 1
+    gateway.hear_room("two")
+    gateway.submit(builders.build_request())
+    assert gateway.sent[-1].peer == "two:1"
+
+
+def test_run_of_a_silent_sidecar_is_placed_again_only_after_its_lease():
+    gateway = build_gateway("one")
+    gateway.submit(builders.build_request())
+    gateway.find("one", "two")
+    since_ms = gateway.now_ms
+    while gateway.now_ms - since_ms <= fleet.RUNS_END_MS:
+        starts = gateway.hear_room("two")
+        assert starts == [], gateway.now_ms - since_ms
+        sent = gateway.wait(builders.STEP_MS)
+        if gateway.now_ms - since_ms <= fleet.RUNS_END_MS:
+            assert not [
+                item for item in sent if item.peer == "two:1" and is_start(item)
+            ]
+    found = [item for item in sent if is_start(item) and item.peer == "two:1"]
+    assert [item.message.orders[0].name.run for item in found] == [2]
+
+
+def is_start(item):
+    return isinstance(item.message, messages.StartRuns)
+
+
+def test_renewals_come_four_times_within_a_sidecars_patience():
+    gateway = build_gateway()
+    sent = gateway.wait(800)
+    keeps = [item for item in sent if isinstance(item.message, messages.KeepRuns)]
+    assert len(keeps) >= 4
+
+
+def test_unconfirmed_start_is_sent_again():
+    gateway = build_gateway()
+    (start,) = gateway.submit(builders.build_request())
+    for _ in range(20):
+        gateway.hear_room("one")
+        gateway.wait(builders.STEP_MS)
+    again = builders.list_starts(gateway.sent)[1:]
+    assert again
+    assert again[0].orders == start.orders
+
+
+def test_job_that_fits_nowhere_is_refused_at_once():
+    gateway = build_gateway(capacity=4.0, free=4.0)
+    gateway.submit(builders.build_request(steps=[builders.build_step(cores=5)]))
+    ended = gateway.ended["a1"]
+    assert ended.outcome is dispatcher.Outcome.REFUSED
+    assert "large enough" in ended.reason
+
+
+def test_refused_callers_are_told_different_times_to_come_back():
+    gateway = builders.Gateway()
+    for number in range(30):
+        gateway.submit(builders.build_request(f"j{number}"))
+    times = {ended.retry_after_ms for ended in gateway.ended.values()}
+    assert len(gateway.ended) == 30
+    assert len(times) > 20
+    assert max(times) - min(times) > dispatcher.RETRY_SPREAD_MS / 2
+
+
+def test_domain_out_of_service_gets_no_runs():
+    gateway = builders.Gateway()
+    gateway.find("one", "two", domains_out=["east"])
+    gateway.hear_room("one")
+    gateway.hear_room("two", failure_domain="west")
+    gateway.submit(builders.build_request(steps=[builders.build_step(4)]))
+    starts = [item for item in gateway.sent if is_start(item)]
+    assert {item.peer for item in starts} == {"two:1"}
+
+
+def test_large_need_at_the_head_is_not_passed_by_small_ones_for_ever():
+    """While small tasks keep coming, a task of half an upstream waits for one of two."""
+    gateway = build_gateway("one", "two", free=2.0)
+    large = builders.build_request("large", steps=[builders.build_step(1, 6, 100)])
+    gateway.submit(large)
+    gateway.submit(
+        builders.build_request("small", steps=[builders.build_step(1, 1, 400)])
+    )
+    assert builders.list_orders(builders.list_starts(gateway.sent)) == ["small.0.0.0"]
+    starts = gateway.hear_room("one", free=8.0, started=9)
+    starts += gateway.hear_room("two", free=8.0, started=9)
+    assert "large.0.0.0" in builders.list_orders(starts)
+
+
+def test_stalled_run_is_stopped_and_moved():
+    gateway = build_gateway("one", "two")
+    (start,) = gateway.submit(builders.build_request())
+    name = gateway.sent[-1].peer.partition(":")[0]
+    gateway.sent.clear()
+    still = report(start.orders[0], "running", elapsed_ms=200, percent=0)
+    gateway.hear(name, builders.build_room(2, started=1), still)
+    stops = [item.message for item in gateway.sent]
+    assert messages.StopRuns([start.orders[0].name]) in stops
+    stopped = report(start.orders[0], "stopped", "gateway asked")
+    gateway.hear(name, builders.build_room(3, started=1), stopped)
+    assert gateway.sent[-1].peer.partition(":")[0] != name
+
+
+def test_long_run_that_goes_on_is_left_alone():
+    gateway = build_gateway("one", "two")
+    (start,) = gateway.submit(builders.build_request())
+    name = gateway.sent[-1].peer.partition(":")[0]
+    gateway.sent.clear()
+    for number, percent in enumerate(range(5, 100, 5), 2):
+        going = report(
+            start.orders[0], "running", elapsed_ms=percent * 20, percent=percent
+        )
+        gateway.hear(name, builders.build_room(number, started=1), going)
+    kinds = {type(item.message) for item in gateway.sent}
+    assert messages.StopRuns not in kinds
+
+
+def test_runs_leave_an_upstream_that_is_slow_for_all_of_them():
+    gateway = build_gateway("slow")
+    (start,) = gateway.submit(builders.build_request(steps=[builders.build_step(4)]))
+    gateway.find("slow", "sound", "third")
+    gateway.hear_room("sound")
+    gateway.hear_room("third")
+    for number in range(2, 6):
+        going = [
+            report(order, "running", elapsed_ms=number * 30, percent=number * 4)
+            for order in start.orders
+        ]
+        gateway.hear("slow", builders.build_room(number, started=1), *going)
+    stops = [item for item in gateway.sent if type(item.message) is messages.StopRuns]
+    assert {name for item in stops for name in item.message.names} == {
+        order.name for order in start.orders
+    }
+
+
+def test_sidecar_that_fails_all_it_starts_is_left_after_few_tasks():
+    gateway = build_gateway("bad", "good", free=500.0, capacity=500.0)
+    sent_to = []
+    number = 1
+    for index in range(60):
+        starts = gateway.submit(builders.build_request(f"j{index}"))
+        for _ in range(3):
+            if not starts:
+                break
+            name = gateway.sent[-1].peer.partition(":")[0]
+            sent_to.append(name)
+            number += 1
+            state = "failed" if name == "bad" else "done"
+            room = builders.build_room(
+                number, started=number, free=500.0, capacity=500.0
+            )
+            found = report(starts[0].orders[0], state, elapsed_ms=100)
+            starts = gateway.hear(name, room, found)
+    assert sent_to.count("bad") <= 6
+    outcomes = {ended.outcome for ended in gateway.ended.values()}
+    assert outcomes == {dispatcher.Outcome.COMPLETED}
+
+
+def test_stopping_gateway_admits_only_what_ends_in_time():
+    gateway = build_gateway()
+    gateway.step(dispatcher.Drain(gateway.now_ms + 1_000))
+    gateway.submit(builders.build_request("short"))
+    gateway.submit(
+        builders.build_request("long", steps=[builders.build_step(1, 1, 900)])
+    )
+    assert list(gateway.ended) == ["long"]
+
+
+def test_restarted_sidecar_keeps_its_runs_in_doubt_until_it_speaks_of_them():
+    gateway = build_gateway()
+    (start,) = gateway.submit(builders.build_request())
+    room = builders.build_room(1, upstream="")
+    assert gateway.hear("one", room, incarnation=2, kept=0) == []
+    refused = report(start.orders[0], "refused", "order did not arrive")
+    (again,) = gateway.hear("one", builders.build_room(2), refused, incarnation=2)
+    assert again.orders[0].name.run == 2
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,257 @@
+"""The whole path over the platform's protocol: callers, operators and an upstream."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+
+from amaranthspar import (
+    controller,
+    jobgateway,
+    metering,
+    options,
+    places,
+    ports,
+    runsidecar,
+)
+from amaranthspar.platform import callers, operators, servers, statements, upstreams
+from tests import builders_platform as builders
+
+WAIT_S = 20
+JOB = "00ff00ff00ff00ff"
+HEADERS = {"Host": "desk.example"}
+
+
+class System:
+    """One controller, gateway, sidecar and upstream in this process."""
+
+    def __init__(self, folder) -> None:
+        found = ports.find_addresses(6)
+        control, gate, side = found[:3]
+        self.callers, self.operators, self.statements = found[3:]
+        self.upstream = builders.StandInUpstream()
+        self.controller = controller.Controller(
+            options.ProcessOptions("core", control, [control], "east"),
+            options.LinkOptions(),
+            options.ControllerOptions(
+                "c1",
+                [f"c1={control}"],
+                str(folder),
+                election_ms=100,
+                heartbeat_ms=20,
+            ),
+        )
+        meters = metering.Meters()
+        self.gateway = jobgateway.JobGateway(
+            places.Place("gate", gate, [control]), meters
+        )
+        self.sidecar = runsidecar.RunSidecar(
+            places.Place("side", side, [control]),
+            "quotes",
+            "east",
+            upstreams.Upstream(self.upstream.address, 1_000),
+            meters,
+        )
+        handler = callers.Callers(self.gateway)
+        told = statements.Statements(self.sidecar, "quotes")
+        requests = operators.Operators(self.controller.document_requests)
+        self.servers = {
+            self.callers: servers.Server(handler.handle),
+            self.operators: servers.Server(requests.handle),
+            self.statements: servers.Server(told.handle),
+        }
+
+    async def open(self) -> None:
+        await self.upstream.open()
+        for role in (self.controller, self.gateway, self.sidecar):
+            await role.start()
+        for address, server in self.servers.items():
+            await server.open(address)
+        self.session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        await self.session.close()
+        for server in self.servers.values():
+            await server.close()
+        self.gateway.close()
+        await self.sidecar.close()
+        self.controller.abort()
+        await self.upstream.close()
+
+    async def call(self, method, address, path, body=None):
+        """Return the status and the body of an answer."""
+        url = f"http://{address}{path}"
+        async with self.session.request(
+            method, url, data=body, headers=HEADERS
+        ) as response:
+            return response.status, await response.read()
+
+    async def wait_for(self, status, method, address, path, body=None):
+        """Repeat a call until it has a status, and return the body."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                found, answer = await self.call(method, address, path, body)
+                if found == status:
+                    return answer
+                await asyncio.sleep(0.02)
+
+    async def prepare(self) -> None:
+        """Put a configuration in force and have the upstream state itself."""
+        body = builders.build_configuration(1)
+        await self.wait_for(200, "POST", self.operators, operators.PUT_PATH, body)
+        path = f"{statements.PATH}i-1/heartbeat"
+        body = builders.build_heartbeat()
+        await self.wait_for(200, "POST", self.statements, path, body)
+        await self.wait_for(200, "GET", self.callers, "/quotes/")
+
+    async def submit(self, job=JOB, **changes):
+        body = builders.build_job(**changes)
+        return await self.call("POST", self.callers, f"/quotes/{job}", body)
+
+    async def submit_until_done(self, job=JOB, **changes):
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                status, body = await self.submit(job, **changes)
+                if status == 200:
+                    return json.loads(body)["State"]
+                await asyncio.sleep(0.02)
+
+
+def play(tmp_path, scenario) -> None:
+    async def run() -> None:
+        system = System(tmp_path)
+        await system.open()
+        try:
+            await system.prepare()
+            await scenario(system)
+        finally:
+            await system.close()
+
+    asyncio.run(run())
+
+
+def test_job_is_answered_once_all_its_tasks_have_run_once(tmp_path):
+    async def scenario(system) -> None:
+        assert await system.submit_until_done(count=3) == "completed"
+        tasks = [task for task, _ in system.upstream.starts]
+        assert sorted(tasks) == [f"{JOB}.0.0.{index}" for index in range(3)]
+
+    play(tmp_path, scenario)
+
+
+def test_job_whose_tasks_fail_each_time_is_shown_as_failed(tmp_path):
+    async def scenario(system) -> None:
+        system.upstream.fails = True
+        assert await system.submit_until_done(count=1) == "failed"
+        assert [run for _, run in system.upstream.starts] == [1, 2, 3]
+
+    play(tmp_path, scenario)
+
+
+def test_start_without_an_answer_runs_no_task_twice_at_once(tmp_path):
+    async def scenario(system) -> None:
+        system.upstream.task_s = 0.5
+        system.upstream.mute_starts = 1
+        assert await system.submit_until_done(count=1) == "completed"
+        assert len(system.upstream.runs) == 0
+
+    play(tmp_path, scenario)
+
+
+def test_runs_end_soon_after_their_caller_has_left(tmp_path):
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        system.upstream.task_s = 30.0
+        url = f"http://{system.callers}/quotes/{JOB[::-1]}"
+        body = builders.build_job(count=2)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await system.session.post(url, data=body, headers=HEADERS)
+        async with asyncio.timeout(WAIT_S):
+            while system.upstream.runs:
+                await asyncio.sleep(0.02)
+
+    play(tmp_path, scenario)
+
+
+def test_domain_taken_out_starts_nothing_until_it_is_back(tmp_path):
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        path = f"{operators.DOMAIN_PATH}east/"
+        status, _ = await system.call("POST", system.operators, f"{path}start")
+        assert status == 200
+        async with asyncio.timeout(WAIT_S):
+            while (await system.submit(JOB[::-1]))[0] == 200:
+                await asyncio.sleep(0.02)
+        count = len(system.upstream.starts)
+        status, body = await system.submit(JOB[::-1])
+        assert (status, json.loads(body)["outcome"]) == (503, "not-run")
+        assert len(system.upstream.starts) == count
+        await system.call("POST", system.operators, f"{path}finish")
+        assert await system.submit_until_done(JOB[::-1]) == "completed"
+
+    play(tmp_path, scenario)
+
+
+def test_highest_version_wins_and_a_resend_changes_nothing(tmp_path):
+    async def scenario(system) -> None:
+        newer = builders.build_configuration(5, routes=[])
+        for body in (newer, builders.build_configuration(3), newer):
+            status, _ = await system.call(
+                "POST", system.operators, operators.PUT_PATH, body
+            )
+            assert status == 200
+        other = builders.build_configuration(5)
+        await system.call("POST", system.operators, operators.PUT_PATH, other)
+        status, body = await system.call("GET", system.operators, operators.GET_PATH)
+        assert (status, body) == (200, newer)
+        await system.wait_for(404, "GET", system.callers, "/quotes/")
+
+    play(tmp_path, scenario)
+
+
+def test_bad_bodies_are_refused_and_change_nothing(tmp_path):
+    async def scenario(system) -> None:
+        put = await system.call("POST", system.operators, operators.PUT_PATH, b"{")
+        path = f"{statements.PATH}i-2/heartbeat"
+        beat = await system.call("POST", system.statements, path, b"\xff")
+        job = await system.call("POST", system.callers, f"/quotes/{JOB}", b"[")
+        assert [put[0], beat[0], job[0]] == [400, 400, 400]
+        assert await system.submit_until_done(count=1) == "completed"
+
+    play(tmp_path, scenario)
+
+
+def test_stored_jobs_are_refused_at_once_and_never_run(tmp_path):
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        count = len(system.upstream.starts)
+        status, body = await system.submit(JOB[::-1], BestEffort=False)
+        assert (status, json.loads(body)["outcome"]) == (503, "not-run")
+        assert len(system.upstream.starts) == count
+
+    play(tmp_path, scenario)
+
+
+def test_new_life_of_the_upstream_takes_over(tmp_path):
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        system.upstream.born = 2
+        path = f"{statements.PATH}i-1/heartbeat"
+        body = builders.build_heartbeat(1, born=2)
+        await system.call("POST", system.statements, path, body)
+        late = builders.build_heartbeat(99, born=1)
+        await system.call("POST", system.statements, path, late)
+        assert await system.submit_until_done(JOB[::-1], count=2) == "completed"
+
+    play(tmp_path, scenario)
+
+
+def test_higher_fence_is_passed(tmp_path):
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        system.upstream.fence += 1_000
+        assert await system.submit_until_done(JOB[::-1], count=1) == "completed"
+
+    play(tmp_path, scenario)
--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,148 @@
+"""Tests of the platform's bodies and settings."""
+
+import pytest
+
+from amaranthspar import errors, messages
+from amaranthspar.platform import settings, wire
+from tests import builders_platform as builders, builders_scheduling
+
+QUEUE = builders_scheduling.build_queue()
+
+
+def test_settings_are_read_and_unknown_keys_ignored():
+    found = settings.parse_settings(builders.SETTINGS)
+    assert found.host == "front-east-1"
+    assert found.failure_domain == "east"
+    assert found.is_first_start
+    assert (found.grace_ms, found.hold_ms) == (6_000, 1_000)
+    assert found.find_link_address("gateway") == "127.0.0.1:7721"
+    assert found.list_controllers() == ["127.0.0.1:7720", "127.0.0.2:7720"]
+
+
+def test_every_fault_of_the_settings_is_named():
+    text = builders.SETTINGS.replace("Ip=127.0.0.1\n", "").replace(
+        "GraceS=6", "GraceS=x"
+    )
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse_settings(text)
+    assert caught.value.faults == ["Ip: missing", "Bounds.GraceS = x: not a number"]
+
+
+def test_job_becomes_a_request():
+    job = wire.decode_job(builders.build_job(3), "00ff00ff00ff00ff", QUEUE)
+    assert not job.unsupported
+    (step,) = job.request.steps
+    assert (step.count, step.estimate_ms) == (3, 50)
+    assert step.needs == messages.Resources(1000, 64, 0)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"Spec":1,"Steps":[]}',
+        b'{"Steps":[]}',
+        b'{"Steps":[{"Count":0}]}',
+        b'{"Steps":[{"Count":1,"After":[0]}]}',
+        b'{"Steps":[{"Count":1,"After":[-1]}]}',
+        b'{"Steps":[{"Count":1,"Cpu":-1}]}',
+        b'{"Steps":[{"Count":1000000}]}',
+        b"[" * 100_000,
+    ],
+)
+def test_body_that_is_no_job_is_refused(body):
+    with pytest.raises(wire.BodyError):
+        wire.decode_job(body, "00ff00ff00ff00ff", QUEUE)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"BestEffort": False},
+        {"Persistent": True},
+        {"RepeatCount": 2},
+        {"Steps": [{"Count": 2, "Gang": True}]},
+    ],
+)
+def test_what_is_not_offered_is_named(changes):
+    job = wire.decode_job(builders.build_job(**changes), "00ff00ff00ff00ff", QUEUE)
+    assert job.unsupported
+
+
+def test_configuration_becomes_a_table():
+    table = wire.decode_configuration(builders.build_configuration(7))
+    assert table.version == 7
+    route = table.find("DESK.example:8080", "/quotes/00ff")
+    assert route.queue.stretch == 1.6
+    assert table.find("desk.example", "/quote") is None
+    assert table.find("other.example", "/quotes/") is None
+
+
+def test_longest_prefix_wins():
+    routes = [
+        builders.build_route(),
+        builders.build_route(Name="r-2", PathPrefix="/quotes/rush/"),
+    ]
+    table = wire.decode_configuration(builders.build_configuration(routes=routes))
+    assert table.find("desk.example", "/quotes/rush/1").queue.name == "r-2"
+    assert table.find("desk.example", "/quotes/1").queue.name == "r-1"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        builders.build_configuration()[:-20],
+        builders.build_configuration(routes=[builders.build_route(Service="none")]),
+        builders.build_configuration(routes=[builders.build_route(TimeoutMs=0)]),
+        builders.build_configuration(
+            routes=[builders.build_route(), builders.build_route(Name="r-2")]
+        ),
+        builders.build_configuration("one"),
+        builders.build_configuration(-2),
+    ],
+)
+def test_configuration_with_a_fault_is_refused(body):
+    with pytest.raises(wire.BodyError):
+        wire.decode_configuration(body)
+
+
+def test_heartbeat_states_the_upstream():
+    stated = wire.decode_heartbeat(builders.build_heartbeat(4, 9, State="draining"))
+    assert (stated.sequence, stated.born_ms, stated.is_leaving) == (4, 9, True)
+    assert stated.capacity == messages.Resources(8000, 8192, 0)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"State": "dancing"},
+        {"Seq": "4"},
+        {"Capacity": None},
+        {"Capacity": {"Cpu": "many"}},
+        {"born": 1.5},
+    ],
+)
+def test_heartbeat_of_another_writer_is_refused(changes):
+    with pytest.raises(wire.BodyError):
+        wire.decode_heartbeat(builders.build_heartbeat(**changes))
+
+
+def test_list_of_runs_is_read():
+    body = (
+        b'{"ClockMs":5,"born":3,"Running":[["t.0.0.1",2,"s",41,0]],'
+        b'"Ended":[[58,"t.0.0.9",1,"done",""]]}'
+    )
+    found = wire.decode_listing(body)
+    assert (found.clock_ms, found.born_ms, found.last) == (5, 3, 58)
+    assert found.running[0].name == messages.RunName("t.0.0.1", 2)
+    assert found.ends[0].how == "done"
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"ClockMs":5,"Running":[["t"]]}', b'{"ClockMs":5,"Ended":1}']
+)
+def test_list_that_cannot_be_read_is_an_error(body):
+    with pytest.raises(wire.BodyError):
+        wire.decode_listing(body)
--- /dev/null
+++ b/tests/test_scheduling_fuzz.py
@@ -0,0 +1,286 @@
+"""Random faults in a small world of gateways, sidecars and upstreams, with an oracle.
+
+The oracle looks at the fake upstreams only: no task may run on two of them at once, and
+a job is complete only if each of its tasks was done.
+"""
+
+import os
+import random
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from amaranthspar import effects
+from amaranthspar.scheduling import dispatcher, keeper
+from tests import builders_scheduling as builders
+
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
+SIDECARS = 3
+CORES = 4
+DELAY_MS = 30
+RUN_MS = (20, 60, 200, 700, 1_500)
+
+
+@attrs.define
+class Place:
+    """A sidecar's process, its upstream and what is wrong with them."""
+
+    name: str
+    upstream: builders.FakeUpstream
+    keeper: keeper.Keeper
+    incarnation: int = 1
+    fence: int = 1
+    seen: int = 0
+    held_ms: int = 0
+    frozen_ms: int = 0
+    late_calls: float = 0.0
+
+
+class World:
+    """Everything, with messages that are delayed and lost."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.now_ms = 1_000
+        self.gateway = dispatcher.Dispatcher(random.Random(seed))
+        self.done: dict[str, set[str]] = {}
+        self.ended: dict[str, dispatcher.Ended] = {}
+        self.mail: list[tuple[int, int, object]] = []
+        self.cut: set[str] = set()
+        self.loss = 0.0
+        self.count = 0
+        self.places = {
+            name: Place(
+                name,
+                builders.FakeUpstream(name, CORES),
+                keeper.Keeper(builders.SERVICE, domain),
+            )
+            for name, domain in zip("xyz"[:SIDECARS], builders.DOMAINS, strict=False)
+        }
+        peers = tuple(builders.build_peer(name) for name in self.places)
+        self.run_gateway(dispatcher.Found(peers, frozenset()))
+
+    def post(self, action, delay_ms=None) -> None:
+        self.count += 1
+        delay_ms = self.chance.randint(1, DELAY_MS) if delay_ms is None else delay_ms
+        self.mail.append((self.now_ms + delay_ms, self.count, action))
+
+    def run_gateway(self, event) -> None:
+        for effect in self.gateway.step(event, self.now_ms):
+            match effect:
+                case effects.Send(peer=peer, message=message):
+                    name = peer.partition(":")[0]
+                    if name in self.cut or self.chance.random() < self.loss:
+                        continue
+                    self.post(lambda n=name, m=message: self.deliver(n, m))
+                case dispatcher.Ended():
+                    self.end(effect)
+
+    def end(self, ended) -> None:
+        self.ended[ended.job] = ended
+        if ended.outcome is dispatcher.Outcome.COMPLETED:
+            count = int(ended.job.partition("-")[2])
+            assert len(self.done.get(ended.job, set())) == count
+
+    def deliver(self, name, message) -> None:
+        place = self.places[name]
+        if self.now_ms < place.frozen_ms:
+            delay_ms = place.frozen_ms - self.now_ms
+            self.post(lambda: self.deliver(name, message), delay_ms)
+            return
+        sender = keeper.Sender("gate", 1, "gate:1")
+        self.run_sidecar(place, keeper.Asked(sender, message))
+
+    def run_sidecar(self, place, event) -> None:
+        for effect in place.keeper.step(event, self.now_ms):
+            match effect:
+                case keeper.Tell(reports=reports):
+                    if place.name in self.cut or self.chance.random() < self.loss:
+                        continue
+                    heard = dispatcher.Heard(
+                        place.name, place.incarnation, f"{place.name}:1", reports
+                    )
+                    self.post(lambda h=heard: self.run_gateway(h))
+                case keeper.CallStart(order=order):
+                    self.call_start(place, order)
+                case keeper.CallStop(name=name):
+                    self.call_stop(place, name)
+
+    def call_start(self, place, order) -> None:
+        until_ms = self.now_ms + 600
+        args = (place.fence, order.name, until_ms)
+        duration_ms = self.chance.choice(RUN_MS)
+        fails = self.chance.random() < 0.1
+        incarnation = place.incarnation
+
+        def carry_out():
+            return place.upstream.start(*args, duration_ms, fails, self.now_ms)
+
+        def answer(found):
+            if place.incarnation == incarnation:
+                event = keeper.StartAnswered(order.name, found)
+                self.run_sidecar(place, event)
+
+        if self.chance.random() < place.late_calls:
+            self.post(carry_out, self.chance.randint(300, 4_000))
+            self.post(lambda: answer(keeper.Answer.SILENT), 250)
+        elif self.chance.random() < place.late_calls:
+            self.post(carry_out, 1)
+            self.post(lambda: answer(keeper.Answer.SILENT), 250)
+        else:
+            self.post(lambda: answer(carry_out()), 2)
+
+    def call_stop(self, place, name) -> None:
+        fence = place.fence
+        incarnation = place.incarnation
+        is_lost = self.chance.random() < place.late_calls
+
+        def carry_out():
+            place.upstream.stop(fence, name)
+
+        def answer():
+            if not is_lost:
+                carry_out()
+            found = keeper.Answer.SILENT if is_lost else keeper.Answer.TAKEN
+            if place.incarnation == incarnation:
+                self.run_sidecar(place, keeper.StopAnswered(name, found))
+
+        if is_lost:
+            self.post(carry_out, self.chance.randint(300, 4_000))
+        self.post(answer, 250 if is_lost else 2)
+
+    def hold(self, place) -> None:
+        place.held_ms = self.now_ms
+        if self.chance.random() < place.late_calls:
+            return
+        until_ms = self.now_ms + builders.HOLD_MS
+        upstream = place.upstream
+        found = upstream.hold(place.fence, place.seen, until_ms, self.now_ms)
+        if found is None:
+            place.fence += 16
+            return
+        if place.keeper.upstream is None:
+            self.state(place)
+        running, ends = found
+        place.seen = max((number for number, _ in ends), default=place.seen)
+        for _, item in ends:
+            if item.how == "done":
+                job = item.name.task.partition(".")[0]
+                self.done.setdefault(job, set()).add(item.name.task)
+        listed = keeper.Listed(self.now_ms, running, tuple(end for _, end in ends))
+        self.run_sidecar(place, listed)
+
+    def state(self, place) -> None:
+        upstream = place.upstream
+        known = keeper.UpstreamKnown(
+            upstream.incarnation, upstream.capacity, ("a",), False
+        )
+        self.run_sidecar(place, known)
+
+    def restart_sidecar(self, place) -> None:
+        place.incarnation += 1
+        place.fence += 1
+        place.seen = 0
+        place.keeper = keeper.Keeper(builders.SERVICE, "east")
+
+    def crash_upstream(self, place) -> None:
+        place.upstream.crash()
+        place.seen = 0
+        self.run_sidecar(place, keeper.UpstreamGone("another life answered"))
+
+    def submit(self, count) -> None:
+        name = f"j{len(self.ended) + len(self.gateway.jobs)}n{self.now_ms}-{count}"
+        step = builders.build_step(count, self.chance.choice((1, 2)), 100)
+        request = builders.build_request(name, steps=[step])
+        self.run_gateway(dispatcher.Submit(request))
+
+    def advance(self, time_ms) -> None:
+        end_ms = self.now_ms + time_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 10
+            due = sorted(item[:2] for item in self.mail if item[0] <= self.now_ms)
+            actions = {item[:2]: item[2] for item in self.mail}
+            self.mail = [item for item in self.mail if item[0] > self.now_ms]
+            for key in due:
+                actions[key]()
+            for place in self.places.values():
+                place.upstream.advance(self.now_ms)
+                if self.now_ms < place.frozen_ms:
+                    continue
+                self.run_sidecar(place, keeper.Tick())
+                if self.now_ms - place.held_ms >= 60:
+                    self.hold(place)
+            self.run_gateway(dispatcher.Tick())
+            self.check()
+
+    def check(self) -> None:
+        running = [
+            task for place in self.places.values() for task in place.upstream.runs
+        ]
+        assert len(running) == len(set(running)), sorted(running)
+        for place in self.places.values():
+            used = sum(
+                place.keeper.runs[task].needs.cpu_millis
+                for task in place.upstream.runs
+                if task in place.keeper.runs
+            )
+            assert used <= place.upstream.capacity.cpu_millis
+
+
+ACTIONS = strategies.one_of(
+    strategies.tuples(strategies.just("submit"), strategies.integers(1, 6)),
+    strategies.tuples(strategies.just("advance"), strategies.integers(5, 1_500)),
+    strategies.tuples(strategies.just("cut"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("join"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("restart"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("crash"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("freeze"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("late"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("loss"), strategies.integers(0, 3)),
+)
+
+
+def apply(world, action, value) -> None:
+    match action:
+        case "submit":
+            world.submit(value)
+        case "advance":
+            world.advance(value)
+        case "cut":
+            world.cut.add(value)
+        case "join":
+            world.cut.discard(value)
+        case "restart":
+            world.restart_sidecar(world.places[value])
+        case "crash":
+            world.crash_upstream(world.places[value])
+        case "freeze":
+            world.places[value].frozen_ms = world.now_ms + 1_300
+        case "late":
+            place = world.places[value]
+            place.late_calls = 0.0 if place.late_calls else 0.3
+        case "loss":
+            world.loss = value / 10
+
+
+@hypothesis.settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=not os.environ.get("FUZZ_EXAMPLES"),
+)
+@hypothesis.given(
+    strategies.integers(0, 2**32), strategies.lists(ACTIONS, min_size=5, max_size=25)
+)
+def test_no_task_runs_twice_at_once_and_every_job_ends(seed, actions):
+    world = World(seed)
+    world.advance(200)
+    for action, value in actions:
+        apply(world, action, value)
+    world.cut.clear()
+    world.loss = 0.0
+    for place in world.places.values():
+        place.late_calls = 0.0
+    submitted = set(world.gateway.jobs) | set(world.ended)
+    world.advance(12_000)
+    assert set(world.ended) == submitted
