Let tasks wait rather than go to a slow or failing upstream

Ruled out: the estimate of slowness, which named the right two. Change: a task waits for a sidecar that is neither slow nor failing nor one it has left before, while any such sidecar may run it at all. Tests: test_gateway_dispatch and test_scheduling_fuzz, 23 passed.

--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -251,7 +251,8 @@
         """Return the sidecar that should run a task, nothing if none has room.
 
         A task goes where it is expected to end first; equals are told apart by load
-        and chance. Slow or failing sidecars come only after all others.
+        and chance. It waits rather than go to a sidecar that is slow, fails or has
+        failed it, unless there is no other.
 
         Args:
             task: Task that waits.
@@ -260,16 +261,33 @@
         """
         best: Sidecar | None = None
         best_score = 0.0
-        for sidecar in self.list_open(task.job.request.queue.service, now_ms):
-            if sidecar.name in reserved or not may_run(task, sidecar):
+        for sidecar in self.list_candidates(task, now_ms):
+            if sidecar.name in reserved:
                 continue
             if not resources.fits(task.definition.needs, sidecar.read_free()):
                 continue
-            score = self._rate(task, sidecar, now_ms)
+            score = self._rate(task, sidecar)
             if best is None or score < best_score:
                 best, best_score = sidecar, score
         return best
 
+    def list_candidates(self, task: jobs.Task, now_ms: int) -> list[Sidecar]:
+        """Return the sidecars that a task should wait for.
+
+        Args:
+            task: Task that waits.
+            now_ms: Current time in ms.
+        """
+        service = task.job.request.queue.service
+        able = [
+            sidecar
+            for sidecar in self.list_open(service, now_ms)
+            if may_run(task, sidecar)
+        ]
+        sound = [item for item in able if not item.is_suspect(now_ms)]
+        preferred = [item for item in sound if item.name not in task.avoided]
+        return preferred or sound or able
+
     def find_roomiest(
         self, task: jobs.Task, reserved: set[str], now_ms: int
     ) -> Sidecar | None:
@@ -282,14 +300,12 @@
         """
         found = [
             sidecar
-            for sidecar in self.list_open(task.job.request.queue.service, now_ms)
+            for sidecar in self.list_candidates(task, now_ms)
             if sidecar.name not in reserved
-            and may_run(task, sidecar)
-            and not sidecar.is_suspect(now_ms)
         ]
         return max(found, key=lambda item: item.read_free().cpu_millis, default=None)
 
-    def _rate(self, task: jobs.Task, sidecar: Sidecar, now_ms: int) -> float:
+    def _rate(self, task: jobs.Task, sidecar: Sidecar) -> float:
         assert sidecar.room is not None
         duration = max(sidecar.relative_slowness, FASTEST)
         rack = task.definition.data_rack
@@ -298,12 +314,7 @@
         free = sidecar.read_free()
         used = resources.subtract(sidecar.room.capacity, free)
         share = resources.read_share(used, sidecar.room.capacity)
-        score = duration + USED_WEIGHT * share + JITTER * self._chance.random()
-        if sidecar.is_suspect(now_ms):
-            score += MAX_SLOWNESS
-        if sidecar.name in task.avoided:
-            score += MAX_SLOWNESS
-        return score
+        return duration + USED_WEIGHT * share + JITTER * self._chance.random()
 
 
 def may_run(task: jobs.Task, sidecar: Sidecar) -> bool:
