--- a/amaranthspar/jobgateway.py
+++ b/amaranthspar/jobgateway.py
@@ -19,7 +19,7 @@
     options,
     places,
 )
-from amaranthspar.scheduling import dispatcher, jobs
+from amaranthspar.scheduling import dispatcher, jobevents, jobs
 
 TICK_MS = 10
 """Interval of the gateway's clock; well below the least objective of a job."""
@@ -67,9 +67,9 @@
             place.name, self._incarnation, place.listen, self._receive, section
         )
         self._links.end_burst = self._end_burst
-        self._heard: list[dispatcher.Heard] = []
+        self._heard: list[jobevents.Heard] = []
         self._callers: collections.Counter[str] = collections.Counter()
-        self._ends: dict[str, asyncio.Future[dispatcher.Ended]] = {}
+        self._ends: dict[str, asyncio.Future[jobevents.Ended]] = {}
         self._ticking: asyncio.Task[None] | None = None
         self._was_in_touch = False
         self._started_ms = 0
@@ -127,7 +127,7 @@
         """
         self._announcer.note_leaving()
         until_ms = self._clock.read_monotonic() + time_ms
-        self._step(dispatcher.Drain(until_ms))
+        self._step(jobevents.Drain(until_ms))
 
     def abandon_all(self, why: str) -> None:
         """End every job without a result, so that its caller sends it again.
@@ -137,11 +137,11 @@
         """
         for name, job in list(self._dispatcher.jobs.items()):
             outcome = (
-                dispatcher.Outcome.ABANDONED
+                jobevents.Outcome.ABANDONED
                 if job.is_offered
-                else dispatcher.Outcome.REFUSED
+                else jobevents.Outcome.REFUSED
             )
-            self._step(dispatcher.Cancel(name, outcome, why))
+            self._step(jobevents.Cancel(name, outcome, why))
 
     def close(self) -> None:
         """End the links."""
@@ -149,7 +149,7 @@
             self._ticking.cancel()
         self._links.close()
 
-    async def submit(self, request: jobs.Request) -> dispatcher.Ended:
+    async def submit(self, request: jobs.Request) -> jobevents.Ended:
         """Admit a job and wait for its end.
 
         A job that is already here is not admitted again: both callers get its end.
@@ -161,7 +161,7 @@
         if future is None:
             future = asyncio.get_running_loop().create_future()
             self._ends[request.id] = future
-            self._step(dispatcher.Submit(request))
+            self._step(jobevents.Submit(request))
         self._callers[request.id] += 1
         try:
             return await asyncio.shield(future)
@@ -176,9 +176,9 @@
 
     def _leave(self, job: str) -> None:
         """End a job whose last caller has gone."""
-        outcome = dispatcher.Outcome.ABANDONED
+        outcome = jobevents.Outcome.ABANDONED
         _log.info("caller left", request=job)
-        self._step(dispatcher.Cancel(job, outcome, "caller left"))
+        self._step(jobevents.Cancel(job, outcome, "caller left"))
 
     def find_state(self, job: str) -> str:
         """Return whether a job is queued or running, empty if it is not here.
@@ -203,7 +203,7 @@
         """
         if job not in self._dispatcher.jobs:
             return False
-        self._step(dispatcher.Cancel(job, dispatcher.Outcome.CANCELLED, why))
+        self._step(jobevents.Cancel(job, jobevents.Outcome.CANCELLED, why))
         return True
 
     def count_waiting(self, queue: str) -> int:
@@ -225,7 +225,7 @@
                 self._was_in_touch = is_in_touch
                 event = "controllers heard" if is_in_touch else "controllers silent"
                 _log.info(event, version=self.version)
-            self._step(dispatcher.Tick())
+            self._step(jobevents.Tick())
             if not self._known.is_set():
                 self._note_known()
             self.meters.waiting.set(len(self._dispatcher.waiting))
@@ -235,7 +235,7 @@
             match message:
                 case messages.RunReports():
                     self._heard.append(
-                        dispatcher.Heard(
+                        jobevents.Heard(
                             frame.sender, frame.incarnation, frame.address, message
                         )
                     )
@@ -263,25 +263,25 @@
         )
         if changed.document is not None:
             self.document = changed.document
-        self._step(dispatcher.Found(changed.peers, changed.domains_out))
+        self._step(jobevents.Found(changed.peers, changed.domains_out))
 
     def _note_known(self) -> None:
         sidecars = self._dispatcher.fleet.sidecars.values()
         if self.document and any(item.room and item.room.upstream for item in sidecars):
             self._known.set()
 
-    def _step(self, event: dispatcher.Event) -> None:
+    def _step(self, event: jobevents.Event) -> None:
         now_ms = self._clock.read_monotonic()
         for effect in self._dispatcher.step(event, now_ms):
             match effect:
                 case effects.Send(peer=peer, message=message):
                     self._links.send(peer, message)
-                case dispatcher.Ended():
+                case jobevents.Ended():
                     self._finish(effect)
-                case dispatcher.Decided(event=name, job=job, details=details):
+                case jobevents.Decided(event=name, job=job, details=details):
                     _log.info(name, request=job, **dict(details))
 
-    def _finish(self, ended: dispatcher.Ended) -> None:
+    def _finish(self, ended: jobevents.Ended) -> None:
         future = self._ends.pop(ended.job, None)
         if future is not None and not future.done():
             future.set_result(ended)
--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -8,7 +8,7 @@
 
 from amaranthspar import clock, jobgateway
 from amaranthspar.platform import servers, wire
-from amaranthspar.scheduling import dispatcher, jobs, routes
+from amaranthspar.scheduling import jobevents, jobs, routes
 
 OUTCOME_HEADER = "Amaranthspar-Outcome"
 RETRY_MIN_S = 1
@@ -110,12 +110,12 @@
             version=version,
         )
         match ended.outcome:
-            case dispatcher.Outcome.COMPLETED | dispatcher.Outcome.FAILED:
+            case jobevents.Outcome.COMPLETED | jobevents.Outcome.FAILED:
                 return _answer({"State": ended.outcome.value}, "done")
-            case dispatcher.Outcome.REFUSED:
+            case jobevents.Outcome.REFUSED:
                 pause_s = max(RETRY_MIN_S, math.ceil(ended.retry_after_ms / 1000))
                 return _refuse(ended.reason, pause_s)
-            case dispatcher.Outcome.CANCELLED:
+            case jobevents.Outcome.CANCELLED:
                 return _answer({"State": "cancelled"}, "unknown")
             case _:
                 response = servers.answer_json(502)
--- a/amaranthspar/platform/statements.py
+++ b/amaranthspar/platform/statements.py
@@ -5,7 +5,7 @@
 
 from amaranthspar import runsidecar
 from amaranthspar.platform import servers, upstreams, wire
-from amaranthspar.scheduling import keeper
+from amaranthspar.scheduling import runevents
 
 PATH = "/amaranthspar/instances/"
 
@@ -52,7 +52,7 @@
         if self._service and stated.service != self._service:
             _log.info("unknown service", upstream=name, service=stated.service)
             return servers.answer_json(400)
-        known = keeper.UpstreamKnown(
+        known = runevents.UpstreamKnown(
             upstreams.build_incarnation(name, stated.born_ms),
             stated.capacity,
             stated.labels,
--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -4,7 +4,7 @@
 
 from amaranthspar import clock, messages, runsidecar
 from amaranthspar.platform import wire
-from amaranthspar.scheduling import keeper
+from amaranthspar.scheduling import runevents
 
 START_PATH = "/amaranthspar/run-start"
 STOP_PATH = "/amaranthspar/run-stop"
@@ -30,10 +30,10 @@
 _INVALID = 400
 _UNHEALTHY = (429, 503)
 _REASONS = {
-    "old": keeper.Answer.STALE,
-    "late": keeper.Answer.LATE,
-    "room": keeper.Answer.ROOM,
-    "ticket": keeper.Answer.INVALID,
+    "old": runevents.Answer.STALE,
+    "late": runevents.Answer.LATE,
+    "room": runevents.Answer.ROOM,
+    "ticket": runevents.Answer.INVALID,
 }
 _FENCE_REASON = "fence"
 
@@ -62,7 +62,7 @@
         order: messages.RunOrder,
         spec: str,
         fence: int,
-    ) -> keeper.Answer:
+    ) -> runevents.Answer:
         """Start a run.
 
         Raises:
@@ -74,7 +74,7 @@
 
     async def stop(
         self, life: runsidecar.Registration, name: messages.RunName, fence: int
-    ) -> keeper.Answer:
+    ) -> runevents.Answer:
         """Stop a run and bar it.
 
         Raises:
@@ -144,24 +144,24 @@
 
     async def _call(
         self, life: runsidecar.Registration, path: str, body: bytes, timeout_ms: int
-    ) -> keeper.Answer:
+    ) -> runevents.Answer:
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
         try:
             status, data = await self._post(self._calls, life, path, body, timeout)
         except runsidecar.SilentError:
-            return keeper.Answer.SILENT
+            return runevents.Answer.SILENT
         if status == _OK:
-            return keeper.Answer.TAKEN
+            return runevents.Answer.TAKEN
         if status == _OTHER_LIFE:
-            return keeper.Answer.REPLACED
+            return runevents.Answer.REPLACED
         if status in _UNHEALTHY:
-            return keeper.Answer.UNHEALTHY
+            return runevents.Answer.UNHEALTHY
         if status == _INVALID:
-            return keeper.Answer.INVALID
+            return runevents.Answer.INVALID
         reason = wire.decode_answer(data)[1]
         if status == _CONFLICT and reason == _FENCE_REASON:
             raise runsidecar.FenceError("the upstream has seen a higher fence")
-        return _REASONS.get(reason, keeper.Answer.SILENT)
+        return _REASONS.get(reason, runevents.Answer.SILENT)
 
     async def _post(
         self,
--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from amaranthspar import errors, messages
-from amaranthspar.scheduling import jobs, keeper, routes
+from amaranthspar.scheduling import jobs, routes, runevents
 
 MAX_TASKS = 100_000
 """Most tasks of one job; far above the 1,200 of the largest known job."""
@@ -143,8 +143,8 @@
     clock_ms: int
     born_ms: int
     last: int
-    running: tuple[keeper.Progress, ...]
-    ends: tuple[keeper.End, ...]
+    running: tuple[runevents.Progress, ...]
+    ends: tuple[runevents.End, ...]
 
 
 _jobs = msgspec.json.Decoder(_Job)
@@ -291,13 +291,13 @@
     try:
         body = _listings.decode(data)
         running = tuple(
-            keeper.Progress(
+            runevents.Progress(
                 messages.RunName(str(row[0]), int(row[1])), str(row[2]), int(row[3])
             )
             for row in body.running
         )
         ends = tuple(
-            keeper.End(
+            runevents.End(
                 messages.RunName(str(row[1]), int(row[2])), str(row[3]), str(row[4])
             )
             for row in body.ended
--- a/amaranthspar/runsidecar.py
+++ b/amaranthspar/runsidecar.py
@@ -17,7 +17,7 @@
     options,
     places,
 )
-from amaranthspar.scheduling import keeper
+from amaranthspar.scheduling import keeper, runevents
 
 TICK_MS = 20
 """Interval of the sidecar's clock."""
@@ -63,7 +63,7 @@
     id: str
     born_ms: int
     sequence: int
-    known: keeper.UpstreamKnown
+    known: runevents.UpstreamKnown
 
 
 @attrs.frozen(slots=True)
@@ -81,8 +81,8 @@
     incarnation: str
     last: int
     lease_end_ms: int
-    running: tuple[keeper.Progress, ...]
-    ends: tuple[keeper.End, ...]
+    running: tuple[runevents.Progress, ...]
+    ends: tuple[runevents.End, ...]
 
 
 class Upstream(Protocol):
@@ -90,7 +90,7 @@
 
     async def start(
         self, life: Registration, order: messages.RunOrder, spec: str, fence: int
-    ) -> keeper.Answer:
+    ) -> runevents.Answer:
         """Start a run.
 
         Raises:
@@ -99,7 +99,7 @@
 
     async def stop(
         self, life: Registration, name: messages.RunName, fence: int
-    ) -> keeper.Answer:
+    ) -> runevents.Answer:
         """Stop a run and bar it.
 
         Raises:
@@ -194,7 +194,7 @@
     def drain(self) -> None:
         """Take no new runs and hold those under way."""
         self._announcer.note_leaving()
-        self._step(keeper.Leave())
+        self._step(runevents.Leave())
 
     async def close(self) -> None:
         """End the links and the calls."""
@@ -256,17 +256,17 @@
                 self._was_in_touch = is_in_touch
                 event = "controllers heard" if is_in_touch else "controllers silent"
                 _log.info(event)
-            self._step(keeper.Tick())
+            self._step(runevents.Tick())
             self._meters.running.set(len(self._keeper.runs))
 
     def _receive(self, frame: codec.Frame) -> None:
         for message in frame.messages:
             match message:
                 case messages.StartRuns() | messages.StopRuns() | messages.KeepRuns():
-                    sender = keeper.Sender(
+                    sender = runevents.Sender(
                         frame.sender, frame.incarnation, frame.address
                     )
-                    self._step(keeper.Asked(sender, message))
+                    self._step(runevents.Asked(sender, message))
                 case messages.View():
                     self._take_view(frame.address, message)
                 case _:
@@ -281,19 +281,19 @@
         _log.info(
             "view changed", source=address, domains_out=sorted(changed.domains_out)
         )
-        self._step(keeper.DomainChanged(is_out))
+        self._step(runevents.DomainChanged(is_out))
 
-    def _step(self, event: keeper.Event) -> None:
+    def _step(self, event: runevents.Event) -> None:
         now_ms = self._clock.read_monotonic()
         for effect in self._keeper.step(event, now_ms):
             match effect:
-                case keeper.CallStart():
+                case runevents.CallStart():
                     self._run(self._call_start(effect))
-                case keeper.CallStop(name=name):
+                case runevents.CallStop(name=name):
                     self._run(self._call_stop(name))
-                case keeper.Tell(address=address, reports=reports):
+                case runevents.Tell(address=address, reports=reports):
                     self._links.send(address, reports)
-                case keeper.Decided(event=name, task=task, run=run, reason=reason):
+                case runevents.Decided(event=name, task=task, run=run, reason=reason):
                     _log.info(
                         name,
                         request=task.partition(".")[0],
@@ -307,11 +307,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _call_start(self, call: keeper.CallStart) -> None:
+    async def _call_start(self, call: runevents.CallStart) -> None:
         name = call.order.name
         life = self._life
         if life is None:
-            self._step(keeper.StartAnswered(name, keeper.Answer.REPLACED))
+            self._step(runevents.StartAnswered(name, runevents.Answer.REPLACED))
             return
         began_ms = self._clock.read_monotonic()
         try:
@@ -320,10 +320,10 @@
             )
         except FenceError:
             self._raise_fence()
-            answer = keeper.Answer.UNHEALTHY
+            answer = runevents.Answer.UNHEALTHY
         took_ms = self._clock.read_monotonic() - began_ms
         self._meters.starts.observe(took_ms / 1000)
-        if answer is not keeper.Answer.TAKEN:
+        if answer is not runevents.Answer.TAKEN:
             _log.info(
                 "start answered",
                 request=name.task.partition(".")[0],
@@ -332,19 +332,19 @@
                 answer=answer.value,
                 took_ms=took_ms,
             )
-        self._step(keeper.StartAnswered(name, answer))
+        self._step(runevents.StartAnswered(name, answer))
 
     async def _call_stop(self, name: messages.RunName) -> None:
         life = self._life
-        answer = keeper.Answer.REPLACED
+        answer = runevents.Answer.REPLACED
         if life is not None:
             try:
                 answer = await self._upstream.stop(life, name, self._fence)
             except FenceError:
                 self._raise_fence()
-                answer = keeper.Answer.SILENT
+                answer = runevents.Answer.SILENT
                 await asyncio.sleep(PAUSE_MS / 1000)
-        self._step(keeper.StopAnswered(name, answer))
+        self._step(runevents.StopAnswered(name, answer))
 
     async def _hold(self) -> None:
         """Renew the lease for as long as there is an upstream."""
@@ -375,7 +375,7 @@
                 now_ms = self._clock.read_monotonic()
                 lapse_ms = self._upstream.find_lease_end_ms() + LAPSE_MARGIN_MS
                 if now_ms > lapse_ms and self._keeper.upstream is not None:
-                    self._step(keeper.UpstreamGone("lease has run out"))
+                    self._step(runevents.UpstreamGone("lease has run out"))
                 await asyncio.sleep(PAUSE_MS / 1000)
                 continue
             newest = self._life
@@ -387,7 +387,7 @@
             seen = max(seen, holding.last)
             if self._keeper.upstream is None and self._life is not None:
                 self._step(self._life.known)
-            self._step(keeper.Listed(asked_ms, holding.running, holding.ends))
+            self._step(runevents.Listed(asked_ms, holding.running, holding.ends))
 
     def _end_life(self, reason: str) -> None:
         if self._life is not None:
@@ -396,7 +396,7 @@
             )
             self._retired.add(self._life.known.incarnation)
         self._life = None
-        self._step(keeper.UpstreamGone(reason))
+        self._step(runevents.UpstreamGone(reason))
 
     def _raise_fence(self) -> None:
         self._fence += self._fence_step
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -7,13 +7,17 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
-import attrs
-
 from amaranthspar import effects, messages
-from amaranthspar.scheduling import durations, fleet, jobs, resources, waiting
+from amaranthspar.scheduling import (
+    durations,
+    fleet,
+    jobevents,
+    jobs,
+    resources,
+    waiting,
+)
 
 if TYPE_CHECKING:
     import random
@@ -49,110 +53,6 @@
 """Time over which refused callers are spread in ms."""
 
 
-class Outcome(enum.Enum):
-    """How a job ends."""
-
-    COMPLETED = "completed"
-    FAILED = "failed"
-    REFUSED = "refused"
-    CANCELLED = "cancelled"
-    ABANDONED = "abandoned"
-
-
-@attrs.frozen(slots=True)
-class Submit:
-    """A caller submits a job."""
-
-    request: jobs.Request
-
-
-@attrs.frozen(slots=True)
-class Cancel:
-    """A job is to end without a result.
-
-    Attributes:
-        job: Id of the job.
-        outcome: How it ends.
-        why: What decided it.
-    """
-
-    job: str
-    outcome: Outcome
-    why: str
-
-
-@attrs.frozen(slots=True)
-class Heard:
-    """A sidecar sent reports."""
-
-    sidecar: str
-    incarnation: int
-    address: str
-    reports: messages.RunReports
-
-
-@attrs.frozen(slots=True)
-class Found:
-    """Controllers list these processes and domains out of service."""
-
-    peers: tuple[messages.Peer, ...]
-    domains_out: frozenset[str]
-
-
-@attrs.frozen(slots=True)
-class Drain:
-    """The gateway is to stop: it admits only jobs that end in time.
-
-    Attributes:
-        until_ms: Time in ms by which the last job must have ended.
-    """
-
-    until_ms: int
-
-
-@attrs.frozen(slots=True)
-class Tick:
-    """Time has passed."""
-
-
-Event = Submit | Cancel | Heard | Found | Drain | Tick
-
-
-@attrs.frozen(slots=True)
-class Ended:
-    """A job has its outcome.
-
-    Attributes:
-        job: Id of the job.
-        outcome: How it ended.
-        reason: What decided it.
-        retry_after_ms: When the caller may come back in ms, for a refusal.
-    """
-
-    job: str
-    outcome: Outcome
-    reason: str
-    retry_after_ms: int = 0
-
-
-@attrs.frozen(slots=True)
-class Decided:
-    """Something worth a line in the log.
-
-    Attributes:
-        event: What was decided.
-        job: Job that it is about; empty for none.
-        details: What decided it, by name.
-    """
-
-    event: str
-    job: str = ""
-    details: tuple[tuple[str, str | int | float], ...] = ()
-
-
-Effect = effects.Send | Ended | Decided
-
-
 class Dispatcher:
     """Jobs of one gateway.
 
@@ -173,9 +73,9 @@
         self._kept_ms = 0
         self._until_ms = 0
         self._was_waiting = False
-        self._effects: list[Effect] = []
+        self._effects: list[jobevents.Effect] = []
 
-    def step(self, event: Event, now_ms: int) -> list[Effect]:
+    def step(self, event: jobevents.Event, now_ms: int) -> list[jobevents.Effect]:
         """Take an event.
 
         Args:
@@ -186,20 +86,20 @@
             What is to be done, in order.
         """
         match event:
-            case Submit(request=request):
+            case jobevents.Submit(request=request):
                 self._submit(request, now_ms)
-            case Cancel(job=name, outcome=outcome, why=why):
+            case jobevents.Cancel(job=name, outcome=outcome, why=why):
                 job = self.jobs.get(name)
                 if job is not None:
                     self._end(job, outcome, why)
-            case Heard():
+            case jobevents.Heard():
                 self._hear(event, now_ms)
-            case Found():
+            case jobevents.Found():
                 self._find(event)
-            case Drain(until_ms=until_ms):
+            case jobevents.Drain(until_ms=until_ms):
                 self.is_draining = True
                 self._until_ms = until_ms
-            case Tick():
+            case jobevents.Tick():
                 self._tick(now_ms)
         self._dispatch(now_ms)
         is_waiting = len(self.waiting) > 0
@@ -261,7 +161,9 @@
             backlog_ms = self.waiting.work / rate
         spread_ms = RETRY_SPREAD_MS * self._chance.random()
         retry_ms = round(backlog_ms + spread_ms)
-        self._effects.append(Ended(name, Outcome.REFUSED, reason, retry_ms))
+        self._effects.append(
+            jobevents.Ended(name, jobevents.Outcome.REFUSED, reason, retry_ms)
+        )
 
     def _build_entry(self, job: jobs.Job) -> waiting.Entry:
         queue = job.request.queue
@@ -284,7 +186,11 @@
             self.waiting.insert(self._build_entry(job))
 
     def _end(
-        self, job: jobs.Job, outcome: Outcome, reason: str, retry_after_ms: int = 0
+        self,
+        job: jobs.Job,
+        outcome: jobevents.Outcome,
+        reason: str,
+        retry_after_ms: int = 0,
     ) -> None:
         name = job.request.id
         del self.jobs[name]
@@ -298,11 +204,11 @@
         for sidecar, names in stops.items():
             address = self.fleet.sidecars[sidecar].address
             self._effects.append(effects.Send(address, messages.StopRuns(names)))
-        self._effects.append(Ended(name, outcome, reason, retry_after_ms))
+        self._effects.append(jobevents.Ended(name, outcome, reason, retry_after_ms))
 
     # Sidecars.
 
-    def _find(self, found: Found) -> None:
+    def _find(self, found: jobevents.Found) -> None:
         self.fleet.domains_out = found.domains_out
         self._listed = {peer.process for peer in found.peers if peer.role == "sidecar"}
         gateways = sum(peer.role == "gateway" for peer in found.peers)
@@ -319,7 +225,7 @@
             else:
                 known.address = peer.address
 
-    def _hear(self, heard: Heard, now_ms: int) -> None:
+    def _hear(self, heard: jobevents.Heard, now_ms: int) -> None:
         sidecar = self.fleet.sidecars.get(heard.sidecar)
         if sidecar is None:
             return
@@ -410,7 +316,7 @@
         task.state = jobs.TaskState.DONE
         job.undone[task.step] -= 1
         if job.is_done:
-            self._end(job, Outcome.COMPLETED, "every task is done")
+            self._end(job, jobevents.Outcome.COMPLETED, "every task is done")
         elif not job.undone[task.step]:
             job.release_steps()
             self._wait_again(job)
@@ -429,7 +335,9 @@
         sidecar.forget(task.name)
         if task.failures >= task.job.request.queue.max_attempts:
             task.state = jobs.TaskState.DONE
-            self._end(task.job, Outcome.FAILED, f"task {task.name} failed each time")
+            self._end(
+                task.job, jobevents.Outcome.FAILED, f"task {task.name} failed each time"
+            )
             return
         task.avoided.add(sidecar.name)
         task.job.return_task(task)
@@ -512,7 +420,9 @@
             if is_unlisted and silent_ms > FORGET_MS and not sidecar.tasks:
                 del self.fleet.sidecars[sidecar.name]
         for job in self.waiting.pop_useless(now_ms):
-            self._end(job, Outcome.REFUSED, "waited too long", RETRY_SPREAD_MS)
+            self._end(
+                job, jobevents.Outcome.REFUSED, "waited too long", RETRY_SPREAD_MS
+            )
 
     def _keep_all(self, now_ms: int) -> None:
         self._kept_ms = now_ms
@@ -649,4 +559,4 @@
             )
 
     def _note(self, event: str, job: str = "", **details: str | int | float) -> None:
-        self._effects.append(Decided(event, job, tuple(details.items())))
+        self._effects.append(jobevents.Decided(event, job, tuple(details.items())))
--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -4,15 +4,8 @@
 stopped by name where it is not there, before any other place may start the task.
 """
 
-from __future__ import annotations
-
-import enum
-from typing import Literal, TypeAlias
-
-import attrs
-
 from amaranthspar import messages
-from amaranthspar.scheduling import resources
+from amaranthspar.scheduling import resources, runevents
 
 GATEWAY_SILENCE_MS = 800
 """Silence of a gateway after which its runs stop; below a caller's 1.3 s to resend."""
@@ -36,264 +29,6 @@
 SICK_PAUSE_MS = 500
 """Time without starts after the upstream refused one as unhealthy."""
 
-ReportState: TypeAlias = Literal[
-    "started", "running", "refused", "stale", "done", "failed", "stopped", "lost"
-]
-
-
-class RunState(enum.Enum):
-    """Where a run stands."""
-
-    STARTING = enum.auto()
-    DOUBTFUL = enum.auto()
-    RUNNING = enum.auto()
-    STOPPING = enum.auto()
-
-
-@attrs.define(slots=True, eq=False)
-class Run:
-    """A run that may occupy room.
-
-    Attributes:
-        name: Task and number of the start.
-        gateway: Process that asked for it; empty for one that nobody owns.
-        needs: What it occupies.
-        state: Where it stands.
-        called_ms: Time of the start in ms.
-        percent: Share of the work that is done.
-        why: Why it is being stopped; empty while it is not.
-        confirmed_ms: Time at which the upstream confirmed that it runs; -1 before.
-        stopped_ms: Time at which the upstream confirmed its stop in ms; -1 before.
-    """
-
-    name: messages.RunName
-    gateway: str
-    needs: messages.Resources
-    called_ms: int
-    state: RunState = RunState.STARTING
-    percent: int = 0
-    why: str = ""
-    confirmed_ms: int = -1
-    stopped_ms: int = -1
-
-    @property
-    def was_seen(self) -> bool:
-        """Whether the upstream has confirmed that it runs."""
-        return self.confirmed_ms >= 0
-
-
-@attrs.define(slots=True, eq=False)
-class Gateway:
-    """A gateway as a sidecar knows it.
-
-    Attributes:
-        name: Process name.
-        incarnation: Incarnation of the process.
-        address: Address at which it listens.
-        heard_ms: Time of its last message in ms.
-        started: Number of its last `StartRuns` taken.
-        kept: Number of its last `KeepRuns` taken.
-        is_waiting: Whether it has tasks that wait for room.
-        room_ms: Time at which it was last told of room in ms.
-        is_room_due: Whether the room has changed since.
-        reports: What it is to be told.
-    """
-
-    name: str
-    incarnation: int
-    address: str
-    heard_ms: int
-    started: int = 0
-    kept: int = 0
-    is_waiting: bool = False
-    room_ms: int = 0
-    is_room_due: bool = True
-    reports: list[messages.RunReport] = attrs.field(factory=list)
-
-
-@attrs.frozen(slots=True)
-class Sender:
-    """Gateway that a message came from."""
-
-    name: str
-    incarnation: int
-    address: str
-
-
-@attrs.frozen(slots=True)
-class UpstreamKnown:
-    """The upstream stated itself.
-
-    Attributes:
-        incarnation: One life of the upstream; another one runs nothing yet.
-        capacity: All that it offers.
-        labels: Kind and rack.
-        is_leaving: Whether it takes no new runs.
-    """
-
-    incarnation: str
-    capacity: messages.Resources
-    labels: tuple[str, ...]
-    is_leaving: bool
-
-
-@attrs.frozen(slots=True)
-class UpstreamGone:
-    """The upstream has ended or its last lease has run out, so nothing runs."""
-
-    reason: str
-
-
-@attrs.frozen(slots=True)
-class Asked:
-    """A gateway sent a message."""
-
-    sender: Sender
-    message: messages.StartRuns | messages.StopRuns | messages.KeepRuns
-
-
-class Answer(enum.Enum):
-    """What the upstream answered to a start or a stop."""
-
-    TAKEN = "taken"
-    SILENT = "silent"
-    ROOM = "no room on the upstream"
-    STALE = "stale"
-    LATE = "start arrived late"
-    UNHEALTHY = "upstream is unhealthy"
-    INVALID = "upstream finds the start invalid"
-    REPLACED = "another upstream answered"
-
-
-@attrs.frozen(slots=True)
-class StartAnswered:
-    """The call of a start has ended."""
-
-    name: messages.RunName
-    answer: Answer
-
-
-@attrs.frozen(slots=True)
-class StopAnswered:
-    """The call of a stop has ended."""
-
-    name: messages.RunName
-    answer: Answer
-
-
-@attrs.frozen(slots=True)
-class Progress:
-    """A run on the upstream's list."""
-
-    name: messages.RunName
-    saved: str
-    percent: int
-
-
-@attrs.frozen(slots=True)
-class End:
-    """A run that ended on the upstream.
-
-    Attributes:
-        name: Task and number of the start.
-        how: ``done``, ``failed`` or why it ended otherwise.
-        saved: Last checkpoint; empty for none.
-    """
-
-    name: messages.RunName
-    how: str
-    saved: str
-
-
-@attrs.frozen(slots=True)
-class Listed:
-    """The upstream listed its runs.
-
-    Attributes:
-        asked_ms: Time at which the list was asked for in ms.
-        running: Runs under way.
-        ends: Ends not taken before, in order.
-    """
-
-    asked_ms: int
-    running: tuple[Progress, ...]
-    ends: tuple[End, ...]
-
-
-@attrs.frozen(slots=True)
-class DomainChanged:
-    """The upstream's failure domain went out of service or came back."""
-
-    is_out: bool
-
-
-@attrs.frozen(slots=True)
-class Leave:
-    """The sidecar is to stop: it takes no new runs."""
-
-
-@attrs.frozen(slots=True)
-class Tick:
-    """Time has passed."""
-
-
-Event = (
-    UpstreamKnown
-    | UpstreamGone
-    | Asked
-    | StartAnswered
-    | StopAnswered
-    | Listed
-    | DomainChanged
-    | Leave
-    | Tick
-)
-
-
-@attrs.frozen(slots=True)
-class CallStart:
-    """Asks the upstream to start a run."""
-
-    order: messages.RunOrder
-    spec: str
-
-
-@attrs.frozen(slots=True)
-class CallStop:
-    """Asks the upstream to stop a run and never to start it any more."""
-
-    name: messages.RunName
-    why: str
-
-
-@attrs.frozen(slots=True)
-class Tell:
-    """Sends a gateway reports and the room."""
-
-    gateway: str
-    address: str
-    reports: messages.RunReports
-
-
-@attrs.frozen(slots=True)
-class Decided:
-    """Something worth a line in the log.
-
-    Attributes:
-        event: What was decided.
-        task: Task that it is about; empty for none.
-        run: Number of the start; 0 for none.
-        reason: What decided it.
-    """
-
-    event: str
-    task: str = ""
-    run: int = 0
-    reason: str = ""
-
-
-Effect = CallStart | CallStop | Tell | Decided
-
 
 class Keeper:
     """Runs of one upstream.
@@ -304,9 +39,9 @@
     """
 
     def __init__(self, service: str, failure_domain: str) -> None:
-        self.runs: dict[str, Run] = {}
-        self.gateways: dict[str, Gateway] = {}
-        self.upstream: UpstreamKnown | None = None
+        self.runs: dict[str, runevents.Run] = {}
+        self.gateways: dict[str, runevents.Gateway] = {}
+        self.upstream: runevents.UpstreamKnown | None = None
         self.is_leaving = False
         self.is_domain_out = False
         self._service = service
@@ -317,9 +52,9 @@
         self._sick_until_ms = 0
         self._progress_ms = 0
         self._is_clean = False
-        self._effects: list[Effect] = []
+        self._effects: list[runevents.Effect] = []
 
-    def step(self, event: Event, now_ms: int) -> list[Effect]:
+    def step(self, event: runevents.Event, now_ms: int) -> list[runevents.Effect]:
         """Take an event.
 
         Args:
@@ -330,26 +65,26 @@
             What is to be done, in order.
         """
         match event:
-            case Asked(sender=sender, message=message):
+            case runevents.Asked(sender=sender, message=message):
                 self._take_message(sender, message, now_ms)
-            case UpstreamKnown():
+            case runevents.UpstreamKnown():
                 self._know_upstream(event, now_ms)
-            case UpstreamGone(reason=reason):
+            case runevents.UpstreamGone(reason=reason):
                 self._lose_runs(reason, now_ms)
-            case StartAnswered(name=name, answer=answer):
+            case runevents.StartAnswered(name=name, answer=answer):
                 self._end_start(name, answer, now_ms)
-            case StopAnswered(name=name, answer=answer):
+            case runevents.StopAnswered(name=name, answer=answer):
                 self._end_stop(name, answer, now_ms)
-            case Listed():
+            case runevents.Listed():
                 self._take_list(event, now_ms)
-            case DomainChanged(is_out=is_out):
+            case runevents.DomainChanged(is_out=is_out):
                 if is_out is not self.is_domain_out:
                     self.is_domain_out = is_out
                     self._note_room()
-            case Leave():
+            case runevents.Leave():
                 self.is_leaving = True
                 self._note_room()
-            case Tick():
+            case runevents.Tick():
                 self._tick(now_ms)
         self._tell(now_ms)
         effects, self._effects = self._effects, []
@@ -379,7 +114,7 @@
 
     def _take_message(
         self,
-        sender: Sender,
+        sender: runevents.Sender,
         message: messages.StartRuns | messages.StopRuns | messages.KeepRuns,
         now_ms: int,
     ) -> None:
@@ -399,21 +134,25 @@
             case messages.KeepRuns():
                 self._keep(gateway, message, now_ms)
 
-    def _hear(self, sender: Sender, now_ms: int) -> Gateway | None:
+    def _hear(self, sender: runevents.Sender, now_ms: int) -> runevents.Gateway | None:
         known = self.gateways.get(sender.name)
         if known is not None and self._is_outdated(known, sender, now_ms):
             return None
         if known is None or known.incarnation != sender.incarnation:
             if known is not None:
                 self._stop_all(known, "gateway has restarted", now_ms)
-            known = Gateway(sender.name, sender.incarnation, sender.address, now_ms)
+            known = runevents.Gateway(
+                sender.name, sender.incarnation, sender.address, now_ms
+            )
             self.gateways[sender.name] = known
         known.heard_ms = now_ms
         known.address = sender.address
         return known
 
     @staticmethod
-    def _is_outdated(known: Gateway, sender: Sender, now_ms: int) -> bool:
+    def _is_outdated(
+        known: runevents.Gateway, sender: runevents.Sender, now_ms: int
+    ) -> bool:
         """Return whether a message comes from an incarnation before the known one.
 
         A wall clock that was set back gives a new process a lower number.
@@ -423,7 +162,7 @@
 
     def _take_order(
         self,
-        gateway: Gateway,
+        gateway: runevents.Gateway,
         message: messages.StartRuns,
         order: messages.RunOrder,
         now_ms: int,
@@ -431,7 +170,7 @@
         name = order.name
         current = self.runs.get(name.task)
         if current is not None and current.name.run == name.run:
-            if current.state is RunState.RUNNING:
+            if current.state is runevents.RunState.RUNNING:
                 gateway.reports.append(messages.RunReport(name, "started"))
             return
         if name in self._final:
@@ -443,18 +182,20 @@
             self._bar(name, now_ms)
             self._final[name] = (now_ms, report)
             gateway.reports.append(report)
-            self._effects.append(Decided("start refused", name.task, name.run, reason))
+            self._effects.append(
+                runevents.Decided("start refused", name.task, name.run, reason)
+            )
             return
-        self.runs[name.task] = Run(name, gateway.name, order.needs, now_ms)
-        self._effects.append(CallStart(order, message.spec))
+        self.runs[name.task] = runevents.Run(name, gateway.name, order.needs, now_ms)
+        self._effects.append(runevents.CallStart(order, message.spec))
 
     def _judge_order(
         self,
         message: messages.StartRuns,
         order: messages.RunOrder,
-        current: Run | None,
+        current: runevents.Run | None,
         now_ms: int,
-    ) -> tuple[ReportState, str]:
+    ) -> tuple[runevents.ReportState, str]:
         """Return the state and the reason of a refusal; the reason is empty for none."""
         barred = self._barred.get(order.name.task, (0, 0))[0]
         if current is not None and current.name.run > order.name.run:
@@ -469,13 +210,13 @@
         if self.upstream is None or message.upstream != self.upstream.incarnation:
             return "refused", "another upstream was meant"
         if now_ms < self._sick_until_ms:
-            return "refused", Answer.UNHEALTHY.value
+            return "refused", runevents.Answer.UNHEALTHY.value
         if not resources.fits(order.needs, self.read_free()):
             return "refused", "no room"
         return "started", ""
 
     def _stop_named(
-        self, gateway: Gateway, name: messages.RunName, now_ms: int
+        self, gateway: runevents.Gateway, name: messages.RunName, now_ms: int
     ) -> None:
         run = self.runs.get(name.task)
         if run is not None and run.name == name and run.gateway == gateway.name:
@@ -487,7 +228,7 @@
             self._refuse_unknown(gateway, name, now_ms)
 
     def _refuse_unknown(
-        self, gateway: Gateway, name: messages.RunName, now_ms: int
+        self, gateway: runevents.Gateway, name: messages.RunName, now_ms: int
     ) -> None:
         """Bar a run that never arrived, so that a late order cannot start it."""
         report = messages.RunReport(name, "refused", "order did not arrive")
@@ -495,7 +236,9 @@
         self._final[name] = (now_ms, report)
         gateway.reports.append(report)
 
-    def _keep(self, gateway: Gateway, message: messages.KeepRuns, now_ms: int) -> None:
+    def _keep(
+        self, gateway: runevents.Gateway, message: messages.KeepRuns, now_ms: int
+    ) -> None:
         if message.number <= gateway.kept:
             return
         gateway.kept = message.number
@@ -521,7 +264,7 @@
 
     # Answers of the upstream.
 
-    def _know_upstream(self, known: UpstreamKnown, now_ms: int) -> None:
+    def _know_upstream(self, known: runevents.UpstreamKnown, now_ms: int) -> None:
         before = self.upstream
         if before is not None and before.incarnation != known.incarnation:
             self._lose_runs("upstream has restarted", now_ms)
@@ -529,50 +272,56 @@
             self.upstream = known
             self._note_room()
 
-    def _end_start(self, name: messages.RunName, answer: Answer, now_ms: int) -> None:
+    def _end_start(
+        self, name: messages.RunName, answer: runevents.Answer, now_ms: int
+    ) -> None:
         run = self.runs.get(name.task)
         if run is None or run.name != name:
             return
         match answer:
-            case Answer.TAKEN:
+            case runevents.Answer.TAKEN:
                 self._confirm(run, now_ms)
-            case Answer.SILENT if run.state is RunState.STARTING:
-                run.state = RunState.DOUBTFUL
-                self._effects.append(CallStop(name, "start was not answered"))
-            case Answer.SILENT:
+            case runevents.Answer.SILENT if run.state is runevents.RunState.STARTING:
+                run.state = runevents.RunState.DOUBTFUL
+                self._effects.append(runevents.CallStop(name, "start was not answered"))
+            case runevents.Answer.SILENT:
                 pass
             case _:
-                if answer is Answer.UNHEALTHY:
+                if answer is runevents.Answer.UNHEALTHY:
                     self._sick_until_ms = now_ms + SICK_PAUSE_MS
-                if answer is Answer.STALE:
+                if answer is runevents.Answer.STALE:
                     self._finish(run, "stale", str(name.run), now_ms)
                 else:
                     self._finish(run, "refused", answer.value, now_ms)
 
-    def _confirm(self, run: Run, now_ms: int) -> None:
+    def _confirm(self, run: runevents.Run, now_ms: int) -> None:
         if run.was_seen:
             return
         run.confirmed_ms = now_ms
-        if run.state in (RunState.STARTING, RunState.DOUBTFUL):
-            run.state = RunState.RUNNING
+        if run.state in (runevents.RunState.STARTING, runevents.RunState.DOUBTFUL):
+            run.state = runevents.RunState.RUNNING
             self._report(run.gateway, messages.RunReport(run.name, "started"))
 
-    def _end_stop(self, name: messages.RunName, answer: Answer, now_ms: int) -> None:
+    def _end_stop(
+        self, name: messages.RunName, answer: runevents.Answer, now_ms: int
+    ) -> None:
         run = self.runs.get(name.task)
         if run is None or run.name != name:
             return
         match answer:
-            case Answer.TAKEN:
+            case runevents.Answer.TAKEN:
                 run.stopped_ms = now_ms
-                if run.state is RunState.DOUBTFUL and not run.was_seen:
-                    run.state = RunState.STOPPING
+                if run.state is runevents.RunState.DOUBTFUL and not run.was_seen:
+                    run.state = runevents.RunState.STOPPING
                     run.why = "start was not answered"
-            case Answer.REPLACED:
+            case runevents.Answer.REPLACED:
                 self._finish(run, "lost", answer.value, now_ms)
             case _:
-                self._effects.append(CallStop(name, run.why or "stop was not answered"))
+                self._effects.append(
+                    runevents.CallStop(name, run.why or "stop was not answered")
+                )
 
-    def _take_list(self, listed: Listed, now_ms: int) -> None:
+    def _take_list(self, listed: runevents.Listed, now_ms: int) -> None:
         for end in listed.ends:
             ended = self.runs.get(end.name.task)
             if ended is not None and ended.name == end.name:
@@ -594,14 +343,17 @@
             self._progress_ms = now_ms
             self._report_progress(now_ms)
 
-    def _is_over(self, run: Run, asked_ms: int) -> bool:
+    def _is_over(self, run: runevents.Run, asked_ms: int) -> bool:
         """Return whether a run that is not on a list has ended or cannot start."""
         if run.stopped_ms >= 0:
             return asked_ms > run.stopped_ms
-        is_called = run.state in (RunState.STARTING, RunState.DOUBTFUL)
+        is_called = run.state in (
+            runevents.RunState.STARTING,
+            runevents.RunState.DOUBTFUL,
+        )
         return not is_called and run.was_seen and asked_ms > run.confirmed_ms
 
-    def _finish_unlisted(self, run: Run, now_ms: int) -> None:
+    def _finish_unlisted(self, run: runevents.Run, now_ms: int) -> None:
         if run.was_seen:
             self._finish(run, "stopped" if run.why else "lost", run.why, now_ms)
         else:
@@ -611,7 +363,9 @@
         """Stop a run that nobody here has asked for."""
         if name.task in self.runs:
             return
-        run = Run(name, "", resources.NONE, now_ms, RunState.RUNNING)
+        run = runevents.Run(
+            name, "", resources.NONE, now_ms, runevents.RunState.RUNNING
+        )
         run.confirmed_ms = now_ms
         self.runs[name.task] = run
         self._stop(run, "no gateway counts on it")
@@ -619,7 +373,10 @@
     def _report_progress(self, now_ms: int) -> None:
         for run in self.runs.values():
             elapsed_ms = now_ms - run.called_ms
-            if run.state is RunState.RUNNING and elapsed_ms >= REPORTED_PROGRESS_MS:
+            if (
+                run.state is runevents.RunState.RUNNING
+                and elapsed_ms >= REPORTED_PROGRESS_MS
+            ):
                 report = messages.RunReport(
                     run.name, "running", "", elapsed_ms, run.percent
                 )
@@ -627,33 +384,40 @@
 
     # Ends.
 
-    def _stop(self, run: Run, why: str) -> None:
-        if run.state is RunState.STOPPING:
+    def _stop(self, run: runevents.Run, why: str) -> None:
+        if run.state is runevents.RunState.STOPPING:
             return
         run.why = why
-        run.state = RunState.STOPPING
-        self._effects.append(CallStop(run.name, why))
-        self._effects.append(Decided("run stopped", run.name.task, run.name.run, why))
+        run.state = runevents.RunState.STOPPING
+        self._effects.append(runevents.CallStop(run.name, why))
+        self._effects.append(
+            runevents.Decided("run stopped", run.name.task, run.name.run, why)
+        )
 
-    def _stop_all(self, gateway: Gateway, why: str, now_ms: int) -> None:
+    def _stop_all(self, gateway: runevents.Gateway, why: str, now_ms: int) -> None:
         for run in list(self.runs.values()):
             if run.gateway == gateway.name:
                 self._stop(run, why)
 
     def _lose_runs(self, reason: str, now_ms: int) -> None:
         for run in list(self.runs.values()):
-            if run.was_seen or run.state is RunState.STOPPING:
+            if run.was_seen or run.state is runevents.RunState.STOPPING:
                 self._finish(run, "lost", reason, now_ms)
-            elif run.state is RunState.STARTING:
+            elif run.state is runevents.RunState.STARTING:
                 # The order may still reach the upstream's next life.
-                run.state = RunState.DOUBTFUL
-                self._effects.append(CallStop(run.name, reason))
+                run.state = runevents.RunState.DOUBTFUL
+                self._effects.append(runevents.CallStop(run.name, reason))
         self._is_clean = False
         self.upstream = None
         self._note_room()
 
     def _finish(
-        self, run: Run, state: ReportState, reason: str, now_ms: int, saved: str = ""
+        self,
+        run: runevents.Run,
+        state: runevents.ReportState,
+        reason: str,
+        now_ms: int,
+        saved: str = "",
     ) -> None:
         del self.runs[run.name.task]
         self._bar(run.name, now_ms)
@@ -663,7 +427,9 @@
         self._final[run.name] = (now_ms, report)
         self._report(run.gateway, report)
         if state not in ("done", "failed"):
-            decided = Decided(f"run {state}", run.name.task, run.name.run, reason)
+            decided = runevents.Decided(
+                f"run {state}", run.name.task, run.name.run, reason
+            )
             self._effects.append(decided)
         self._note_room()
 
@@ -692,7 +458,11 @@
                 self._finish_unlisted(run, now_ms)
                 continue
             is_barred = now_ms - run.called_ms > START_BARRED_MS
-            if run.state is RunState.DOUBTFUL and is_barred and self.upstream is None:
+            if (
+                run.state is runevents.RunState.DOUBTFUL
+                and is_barred
+                and self.upstream is None
+            ):
                 self._finish(run, "lost", "upstream has gone", now_ms)
         oldest_ms = now_ms - KEPT_REPORT_MS
         for name, (at_ms, _) in list(self._final.items()):
@@ -719,9 +489,9 @@
             gateway.reports = []
             gateway.is_room_due = False
             gateway.room_ms = now_ms
-            self._effects.append(Tell(gateway.name, gateway.address, reports))
+            self._effects.append(runevents.Tell(gateway.name, gateway.address, reports))
 
-    def _build_room(self, gateway: Gateway) -> messages.Room:
+    def _build_room(self, gateway: runevents.Gateway) -> messages.Room:
         self._number += 1
         upstream = self.upstream
         return messages.Room(
@@ -737,7 +507,9 @@
         )
 
 
-def _judge_end(end: End, run: Run) -> tuple[ReportState, str]:
+def _judge_end(
+    end: runevents.End, run: runevents.Run
+) -> tuple[runevents.ReportState, str]:
     """Return the state and the reason of a run that the upstream listed as ended."""
     match end.how:
         case "done":
--- /dev/null
+++ b/amaranthspar/scheduling/runevents.py
@@ -0,0 +1,268 @@
+"""What happens to the runs of a sidecar, and what it does about it."""
+
+from __future__ import annotations
+
+import enum
+from typing import Literal, TypeAlias
+
+import attrs
+
+from amaranthspar import messages
+
+ReportState: TypeAlias = Literal[
+    "started", "running", "refused", "stale", "done", "failed", "stopped", "lost"
+]
+
+
+class RunState(enum.Enum):
+    """Where a run stands."""
+
+    STARTING = enum.auto()
+    DOUBTFUL = enum.auto()
+    RUNNING = enum.auto()
+    STOPPING = enum.auto()
+
+
+@attrs.define(slots=True, eq=False)
+class Run:
+    """A run that may occupy room.
+
+    Attributes:
+        name: Task and number of the start.
+        gateway: Process that asked for it; empty for one that nobody owns.
+        needs: What it occupies.
+        state: Where it stands.
+        called_ms: Time of the start in ms.
+        percent: Share of the work that is done.
+        why: Why it is being stopped; empty while it is not.
+        confirmed_ms: Time at which the upstream confirmed that it runs; -1 before.
+        stopped_ms: Time at which the upstream confirmed its stop in ms; -1 before.
+    """
+
+    name: messages.RunName
+    gateway: str
+    needs: messages.Resources
+    called_ms: int
+    state: RunState = RunState.STARTING
+    percent: int = 0
+    why: str = ""
+    confirmed_ms: int = -1
+    stopped_ms: int = -1
+
+    @property
+    def was_seen(self) -> bool:
+        """Whether the upstream has confirmed that it runs."""
+        return self.confirmed_ms >= 0
+
+
+@attrs.define(slots=True, eq=False)
+class Gateway:
+    """A gateway as a sidecar knows it.
+
+    Attributes:
+        name: Process name.
+        incarnation: Incarnation of the process.
+        address: Address at which it listens.
+        heard_ms: Time of its last message in ms.
+        started: Number of its last `StartRuns` taken.
+        kept: Number of its last `KeepRuns` taken.
+        is_waiting: Whether it has tasks that wait for room.
+        room_ms: Time at which it was last told of room in ms.
+        is_room_due: Whether the room has changed since.
+        reports: What it is to be told.
+    """
+
+    name: str
+    incarnation: int
+    address: str
+    heard_ms: int
+    started: int = 0
+    kept: int = 0
+    is_waiting: bool = False
+    room_ms: int = 0
+    is_room_due: bool = True
+    reports: list[messages.RunReport] = attrs.field(factory=list)
+
+
+@attrs.frozen(slots=True)
+class Sender:
+    """Gateway that a message came from."""
+
+    name: str
+    incarnation: int
+    address: str
+
+
+@attrs.frozen(slots=True)
+class UpstreamKnown:
+    """The upstream stated itself.
+
+    Attributes:
+        incarnation: One life of the upstream; another one runs nothing yet.
+        capacity: All that it offers.
+        labels: Kind and rack.
+        is_leaving: Whether it takes no new runs.
+    """
+
+    incarnation: str
+    capacity: messages.Resources
+    labels: tuple[str, ...]
+    is_leaving: bool
+
+
+@attrs.frozen(slots=True)
+class UpstreamGone:
+    """The upstream has ended or its last lease has run out, so nothing runs."""
+
+    reason: str
+
+
+@attrs.frozen(slots=True)
+class Asked:
+    """A gateway sent a message."""
+
+    sender: Sender
+    message: messages.StartRuns | messages.StopRuns | messages.KeepRuns
+
+
+class Answer(enum.Enum):
+    """What the upstream answered to a start or a stop."""
+
+    TAKEN = "taken"
+    SILENT = "silent"
+    ROOM = "no room on the upstream"
+    STALE = "stale"
+    LATE = "start arrived late"
+    UNHEALTHY = "upstream is unhealthy"
+    INVALID = "upstream finds the start invalid"
+    REPLACED = "another upstream answered"
+
+
+@attrs.frozen(slots=True)
+class StartAnswered:
+    """The call of a start has ended."""
+
+    name: messages.RunName
+    answer: Answer
+
+
+@attrs.frozen(slots=True)
+class StopAnswered:
+    """The call of a stop has ended."""
+
+    name: messages.RunName
+    answer: Answer
+
+
+@attrs.frozen(slots=True)
+class Progress:
+    """A run on the upstream's list."""
+
+    name: messages.RunName
+    saved: str
+    percent: int
+
+
+@attrs.frozen(slots=True)
+class End:
+    """A run that ended on the upstream.
+
+    Attributes:
+        name: Task and number of the start.
+        how: ``done``, ``failed`` or why it ended otherwise.
+        saved: Last checkpoint; empty for none.
+    """
+
+    name: messages.RunName
+    how: str
+    saved: str
+
+
+@attrs.frozen(slots=True)
+class Listed:
+    """The upstream listed its runs.
+
+    Attributes:
+        asked_ms: Time at which the list was asked for in ms.
+        running: Runs under way.
+        ends: Ends not taken before, in order.
+    """
+
+    asked_ms: int
+    running: tuple[Progress, ...]
+    ends: tuple[End, ...]
+
+
+@attrs.frozen(slots=True)
+class DomainChanged:
+    """The upstream's failure domain went out of service or came back."""
+
+    is_out: bool
+
+
+@attrs.frozen(slots=True)
+class Leave:
+    """The sidecar is to stop: it takes no new runs."""
+
+
+@attrs.frozen(slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = (
+    UpstreamKnown
+    | UpstreamGone
+    | Asked
+    | StartAnswered
+    | StopAnswered
+    | Listed
+    | DomainChanged
+    | Leave
+    | Tick
+)
+
+
+@attrs.frozen(slots=True)
+class CallStart:
+    """Asks the upstream to start a run."""
+
+    order: messages.RunOrder
+    spec: str
+
+
+@attrs.frozen(slots=True)
+class CallStop:
+    """Asks the upstream to stop a run and never to start it any more."""
+
+    name: messages.RunName
+    why: str
+
+
+@attrs.frozen(slots=True)
+class Tell:
+    """Sends a gateway reports and the room."""
+
+    gateway: str
+    address: str
+    reports: messages.RunReports
+
+
+@attrs.frozen(slots=True)
+class Decided:
+    """Something worth a line in the log.
+
+    Attributes:
+        event: What was decided.
+        task: Task that it is about; empty for none.
+        run: Number of the start; 0 for none.
+        reason: What decided it.
+    """
+
+    event: str
+    task: str = ""
+    run: int = 0
+    reason: str = ""
+
+
+Effect = CallStart | CallStop | Tell | Decided
--- a/tests/builders_scheduling.py
+++ b/tests/builders_scheduling.py
@@ -6,7 +6,7 @@
 import attrs
 
 from amaranthspar import effects, messages
-from amaranthspar.scheduling import dispatcher, jobs, keeper
+from amaranthspar.scheduling import dispatcher, jobevents, jobs, runevents
 
 SERVICE = "quotes"
 DOMAINS = ("east", "west", "north")
@@ -60,19 +60,19 @@
 
     def __init__(self, seed: int = 1) -> None:
         self.dispatcher = dispatcher.Dispatcher(random.Random(seed))
-        self.ended: dict[str, dispatcher.Ended] = {}
+        self.ended: dict[str, jobevents.Ended] = {}
         self.sent: list[effects.Send] = []
         self.now_ms = 1_000
         self._numbers: collections.Counter[str] = collections.Counter()
 
-    def step(self, event: dispatcher.Event) -> list[effects.Send]:
+    def step(self, event: jobevents.Event) -> list[effects.Send]:
         """Take an event and return the messages that it caused."""
         sent = []
         for effect in self.dispatcher.step(event, self.now_ms):
             match effect:
                 case effects.Send():
                     sent.append(effect)
-                case dispatcher.Ended():
+                case jobevents.Ended():
                     self.ended[effect.job] = effect
         self.sent += sent
         return sent
@@ -80,14 +80,14 @@
     def find(self, *names: str, domains_out=()) -> None:
         """Let controllers list sidecars, and hear their room."""
         peers = tuple(build_peer(name) for name in names)
-        self.step(dispatcher.Found(peers, frozenset(domains_out)))
+        self.step(jobevents.Found(peers, frozenset(domains_out)))
 
     def hear(self, name: str, room, *reports, kept=None, incarnation=1):
         """Hear a sidecar and return the starts that it caused."""
         sidecar = self.dispatcher.fleet.sidecars[name]
         kept = sidecar.number if kept is None else kept
         body = messages.RunReports(kept, list(reports), room)
-        event = dispatcher.Heard(name, incarnation, f"{name}:1", body)
+        event = jobevents.Heard(name, incarnation, f"{name}:1", body)
         return list_starts(self.step(event))
 
     def hear_room(self, name: str, **changes):
@@ -97,14 +97,14 @@
 
     def submit(self, request) -> list[messages.StartRuns]:
         """Submit a job and return the starts that it caused."""
-        return list_starts(self.step(dispatcher.Submit(request)))
+        return list_starts(self.step(jobevents.Submit(request)))
 
     def wait(self, time_ms: int) -> list[effects.Send]:
         """Let time pass and return what was sent."""
         sent = []
         for _ in range(0, time_ms, STEP_MS):
             self.now_ms += STEP_MS
-            sent += self.step(dispatcher.Tick())
+            sent += self.step(jobevents.Tick())
         return sent
 
 
@@ -138,7 +138,7 @@
         self.life = 1
         self.fence = 0
         self.runs: dict[str, FakeRun] = {}
-        self.ends: list[tuple[int, keeper.End]] = []
+        self.ends: list[tuple[int, runevents.End]] = []
         self.barred: collections.Counter[str] = collections.Counter()
         self.lease_ms = 0
         self._count = 0
@@ -165,17 +165,17 @@
 
     def start(self, fence, name, until_ms, duration_ms, fails, now_ms):
         if fence < self.fence:
-            return keeper.Answer.UNHEALTHY
+            return runevents.Answer.UNHEALTHY
         self.fence = fence
         if name.task in self.runs and self.runs[name.task].name == name:
-            return keeper.Answer.TAKEN
+            return runevents.Answer.TAKEN
         if name.task in self.runs or name.run <= self.barred[name.task]:
-            return keeper.Answer.STALE
+            return runevents.Answer.STALE
         if now_ms > until_ms:
-            return keeper.Answer.LATE
+            return runevents.Answer.LATE
         self.lease_ms = max(self.lease_ms, until_ms)
         self.runs[name.task] = FakeRun(name, now_ms + duration_ms, fails)
-        return keeper.Answer.TAKEN
+        return runevents.Answer.TAKEN
 
     def stop(self, fence, name):
         if fence < self.fence:
@@ -192,11 +192,13 @@
         self.fence = fence
         self.lease_ms = max(self.lease_ms, min(until_ms, now_ms + HOLD_MS))
         self.ends = [item for item in self.ends if item[0] > seen]
-        running = tuple(keeper.Progress(run.name, "", 50) for run in self.runs.values())
+        running = tuple(
+            runevents.Progress(run.name, "", 50) for run in self.runs.values()
+        )
         return running, tuple(self.ends)
 
     def _end(self, run, how) -> None:
         del self.runs[run.name.task]
         self.barred[run.name.task] = max(self.barred[run.name.task], run.name.run)
         self._count += 1
-        self.ends.append((self._count, keeper.End(run.name, how, "")))
+        self.ends.append((self._count, runevents.End(run.name, how, "")))
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -1,7 +1,7 @@
 """Tests of a gateway's decisions on jobs with needs."""
 
 from amaranthspar import messages
-from amaranthspar.scheduling import dispatcher, fleet
+from amaranthspar.scheduling import dispatcher, fleet, jobevents
 from tests import builders_scheduling as builders
 
 
@@ -27,7 +27,7 @@
     gateway.hear("one", builders.build_room(2, started=1), *done[:2])
     assert gateway.ended == {}
     gateway.hear("one", builders.build_room(3, started=1), done[2])
-    assert gateway.ended["a1"].outcome is dispatcher.Outcome.COMPLETED
+    assert gateway.ended["a1"].outcome is jobevents.Outcome.COMPLETED
 
 
 def test_step_waits_for_the_steps_before_it():
@@ -76,7 +76,7 @@
         name = gateway.sent[-1].peer.partition(":")[0]
         failed = report(starts[0].orders[0], "failed")
         starts = gateway.hear(name, builders.build_room(number, started=9), failed)
-    assert gateway.ended["a1"].outcome is dispatcher.Outcome.FAILED
+    assert gateway.ended["a1"].outcome is jobevents.Outcome.FAILED
 
 
 def test_failed_job_stops_its_other_tasks():
@@ -98,8 +98,8 @@
 def test_job_whose_caller_left_is_stopped():
     gateway = build_gateway()
     (start,) = gateway.submit(builders.build_request())
-    outcome = dispatcher.Outcome.ABANDONED
-    sent = gateway.step(dispatcher.Cancel("a1", outcome, "caller left"))
+    outcome = jobevents.Outcome.ABANDONED
+    sent = gateway.step(jobevents.Cancel("a1", outcome, "caller left"))
     assert messages.StopRuns([start.orders[0].name]) in [item.message for item in sent]
     assert gateway.ended["a1"].outcome is outcome
 
@@ -155,7 +155,7 @@
     gateway = build_gateway(capacity=4.0, free=4.0)
     gateway.submit(builders.build_request(steps=[builders.build_step(cores=5)]))
     ended = gateway.ended["a1"]
-    assert ended.outcome is dispatcher.Outcome.REFUSED
+    assert ended.outcome is jobevents.Outcome.REFUSED
     assert "large enough" in ended.reason
 
 
@@ -259,12 +259,12 @@
             starts = gateway.hear(name, room, found)
     assert sent_to.count("bad") <= 6
     outcomes = {ended.outcome for ended in gateway.ended.values()}
-    assert outcomes == {dispatcher.Outcome.COMPLETED}
+    assert outcomes == {jobevents.Outcome.COMPLETED}
 
 
 def test_stopping_gateway_admits_only_what_ends_in_time():
     gateway = build_gateway()
-    gateway.step(dispatcher.Drain(gateway.now_ms + 1_000))
+    gateway.step(jobevents.Drain(gateway.now_ms + 1_000))
     gateway.submit(builders.build_request("short"))
     gateway.submit(
         builders.build_request("long", steps=[builders.build_step(1, 1, 900)])
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -3,11 +3,11 @@
 import pytest
 
 from amaranthspar import messages
-from amaranthspar.scheduling import keeper
+from amaranthspar.scheduling import keeper, runevents
 
-SENDER = keeper.Sender("gate", 1, "gate:1")
+SENDER = runevents.Sender("gate", 1, "gate:1")
 CAPACITY = messages.Resources(8_000, 8_192, 0)
-KNOWN = keeper.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), False)
+KNOWN = runevents.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), False)
 
 
 class Sidecar:
@@ -27,15 +27,15 @@
         calls = []
         for effect in self.keeper.step(event, self.now_ms):
             match effect:
-                case keeper.Tell(reports=reports):
+                case runevents.Tell(reports=reports):
                     self.told += reports.reports
                     self.room = reports.room
-                case keeper.CallStart() | keeper.CallStop():
+                case runevents.CallStart() | runevents.CallStop():
                     calls.append(effect)
         return calls
 
     def ask(self, message, advance_ms=0):
-        return self.step(keeper.Asked(SENDER, message), advance_ms)
+        return self.step(runevents.Asked(SENDER, message), advance_ms)
 
     def start(self, task="t", run=1, cores=1, upstream="u@1"):
         self.number += 1
@@ -44,18 +44,19 @@
         return self.ask(messages.StartRuns(self.number, upstream, "spec", [order]))
 
     def answer(self, answer, task="t", run=1):
-        return self.step(keeper.StartAnswered(messages.RunName(task, run), answer))
+        return self.step(runevents.StartAnswered(messages.RunName(task, run), answer))
 
     def list(self, *running, ends=(), asked_ms=None):
         rows = tuple(
-            keeper.Progress(messages.RunName(task, run), "", percent)
+            runevents.Progress(messages.RunName(task, run), "", percent)
             for task, run, percent in running
         )
         found = tuple(
-            keeper.End(messages.RunName(task, run), how, "") for task, run, how in ends
+            runevents.End(messages.RunName(task, run), how, "")
+            for task, run, how in ends
         )
         asked_ms = self.now_ms if asked_ms is None else asked_ms
-        return self.step(keeper.Listed(asked_ms, rows, found), 1)
+        return self.step(runevents.Listed(asked_ms, rows, found), 1)
 
     def read_states(self):
         return [(item.name.task, item.name.run, item.state) for item in self.told]
@@ -65,7 +66,7 @@
     sidecar = Sidecar()
     calls = sidecar.start()
     assert [call.order.name.task for call in calls] == ["t"]
-    sidecar.answer(keeper.Answer.TAKEN)
+    sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(("t", 1, 50))
     sidecar.list(ends=[("t", 1, "done")])
     assert sidecar.read_states() == [("t", 1, "started"), ("t", 1, "done")]
@@ -81,7 +82,7 @@
 def test_end_is_told_again_when_the_order_comes_again():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.answer(keeper.Answer.TAKEN)
+    sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(ends=[("t", 1, "done")])
     sidecar.told.clear()
     assert sidecar.start() == []
@@ -91,13 +92,13 @@
 @pytest.mark.parametrize(
     ("event", "reason"),
     [
-        (keeper.Leave(), "sidecar is stopping"),
-        (keeper.DomainChanged(True), "failure domain is out of service"),
+        (runevents.Leave(), "sidecar is stopping"),
+        (runevents.DomainChanged(True), "failure domain is out of service"),
         (
-            keeper.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), True),
+            runevents.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), True),
             "upstream is leaving",
         ),
-        (keeper.UpstreamGone("gone"), "no upstream"),
+        (runevents.UpstreamGone("gone"), "no upstream"),
     ],
 )
 def test_no_run_starts_where_none_may(event, reason):
@@ -123,11 +124,11 @@
 def test_silent_start_is_stopped_before_the_task_is_given_back():
     sidecar = Sidecar()
     sidecar.start()
-    calls = sidecar.answer(keeper.Answer.SILENT)
-    assert [type(call) for call in calls] == [keeper.CallStop]
+    calls = sidecar.answer(runevents.Answer.SILENT)
+    assert [type(call) for call in calls] == [runevents.CallStop]
     sidecar.list()
     assert sidecar.told == []
-    stopped = keeper.StopAnswered(messages.RunName("t", 1), keeper.Answer.TAKEN)
+    stopped = runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.TAKEN)
     sidecar.step(stopped)
     sidecar.list(asked_ms=sidecar.now_ms - 1)
     assert sidecar.told == []
@@ -138,39 +139,39 @@
 def test_start_on_its_way_to_a_lost_upstream_is_in_doubt_until_it_is_barred():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.step(keeper.UpstreamGone("lease has run out"))
+    sidecar.step(runevents.UpstreamGone("lease has run out"))
     assert sidecar.told == []
-    sidecar.step(keeper.Tick(), keeper.START_BARRED_MS)
+    sidecar.step(runevents.Tick(), keeper.START_BARRED_MS)
     assert sidecar.told == []
-    sidecar.step(keeper.Tick(), 1)
+    sidecar.step(runevents.Tick(), 1)
     assert sidecar.read_states() == [("t", 1, "lost")]
 
 
 def test_confirmed_stop_needs_no_list_after_the_time_that_a_stop_takes():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.answer(keeper.Answer.SILENT)
-    stopped = keeper.StopAnswered(messages.RunName("t", 1), keeper.Answer.TAKEN)
+    sidecar.answer(runevents.Answer.SILENT)
+    stopped = runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.TAKEN)
     sidecar.step(stopped)
-    sidecar.step(keeper.Tick(), keeper.STOPPED_MS)
+    sidecar.step(runevents.Tick(), keeper.STOPPED_MS)
     assert sidecar.told == []
-    sidecar.step(keeper.Tick(), 1)
+    sidecar.step(runevents.Tick(), 1)
     assert sidecar.read_states() == [("t", 1, "refused")]
 
 
 def test_silent_stop_is_asked_for_again():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.answer(keeper.Answer.SILENT)
-    silent = keeper.StopAnswered(messages.RunName("t", 1), keeper.Answer.SILENT)
+    sidecar.answer(runevents.Answer.SILENT)
+    silent = runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.SILENT)
     calls = sidecar.step(silent)
-    assert [type(call) for call in calls] == [keeper.CallStop]
+    assert [type(call) for call in calls] == [runevents.CallStop]
 
 
 def test_silent_start_that_runs_counts_as_started():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.answer(keeper.Answer.SILENT)
+    sidecar.answer(runevents.Answer.SILENT)
     sidecar.list(("t", 1, 10))
     assert sidecar.read_states() == [("t", 1, "started")]
 
@@ -180,7 +181,7 @@
     asked_ms = sidecar.now_ms
     sidecar.start()
     sidecar.now_ms += 5
-    sidecar.answer(keeper.Answer.TAKEN)
+    sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(asked_ms=asked_ms)
     assert sidecar.read_states() == [("t", 1, "started")]
     sidecar.list(asked_ms=sidecar.now_ms + 1)
@@ -190,10 +191,10 @@
 def test_runs_of_a_silent_gateway_stop_within_a_second():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.answer(keeper.Answer.TAKEN)
-    assert sidecar.step(keeper.Tick(), keeper.GATEWAY_SILENCE_MS) == []
-    calls = sidecar.step(keeper.Tick(), 1)
-    assert [type(call) for call in calls] == [keeper.CallStop]
+    sidecar.answer(runevents.Answer.TAKEN)
+    assert sidecar.step(runevents.Tick(), keeper.GATEWAY_SILENCE_MS) == []
+    calls = sidecar.step(runevents.Tick(), 1)
+    assert [type(call) for call in calls] == [runevents.CallStop]
     assert keeper.GATEWAY_SILENCE_MS < 1_000
 
 
@@ -201,7 +202,7 @@
     sidecar = Sidecar()
     for task in ("a", "b"):
         sidecar.start(task)
-        sidecar.answer(keeper.Answer.TAKEN, task)
+        sidecar.answer(runevents.Answer.TAKEN, task)
     named = [messages.RunName("a", 1)]
     keep = messages.KeepRuns(1, sidecar.number, False, named)
     calls = sidecar.ask(keep)
@@ -218,14 +219,14 @@
 
 def test_nothing_is_said_of_unknown_runs_before_the_upstream_is_clean():
     sidecar = Sidecar()
-    sidecar.step(keeper.UpstreamGone("lease has run out"))
+    sidecar.step(runevents.UpstreamGone("lease has run out"))
     sidecar.ask(messages.KeepRuns(1, 0, False, [messages.RunName("t", 1)]))
     assert sidecar.told == []
 
 
 def test_run_of_a_predecessor_is_stopped_before_room_is_offered():
     sidecar = Sidecar()
-    sidecar.step(keeper.UpstreamGone("lease has run out"))
+    sidecar.step(runevents.UpstreamGone("lease has run out"))
     sidecar.step(KNOWN)
     calls = sidecar.list(("old", 3, 40))
     assert [call.name for call in calls] == [messages.RunName("old", 3)]
@@ -239,25 +240,25 @@
 def test_gateway_that_has_restarted_has_its_runs_stopped():
     sidecar = Sidecar()
     sidecar.start()
-    sidecar.answer(keeper.Answer.TAKEN)
-    sender = keeper.Sender("gate", 2, "gate:1")
+    sidecar.answer(runevents.Answer.TAKEN)
+    sender = runevents.Sender("gate", 2, "gate:1")
     keep = messages.KeepRuns(1, 0, False, [])
-    calls = sidecar.step(keeper.Asked(sender, keep))
-    assert [type(call) for call in calls] == [keeper.CallStop]
+    calls = sidecar.step(runevents.Asked(sender, keep))
+    assert [type(call) for call in calls] == [runevents.CallStop]
 
 
 def test_message_of_an_incarnation_before_changes_nothing():
     sidecar = Sidecar()
     sidecar.start()
-    sender = keeper.Sender("gate", 0, "gate:1")
+    sender = runevents.Sender("gate", 0, "gate:1")
     stop = messages.StopRuns([messages.RunName("t", 1)])
-    assert sidecar.step(keeper.Asked(sender, stop)) == []
+    assert sidecar.step(runevents.Asked(sender, stop)) == []
 
 
 def test_stale_run_tells_the_highest_one_known():
     sidecar = Sidecar()
     sidecar.start(run=4)
-    sidecar.answer(keeper.Answer.TAKEN, run=4)
+    sidecar.answer(runevents.Answer.TAKEN, run=4)
     sidecar.list(ends=[("t", 4, "failed")])
     sidecar.start(run=2)
     assert (sidecar.told[-1].state, sidecar.told[-1].reason) == ("stale", "4")
@@ -266,7 +267,7 @@
 def test_upstream_that_refuses_as_unhealthy_gets_a_pause():
     sidecar = Sidecar()
     sidecar.start("a")
-    sidecar.answer(keeper.Answer.UNHEALTHY, "a")
+    sidecar.answer(runevents.Answer.UNHEALTHY, "a")
     assert sidecar.start("b") == []
     sidecar.now_ms += keeper.SICK_PAUSE_MS
     assert len(sidecar.start("c")) == 1
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from amaranthspar import effects
-from amaranthspar.scheduling import dispatcher, keeper
+from amaranthspar.scheduling import dispatcher, jobevents, keeper, runevents
 from tests import builders_scheduling as builders
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
@@ -45,7 +45,7 @@
         self.now_ms = 1_000
         self.gateway = dispatcher.Dispatcher(random.Random(seed))
         self.done: dict[str, set[str]] = {}
-        self.ended: dict[str, dispatcher.Ended] = {}
+        self.ended: dict[str, jobevents.Ended] = {}
         self.mail: list[tuple[int, int, object]] = []
         self.cut: set[str] = set()
         self.loss = 0.0
@@ -59,7 +59,7 @@
             for name, domain in zip("xyz"[:SIDECARS], builders.DOMAINS, strict=False)
         }
         peers = tuple(builders.build_peer(name) for name in self.places)
-        self.run_gateway(dispatcher.Found(peers, frozenset()))
+        self.run_gateway(jobevents.Found(peers, frozenset()))
 
     def post(self, action, delay_ms=None) -> None:
         self.count += 1
@@ -74,12 +74,12 @@
                     if name in self.cut or self.chance.random() < self.loss:
                         continue
                     self.post(lambda n=name, m=message: self.deliver(n, m))
-                case dispatcher.Ended():
+                case jobevents.Ended():
                     self.end(effect)
 
     def end(self, ended) -> None:
         self.ended[ended.job] = ended
-        if ended.outcome is dispatcher.Outcome.COMPLETED:
+        if ended.outcome is jobevents.Outcome.COMPLETED:
             count = int(ended.job.partition("-")[2])
             assert len(self.done.get(ended.job, set())) == count
 
@@ -89,22 +89,22 @@
             delay_ms = place.frozen_ms - self.now_ms
             self.post(lambda: self.deliver(name, message), delay_ms)
             return
-        sender = keeper.Sender("gate", 1, "gate:1")
-        self.run_sidecar(place, keeper.Asked(sender, message))
+        sender = runevents.Sender("gate", 1, "gate:1")
+        self.run_sidecar(place, runevents.Asked(sender, message))
 
     def run_sidecar(self, place, event) -> None:
         for effect in place.keeper.step(event, self.now_ms):
             match effect:
-                case keeper.Tell(reports=reports):
+                case runevents.Tell(reports=reports):
                     if place.name in self.cut or self.chance.random() < self.loss:
                         continue
-                    heard = dispatcher.Heard(
+                    heard = jobevents.Heard(
                         place.name, place.incarnation, f"{place.name}:1", reports
                     )
                     self.post(lambda h=heard: self.run_gateway(h))
-                case keeper.CallStart(order=order):
+                case runevents.CallStart(order=order):
                     self.call_start(place, order)
-                case keeper.CallStop(name=name):
+                case runevents.CallStop(name=name):
                     self.call_stop(place, name)
 
     def call_start(self, place, order) -> None:
@@ -119,15 +119,15 @@
 
         def answer(found):
             if place.incarnation == incarnation:
-                event = keeper.StartAnswered(order.name, found)
+                event = runevents.StartAnswered(order.name, found)
                 self.run_sidecar(place, event)
 
         if self.chance.random() < place.late_calls:
             self.post(carry_out, self.chance.randint(300, 4_000))
-            self.post(lambda: answer(keeper.Answer.SILENT), 250)
+            self.post(lambda: answer(runevents.Answer.SILENT), 250)
         elif self.chance.random() < place.late_calls:
             self.post(carry_out, 1)
-            self.post(lambda: answer(keeper.Answer.SILENT), 250)
+            self.post(lambda: answer(runevents.Answer.SILENT), 250)
         else:
             self.post(lambda: answer(carry_out()), 2)
 
@@ -142,9 +142,9 @@
         def answer():
             if not is_lost:
                 carry_out()
-            found = keeper.Answer.SILENT if is_lost else keeper.Answer.TAKEN
+            found = runevents.Answer.SILENT if is_lost else runevents.Answer.TAKEN
             if place.incarnation == incarnation:
-                self.run_sidecar(place, keeper.StopAnswered(name, found))
+                self.run_sidecar(place, runevents.StopAnswered(name, found))
 
         if is_lost:
             self.post(carry_out, self.chance.randint(300, 4_000))
@@ -168,12 +168,12 @@
             if item.how == "done":
                 job = item.name.task.partition(".")[0]
                 self.done.setdefault(job, set()).add(item.name.task)
-        listed = keeper.Listed(self.now_ms, running, tuple(end for _, end in ends))
+        listed = runevents.Listed(self.now_ms, running, tuple(end for _, end in ends))
         self.run_sidecar(place, listed)
 
     def state(self, place) -> None:
         upstream = place.upstream
-        known = keeper.UpstreamKnown(
+        known = runevents.UpstreamKnown(
             upstream.incarnation, upstream.capacity, ("a",), False
         )
         self.run_sidecar(place, known)
@@ -188,13 +188,13 @@
         place.upstream.crash()
         place.seen = 0
         place.fence += 1
-        self.run_sidecar(place, keeper.UpstreamGone("another life answered"))
+        self.run_sidecar(place, runevents.UpstreamGone("another life answered"))
 
     def submit(self, count) -> None:
         name = f"j{len(self.ended) + len(self.gateway.jobs)}n{self.now_ms}-{count}"
         step = builders.build_step(count, self.chance.choice((1, 2)), 100)
         request = builders.build_request(name, steps=[step])
-        self.run_gateway(dispatcher.Submit(request))
+        self.run_gateway(jobevents.Submit(request))
 
     def advance(self, time_ms) -> None:
         end_ms = self.now_ms + time_ms
@@ -209,10 +209,10 @@
                 place.upstream.advance(self.now_ms)
                 if self.now_ms < place.frozen_ms:
                     continue
-                self.run_sidecar(place, keeper.Tick())
+                self.run_sidecar(place, runevents.Tick())
                 if self.now_ms - place.held_ms >= 60:
                     self.hold(place)
-            self.run_gateway(dispatcher.Tick())
+            self.run_gateway(jobevents.Tick())
             self.check()
 
     def check(self) -> None:
