Close a stopping gateway's server only after the answers of what has just come

Ruled out: the balancer's delay, as the connection had been open before. Change: closing stops new connections and waits for every answer within the grace; what is left 0.7 s before the kill is ended first. Test: a request that comes while a server closes gets its answer (fails with 200 ms).

--- a/amaranthspar/platform/program.py
+++ b/amaranthspar/platform/program.py
@@ -40,6 +40,8 @@
 """Time kept of the platform's grace for the last answers and the exit."""
 BALANCER_MS = 2_500
 """Time until the balancer sends no more connections: two checks of 1 s, and a little."""
+ABANDON_MS = 300
+"""Time of that margin in which jobs ended without a result are answered."""
 POLL_MS = 20
 """Interval in which a stopping process looks whether its work has ended."""
 NOTICE_MS = 400
@@ -125,21 +127,22 @@
     meters = metering.Meters()
     gateway = jobgateway.JobGateway(place, meters)
     handler = callers.Callers(gateway)
-    front = servers.Server(handler.handle)
+    time_ms = found.grace_ms - STOP_MARGIN_MS
+    front = servers.Server(handler.handle, time_ms - BALANCER_MS + ABANDON_MS)
     readiness = servers.Server(handler.check_readiness)
     await gateway.start()
     await front.open(found.callers)
     await readiness.open(found.readiness)
     await _open_metrics(found, meters)
     await stop.wait()
-    time_ms = found.grace_ms - STOP_MARGIN_MS
     _log.info("stopping", has_jobs=gateway.has_jobs, time_ms=time_ms)
     gateway.drain(time_ms)
     await asyncio.sleep(BALANCER_MS / 1000)
-    await _wait_until(lambda: not gateway.has_jobs, time_ms - BALANCER_MS)
+    # Requests may still come on open connections: closing waits for their answers.
+    closing = asyncio.get_running_loop().create_task(front.close())
+    await asyncio.wait([closing], timeout=(time_ms - BALANCER_MS) / 1000)
     gateway.abandon_all("gateway has stopped")
-    await asyncio.sleep(POLL_MS / 1000)
-    await front.close()
+    await closing
     await readiness.close()
     gateway.close()
 
--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -11,8 +11,8 @@
 """Longest line of a request's head."""
 KEEP_ALIVE_S = 75
 """Time for which an idle connection is kept."""
-SHUTDOWN_S = 0.2
-"""Time for handlers that are left when a server closes."""
+SHUTDOWN_MS = 200
+"""Time for handlers that are left when a server closes, unless told otherwise."""
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -24,10 +24,12 @@
 
     Args:
         handler: Answers each request.
+        shutdown_ms: Time for handlers that are left when the server closes, in ms.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, shutdown_ms: int = SHUTDOWN_MS) -> None:
         self._handler = handler
+        self._shutdown_ms = shutdown_ms
         self._runner: web.ServerRunner | None = None
 
     async def open(self, address: str) -> None:
@@ -48,7 +50,9 @@
             max_field_size=MAX_LINE_BYTES,
             keepalive_timeout=KEEP_ALIVE_S,
         )
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=self._shutdown_ms / 1000
+        )
         await self._runner.setup()
         try:
             await web.TCPSite(self._runner, host, int(port)).start()
@@ -56,7 +60,7 @@
             raise errors.ListenError(f"cannot listen on {address}: {error}") from error
 
     async def close(self) -> None:
-        """Close the connections and stop listening."""
+        """Stop listening, close idle connections and the others after their answers."""
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -255,3 +255,27 @@
         assert await system.submit_until_done(JOB[::-1], count=1) == "completed"
 
     play(tmp_path, scenario)
+
+
+def test_request_that_comes_while_a_server_closes_gets_its_answer():
+    """A gateway without jobs closed its server, and cut off one that had just come."""
+
+    async def run() -> None:
+        asked = asyncio.Event()
+
+        async def answer(_request):
+            asked.set()
+            await asyncio.sleep(0.5)
+            return servers.answer_json(200)
+
+        server = servers.Server(answer, shutdown_ms=5_000)
+        (address,) = ports.find_addresses()
+        await server.open(address)
+        async with aiohttp.ClientSession() as session:
+            call = asyncio.create_task(session.get(f"http://{address}/"))
+            await asked.wait()
+            await server.close()
+            response = await call
+            assert response.status == 200
+
+    asyncio.run(run())
