Share a process's contact with controllers, and spread callers refused after waiting

Found in reading the change: gateway and sidecar held the same lines on announcements and views (now contact.py), and a caller refused after it had waited was told the same time to come back as all others (now the backlog and a random part, as at admission; a test shows six callers with six times).

--- a/amaranthspar/jobgateway.py
+++ b/amaranthspar/jobgateway.py
@@ -9,9 +9,9 @@
 import structlog
 
 from amaranthspar import (
-    announcer,
     clock,
     codec,
+    contact,
     effects,
     links,
     messages,
@@ -48,37 +48,25 @@
         self._incarnation = self._clock.read_wall()
         chance = random.Random(secrets.randbits(SEED_BITS))
         self._dispatcher = dispatcher.Dispatcher(chance)
-        own = messages.Announce(
-            process=place.name,
-            role="gateway",
-            incarnation=self._incarnation,
-            address=place.listen,
-            service="",
-            is_leaving=False,
-            document_version=-1,
-            domains_revision=0,
-            wants_document=False,
-            wants_peers=True,
-            peers_digest=0,
-        )
-        self._announcer = announcer.Announcer(own, place.controllers)
         section = options.LinkOptions(heartbeat_ms=LINK_HEARTBEAT_MS)
         self._links = links.Links(
             place.name, self._incarnation, place.listen, self._receive, section
         )
         self._links.end_burst = self._end_burst
+        self._contact = contact.Contact(
+            place, "gateway", "", self._incarnation, self._links.send
+        )
         self._heard: list[jobevents.Heard] = []
         self._callers: collections.Counter[str] = collections.Counter()
         self._ends: dict[str, asyncio.Future[jobevents.Ended]] = {}
         self._ticking: asyncio.Task[None] | None = None
-        self._was_in_touch = False
         self._started_ms = 0
         self._known = asyncio.Event()
 
     @property
     def version(self) -> int:
         """Version of the routing document; -1 before the first."""
-        return self._announcer.version
+        return self._contact.version
 
     @property
     def is_draining(self) -> bool:
@@ -125,7 +113,7 @@
         Args:
             time_ms: Time that is left in ms.
         """
-        self._announcer.note_leaving()
+        self._contact.note_leaving()
         until_ms = self._clock.read_monotonic() + time_ms
         self._step(jobevents.Drain(until_ms))
 
@@ -218,13 +206,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000)
             now_ms = self._clock.read_monotonic()
-            for send in self._announcer.tick(now_ms):
-                self._links.send(send.peer, send.message)
-            is_in_touch = self._announcer.is_in_touch(now_ms)
-            if is_in_touch is not self._was_in_touch:
-                self._was_in_touch = is_in_touch
-                event = "controllers heard" if is_in_touch else "controllers silent"
-                _log.info(event, version=self.version)
+            self._contact.tick(now_ms)
             self._step(jobevents.Tick())
             if not self._known.is_set():
                 self._note_known()
@@ -251,16 +233,9 @@
 
     def _take_view(self, address: str, view: messages.View) -> None:
         now_ms = self._clock.read_monotonic()
-        changed = self._announcer.take(address, view, now_ms)
+        changed = self._contact.take(address, view, now_ms)
         if changed is None:
             return
-        _log.info(
-            "view changed",
-            source=address,
-            version=self.version,
-            domains_out=sorted(changed.domains_out),
-            peers=len(changed.peers),
-        )
         if changed.document is not None:
             self.document = changed.document
         self._step(jobevents.Found(changed.peers, changed.domains_out))
--- a/amaranthspar/runsidecar.py
+++ b/amaranthspar/runsidecar.py
@@ -7,9 +7,9 @@
 import structlog
 
 from amaranthspar import (
-    announcer,
     clock,
     codec,
+    contact,
     errors,
     links,
     messages,
@@ -153,28 +153,16 @@
         self._retired: set[str] = set()
         self._fence = self._incarnation
         self._fence_step = FENCE_STEP
-        own = messages.Announce(
-            process=place.name,
-            role="sidecar",
-            incarnation=self._incarnation,
-            address=place.listen,
-            service=service,
-            is_leaving=False,
-            document_version=-1,
-            domains_revision=0,
-            wants_document=False,
-            wants_peers=False,
-            peers_digest=0,
-        )
-        self._announcer = announcer.Announcer(own, place.controllers)
         section = options.LinkOptions(heartbeat_ms=LINK_HEARTBEAT_MS)
         self._links = links.Links(
             place.name, self._incarnation, place.listen, self._receive, section
         )
+        self._contact = contact.Contact(
+            place, "sidecar", service, self._incarnation, self._links.send
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._loops: list[asyncio.Task[None]] = []
         self._registered = asyncio.Event()
-        self._was_in_touch = False
 
     @property
     def has_runs(self) -> bool:
@@ -193,7 +181,7 @@
 
     def drain(self) -> None:
         """Take no new runs and hold those under way."""
-        self._announcer.note_leaving()
+        self._contact.note_leaving()
         self._step(runevents.Leave())
 
     async def close(self) -> None:
@@ -249,13 +237,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1000)
             now_ms = self._clock.read_monotonic()
-            for send in self._announcer.tick(now_ms):
-                self._links.send(send.peer, send.message)
-            is_in_touch = self._announcer.is_in_touch(now_ms)
-            if is_in_touch is not self._was_in_touch:
-                self._was_in_touch = is_in_touch
-                event = "controllers heard" if is_in_touch else "controllers silent"
-                _log.info(event)
+            self._contact.tick(now_ms)
             self._step(runevents.Tick())
             self._meters.running.set(len(self._keeper.runs))
 
@@ -274,13 +256,10 @@
 
     def _take_view(self, address: str, view: messages.View) -> None:
         now_ms = self._clock.read_monotonic()
-        changed = self._announcer.take(address, view, now_ms)
+        changed = self._contact.take(address, view, now_ms)
         if changed is None:
             return
         is_out = self._failure_domain in changed.domains_out
-        _log.info(
-            "view changed", source=address, domains_out=sorted(changed.domains_out)
-        )
         self._step(runevents.DomainChanged(is_out))
 
     def _step(self, event: runevents.Event) -> None:
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -116,17 +116,17 @@
             return
         reason = self._find_obstacle(request, now_ms)
         if reason:
-            self._refuse(request.id, reason, now_ms)
+            self._refuse(request.id, reason)
             return
         job = jobs.build_job(request, now_ms)
         entry = self._build_entry(job)
         end_ms = now_ms + DRAIN_MARGIN * entry.chain_ms
         if self.is_draining and end_ms > self._until_ms:
-            self._refuse(request.id, "gateway is stopping", now_ms)
+            self._refuse(request.id, "gateway is stopping")
             return
         forecast = self._forecast(request.queue.service, now_ms)
         if not self.waiting.admit(entry, forecast):
-            self._refuse(request.id, "no room in time", now_ms)
+            self._refuse(request.id, "no room in time")
             return
         self.jobs[request.id] = job
         self._tasks.update((task.name, task) for task in job.tasks)
@@ -154,16 +154,21 @@
                 return "no upstream is large enough or of the right kind"
         return ""
 
-    def _refuse(self, name: str, reason: str, now_ms: int) -> None:
+    def _refuse(self, name: str, reason: str) -> None:
+        retry_ms = self._plan_return()
+        refused = jobevents.Outcome.REFUSED
+        self._effects.append(jobevents.Ended(name, refused, reason, retry_ms))
+
+    def _plan_return(self) -> int:
+        """Return after how many ms a refused caller finds the backlog worked off.
+
+        Callers are spread, so that they do not come back together.
+        """
         backlog_ms = 0.0
         rate = self._read_rate()
         if rate > 0:
             backlog_ms = self.waiting.work / rate
-        spread_ms = RETRY_SPREAD_MS * self._chance.random()
-        retry_ms = round(backlog_ms + spread_ms)
-        self._effects.append(
-            jobevents.Ended(name, jobevents.Outcome.REFUSED, reason, retry_ms)
-        )
+        return round(backlog_ms + RETRY_SPREAD_MS * self._chance.random())
 
     def _build_entry(self, job: jobs.Job) -> waiting.Entry:
         queue = job.request.queue
@@ -420,9 +425,8 @@
             if is_unlisted and silent_ms > FORGET_MS and not sidecar.tasks:
                 del self.fleet.sidecars[sidecar.name]
         for job in self.waiting.pop_useless(now_ms):
-            self._end(
-                job, jobevents.Outcome.REFUSED, "waited too long", RETRY_SPREAD_MS
-            )
+            refused = jobevents.Outcome.REFUSED
+            self._end(job, refused, "waited too long", self._plan_return())
 
     def _keep_all(self, now_ms: int) -> None:
         self._kept_ms = now_ms
--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -1,7 +1,8 @@
 """Decides in a sidecar which runs start, go on and stop on its upstream.
 
-It answers silent starts: one is asked about on the upstream's list of runs, and is
-stopped by name where it is not there, before any other place may start the task.
+A start that the upstream does not answer is in doubt: it is stopped by name, which bars
+it for good, unless the upstream lists it meanwhile. Only then does the gateway hear that
+it did not start, so that no other place starts the task too early.
 """
 
 from amaranthspar import messages
--- /dev/null
+++ b/tests/test_announcer.py
@@ -0,0 +1,177 @@
+"""Tests of what processes learn from controllers, and of how controllers take part."""
+
+import attrs
+
+from amaranthspar import announcer, directory, documents, joining, messages, replacement
+
+OWN = messages.Announce(
+    process="gate",
+    role="gateway",
+    incarnation=1,
+    address="gate:1",
+    service="",
+    is_leaving=False,
+    document_version=-1,
+    domains_revision=0,
+    wants_document=False,
+    wants_peers=True,
+    peers_digest=0,
+)
+
+
+class Controllers:
+    """Directories and documents of some controllers, and one process that asks them."""
+
+    def __init__(self, *names: str) -> None:
+        self.now_ms = 10_000
+        self.directories = {name: directory.Directory() for name in names}
+        self.states = {name: documents.Documents() for name in names}
+        self.announcer = announcer.Announcer(OWN, list(names))
+        self.silent: set[str] = set()
+        self.sent_documents = 0
+
+    def put(self, version: int, *names: str) -> None:
+        command = messages.PutDocument("r", version, f"v{version}".encode())
+        for name in names or self.states:
+            self.states[name].put(command)
+
+    def ask(self, name: str, message: messages.Announce) -> messages.View:
+        listed = list(self.directories)
+        place = self.directories[name]
+        return place.announce(message, self.states[name], listed, self.now_ms)
+
+    def turn(self, time_ms: int = announcer.INTERVAL_MS) -> list[announcer.Changed]:
+        """Let time pass and return the changes of the view."""
+        self.now_ms += time_ms
+        changes = []
+        for send in self.announcer.tick(self.now_ms):
+            if send.peer in self.silent:
+                continue
+            view = self.ask(send.peer, send.message)
+            self.sent_documents += bool(view.document)
+            changes.append(self.announcer.take(send.peer, view, self.now_ms))
+        return [item for item in changes if item is not None]
+
+
+def test_newest_document_arrives_once_within_three_turns():
+    world = Controllers("a", "b", "c")
+    world.put(7)
+    changes = [change for _ in range(3) for change in world.turn()]
+    assert [item.document for item in changes if item.document] == [b"v7"]
+    assert world.announcer.version == 7
+    assert world.sent_documents == 1
+
+
+def test_view_never_goes_back_to_an_older_version():
+    world = Controllers("a", "b")
+    world.put(7)
+    for _ in range(4):
+        world.turn()
+    world.states["a"] = world.states["b"] = documents.Documents(3, b"v3")
+    for _ in range(4):
+        assert all(item.document is None for item in world.turn())
+    assert world.announcer.version == 7
+
+
+def test_document_is_asked_from_another_controller_when_one_is_silent():
+    world = Controllers("a", "b")
+    world.put(2)
+    world.turn()
+    world.silent.add(max(world.directories))
+    for _ in range(6):
+        world.turn()
+    assert world.announcer.version == 2
+
+
+def test_view_stays_in_force_while_all_controllers_are_silent():
+    world = Controllers("a", "b")
+    command = messages.SetDomain("r", "east", True)
+    for state in world.states.values():
+        state.set_domain(command)
+    for _ in range(3):
+        world.turn()
+    world.silent |= {"a", "b"}
+    for _ in range(20):
+        assert world.turn() == []
+    assert world.announcer.domains_out == {"east"}
+    assert not world.announcer.is_in_touch(world.now_ms)
+
+
+def test_controller_without_domains_of_late_takes_none_back():
+    world = Controllers("a", "b")
+    world.states["a"].set_domain(messages.SetDomain("r", "east", True))
+    for _ in range(4):
+        world.turn()
+    assert world.announcer.domains_out == {"east"}
+
+
+def test_process_listed_by_any_controller_is_known():
+    world = Controllers("a", "b")
+    side = attrs.evolve(OWN, process="side", role="sidecar", service="quotes")
+    world.ask("b", side)
+    for _ in range(2):
+        world.turn()
+    assert {peer.process for peer in world.announcer.peers} == {"gate", "side"}
+
+
+def test_silent_process_is_forgotten_by_a_directory():
+    place = directory.Directory()
+    place.announce(OWN, documents.Documents(), [], 0)
+    assert place.expire(directory.EXPIRY_MS) == []
+    assert place.expire(directory.EXPIRY_MS + 1) == ["gate"]
+
+
+def test_list_of_processes_is_sent_only_when_it_has_changed():
+    place = directory.Directory()
+    first = place.announce(OWN, documents.Documents(), [], 0)
+    assert len(first.peers) == 1
+    again = attrs.evolve(OWN, peers_digest=first.peers_digest)
+    assert place.announce(again, documents.Documents(), [], 1).peers == []
+
+
+def test_domain_set_twice_changes_once():
+    state = documents.Documents()
+    for is_out in (True, True, False, False, True):
+        state.set_domain(messages.SetDomain("r", "east", is_out))
+    assert (state.domains_revision, state.domains_out) == (3, {"east"})
+
+
+SEEDS = {"h1": "h1:1", "h2": "h2:1", "h3": "h3:1"}
+
+
+def test_first_replicas_are_named_after_their_hosts():
+    plan = joining.plan_replica("h1", "h1:1", "", SEEDS, True)
+    assert plan.replica == "h1"
+    assert plan.first == ["h1=h1:1", "h2=h2:1", "h3=h3:1"]
+    assert plan.join == ["h2:1", "h3:1"]
+
+
+def test_replica_with_a_lost_folder_joins_under_a_new_id():
+    plan = joining.plan_replica("h1", "h1:1", "", SEEDS, False)
+    assert plan.replica.startswith("h1-")
+    assert plan.first == []
+
+
+def test_stored_id_is_kept():
+    plan = joining.plan_replica("h1", "h1:1", "h1-ab", SEEDS, False)
+    assert (plan.replica, plan.first) == ("h1-ab", [])
+
+
+def build_members() -> messages.ChangeReplicas:
+    found = [messages.Replica(name, SEEDS[name], True) for name in SEEDS]
+    return messages.ChangeReplicas(found, [])
+
+
+def test_joining_replica_replaces_the_one_at_its_address():
+    joined = messages.JoinReplicas("h2-ab", "h2:1")
+    silent = frozenset({"h3"})
+    assert replacement.plan_join(build_members(), joined, silent) == "h2"
+
+
+def test_joining_replica_replaces_one_that_is_silent_or_none():
+    joined = messages.JoinReplicas("h4-ab", "h4:1")
+    members = build_members()
+    assert replacement.plan_join(members, joined, frozenset({"h3"})) == "h3"
+    assert replacement.plan_join(members, joined, frozenset()) == ""
+    member = messages.JoinReplicas("h1", "h1:1")
+    assert replacement.plan_join(members, member, frozenset()) is None
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -169,6 +169,21 @@
     assert max(times) - min(times) > dispatcher.RETRY_SPREAD_MS / 2
 
 
+def test_callers_refused_after_waiting_are_spread_too():
+    gateway = build_gateway(free=0.0)
+    for number in range(6):
+        queue = builders.build_queue(target_ms=5_000)
+        gateway.submit(builders.build_request(f"j{number}", queue=queue))
+    waited = 0
+    while len(gateway.ended) < 6 and waited < 40_000:
+        gateway.hear_room("one", free=0.0)
+        gateway.wait(100)
+        waited += 100
+    times = {ended.retry_after_ms for ended in gateway.ended.values()}
+    assert len(gateway.ended) == 6
+    assert len(times) == 6
+
+
 def test_domain_out_of_service_gets_no_runs():
     gateway = builders.Gateway()
     gateway.find("one", "two", domains_out=["east"])
