Remove a silent voter that makes the number of controllers' voters even

Ruled out: disk and joining, as the new replica was in the set and followed. Change: the leader removes a voter that was silent for 3 s while the number of voters is even and those heard are a majority of what is left. Tests: plan_removal for even, odd and too few. Known and left: a replica removed so that comes back later is not taken in again.

--- a/amaranthspar/administration.py
+++ b/amaranthspar/administration.py
@@ -84,6 +84,24 @@
         event = transitions.Replace(removed, joining.replica, joining.address)
         return self._machine.step(event, now_ms)
 
+    def remove_silent(self, now_ms: int) -> list[transitions.Effect]:
+        """Remove a silent voter that makes the number of voters even.
+
+        Args:
+            now_ms: Monotonic clock in ms.
+
+        Returns:
+            Effects to carry out in order.
+        """
+        leading = self._machine.leading
+        if leading is None:
+            return []
+        silent = leading.list_silent(now_ms, REPLACED_SILENCE_MS)
+        removed = replacement.plan_removal(self._machine.journal.members, silent)
+        if not removed:
+            return []
+        return self._machine.step(transitions.Replace(removed, "", ""), now_ms)
+
     def answer_committed(self) -> list[effects.Send]:
         """Answer the replacements that are committed, and forget those of old terms."""
         machine = self._machine
--- a/amaranthspar/controller.py
+++ b/amaranthspar/controller.py
@@ -206,6 +206,12 @@
                 self._watch_replicas()
                 self._report()
             self._ask_to_join(standing.now_ms)
+            self._remove_silent(standing.now_ms)
+
+    def _remove_silent(self, now_ms: int) -> None:
+        if self._options.join and self.leading:
+            for effect in self._administration.remove_silent(now_ms):
+                self._carry_out(effect)
 
     def _ask_to_join(self, now_ms: int) -> None:
         """Ask for a place in the set where this replica has none."""
--- a/amaranthspar/replacement.py
+++ b/amaranthspar/replacement.py
@@ -69,6 +69,24 @@
     return gone[0] if gone else ""
 
 
+def plan_removal(members: messages.ChangeReplicas, silent: frozenset[str]) -> str:
+    """Return a silent voter that should be removed; empty for none.
+
+    An even number of voters bears no more losses than one voter fewer. It arises when a
+    new replica was taken in before it was certain that the one it replaces is gone.
+
+    Args:
+        members: Current set.
+        silent: Replicas that the leader has not heard for long.
+    """
+    voters = [item.id for item in members.replicas if item.voter]
+    gone = [name for name in voters if name in silent]
+    heard = len(voters) - len(gone)
+    if len(voters) % 2 or not gone or 2 * heard <= len(voters) - 1:
+        return ""
+    return gone[0]
+
+
 def plan_promotion(
     members: messages.ChangeReplicas, learner: str, folder: int
 ) -> messages.ChangeReplicas:
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -175,3 +175,16 @@
     assert replacement.plan_join(members, joined, frozenset()) == ""
     member = messages.JoinReplicas("h1", "h1:1")
     assert replacement.plan_join(members, member, frozenset()) is None
+
+
+def test_silent_voter_leaves_a_set_of_even_number():
+    """A new leader's host came before the old one had been silent for long."""
+    joined = messages.Replica("h4", "h4:1", True)
+    members = messages.ChangeReplicas([*build_members().replicas, joined], [])
+    assert replacement.plan_removal(members, frozenset({"h1"})) == "h1"
+    assert replacement.plan_removal(members, frozenset()) == ""
+    assert replacement.plan_removal(members, frozenset({"h1", "h2", "h3"})) == ""
+
+
+def test_silent_voter_stays_in_a_set_of_odd_number():
+    assert replacement.plan_removal(build_members(), frozenset({"h1"})) == ""
