--- /dev/null
+++ b/amaranthspar/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to gateways and controllers."""
--- a/amaranthspar/access.py
+++ b/amaranthspar/clients/access.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-from amaranthspar import _sections, errors, inifiles, options
+from amaranthspar import errors
+from amaranthspar.ini import _sections, inifiles
+from amaranthspar.schema import options
 
 GATEWAY_VARIABLE = "AMARANTHSPAR_GATEWAY"
 TOKEN_VARIABLE = "AMARANTHSPAR_TOKEN"
--- a/amaranthspar/client.py
+++ b/amaranthspar/clients/client.py
@@ -7,7 +7,8 @@
 import attrs
 import msgspec
 
-from amaranthspar import bodies, errors, messages, problems
+from amaranthspar import errors
+from amaranthspar.schema import bodies, messages, problems
 
 Body = TypeVar("Body")
 
--- a/amaranthspar/control.py
+++ b/amaranthspar/clients/control.py
@@ -4,7 +4,9 @@
 import itertools
 from collections.abc import Hashable
 
-from amaranthspar import bodies, codec, errors, links, messages
+from amaranthspar import errors
+from amaranthspar.network import links
+from amaranthspar.schema import bodies, codec, messages
 
 TRY_MS = 700
 TOTAL_MS = 6000
--- a/amaranthspar/operators.py
+++ b/amaranthspar/clients/operators.py
@@ -6,7 +6,9 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from amaranthspar import access, client, configuration, errors, messages
+from amaranthspar import configuration, errors
+from amaranthspar.clients import access, client
+from amaranthspar.schema import messages
 
 Result = TypeVar("Result")
 
--- /dev/null
+++ b/amaranthspar/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- a/amaranthspar/commands_config.py
+++ b/amaranthspar/commands/config.py
@@ -6,15 +6,9 @@
 
 import tabulate
 
-from amaranthspar import (
-    client,
-    commands,
-    commands_operator,
-    configuration,
-    errors,
-    exits,
-    operators,
-)
+from amaranthspar import configuration, errors, exits
+from amaranthspar.clients import client, operators
+from amaranthspar.commands import remote, shared
 
 SUBMIT_EXAMPLES = """\
   amaranthspar config show > office.ini      # its first line names the version
@@ -41,7 +35,7 @@
     """
     verbs = parser.add_subparsers(title="commands", required=True)
     summary = "Submit a whole configuration that is based on a version."
-    submit = commands_operator.add_verb(
+    submit = remote.add_verb(
         verbs, "submit", _submit_configuration, summary, SUBMIT_EXAMPLES
     )
     submit.add_argument("file", metavar="FILE", help="INI file; - for standard input")
@@ -58,11 +52,9 @@
         metavar="ID",
         help="unique name of the change, made up by default",
     )
-    commands.add_json(submit)
+    shared.add_json(submit)
     summary = "Print a configuration as INI text."
-    show = commands_operator.add_verb(
-        verbs, "show", _show_configuration, summary, SHOW_EXAMPLES
-    )
+    show = remote.add_verb(verbs, "show", _show_configuration, summary, SHOW_EXAMPLES)
     show.add_argument(
         "--version",
         type=int,
@@ -71,12 +63,12 @@
         dest="configuration_version",
         help="version, the newest by default",
     )
-    commands.add_json(show)
+    shared.add_json(show)
     summary = "List the latest accepted changes."
-    history = commands_operator.add_verb(
+    history = remote.add_verb(
         verbs, "history", _show_history, summary, HISTORY_EXAMPLES
     )
-    commands.add_json(history)
+    shared.add_json(history)
 
 
 def _submit_configuration(arguments: argparse.Namespace) -> int:
@@ -96,14 +88,14 @@
         except client.ClientError:
             _advise_resend(change_id)
             raise
-        return commands_operator.report_decision(decided, source, arguments.json)
+        return remote.report_decision(decided, source, arguments.json)
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _read_text(path: str, source: str) -> str:
     try:
-        text = commands.read_input(path).decode()
+        text = shared.read_input(path).decode()
         configuration.parse_text(text)
     except UnicodeDecodeError as error:
         raise errors.SettingsError([f"{source}: not UTF-8: {error}"]) from error
@@ -114,7 +106,7 @@
 
 
 def _advise_resend(change_id: str) -> None:
-    commands.print_error(f"send it again with --change-id {change_id}")
+    shared.print_error(f"send it again with --change-id {change_id}")
 
 
 def _show_configuration(arguments: argparse.Namespace) -> int:
@@ -123,23 +115,23 @@
     async def run(operator: operators.Operator) -> int:
         fetched = await operator.fetch_configuration(version)
         if version and fetched.version != version:
-            commands.print_error(f"version {version} is not kept")
+            shared.print_error(f"version {version} is not kept")
             return exits.REFUSED
         if arguments.json:
-            commands.print_json({"version": fetched.version, "text": fetched.text})
+            shared.print_json({"version": fetched.version, "text": fetched.text})
         else:
             print(f"; version {fetched.version}")
             print(fetched.text, end="")
         return exits.DONE
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _show_history(arguments: argparse.Namespace) -> int:
     async def run(operator: operators.Operator) -> int:
         fetched = await operator.fetch_configuration()
         if arguments.json:
-            commands.print_json(fetched.history)
+            shared.print_json(fetched.history)
             return exits.DONE
         rows = [
             (
@@ -154,7 +146,7 @@
         print(tabulate.tabulate(rows, headers=headers))
         return exits.DONE
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _format_time(wall_ms: int) -> str:
--- a/amaranthspar/commands_demo.py
+++ b/amaranthspar/commands/demo.py
@@ -32,7 +32,7 @@
 
 
 def _run_demo(arguments: argparse.Namespace) -> int:
-    from amaranthspar import demo
+    from amaranthspar.roles import demo
 
     if not arguments.serve:
         return loop.run_loop(demo.run_demo())
--- a/amaranthspar/commands_domain.py
+++ b/amaranthspar/commands/domain.py
@@ -2,7 +2,9 @@
 
 import argparse
 
-from amaranthspar import commands, commands_operator, exits, operators
+from amaranthspar import exits
+from amaranthspar.clients import operators
+from amaranthspar.commands import remote, shared
 
 EXAMPLES = """\
   amaranthspar domain {state} gyor
@@ -23,9 +25,9 @@
     verbs = parser.add_subparsers(title="commands", required=True)
     for state, summary in SUMMARIES.items():
         examples = EXAMPLES.format(state=state)
-        verb = commands_operator.add_verb(verbs, state, _set_state, summary, examples)
+        verb = remote.add_verb(verbs, state, _set_state, summary, examples)
         verb.add_argument("name", metavar="NAME", help="failure domain")
-        commands.add_json(verb)
+        shared.add_json(verb)
         verb.set_defaults(state=state)
 
 
@@ -34,9 +36,9 @@
         try:
             decided = await operator.set_domain_state(arguments.name, arguments.state)
         except operators.UnknownDomainError as error:
-            commands.print_error(str(error))
+            shared.print_error(str(error))
             return exits.BAD_INPUT
         source = f"domain {arguments.state} {arguments.name}"
-        return commands_operator.report_decision(decided, source, arguments.json)
+        return remote.report_decision(decided, source, arguments.json)
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
--- a/amaranthspar/commands_job.py
+++ b/amaranthspar/commands/job.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from amaranthspar import client, commands, commands_operator, exits, operators
+from amaranthspar import exits
+from amaranthspar.clients import client, operators
+from amaranthspar.commands import remote, shared
 
 SUBMIT_EXAMPLES = """\
   echo '{"tasks": [{"payload": {"echo": 1}}]}' > plot.json
@@ -30,9 +32,7 @@
     """
     verbs = parser.add_subparsers(title="commands", required=True)
     summary = "Submit a job and print the answers of its tasks."
-    submit = commands_operator.add_verb(
-        verbs, "submit", _submit, summary, SUBMIT_EXAMPLES
-    )
+    submit = remote.add_verb(verbs, "submit", _submit, summary, SUBMIT_EXAMPLES)
     submit.add_argument("service", metavar="SERVICE", help="service name")
     submit.add_argument(
         "file", metavar="FILE", help="JSON file with the tasks; - for standard input"
@@ -46,17 +46,15 @@
     submit.add_argument("--deadline-ms", type=int, metavar="N", help="deadline in ms")
     submit.add_argument("--desk", default="", metavar="DESK", help="desk that asks")
     summary = "Print the state or the answers of a job."
-    show = commands_operator.add_verb(verbs, "show", _show, summary, SHOW_EXAMPLES)
+    show = remote.add_verb(verbs, "show", _show, summary, SHOW_EXAMPLES)
     show.add_argument("job", metavar="JOB", help="job id")
     summary = "Cancel a job: what waits is dropped, what runs is stopped."
-    cancel = commands_operator.add_verb(
-        verbs, "cancel", _cancel, summary, CANCEL_EXAMPLES
-    )
+    cancel = remote.add_verb(verbs, "cancel", _cancel, summary, CANCEL_EXAMPLES)
     cancel.add_argument("job", metavar="JOB", help="job id")
 
 
 def _submit(arguments: argparse.Namespace) -> int:
-    body = commands.read_input(arguments.file)
+    body = shared.read_input(arguments.file)
     key = arguments.key or str(uuid.uuid4())
     headers = {"Idempotency-Key": key, "Content-Type": "application/json"}
     if arguments.detached:
@@ -70,18 +68,18 @@
         try:
             reply = await operator.submit_job(arguments.service, body, headers)
         except client.ClientError:
-            commands.print_error(f"send it again with --key {key}")
+            shared.print_error(f"send it again with --key {key}")
             raise
         return _report(reply)
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _show(arguments: argparse.Namespace) -> int:
     async def run(operator: operators.Operator) -> int:
         return _report(await operator.find_job(arguments.job, "GET"))
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _cancel(arguments: argparse.Namespace) -> int:
@@ -92,7 +90,7 @@
         print(f"job {arguments.job} cancelled")
         return exits.DONE
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _report(reply: client.Reply) -> int:
--- a/amaranthspar/commands_recover.py
+++ b/amaranthspar/commands/recover.py
@@ -5,7 +5,10 @@
 
 import attrs
 
-from amaranthspar import commands, errors, exits, recovery, settings
+from amaranthspar import errors, exits
+from amaranthspar.commands import shared
+from amaranthspar.roles import settings
+from amaranthspar.storage import recovery
 
 EXAMPLES = """\
 examples:
@@ -32,7 +35,7 @@
     )
     parser.add_argument("--operator", default="", help="who orders it; kept in the log")
     parser.add_argument("--confirm", default="", metavar="TEXT", help="confirmation")
-    commands.add_json(parser)
+    shared.add_json(parser)
     parser.set_defaults(run=_recover)
 
 
@@ -56,7 +59,7 @@
 
 def _report(assessment: recovery.Assessment, as_json: bool) -> None:
     if as_json:
-        commands.print_json(assessment)
+        shared.print_json(assessment)
         return
     for field in attrs.fields(recovery.Assessment):
         value = getattr(assessment, field.name)
--- a/amaranthspar/commands_operator.py
+++ b/amaranthspar/commands/remote.py
@@ -5,15 +5,10 @@
 import sys
 from collections.abc import Awaitable, Callable
 
-from amaranthspar import (
-    access,
-    client,
-    commands,
-    exits,
-    loop,
-    messages,
-    operators,
-)
+from amaranthspar import exits, loop
+from amaranthspar.clients import access, client, operators
+from amaranthspar.commands import shared
+from amaranthspar.schema import messages
 
 DEFAULT_TIMEOUT_MS = 15_000
 BAD_INPUT_STATUSES = (400, 404, 405, 413, 414, 415, 431)
@@ -42,7 +37,7 @@
 
 
 def add_verb(
-    verbs: commands.Subparsers, name: str, run: Run, summary: str, examples: str
+    verbs: shared.Subparsers, name: str, run: Run, summary: str, examples: str
 ) -> argparse.ArgumentParser:
     """Add the second word of a command that reaches the system.
 
@@ -56,7 +51,7 @@
     Returns:
         Parser for the command's own arguments.
     """
-    parser = commands.add_parser(verbs, name, summary)
+    parser = shared.add_parser(verbs, name, summary)
     fill_parser(parser, run, examples)
     return parser
 
@@ -86,10 +81,10 @@
     try:
         return loop.run_loop(run())
     except client.RefusedError as error:
-        commands.print_error(str(error))
+        shared.print_error(str(error))
         return judge_status(error.problem.status, error.problem.outcome)
     except client.ClientError as error:
-        commands.print_error(f"{error}; the outcome is unknown")
+        shared.print_error(f"{error}; the outcome is unknown")
         return exits.UNKNOWN
 
 
@@ -107,21 +102,21 @@
         Exit code.
     """
     if as_json:
-        commands.print_json(decided)
+        shared.print_json(decided)
     match decided.outcome:
         case operators.ACCEPTED:
             if not as_json:
                 print(f"accepted as version {decided.version}")
             return exits.DONE
         case operators.CONFLICT:
-            commands.print_error(f"conflict: version {decided.version} is in force")
+            shared.print_error(f"conflict: version {decided.version} is in force")
             return exits.REFUSED
         case "invalid":
             for fault in decided.errors:
                 print(f"{source}: {fault}", file=sys.stderr)
             return exits.BAD_INPUT
         case outcome:
-            commands.print_error(f"{outcome}; the outcome is unknown")
+            shared.print_error(f"{outcome}; the outcome is unknown")
             return exits.UNKNOWN
 
 
--- a/amaranthspar/commands_replica.py
+++ b/amaranthspar/commands/replica.py
@@ -4,14 +4,10 @@
 
 import tabulate
 
-from amaranthspar import (
-    bodies,
-    commands,
-    commands_operator,
-    exits,
-    messages,
-    operators,
-)
+from amaranthspar import exits
+from amaranthspar.clients import operators
+from amaranthspar.commands import remote, shared
+from amaranthspar.schema import bodies, messages
 
 SHOW_EXAMPLES = """\
   amaranthspar replica show
@@ -31,18 +27,16 @@
     """
     verbs = parser.add_subparsers(title="commands", required=True)
     summary = "List the replicas of the controllers."
-    show = commands_operator.add_verb(verbs, "show", _show, summary, SHOW_EXAMPLES)
-    commands.add_json(show)
+    show = remote.add_verb(verbs, "show", _show, summary, SHOW_EXAMPLES)
+    shared.add_json(show)
     summary = "Replace a replica whose host is lost by one on another host."
-    replace = commands_operator.add_verb(
-        verbs, "replace", _replace, summary, REPLACE_EXAMPLES
-    )
+    replace = remote.add_verb(verbs, "replace", _replace, summary, REPLACE_EXAMPLES)
     replace.add_argument("--remove", default="", metavar="ID", help="lost replica")
     replace.add_argument("--add", default="", metavar="ID", help="new replica")
     replace.add_argument(
         "--address", default="", metavar="ADDRESS", help="where the new one listens"
     )
-    commands.add_json(replace)
+    shared.add_json(replace)
 
 
 def _show(arguments: argparse.Namespace) -> int:
@@ -50,7 +44,7 @@
         changed = await operator.repeat(lambda item: item.fetch_replicas())
         return _report(changed, arguments.json)
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _replace(arguments: argparse.Namespace) -> int:
@@ -60,12 +54,12 @@
         changed = await operator.repeat(lambda item: item.replace_replica(wanted))
         return _report(changed, arguments.json)
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def _report(changed: messages.ReplicasChanged, as_json: bool) -> int:
     if as_json:
-        commands.print_json(changed)
+        shared.print_json(changed)
         return exits.DONE
     rows = [
         (
--- a/amaranthspar/commands_role.py
+++ b/amaranthspar/commands/role.py
@@ -5,7 +5,8 @@
 import pathlib
 from typing import Any
 
-from amaranthspar import errors, exits, loop, settings, stopping
+from amaranthspar import errors, exits, loop, stopping
+from amaranthspar.roles import settings
 
 EXAMPLES = """\
 examples:
@@ -77,14 +78,14 @@
 
 def _build_role(loaded: settings.Settings) -> Any:
     if loaded.gateway is not None:
-        from amaranthspar import gateway
+        from amaranthspar.roles import gateway
 
         return gateway.Gateway(loaded.process, loaded.links, loaded.gateway)
     if loaded.sidecar is not None:
-        from amaranthspar import sidecar
+        from amaranthspar.roles import sidecar
 
         return sidecar.Sidecar(loaded.process, loaded.links, loaded.sidecar)
     assert loaded.controller is not None
-    from amaranthspar import controller
+    from amaranthspar.roles import controller
 
     return controller.Controller(loaded.process, loaded.links, loaded.controller)
--- a/amaranthspar/commands_settings.py
+++ b/amaranthspar/commands/settings.py
@@ -3,7 +3,9 @@
 import argparse
 import pathlib
 
-from amaranthspar import commands, errors, exits, settings
+from amaranthspar import errors, exits
+from amaranthspar.commands import shared
+from amaranthspar.roles import settings
 
 EXAMPLES = """\
 examples:
@@ -21,7 +23,7 @@
     """
     verbs = parser.add_subparsers(title="commands", required=True)
     summary = "Check the settings file of a gateway, sidecar or controller."
-    check = commands.add_parser(verbs, "check", summary, EXAMPLES)
+    check = shared.add_parser(verbs, "check", summary, EXAMPLES)
     check.add_argument("files", type=pathlib.Path, nargs="+", metavar="FILE")
     check.set_defaults(run=_check)
 
@@ -32,7 +34,7 @@
         try:
             loaded = settings.load_settings(path)
         except errors.SettingsError as error:
-            commands.print_faults(error.faults)
+            shared.print_faults(error.faults)
             code = exits.BAD_INPUT
             continue
         print(f"{path}: good settings of {loaded.role} {loaded.process.name}")
--- a/amaranthspar/commands_status.py
+++ b/amaranthspar/commands/status.py
@@ -5,7 +5,10 @@
 
 import tabulate
 
-from amaranthspar import bodies, commands, commands_operator, exits, messages, operators
+from amaranthspar import exits
+from amaranthspar.clients import operators
+from amaranthspar.commands import remote, shared
+from amaranthspar.schema import bodies, messages
 
 EXAMPLES = """\
   amaranthspar status
@@ -19,20 +22,20 @@
     Args:
         parser: Parser of the first word.
     """
-    commands_operator.fill_parser(parser, _show, EXAMPLES)
-    commands.add_json(parser)
+    remote.fill_parser(parser, _show, EXAMPLES)
+    shared.add_json(parser)
 
 
 def _show(arguments: argparse.Namespace) -> int:
     async def run(operator: operators.Operator) -> int:
         status = await operator.repeat(lambda item: item.fetch_status())
         if arguments.json:
-            commands.print_json(status)
+            shared.print_json(status)
         else:
             print(format_status(status))
         return exits.DONE
 
-    return commands_operator.run_operator(arguments, run)
+    return remote.run_operator(arguments, run)
 
 
 def format_status(status: bodies.Status) -> str:
--- a/amaranthspar/configuration.py
+++ b/amaranthspar/configuration.py
@@ -18,7 +18,9 @@
 
 import attrs
 
-from amaranthspar import _sections, entries, errors, inifiles, messages
+from amaranthspar import errors
+from amaranthspar.ini import _sections, inifiles
+from amaranthspar.schema import entries, messages
 
 Entry = entries.Service | entries.Domain | entries.Desk | entries.Team | entries.Account
 KINDS: dict[str, type[Entry]] = {
--- /dev/null
+++ b/amaranthspar/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement of the controllers on one log."""
--- a/amaranthspar/consensus.py
+++ b/amaranthspar/consensus/consensus.py
@@ -5,18 +5,17 @@
 answer states.
 """
 
-from amaranthspar import (
-    effects,
+from amaranthspar import effects, errors
+from amaranthspar.consensus import (
     elections,
-    errors,
     following,
     journal,
     leadership,
-    messages,
     replacement,
     replicas,
     transitions,
 )
+from amaranthspar.schema import messages
 
 QUORUM_LOST_ELECTIONS = 2
 PUSHED_KIND = messages.AcceptConfiguration.__name__
--- a/amaranthspar/elections.py
+++ b/amaranthspar/consensus/elections.py
@@ -3,14 +3,8 @@
 import abc
 import random
 
-from amaranthspar import (
-    following,
-    journal,
-    leadership,
-    messages,
-    replicas,
-    transitions,
-)
+from amaranthspar.consensus import following, journal, leadership, replicas, transitions
+from amaranthspar.schema import messages
 
 
 class Elector(abc.ABC):
--- a/amaranthspar/following.py
+++ b/amaranthspar/consensus/following.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from amaranthspar import codec, messages
+from amaranthspar.schema import codec, messages
 
 if TYPE_CHECKING:
     import random
 
-    from amaranthspar import journal, replicalog
+    from amaranthspar.consensus import journal, replicalog
 
 KEPT_ROUNDS = 64
 FIRST_ROUND_BITS = 48
--- a/amaranthspar/journal.py
+++ b/amaranthspar/consensus/journal.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from amaranthspar import codec, effects, messages, replicalog, transitions
+from amaranthspar import effects
+from amaranthspar.consensus import replicalog, transitions
+from amaranthspar.schema import codec, messages
 
 REPLICAS_KIND = "ChangeReplicas"
 
--- a/amaranthspar/leadership.py
+++ b/amaranthspar/consensus/leadership.py
@@ -6,10 +6,11 @@
 
 import attrs
 
-from amaranthspar import codec, messages, replicas
+from amaranthspar.consensus import replicas
+from amaranthspar.schema import codec, messages
 
 if TYPE_CHECKING:
-    from amaranthspar import replicalog
+    from amaranthspar.consensus import replicalog
 
 MAX_APPEND_BYTES = 256 * 1024
 MAX_APPEND_ENTRIES = 512
--- a/amaranthspar/replacement.py
+++ b/amaranthspar/consensus/replacement.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from amaranthspar import errors, messages
+from amaranthspar import errors
+from amaranthspar.schema import messages
 
 
 class RefusedError(errors.DecisionError):
--- a/amaranthspar/transitions.py
+++ b/amaranthspar/consensus/transitions.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from amaranthspar import codec, effects, messages
+from amaranthspar import effects
+from amaranthspar.schema import codec, messages
 
 
 @attrs.frozen(slots=True)
--- /dev/null
+++ b/amaranthspar/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a gateway: admission, queueing, routing and answers."""
--- a/amaranthspar/admission.py
+++ b/amaranthspar/dispatch/admission.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-from amaranthspar import backlog, capacity, entries, leaseholder, routing, submissions
+from amaranthspar.dispatch import backlog, capacity, routing, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import entries
 
 UNAVAILABLE_RETRY_MS = 1000
 LEAST_RETRY_MS = 500
--- a/amaranthspar/backlog.py
+++ b/amaranthspar/dispatch/backlog.py
@@ -4,7 +4,9 @@
 
 import attrs
 
-from amaranthspar import capacity, entries, fairqueue, leaseholder, routing, submissions
+from amaranthspar.dispatch import capacity, fairqueue, routing, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import entries
 
 RESPONSE = "response"
 RESPONSE_WEIGHT = 8.0
--- a/amaranthspar/capacity.py
+++ b/amaranthspar/dispatch/capacity.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from amaranthspar import messages, routing
+from amaranthspar.dispatch import routing
+from amaranthspar.schema import messages
 
 
 @attrs.frozen(slots=True, cache_hash=True)
--- a/amaranthspar/demand.py
+++ b/amaranthspar/dispatch/demand.py
@@ -1,6 +1,8 @@
 """Reports by which a gateway tells sidecars of the work that it holds."""
 
-from amaranthspar import backlog, effects, messages, routing
+from amaranthspar import effects
+from amaranthspar.dispatch import backlog, routing
+from amaranthspar.schema import messages
 
 KEEP_ALIVE_MS = 4000
 IDLE_KEEP_ALIVE_MS = 8000
--- a/amaranthspar/dispatcher.py
+++ b/amaranthspar/dispatch/dispatcher.py
@@ -5,17 +5,15 @@
 
 import attrs
 
-from amaranthspar import (
+from amaranthspar import effects
+from amaranthspar.dispatch import (
     admission,
     backlog,
     capacity,
     demand,
     doubts,
-    effects,
     estimates,
     health,
-    leaseholder,
-    messages,
     offers,
     pools,
     quotas,
@@ -26,6 +24,8 @@
     submissions,
     turns,
 )
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 
 REASONS = {
     submissions.Failure.OVERDUE: "deadline passed",
--- a/amaranthspar/doubts.py
+++ b/amaranthspar/dispatch/doubts.py
@@ -6,7 +6,10 @@
 import attrs
 import xxhash
 
-from amaranthspar import effects, leaseholder, messages, routing, submissions
+from amaranthspar import effects
+from amaranthspar.dispatch import routing, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 
 DOUBT_MS = 1000
 INQUIRE_INTERVAL_MS = 1000
--- a/amaranthspar/health.py
+++ b/amaranthspar/dispatch/health.py
@@ -10,7 +10,9 @@
 
 import attrs
 
-from amaranthspar import messages, routing, starts, submissions
+from amaranthspar.dispatch import routing, submissions
+from amaranthspar.execution import starts
+from amaranthspar.schema import messages
 
 FAILURES_TO_EJECT = 4
 FLEET_FAILURE_RATIO = 0.5
--- a/amaranthspar/offers.py
+++ b/amaranthspar/dispatch/offers.py
@@ -1,15 +1,9 @@
 """Start messages that a gateway sends to sidecars."""
 
-from amaranthspar import (
-    backlog,
-    demand,
-    doubts,
-    effects,
-    leaseholder,
-    messages,
-    routing,
-    submissions,
-)
+from amaranthspar import effects
+from amaranthspar.dispatch import backlog, demand, doubts, routing, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 
 
 class Offers:
--- a/amaranthspar/pools.py
+++ b/amaranthspar/dispatch/pools.py
@@ -2,15 +2,10 @@
 
 from collections.abc import Iterable
 
-from amaranthspar import (
-    capacity,
-    desks,
-    effects,
-    entries,
-    leaseholder,
-    messages,
-    routing,
-)
+from amaranthspar import effects
+from amaranthspar.dispatch import capacity, routing
+from amaranthspar.membership import desks, leaseholder
+from amaranthspar.schema import entries, messages
 
 CLOSED: capacity.Pool = frozenset()
 """Pool of the tasks that no upstream may take now."""
--- a/amaranthspar/quotas.py
+++ b/amaranthspar/dispatch/quotas.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from amaranthspar import backlog, leaseholder
+from amaranthspar.dispatch import backlog
+from amaranthspar.membership import leaseholder
 
 
 class Quotas:
--- a/amaranthspar/retries.py
+++ b/amaranthspar/dispatch/retries.py
@@ -1,6 +1,8 @@
 """Budget for the retries of idempotent requests."""
 
-from amaranthspar import entries, leaseholder, submissions
+from amaranthspar.dispatch import submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import entries
 
 FIRST_RETRIES = 10.0
 
--- a/amaranthspar/routing.py
+++ b/amaranthspar/dispatch/routing.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from amaranthspar import messages, submissions, view
+from amaranthspar.dispatch import submissions
+from amaranthspar.membership import view
+from amaranthspar.schema import messages
 
 
 @attrs.define(slots=True)
--- a/amaranthspar/speeds.py
+++ b/amaranthspar/dispatch/speeds.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from amaranthspar import routing
+from amaranthspar.dispatch import routing
 
 SLOW_LOG = math.log(2.0)
 RECOVERED_LOG = math.log(1.5)
--- a/amaranthspar/steering.py
+++ b/amaranthspar/dispatch/steering.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Callable, Sequence
 
-from amaranthspar import backlog, capacity, messages, routing
+from amaranthspar.dispatch import backlog, capacity, routing
+from amaranthspar.schema import messages
 
 OTHER_WORKER_WAIT_MS = 1000
 
--- a/amaranthspar/submissions.py
+++ b/amaranthspar/dispatch/submissions.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 NOT_RUN = "not-run"
 DONE = "done"
--- a/amaranthspar/turns.py
+++ b/amaranthspar/dispatch/turns.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from amaranthspar import routing
+from amaranthspar.dispatch import routing
 
 MOST_TURNS = 8
 ROUTES_A_TURN = 100
--- a/amaranthspar/effects.py
+++ b/amaranthspar/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar import codec
+from amaranthspar.schema import codec
 
 
 @attrs.frozen(slots=True)
--- /dev/null
+++ b/amaranthspar/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a sidecar: which tasks start, run and end."""
--- a/amaranthspar/deliveries.py
+++ b/amaranthspar/execution/deliveries.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 REPORT_BYTES = 4 * 1024 * 1024
 RETAINED_BYTES = 16 * 1024 * 1024
--- a/amaranthspar/executor.py
+++ b/amaranthspar/execution/executor.py
@@ -4,18 +4,10 @@
 
 import attrs
 
-from amaranthspar import (
-    deliveries,
-    desks,
-    effects,
-    grants,
-    holding,
-    leaseholder,
-    messages,
-    peers,
-    slots,
-    starts,
-)
+from amaranthspar import effects
+from amaranthspar.execution import deliveries, grants, holding, peers, slots, starts
+from amaranthspar.membership import desks, leaseholder
+from amaranthspar.schema import messages
 
 RETAIN_MS = 30000
 
--- a/amaranthspar/grants.py
+++ b/amaranthspar/execution/grants.py
@@ -1,6 +1,8 @@
 """Credits of a sidecar's gateways, and what these are told of them."""
 
-from amaranthspar import effects, messages, peers, slots
+from amaranthspar import effects
+from amaranthspar.execution import peers, slots
+from amaranthspar.schema import messages
 
 
 class Grants:
--- a/amaranthspar/holding.py
+++ b/amaranthspar/execution/holding.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 HELD_TASKS = 2
 
--- a/amaranthspar/peers.py
+++ b/amaranthspar/execution/peers.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from amaranthspar import deliveries, slots, starts
+from amaranthspar.execution import deliveries, slots, starts
 
 SILENT_MS = 5000
 IDLE_SILENT_MS = 20000
--- a/amaranthspar/starts.py
+++ b/amaranthspar/execution/starts.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from amaranthspar import messages, view
+from amaranthspar.membership import view
+from amaranthspar.schema import messages
 
 REMEMBERED_TASKS = 1024
 
--- /dev/null
+++ b/amaranthspar/ini/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of INI text."""
--- /dev/null
+++ b/amaranthspar/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What a process knows of members, leases and configuration."""
--- a/amaranthspar/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -6,7 +6,9 @@
 
 import attrs
 
-from amaranthspar import documents, effects, messages
+from amaranthspar import effects
+from amaranthspar.membership import documents
+from amaranthspar.schema import messages
 
 INTERVAL_MS = 300
 """Interval of announcements to each controller; three fit well into 1 s."""
--- a/amaranthspar/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -5,7 +5,9 @@
 
 import structlog
 
-from amaranthspar import announcer, codec, documents, messages, places
+from amaranthspar import places
+from amaranthspar.membership import announcer, documents
+from amaranthspar.schema import codec, messages
 
 _log = structlog.get_logger()
 
--- a/amaranthspar/desks.py
+++ b/amaranthspar/membership/desks.py
@@ -10,7 +10,9 @@
 
 import attrs
 
-from amaranthspar import configuration, effects, entries, messages, view
+from amaranthspar import configuration, effects
+from amaranthspar.membership import view
+from amaranthspar.schema import entries, messages
 
 INQUIRE_INTERVAL_MS = 100
 KIND = "desk"
--- a/amaranthspar/directory.py
+++ b/amaranthspar/membership/directory.py
@@ -7,7 +7,8 @@
 import attrs
 import xxhash
 
-from amaranthspar import codec, documents, messages
+from amaranthspar.membership import documents
+from amaranthspar.schema import codec, messages
 
 EXPIRY_MS = 4_000
 """Silence after which a process is no longer listed; ten announcements are missing."""
--- a/amaranthspar/documents.py
+++ b/amaranthspar/membership/documents.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 NO_VERSION = -1
 """Version before the first document."""
--- a/amaranthspar/leaseholder.py
+++ b/amaranthspar/membership/leaseholder.py
@@ -10,7 +10,9 @@
 
 import attrs
 
-from amaranthspar import effects, errors, messages, view
+from amaranthspar import effects, errors
+from amaranthspar.membership import view
+from amaranthspar.schema import messages
 
 RENEW_MS = 1000
 RETRY_MS = 300
--- a/amaranthspar/view.py
+++ b/amaranthspar/membership/view.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from amaranthspar import configuration, errors, messages
+from amaranthspar import configuration, errors
+from amaranthspar.schema import messages
 
 
 @attrs.define(slots=True)
--- /dev/null
+++ b/amaranthspar/network/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the processes of the system."""
--- a/amaranthspar/encryption.py
+++ b/amaranthspar/network/encryption.py
@@ -8,7 +8,8 @@
 
 import ssl
 
-from amaranthspar import errors, options
+from amaranthspar import errors
+from amaranthspar.schema import options
 
 
 class Encryption:
--- a/amaranthspar/links.py
+++ b/amaranthspar/network/links.py
@@ -13,16 +13,9 @@
 import attrs
 import msgspec
 
-from amaranthspar import (
-    clock,
-    codec,
-    connections,
-    encryption,
-    errors,
-    heartbeats,
-    messages,
-    options,
-)
+from amaranthspar import clock, errors
+from amaranthspar.network import connections, encryption, heartbeats
+from amaranthspar.schema import codec, messages, options
 
 QUEUE_BYTES = 16 * 1024 * 1024
 FRAME_BYTES = connections.FRAME_BYTES
--- /dev/null
+++ b/amaranthspar/observation/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- a/amaranthspar/hops.py
+++ b/amaranthspar/observation/hops.py
@@ -6,10 +6,11 @@
 
 import attrs
 
-from amaranthspar import messages, submissions
+from amaranthspar.dispatch import submissions
+from amaranthspar.schema import messages
 
 if TYPE_CHECKING:
-    from amaranthspar import traces
+    from amaranthspar.observation import traces
 
 
 @attrs.define(slots=True)
--- a/amaranthspar/traces.py
+++ b/amaranthspar/observation/traces.py
@@ -11,7 +11,8 @@
 
     from opentelemetry.sdk.trace import export
 
-    from amaranthspar import executor, messages, options
+    from amaranthspar.execution import executor
+    from amaranthspar.schema import messages, options
 
     Result = messages.TaskResult
     Call = Callable[[executor.RunTask], Awaitable[Result]]
--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -6,8 +6,9 @@
 import structlog
 from aiohttp import web
 
-from amaranthspar import clock, jobgateway
+from amaranthspar import clock
 from amaranthspar.platform import servers, wire
+from amaranthspar.roles import jobgateway
 from amaranthspar.scheduling import jobevents, jobs, routes
 
 OUTCOME_HEADER = "Amaranthspar-Outcome"
--- a/amaranthspar/platform/operators.py
+++ b/amaranthspar/platform/operators.py
@@ -3,8 +3,9 @@
 import structlog
 from aiohttp import web
 
-from amaranthspar import documentrequests, documents
+from amaranthspar.membership import documents
 from amaranthspar.platform import servers, wire
+from amaranthspar.registry import documentrequests
 
 PUT_PATH = "/amaranthspar/config/put"
 GET_PATH = "/amaranthspar/config/get"
--- a/amaranthspar/platform/program.py
+++ b/amaranthspar/platform/program.py
@@ -8,22 +8,9 @@
 import structlog
 from aiohttp import web
 
-from amaranthspar import (
-    controller,
-    disk,
-    errors,
-    exits,
-    files,
-    jobgateway,
-    joining,
-    logs,
-    loop as loops,
-    metering,
-    options,
-    places,
-    runsidecar,
-    stopping,
-)
+from amaranthspar import errors, exits, loop as loops, places, stopping
+from amaranthspar.consensus import joining
+from amaranthspar.observation import logs, metering
 from amaranthspar.platform import (
     callers,
     operators,
@@ -32,6 +19,9 @@
     statements,
     upstreams,
 )
+from amaranthspar.roles import controller, jobgateway, runsidecar
+from amaranthspar.schema import options
+from amaranthspar.storage import disk, files
 
 METRICS_PORT = 9464
 """Port for measures, as the deployment file names it."""
--- a/amaranthspar/platform/statements.py
+++ b/amaranthspar/platform/statements.py
@@ -3,8 +3,8 @@
 import structlog
 from aiohttp import web
 
-from amaranthspar import runsidecar
 from amaranthspar.platform import servers, upstreams, wire
+from amaranthspar.roles import runsidecar
 from amaranthspar.scheduling import runevents
 
 PATH = "/amaranthspar/instances/"
--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -2,9 +2,11 @@
 
 import aiohttp
 
-from amaranthspar import clock, messages, runsidecar
+from amaranthspar import clock
 from amaranthspar.platform import wire
+from amaranthspar.roles import runsidecar
 from amaranthspar.scheduling import runevents
+from amaranthspar.schema import messages
 
 START_PATH = "/amaranthspar/run-start"
 STOP_PATH = "/amaranthspar/run-stop"
--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from amaranthspar import errors, messages
+from amaranthspar import errors
 from amaranthspar.scheduling import jobs, routes, runevents
+from amaranthspar.schema import messages
 
 MAX_TASKS = 100_000
 """Most tasks of one job; far above the 1,200 of the largest known job."""
--- a/amaranthspar/program.py
+++ b/amaranthspar/program.py
@@ -8,7 +8,10 @@
 import attrs
 
 import amaranthspar
-from amaranthspar import access, commands, errors, exits, logs
+from amaranthspar import errors, exits
+from amaranthspar.clients import access
+from amaranthspar.commands import shared
+from amaranthspar.observation import logs
 
 
 @attrs.frozen(slots=True)
@@ -36,18 +39,18 @@
 """
 # Only the module of the command that is called is imported.
 _COMMANDS = (
-    Command("gateway", "run a gateway", "commands_role"),
-    Command("sidecar", "run a sidecar", "commands_role"),
-    Command("controller", "run a controller", "commands_role"),
-    Command("platform", "run a role on the users' platform", "commands_platform"),
-    Command("demo", "run every role in one process", "commands_demo"),
-    Command("settings", "check settings files", "commands_settings"),
-    Command("config", "submit or show the configuration", "commands_config"),
-    Command("domain", "take a failure domain out or in", "commands_domain"),
-    Command("status", "show members and load", "commands_status"),
-    Command("replica", "show or replace the controllers' replicas", "commands_replica"),
-    Command("recover", "go on alone after the majority is lost", "commands_recover"),
-    Command("job", "submit, show or cancel a job", "commands_job"),
+    Command("gateway", "run a gateway", "role"),
+    Command("sidecar", "run a sidecar", "role"),
+    Command("controller", "run a controller", "role"),
+    Command("platform", "run a role on the users' platform", "platform"),
+    Command("demo", "run every role in one process", "demo"),
+    Command("settings", "check settings files", "settings"),
+    Command("config", "submit or show the configuration", "config"),
+    Command("domain", "take a failure domain out or in", "domain"),
+    Command("status", "show members and load", "status"),
+    Command("replica", "show or replace the controllers' replicas", "replica"),
+    Command("recover", "go on alone after the majority is lost", "recover"),
+    Command("job", "submit, show or cancel a job", "job"),
 )
 
 
@@ -67,10 +70,10 @@
         code: int = options.run(options)
         sys.stdout.flush()
     except errors.SettingsError as error:
-        commands.print_faults(error.faults)
+        shared.print_faults(error.faults)
         return exits.BAD_INPUT
     except errors.AmaranthsparError as error:
-        commands.print_error(str(error))
+        shared.print_error(str(error))
         return exits.REFUSED
     except BrokenPipeError:
         # The reader of the output is gone; the interpreter must not flush again.
@@ -97,8 +100,8 @@
     access.add_arguments(parser)
     subparsers = parser.add_subparsers(title="commands", required=True)
     for command in _COMMANDS:
-        subparser = commands.add_parser(subparsers, command.name, command.summary)
+        subparser = shared.add_parser(subparsers, command.name, command.summary)
         if command.name in words:
-            module = importlib.import_module(f"amaranthspar.{command.module}")
+            module = importlib.import_module(f"amaranthspar.commands.{command.module}")
             module.fill_parser(subparser)
     return parser
--- /dev/null
+++ b/amaranthspar/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state of the controllers and the requests for it."""
--- a/amaranthspar/administration.py
+++ b/amaranthspar/registry/administration.py
@@ -6,10 +6,12 @@
 
 import attrs
 
-from amaranthspar import effects, messages, replacement, replicas, transitions
+from amaranthspar import effects
+from amaranthspar.consensus import replacement, replicas, transitions
+from amaranthspar.schema import messages
 
 if TYPE_CHECKING:
-    from amaranthspar import consensus
+    from amaranthspar.consensus import consensus
 
 REPLACED_SILENCE_MS = 3_000
 """Silence after which a replica gives way to a new one; a restart takes about 1 s."""
--- a/amaranthspar/claims.py
+++ b/amaranthspar/registry/claims.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 
 class Claims:
--- a/amaranthspar/documentrequests.py
+++ b/amaranthspar/registry/documentrequests.py
@@ -4,7 +4,8 @@
 import secrets
 from collections.abc import Callable
 
-from amaranthspar import codec, errors, messages
+from amaranthspar import errors
+from amaranthspar.schema import codec, messages
 
 TRY_MS = 350
 """Time after which a request is sent again, as the leader may have changed."""
--- a/amaranthspar/leases.py
+++ b/amaranthspar/registry/leases.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING, Any
 
-from amaranthspar import configuration, messages
+from amaranthspar import configuration
+from amaranthspar.schema import messages
 
 if TYPE_CHECKING:
-    from amaranthspar import registry
+    from amaranthspar.registry import registry
 
 SIDECAR_KINDS = frozenset({"service", "domain", "desk"})
 KEPT_DELTAS = 256
--- a/amaranthspar/proposals.py
+++ b/amaranthspar/registry/proposals.py
@@ -6,10 +6,11 @@
 
 import xxhash
 
-from amaranthspar import configuration, messages
+from amaranthspar import configuration
+from amaranthspar.schema import messages
 
 if TYPE_CHECKING:
-    from amaranthspar import registry
+    from amaranthspar.registry import registry
 
 
 def find_decision(
--- a/amaranthspar/registry.py
+++ b/amaranthspar/registry/registry.py
@@ -8,16 +8,10 @@
 
 import attrs
 
-from amaranthspar import (
-    claims,
-    codec,
-    configuration,
-    desks,
-    documents,
-    errors,
-    messages,
-    snapshots,
-)
+from amaranthspar import configuration, errors
+from amaranthspar.membership import desks, documents
+from amaranthspar.registry import claims, snapshots
+from amaranthspar.schema import codec, messages
 
 KEPT_VERSIONS = 128
 KEPT_CHANGES = 10_000
--- a/amaranthspar/requests.py
+++ b/amaranthspar/registry/requests.py
@@ -10,10 +10,13 @@
 
 import attrs
 
-from amaranthspar import codec, effects, messages, proposals, registry, transitions
+from amaranthspar import effects
+from amaranthspar.consensus import transitions
+from amaranthspar.registry import proposals, registry
+from amaranthspar.schema import codec, messages
 
 if TYPE_CHECKING:
-    from amaranthspar import leases
+    from amaranthspar.registry import leases
 
 MAX_BATCH = 512
 ACCEPTED = "accepted"
--- a/amaranthspar/snapshots.py
+++ b/amaranthspar/registry/snapshots.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
-from amaranthspar import codec, configuration, messages
+from amaranthspar import configuration
+from amaranthspar.schema import codec, messages
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from amaranthspar import registry
+    from amaranthspar.registry import registry
 
 PIECE_ITEMS = 4_000
 PIECE_VERSIONS = 16
--- /dev/null
+++ b/amaranthspar/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The roles of processes, wired from decisions and input and output."""
--- a/amaranthspar/cluster.py
+++ b/amaranthspar/roles/cluster.py
@@ -5,17 +5,11 @@
 
 import attrs
 
-from amaranthspar import (
-    clock,
-    configuration,
-    controller,
-    gateway,
-    options,
-    ports,
-    sidecar,
-    standin,
-    tokens,
-)
+from amaranthspar import clock, configuration, ports
+from amaranthspar.roles import controller, gateway, sidecar
+from amaranthspar.schema import options
+from amaranthspar.upstreams import standin
+from amaranthspar.web import tokens
 
 DOMAINS = ("gyor", "pecs", "veszprem")
 CONTROLLERS = 3
--- a/amaranthspar/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -8,29 +8,21 @@
 
 import structlog
 
-from amaranthspar import (
+from amaranthspar import clock, configuration, effects, errors
+from amaranthspar.consensus import consensus, replicas, transitions
+from amaranthspar.membership import directory
+from amaranthspar.network import links
+from amaranthspar.observation import metrics
+from amaranthspar.registry import (
     administration,
-    clock,
-    codec,
-    configuration,
-    consensus,
-    directory,
-    disk,
     documentrequests,
-    effects,
-    errors,
-    files,
     leases,
-    links,
-    messages,
-    metrics,
-    options,
     registry,
-    replicas,
     requests,
     snapshots,
-    transitions,
 )
+from amaranthspar.schema import codec, messages, options
+from amaranthspar.storage import disk, files
 
 FOLDER_BITS = 62
 HAND_OVER_MS = 2_000
--- a/amaranthspar/demo.py
+++ b/amaranthspar/roles/demo.py
@@ -15,7 +15,9 @@
 import tabulate
 import tqdm
 
-from amaranthspar import addresses, client, clock, cluster, configuration, errors, ports
+from amaranthspar import addresses, clock, configuration, errors, ports
+from amaranthspar.clients import client
+from amaranthspar.roles import cluster
 
 JOB_TASKS = 200
 LOOKUPS = 500
--- a/amaranthspar/gateway.py
+++ b/amaranthspar/roles/gateway.py
@@ -3,28 +3,14 @@
 import asyncio
 import itertools
 
-from amaranthspar import (
-    answers,
-    attachments,
-    clock,
-    codec,
-    control,
-    dispatcher,
-    effects,
-    errors,
-    hops,
-    intake,
-    keys,
-    leaseholder,
-    logs,
-    membership,
-    messages,
-    metrics,
-    options,
-    submissions,
-    traces,
-    web,
-)
+from amaranthspar import clock, effects, errors
+from amaranthspar.clients import control
+from amaranthspar.dispatch import dispatcher, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.observation import hops, logs, metrics, traces
+from amaranthspar.roles import membership
+from amaranthspar.schema import codec, messages, options
+from amaranthspar.web import answers, attachments, intake, keys, web
 
 TICK_MS = 50
 HOUSEKEEPING_MS = 1000
--- a/amaranthspar/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -8,18 +8,12 @@
 
 import structlog
 
-from amaranthspar import (
-    clock,
-    codec,
-    contact,
-    effects,
-    links,
-    messages,
-    metering,
-    options,
-    places,
-)
+from amaranthspar import clock, effects, places
+from amaranthspar.membership import contact
+from amaranthspar.network import links
+from amaranthspar.observation import metering
 from amaranthspar.scheduling import dispatcher, jobevents, jobs
+from amaranthspar.schema import codec, messages, options
 
 TICK_MS = 10
 """Interval of the gateway's clock; well below the least objective of a job."""
--- a/amaranthspar/membership.py
+++ b/amaranthspar/roles/membership.py
@@ -2,7 +2,10 @@
 
 import random
 
-from amaranthspar import clock, leaseholder, links, messages, options
+from amaranthspar import clock
+from amaranthspar.membership import leaseholder
+from amaranthspar.network import links
+from amaranthspar.schema import messages, options
 
 
 def build_holder(
--- a/amaranthspar/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -6,18 +6,12 @@
 import attrs
 import structlog
 
-from amaranthspar import (
-    clock,
-    codec,
-    contact,
-    errors,
-    links,
-    messages,
-    metering,
-    options,
-    places,
-)
+from amaranthspar import clock, errors, places
+from amaranthspar.membership import contact
+from amaranthspar.network import links
+from amaranthspar.observation import metering
 from amaranthspar.scheduling import keeper, runevents
+from amaranthspar.schema import codec, messages, options
 
 TICK_MS = 20
 """Interval of the sidecar's clock."""
--- a/amaranthspar/settings.py
+++ b/amaranthspar/roles/settings.py
@@ -9,7 +9,9 @@
 
 import attrs
 
-from amaranthspar import _sections, addresses, configuration, errors, inifiles, options
+from amaranthspar import addresses, configuration, errors
+from amaranthspar.ini import _sections, inifiles
+from amaranthspar.schema import options
 
 KINDS: dict[str, type] = {
     "process": options.ProcessOptions,
--- a/amaranthspar/sidecar.py
+++ b/amaranthspar/roles/sidecar.py
@@ -4,22 +4,13 @@
 import functools
 import gc
 
-from amaranthspar import (
-    clock,
-    codec,
-    effects,
-    errors,
-    executor,
-    leaseholder,
-    logs,
-    membership,
-    messages,
-    metrics,
-    options,
-    traces,
-    upstream,
-    worker,
-)
+from amaranthspar import clock, effects, errors
+from amaranthspar.execution import executor
+from amaranthspar.membership import leaseholder
+from amaranthspar.observation import logs, metrics, traces
+from amaranthspar.roles import membership
+from amaranthspar.schema import codec, messages, options
+from amaranthspar.upstreams import upstream, worker
 
 TICK_MS = 50
 IDLE_TICK_MS = 250
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from amaranthspar import effects, messages
+from amaranthspar import effects
 from amaranthspar.scheduling import (
     durations,
     fleet,
@@ -18,6 +18,7 @@
     resources,
     waiting,
 )
+from amaranthspar.schema import messages
 
 if TYPE_CHECKING:
     import random
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from amaranthspar import messages
 from amaranthspar.scheduling import resources
+from amaranthspar.schema import messages
 
 if TYPE_CHECKING:
     import random
--- a/amaranthspar/scheduling/jobevents.py
+++ b/amaranthspar/scheduling/jobevents.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from amaranthspar import effects, messages
+from amaranthspar import effects
 from amaranthspar.scheduling import jobs
+from amaranthspar.schema import messages
 
 
 class Outcome(enum.Enum):
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 FIRST_OCCURRENCE = 0
 """Occurrence number of a job that runs once."""
--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -5,8 +5,8 @@
 it did not start, so that no other place starts the task too early.
 """
 
-from amaranthspar import messages
 from amaranthspar.scheduling import resources, runevents
+from amaranthspar.schema import messages
 
 GATEWAY_SILENCE_MS = 800
 """Silence of a gateway after which its runs stop; below a caller's 1.3 s to resend."""
--- a/amaranthspar/scheduling/resources.py
+++ b/amaranthspar/scheduling/resources.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 NONE = messages.Resources()
 
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 ReportState: TypeAlias = Literal[
     "started", "running", "refused", "stale", "done", "failed", "stopped", "lost"
--- /dev/null
+++ b/amaranthspar/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, settings and bodies, generated from the schema or read by libraries."""
--- a/amaranthspar/bodies.py
+++ b/amaranthspar/schema/bodies.py
@@ -5,7 +5,8 @@
 import attrs
 import msgspec
 
-from amaranthspar import errors, messages
+from amaranthspar import errors
+from amaranthspar.schema import messages
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/codec.py
+++ b/amaranthspar/schema/codec.py
@@ -8,7 +8,8 @@
 import attrs
 import msgspec
 
-from amaranthspar import errors, messages
+from amaranthspar import errors
+from amaranthspar.schema import messages
 
 FORMAT_VERSION = 2
 
--- a/amaranthspar/problems.py
+++ b/amaranthspar/schema/problems.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from amaranthspar import messages
+from amaranthspar.schema import messages
 
 CONTENT_TYPE = "application/problem+json"
 OUTCOME_HEADER = "Amaranthspar-Outcome"
--- /dev/null
+++ b/amaranthspar/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder of a controller."""
--- a/amaranthspar/disk.py
+++ b/amaranthspar/storage/disk.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-from amaranthspar import codec, errors, files, messages, records, transitions
+from amaranthspar import errors
+from amaranthspar.consensus import transitions
+from amaranthspar.schema import codec, messages
+from amaranthspar.storage import files, records
 
 FORMAT_VERSION = 1
 LOCK = "lock"
--- a/amaranthspar/recovery.py
+++ b/amaranthspar/storage/recovery.py
@@ -9,17 +9,11 @@
 
 import attrs
 
-from amaranthspar import (
-    codec,
-    disk,
-    errors,
-    files,
-    journal,
-    messages,
-    registry,
-    replicas,
-    transitions,
-)
+from amaranthspar import errors
+from amaranthspar.consensus import journal, replicas, transitions
+from amaranthspar.registry import registry
+from amaranthspar.schema import codec, messages
+from amaranthspar.storage import disk, files
 
 CONFIRMATION = "give up what the lost replicas held"
 
--- /dev/null
+++ b/amaranthspar/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to upstreams and workers, and their stand-ins."""
--- a/amaranthspar/standin.py
+++ b/amaranthspar/upstreams/standin.py
@@ -10,7 +10,9 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, clock, upstream
+from amaranthspar import clock
+from amaranthspar.upstreams import upstream
+from amaranthspar.web import _httpserver
 
 JSON = "application/json"
 MAX_BODY_BYTES = 64 * 1024 * 1024
--- a/amaranthspar/upstream.py
+++ b/amaranthspar/upstreams/upstream.py
@@ -8,7 +8,11 @@
 import attrs
 import multidict
 
-from amaranthspar import clock, doubts, exchange, executor, messages, worker
+from amaranthspar import clock
+from amaranthspar.dispatch import doubts
+from amaranthspar.execution import executor
+from amaranthspar.schema import messages
+from amaranthspar.upstreams import exchange, worker
 
 SUBMISSION_HEADER = "Amaranthspar-Submission"
 TASK_HEADER = "Amaranthspar-Task"
--- a/amaranthspar/workerstandin.py
+++ b/amaranthspar/upstreams/workerstandin.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from amaranthspar import _httpserver, standin
+    from amaranthspar.upstreams import standin
+    from amaranthspar.web import _httpserver
 
 STOPPED = 204
 NOT_FOUND = 404
--- /dev/null
+++ b/amaranthspar/web/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of a gateway."""
--- a/amaranthspar/answers.py
+++ b/amaranthspar/web/answers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from amaranthspar import submissions
+from amaranthspar.dispatch import submissions
 
 RETENTION_MS = 600_000
 RETAINED_BYTES = 64 * 1024 * 1024
--- a/amaranthspar/attachments.py
+++ b/amaranthspar/web/attachments.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from amaranthspar import answers, clock, leaseholder, links, messages, submissions
+from amaranthspar import clock
+from amaranthspar.dispatch import submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.network import links
+from amaranthspar.schema import messages
+from amaranthspar.web import answers
 
 RUNNING = "running"
 MISSING = "missing"
--- a/amaranthspar/authorization.py
+++ b/amaranthspar/web/authorization.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from amaranthspar import entries, problems, tokens
+from amaranthspar.schema import entries, problems
+from amaranthspar.web import tokens
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from amaranthspar import view
+    from amaranthspar.membership import view
 
 FIRST_OPERATOR = "operator"
 HEADER = "authorization"
--- a/amaranthspar/web_callers.py
+++ b/amaranthspar/web/callers.py
@@ -7,18 +7,12 @@
 
 from sanic import response
 
-from amaranthspar import (
-    answers,
-    attachments,
-    bodies,
-    intake,
-    problems,
-    replies,
-    submissions,
-)
+from amaranthspar.dispatch import submissions
+from amaranthspar.schema import bodies, problems
+from amaranthspar.web import answers, attachments, intake, replies
 
 if TYPE_CHECKING:
-    from amaranthspar import authorization, gateway
+    from amaranthspar.web import authorization, service
 
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 DETACHED = "respond-async"
@@ -33,7 +27,7 @@
     """
 
     def __init__(
-        self, owner: gateway.Gateway, checked: authorization.Authorization
+        self, owner: service.Service, checked: authorization.Authorization
     ) -> None:
         self._gateway = owner
         self._authorization = checked
--- a/amaranthspar/intake.py
+++ b/amaranthspar/web/intake.py
@@ -8,14 +8,9 @@
 import msgspec
 import xxhash
 
-from amaranthspar import (
-    addresses,
-    bodies,
-    entries,
-    errors,
-    problems,
-    submissions,
-)
+from amaranthspar import addresses, errors
+from amaranthspar.dispatch import submissions
+from amaranthspar.schema import bodies, entries, problems
 
 DEADLINE_HEADER = "amaranthspar-deadline-ms"
 DESK_HEADER = "amaranthspar-desk"
--- a/amaranthspar/keys.py
+++ b/amaranthspar/web/keys.py
@@ -5,16 +5,12 @@
 
 import attrs
 
-from amaranthspar import (
-    answers,
-    attachments,
-    clock,
-    control,
-    intake,
-    leaseholder,
-    messages,
-    submissions,
-)
+from amaranthspar import clock
+from amaranthspar.clients import control
+from amaranthspar.dispatch import submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
+from amaranthspar.web import answers, attachments, intake
 
 CLAIM_TRIES = 3
 UNCLAIMED_RETRY_MS = 1000
--- a/amaranthspar/web_operators.py
+++ b/amaranthspar/web/operators.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from amaranthspar import bodies, control, intake, messages, problems, replies
+from amaranthspar.clients import control
+from amaranthspar.schema import bodies, messages, problems
+from amaranthspar.web import intake, replies
 
 if TYPE_CHECKING:
     from sanic import response
 
-    from amaranthspar import authorization, gateway
+    from amaranthspar.web import authorization, service
 
 ACCEPTED = "accepted"
 CONFLICT = "conflict"
@@ -24,7 +26,7 @@
     """
 
     def __init__(
-        self, owner: gateway.Gateway, checked: authorization.Authorization
+        self, owner: service.Service, checked: authorization.Authorization
     ) -> None:
         self._gateway = owner
         self._authorization = checked
--- a/amaranthspar/replies.py
+++ b/amaranthspar/web/replies.py
@@ -4,7 +4,9 @@
 
 from sanic import exceptions, response
 
-from amaranthspar import bodies, errors, problems, submissions
+from amaranthspar import errors
+from amaranthspar.dispatch import submissions
+from amaranthspar.schema import bodies, problems
 
 JSON = "application/json"
 DONE_HEADERS = {problems.OUTCOME_HEADER: submissions.DONE}
--- a/amaranthspar/tokens.py
+++ b/amaranthspar/web/tokens.py
@@ -3,7 +3,8 @@
 import hashlib
 import hmac
 
-from amaranthspar import configuration, entries
+from amaranthspar import configuration
+from amaranthspar.schema import entries
 
 SCHEME = "bearer"
 
--- a/amaranthspar/web.py
+++ b/amaranthspar/web/web.py
@@ -5,19 +5,13 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
-from amaranthspar import (
-    _httpserver,
-    authorization,
-    problems,
-    replies,
-    web_callers,
-    web_operators,
-)
+from amaranthspar.schema import problems
+from amaranthspar.web import _httpserver, authorization, callers, operators, replies
 
 if TYPE_CHECKING:
     from sanic import response
 
-    from amaranthspar import gateway
+    from amaranthspar.web import service
 
 
 class Web:
@@ -27,14 +21,14 @@
         owner: Gateway that is served.
     """
 
-    def __init__(self, owner: gateway.Gateway) -> None:
+    def __init__(self, owner: service.Service) -> None:
         self.open_requests = 0
         self._gateway = owner
         checked = authorization.Authorization(
             owner.holder.view, owner.options.operator_token_hash
         )
-        self._callers = web_callers.Callers(owner, checked)
-        self._operators = web_operators.Operators(owner, checked)
+        self._callers = callers.Callers(owner, checked)
+        self._operators = operators.Operators(owner, checked)
         self._server = self._build_server()
 
     async def open(self, address: str) -> None:
--- a/benchmarks/audit.py
+++ b/benchmarks/audit.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from amaranthspar import standin
+from amaranthspar.upstreams import standin
 from benchmarks import driver, outcomes
 
 
--- a/benchmarks/badworker.py
+++ b/benchmarks/badworker.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from amaranthspar import standin
+from amaranthspar.upstreams import standin
 from benchmarks import driver, firms, histograms, ideal, outcomes, trials
 
 LOAD = 0.6
--- a/benchmarks/cancel.py
+++ b/benchmarks/cancel.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from amaranthspar import client
+from amaranthspar.clients import client
 from benchmarks import fits, outcomes, timing, trials
 
 WAVES = (125, 250, 500, 1000)
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -17,18 +17,12 @@
 
 import attrs
 
-from amaranthspar import (
-    clock,
-    codec,
-    disk,
-    effects,
-    files,
-    leaseholder,
-    links,
-    messages,
-    ports,
-    registry,
-)
+from amaranthspar import clock, effects, ports
+from amaranthspar.membership import leaseholder
+from amaranthspar.network import links
+from amaranthspar.registry import registry
+from amaranthspar.schema import codec, messages
+from amaranthspar.storage import disk, files
 from benchmarks import fits, fleet, holders, outcomes, trials
 
 LEASES = 500
--- a/benchmarks/desk.py
+++ b/benchmarks/desk.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from amaranthspar import configuration, standin
+from amaranthspar import configuration
+from amaranthspar.upstreams import standin
 from benchmarks import audit, driver, firms, fleet, histograms, outcomes, trials
 
 LOAD = 0.5
--- a/benchmarks/domain.py
+++ b/benchmarks/domain.py
@@ -8,7 +8,7 @@
 import aiohttp
 import attrs
 
-from amaranthspar import standin
+from amaranthspar.upstreams import standin
 from benchmarks import driver, firms, ideal, outcomes, timing, trials
 
 TARGET = 0.99
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -11,7 +11,7 @@
 import msgspec
 import tqdm
 
-from amaranthspar import client
+from amaranthspar.clients import client
 from benchmarks import firms, timing
 
 SPIN_MS = 1.0
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from amaranthspar import client
+from amaranthspar.clients import client
 from benchmarks import driver, firms, fleet, loglines, outcomes, trials
 
 LOAD = 0.5
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from amaranthspar import client
+from amaranthspar.clients import client
 from benchmarks import fleet, trials
 
 PAUSE_SECONDS = (3.0, 8.0)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,7 +16,10 @@
 import msgspec
 import psutil
 
-from amaranthspar import client, configuration, options, ports, tokens
+from amaranthspar import configuration, ports
+from amaranthspar.clients import client
+from amaranthspar.schema import options
+from amaranthspar.web import tokens
 from benchmarks import firms, loglines
 
 CONTROLLERS = 3
--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from amaranthspar import client
+from amaranthspar.clients import client
 from benchmarks import fits, fleet, outcomes, timing, trials
 
 SIZES = (1, 10, 100, 1200)
--- a/benchmarks/holders.py
+++ b/benchmarks/holders.py
@@ -15,16 +15,10 @@
 
 import attrs
 
-from amaranthspar import (
-    clock,
-    codec,
-    effects,
-    leaseholder,
-    links,
-    loop,
-    messages,
-    ports,
-)
+from amaranthspar import clock, effects, loop, ports
+from amaranthspar.membership import leaseholder
+from amaranthspar.network import links
+from amaranthspar.schema import codec, messages
 
 TICK_MS = 10
 PEAK_MS = 200
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from amaranthspar import standin
+from amaranthspar.upstreams import standin
 from benchmarks import audit, driver, firms, fleet, ideal, outcomes, timing, trials
 
 LOAD = 0.5
--- a/benchmarks/manysidecars.py
+++ b/benchmarks/manysidecars.py
@@ -7,7 +7,10 @@
 import asyncio
 import signal
 
-from amaranthspar import loop, options, ports, sidecar, standin
+from amaranthspar import loop, ports
+from amaranthspar.roles import sidecar
+from amaranthspar.schema import options
+from amaranthspar.upstreams import standin
 
 SLOTS = 8
 
--- a/benchmarks/naive.py
+++ b/benchmarks/naive.py
@@ -15,7 +15,10 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, intake, loop, submissions, upstream
+from amaranthspar import loop
+from amaranthspar.dispatch import submissions
+from amaranthspar.upstreams import upstream
+from amaranthspar.web import _httpserver, intake
 
 JSON = "application/json"
 MAX_BODY_BYTES = 8 * 1024 * 1024
--- a/benchmarks/partition.py
+++ b/benchmarks/partition.py
@@ -8,7 +8,9 @@
 import signal
 import sys
 
-from amaranthspar import codec, links, program
+from amaranthspar import program
+from amaranthspar.network import links
+from amaranthspar.schema import codec
 
 _foreign: tuple[str, ...] = ()
 _is_cut = False
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -19,21 +19,13 @@
 import attrs
 import psutil
 
-from amaranthspar import (
-    clock,
-    codec,
-    configuration,
-    controller,
-    dispatcher,
-    effects,
-    leaseholder,
-    links,
-    messages,
-    options,
-    ports,
-    standin,
-    submissions,
-)
+from amaranthspar import clock, configuration, effects, ports
+from amaranthspar.dispatch import dispatcher, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.network import links
+from amaranthspar.roles import controller
+from amaranthspar.schema import codec, messages, options
+from amaranthspar.upstreams import standin
 from benchmarks import counters, outcomes, trials
 
 GATEWAYS = 40
--- a/benchmarks/straggler.py
+++ b/benchmarks/straggler.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from amaranthspar import standin
+from amaranthspar.upstreams import standin
 from benchmarks import driver, firms, histograms, ideal, outcomes, trials
 
 LOAD = 0.5
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -14,7 +14,9 @@
 import attrs
 import msgspec
 
-from amaranthspar import configuration, messages, standin
+from amaranthspar import configuration
+from amaranthspar.schema import messages
+from amaranthspar.upstreams import standin
 from benchmarks import counters, driver, firms, fleet, timing
 
 WARM_UP_SECONDS = 2.0
--- a/benchmarks/upstreams.py
+++ b/benchmarks/upstreams.py
@@ -14,7 +14,9 @@
 import msgspec
 from sanic import response
 
-from amaranthspar import _httpserver, loop, standin, workerstandin
+from amaranthspar import loop
+from amaranthspar.upstreams import standin, workerstandin
+from amaranthspar.web import _httpserver
 
 JSON = "application/json"
 MAX_BODY_BYTES = 1024 * 1024
--- a/benchmarks/virtual.py
+++ b/benchmarks/virtual.py
@@ -9,15 +9,11 @@
 
 import attrs
 
-from amaranthspar import (
-    configuration,
-    dispatcher,
-    effects,
-    executor,
-    leaseholder,
-    messages,
-    submissions,
-)
+from amaranthspar import configuration, effects
+from amaranthspar.dispatch import dispatcher, submissions
+from amaranthspar.execution import executor
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 from benchmarks import arrivals as workloads
 
 DELAY_MS = (0.5, 1.5)
--- a/examples/kerekes/build_configuration.py
+++ b/examples/kerekes/build_configuration.py
@@ -3,7 +3,8 @@
 python build_configuration.py | amaranthspar config submit - --base-version 1
 """
 
-from amaranthspar import configuration, tokens
+from amaranthspar import configuration
+from amaranthspar.web import tokens
 
 DOMAINS = ("gyor", "pecs", "veszprem")
 
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -4,7 +4,10 @@
 import itertools
 import pathlib
 
-from amaranthspar import clock, codec, controller, links, messages, options, ports
+from amaranthspar import clock, ports
+from amaranthspar.network import links
+from amaranthspar.roles import controller
+from amaranthspar.schema import codec, messages, options
 from tests import builders_links
 
 TEXT = "[service lookup]\nidempotent = yes\n\n[domain gyor]\n\n[domain pecs]\n"
--- a/tests/builders_disk.py
+++ b/tests/builders_disk.py
@@ -2,7 +2,8 @@
 
 import random
 
-from amaranthspar import messages, transitions
+from amaranthspar.consensus import transitions
+from amaranthspar.schema import messages
 
 SECTOR = 512
 
--- a/tests/builders_dispatch.py
+++ b/tests/builders_dispatch.py
@@ -12,17 +12,11 @@
 
 import attrs
 
-from amaranthspar import (
-    configuration,
-    desks,
-    dispatcher,
-    doubts,
-    effects,
-    executor,
-    leaseholder,
-    messages,
-    submissions,
-)
+from amaranthspar import configuration, effects
+from amaranthspar.dispatch import dispatcher, doubts, submissions
+from amaranthspar.execution import executor
+from amaranthspar.membership import desks, leaseholder
+from amaranthspar.schema import messages
 
 TICK_MS = 50
 LEASE_MS = 3000
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -2,7 +2,10 @@
 
 import random
 
-from amaranthspar import configuration, leaseholder, messages, routing, submissions
+from amaranthspar import configuration
+from amaranthspar.dispatch import routing, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 
 LEASE_MS = 100_000_000
 
--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -10,7 +10,9 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 
-from amaranthspar import links, messages, options, ports
+from amaranthspar import ports
+from amaranthspar.network import links
+from amaranthspar.schema import messages, options
 
 WAIT_S = 20
 
--- a/tests/builders_scheduling.py
+++ b/tests/builders_scheduling.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from amaranthspar import effects, messages
+from amaranthspar import effects
 from amaranthspar.scheduling import dispatcher, jobevents, jobs, runevents
+from amaranthspar.schema import messages
 
 SERVICE = "quotes"
 DOMAINS = ("east", "west", "north")
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from amaranthspar import (
+from amaranthspar.dispatch import (
     admission,
     backlog,
     capacity,
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -2,7 +2,9 @@
 
 import attrs
 
-from amaranthspar import announcer, directory, documents, joining, messages, replacement
+from amaranthspar.consensus import joining, replacement
+from amaranthspar.membership import announcer, directory, documents
+from amaranthspar.schema import messages
 
 OWN = messages.Announce(
     process="gate",
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,7 +6,7 @@
 import socket
 import time
 
-from amaranthspar import client
+from amaranthspar.clients import client
 from tests import builders_shell
 
 CALLERS = 200
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, settings, strategies
 
-from amaranthspar import capacity, routing
+from amaranthspar.dispatch import capacity, routing
 from tests import builders_gateway
 
 NEEDS = routing.Needs("lookup", "main")
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -7,7 +7,9 @@
 
 import uvloop
 
-from amaranthspar import client, cluster, ports
+from amaranthspar import ports
+from amaranthspar.clients import client
+from amaranthspar.roles import cluster
 
 Scenario = Callable[[cluster.Cluster, client.Client], Awaitable[None]]
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -3,7 +3,8 @@
 import msgspec
 import pytest
 
-from amaranthspar import codec, errors, messages
+from amaranthspar import errors
+from amaranthspar.schema import codec, messages
 
 
 def test_frame_survives_round_trip() -> None:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from amaranthspar import codec, consensus, journal, messages, transitions
+from amaranthspar.consensus import consensus, journal, transitions
+from amaranthspar.schema import codec, messages
 from tools import simulation
 
 
--- a/tests/test_consensus_model.py
+++ b/tests/test_consensus_model.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from amaranthspar import replicas
+from amaranthspar.consensus import replicas
 from tools import explore
 
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -6,7 +6,11 @@
 import pytest
 import uvloop
 
-from amaranthspar import controller, disk, errors, messages, recovery, transitions
+from amaranthspar import errors
+from amaranthspar.consensus import transitions
+from amaranthspar.roles import controller
+from amaranthspar.schema import messages
+from amaranthspar.storage import disk, recovery
 from tests import builders_control
 
 SLOW_WRITE_S = 0.03
--- a/tests/test_controller_links.py
+++ b/tests/test_controller_links.py
@@ -6,7 +6,9 @@
 import pytest
 import uvloop
 
-from amaranthspar import leaseholder, messages, options, sidecar
+from amaranthspar.membership import leaseholder
+from amaranthspar.roles import sidecar
+from amaranthspar.schema import messages, options
 from tests import builders_control, builders_links
 
 FAULTS = ("authority", "expired", "plain", "name")
--- a/tests/test_desks.py
+++ b/tests/test_desks.py
@@ -5,7 +5,12 @@
 import pathlib
 import uuid
 
-from amaranthspar import client, cluster, configuration, desks, messages, standin, view
+from amaranthspar import configuration
+from amaranthspar.clients import client
+from amaranthspar.membership import desks, view
+from amaranthspar.roles import cluster
+from amaranthspar.schema import messages
+from amaranthspar.upstreams import standin
 from tests import test_cluster
 
 MAIN = messages.Announcement("w", "r", "main", "gyor", ["hold"], 8, 64, 1, 1, 0)
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from amaranthspar import disk, errors, files, records
+from amaranthspar import errors
+from amaranthspar.storage import disk, files, records
 from tests import builders_disk
 
 CHANGES = builders_disk.build_changes()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -9,7 +9,9 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from amaranthspar import dispatcher, effects, messages, submissions
+from amaranthspar import effects
+from amaranthspar.dispatch import dispatcher, submissions
+from amaranthspar.schema import messages
 from benchmarks import alternatives, arrivals, virtual
 from tests import builders_gateway
 
--- a/tests/test_doubts.py
+++ b/tests/test_doubts.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from amaranthspar import doubts, leaseholder, messages, routing, submissions
+from amaranthspar.dispatch import doubts, routing, submissions
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 from tests import builders_dispatch
 
 NOW_MS = 10_000
--- a/tests/test_edges_fuzz.py
+++ b/tests/test_edges_fuzz.py
@@ -14,18 +14,11 @@
 import pytest
 from hypothesis import strategies
 
-from amaranthspar import (
-    codec,
-    configuration,
-    entries,
-    errors,
-    inifiles,
-    intake,
-    messages,
-    problems,
-    settings,
-    tokens,
-)
+from amaranthspar import configuration, errors
+from amaranthspar.ini import inifiles
+from amaranthspar.roles import settings
+from amaranthspar.schema import codec, entries, messages, problems
+from amaranthspar.web import intake, tokens
 from tests import builders_shell
 
 FUZZ = hypothesis.settings(
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -3,7 +3,7 @@
 import math
 import random
 
-from amaranthspar import estimates
+from amaranthspar.dispatch import estimates
 
 
 def train(declare):
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,15 +4,10 @@
 
 import pytest
 
-from amaranthspar import (
-    deliveries,
-    effects,
-    executor,
-    leaseholder,
-    messages,
-    peers,
-    starts,
-)
+from amaranthspar import effects
+from amaranthspar.execution import deliveries, executor, peers, starts
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 from tests import builders_dispatch
 
 NOW_MS = 10_000
--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, settings, strategies
 
-from amaranthspar import fairqueue
+from amaranthspar.dispatch import fairqueue
 
 
 def path(*names, weights=()):
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -1,7 +1,7 @@
 """Tests of a gateway's decisions on jobs with needs."""
 
-from amaranthspar import messages
 from amaranthspar.scheduling import dispatcher, fleet, jobevents
+from amaranthspar.schema import messages
 from tests import builders_scheduling as builders
 
 
--- a/tests/test_generate.py
+++ b/tests/test_generate.py
@@ -13,5 +13,5 @@
 )
 @pytest.mark.parametrize("name", generate.MODULES)
 def test_committed_module_is_current(name: str) -> None:
-    path = generate.ROOT / "amaranthspar" / f"{name}.py"
+    path = generate.ROOT / "amaranthspar" / "schema" / f"{name}.py"
     assert generate.generate_module(name) == path.read_text()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,6 +1,7 @@
 """Tests of ejection, probes and the stepped return."""
 
-from amaranthspar import health, messages
+from amaranthspar.dispatch import health
+from amaranthspar.schema import messages
 from tests import builders_gateway
 
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from amaranthspar import messages
 from amaranthspar.scheduling import keeper, runevents
+from amaranthspar.schema import messages
 
 SENDER = runevents.Sender("gate", 1, "gate:1")
 CAPACITY = messages.Resources(8_000, 8_192, 0)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,7 +4,9 @@
 import json
 import pathlib
 
-from amaranthspar import attachments, client, cluster, intake
+from amaranthspar.clients import client
+from amaranthspar.roles import cluster
+from amaranthspar.web import attachments, intake
 from tests import test_cluster
 
 KEY = {"Idempotency-Key": "k"}
--- a/tests/test_leaseholder.py
+++ b/tests/test_leaseholder.py
@@ -3,7 +3,9 @@
 import collections
 import random
 
-from amaranthspar import effects, leaseholder, messages
+from amaranthspar import effects
+from amaranthspar.membership import leaseholder
+from amaranthspar.schema import messages
 
 CONTROLLERS = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]
 DURATION_MS = 3000
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from amaranthspar import errors, heartbeats, links, messages, options
+from amaranthspar import errors
+from amaranthspar.network import heartbeats, links
+from amaranthspar.schema import messages, options
 from tests import builders_links
 
 INTERVAL_MS = 500
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from amaranthspar import logs
+from amaranthspar.observation import logs
 
 
 def test_reader_that_has_stopped_holds_up_nothing_and_dropped_lines_are_told(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,7 +3,7 @@
 import re
 import socket
 
-from amaranthspar import metrics
+from amaranthspar.observation import metrics
 from tests import builders_shell
 
 COUNTER = re.compile(r"counts\[\s*f?\"([^\"]+)\"\s*\]")
@@ -13,7 +13,7 @@
 
 def read_names() -> set[str]:
     names: set[str] = set()
-    for path in (builders_shell.ROOT / "amaranthspar").glob("*.py"):
+    for path in (builders_shell.ROOT / "amaranthspar").rglob("*.py"):
         text = path.read_text()
         names.update(COUNTER.findall(text))
         for body in INITIAL.findall(text):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,16 +6,11 @@
 
 import aiohttp
 
-from amaranthspar import (
-    controller,
-    jobgateway,
-    metering,
-    options,
-    places,
-    ports,
-    runsidecar,
-)
+from amaranthspar import places, ports
+from amaranthspar.observation import metering
 from amaranthspar.platform import callers, operators, servers, statements, upstreams
+from amaranthspar.roles import controller, jobgateway, runsidecar
+from amaranthspar.schema import options
 from tests import builders_platform as builders
 
 WAIT_S = 20
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from amaranthspar import errors, messages
+from amaranthspar import errors
 from amaranthspar.platform import settings, wire
+from amaranthspar.schema import messages
 from tests import builders_platform as builders, builders_scheduling
 
 QUEUE = builders_scheduling.build_queue()
--- a/tests/test_recover.py
+++ b/tests/test_recover.py
@@ -7,7 +7,8 @@
 import pytest
 import uvloop
 
-from amaranthspar import cluster, exits, ports, program
+from amaranthspar import exits, ports, program
+from amaranthspar.roles import cluster
 
 SETTINGS = """\
 [process]
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -2,7 +2,8 @@
 
 import random
 
-from amaranthspar import leases, messages, registry, requests, snapshots
+from amaranthspar.registry import leases, registry, requests, snapshots
+from amaranthspar.schema import messages
 from tests import builders_control
 
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,6 +1,8 @@
 """Requests of processes and operators, without links and consensus."""
 
-from amaranthspar import effects, leases, messages, registry, requests
+from amaranthspar import effects
+from amaranthspar.registry import leases, registry, requests
+from amaranthspar.schema import messages
 from tests import builders_control
 
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -5,7 +5,8 @@
 import pathlib
 import shutil
 
-from amaranthspar import configuration, messages
+from amaranthspar import configuration
+from amaranthspar.schema import messages
 from tests import builders_control, builders_shell, test_stopping
 
 CALLERS = test_stopping.CALLERS
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from amaranthspar import configuration, errors, settings
+from amaranthspar import configuration, errors
+from amaranthspar.roles import settings
 from tests import builders_shell
 
 EXAMPLES = builders_shell.ROOT / "examples"
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,7 +8,12 @@
 import psutil
 import uvloop
 
-from amaranthspar import client, cluster, executor, exits, links, messages
+from amaranthspar import exits
+from amaranthspar.clients import client
+from amaranthspar.execution import executor
+from amaranthspar.network import links
+from amaranthspar.roles import cluster
+from amaranthspar.schema import messages
 from benchmarks import sidecar as site
 from tests import builders_links, test_cluster
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,7 +2,7 @@
 
 import random
 
-from amaranthspar import slots
+from amaranthspar.execution import slots
 
 
 def build_slots(count=4, gateways=("a", "b")):
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from amaranthspar import speeds
+from amaranthspar.dispatch import speeds
 from tests import builders_gateway
 
 EXPECTED_MS = 200.0
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar import backlog, capacity, routing, steering
+from amaranthspar.dispatch import backlog, capacity, routing, steering
 from tests import builders_gateway
 
 NEEDS = routing.Needs("lookup", "main")
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -11,7 +11,10 @@
 import attrs
 import pytest
 
-from amaranthspar import client, cluster, ports, standin
+from amaranthspar import ports
+from amaranthspar.clients import client
+from amaranthspar.roles import cluster
+from amaranthspar.upstreams import standin
 from tests import builders_shell
 
 DOMAINS = ("gyor", "pecs", "veszprem")
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -11,7 +11,9 @@
 import uvloop
 from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 
-from amaranthspar import client, cluster, ports
+from amaranthspar import ports
+from amaranthspar.clients import client
+from amaranthspar.roles import cluster
 from tests import builders_shell
 
 TRACE = "4bf92f3577b34da6a3ce929d0e0e4736"
@@ -86,7 +88,9 @@
 def test_library_is_not_imported_when_traces_are_off() -> None:
     code = (
         "import sys\n"
-        "from amaranthspar import gateway, options, sidecar, traces\n"
+        "from amaranthspar.observation import traces\n"
+        "from amaranthspar.roles import gateway, sidecar\n"
+        "from amaranthspar.schema import options\n"
         "process = options.ProcessOptions('p', '127.0.0.1:1', ['127.0.0.1:2'], 'd')\n"
         "assert traces.build_tracer(process) is None\n"
         "assert not any(name.startswith('opentelemetry') for name in sys.modules)\n"
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies
 
-from amaranthspar import turns
+from amaranthspar.dispatch import turns
 from tests import builders_gateway
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from amaranthspar import exchange, executor, upstream
+from amaranthspar.execution import executor
+from amaranthspar.upstreams import exchange, upstream
 from tests import builders_control
 
 WAIT_S = 20
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from amaranthspar import configuration, tokens
+from amaranthspar import configuration
+from amaranthspar.web import tokens
 from tests import builders_shell
 
 MEMBERS = {"type", "title", "status", "detail", "outcome"}
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -6,7 +6,9 @@
 import attrs
 import pytest
 
-from amaranthspar import _httpserver, executor, standin, upstream, worker, workerstandin
+from amaranthspar.execution import executor
+from amaranthspar.upstreams import standin, upstream, worker, workerstandin
+from amaranthspar.web import _httpserver
 from tests import builders_control
 
 WAIT_S = 20
--- a/tools/churn_links.py
+++ b/tools/churn_links.py
@@ -10,7 +10,9 @@
 import sys
 import time
 
-from amaranthspar import codec, links, loop, messages, options, ports
+from amaranthspar import loop, ports
+from amaranthspar.network import links
+from amaranthspar.schema import codec, messages, options
 
 SENDERS = 8
 MESSAGES_A_TURN = 20
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -22,7 +22,9 @@
 
 import attrs
 
-from amaranthspar import codec, consensus, effects, messages, transitions
+from amaranthspar import effects
+from amaranthspar.consensus import consensus, transitions
+from amaranthspar.schema import codec, messages
 
 NAMES = ("a", "b", "c")
 FOLDER = 7
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -64,7 +64,7 @@
     arguments = parser.parse_args()
     stale = []
     for name in MODULES:
-        path = ROOT / "amaranthspar" / f"{name}.py"
+        path = ROOT / "amaranthspar" / "schema" / f"{name}.py"
         text = generate_module(name)
         if arguments.check:
             if path.read_text() != text:
@@ -72,7 +72,7 @@
             continue
         path.write_text(text)
     for name in stale:
-        print(f"amaranthspar/{name}.py is out of date: run make generate")
+        print(f"amaranthspar/schema/{name}.py is out of date: run make generate")
     return 1 if stale else 0
 
 
--- a/tools/simulation.py
+++ b/tools/simulation.py
@@ -8,17 +8,10 @@
 
 import attrs
 
-from amaranthspar import (
-    codec,
-    consensus,
-    effects,
-    leases,
-    messages,
-    registry,
-    replicas,
-    requests,
-    transitions,
-)
+from amaranthspar import effects
+from amaranthspar.consensus import consensus, replicas, transitions
+from amaranthspar.registry import leases, registry, requests
+from amaranthspar.schema import codec, messages
 
 ELECTION_MS = 100
 HEARTBEAT_MS = 20
