--- a/amaranthspar/consensus/consensus.py
+++ b/amaranthspar/consensus/consensus.py
@@ -284,6 +284,7 @@
         if term < self.term:
             return False
         self._follow(term, leader, now_ms)
+        self._was_led = True
         self._heard_ms = now_ms
         self._reset_deadline(now_ms)
         return True
--- a/amaranthspar/consensus/elections.py
+++ b/amaranthspar/consensus/elections.py
@@ -6,6 +6,11 @@
 from amaranthspar.consensus import following, journal, leadership, replicas, transitions
 from amaranthspar.schema import messages
 
+FIRST_SHARES = (16, 1)
+"""Parts of the election timeout between which a replica that has heard no leader since
+its start asks for the first votes: after an outage of all replicas nobody leads, and a
+leader that does exist keeps the others from granting any."""
+
 
 class Elector(abc.ABC):
     """State of one replica and its part in elections.
@@ -43,8 +48,9 @@
         self.votes: dict[str, int] = {}
         self._vote_number = 0
         self._heard_ms = now_ms - settings.election_ms
+        self._was_led = False
         self._deadline_ms = 0
-        self._reset_deadline(now_ms)
+        self._reset_first_deadline(now_ms)
 
     @property
     def term(self) -> int:
@@ -61,6 +67,13 @@
         election_ms = self._settings.election_ms
         self._deadline_ms = now_ms + self._chance.randint(election_ms, 2 * election_ms)
 
+    def _reset_first_deadline(self, now_ms: int) -> None:
+        least, most = FIRST_SHARES
+        election_ms = self._settings.election_ms
+        self._deadline_ms = now_ms + self._chance.randint(
+            election_ms // least, election_ms // most
+        )
+
     def _may_campaign(self) -> bool:
         # A leader that removed itself is needed until the removal is committed.
         committed = self.journal.find_members(self.commit_index)
@@ -71,7 +84,10 @@
         return False
 
     def _start_pre_vote(self, now_ms: int) -> None:
-        self._reset_deadline(now_ms)
+        if self._was_led:
+            self._reset_deadline(now_ms)
+        else:
+            self._reset_first_deadline(now_ms)
         self._change_leader("")
         if not self._may_campaign():
             return
@@ -160,6 +176,7 @@
 
     def _lead(self, now_ms: int) -> None:
         log = self.journal.log
+        self._was_led = True
         self.role = "leader"
         self.leading = leadership.Leadership(
             self.term, self.replica, log.last_index + 1, now_ms
--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -12,6 +12,11 @@
 
 INTERVAL_MS = 300
 """Interval of announcements to each controller; three fit well into 1 s."""
+START_INTERVAL_MS = 100
+"""The same just after the start, while the process does not know what it needs."""
+START_MS = 3_000
+"""Time after the start for which the shorter interval holds at most: an election and the
+start of the slowest host."""
 HEARD_MS = 3_000
 """Time for which a controller's list of processes counts after its last answer."""
 CONTACT_MS = 1_500
@@ -62,6 +67,7 @@
         self._own = own
         self._controllers = {address: _Controller() for address in seeds}
         self._sent_ms = -INTERVAL_MS
+        self._began_ms: int | None = None
         self._fetched_ms = -FETCH_MS
         self._newest = documents.NO_VERSION
 
@@ -84,7 +90,9 @@
         Args:
             now_ms: Monotonic time in ms.
         """
-        if now_ms - self._sent_ms < INTERVAL_MS:
+        if self._began_ms is None:
+            self._began_ms = now_ms
+        if now_ms - self._sent_ms < self._find_interval_ms(now_ms - self._began_ms):
             return []
         self._sent_ms = now_ms
         source = self._choose_source(now_ms)
@@ -134,6 +142,13 @@
             return None
         return Changed(document, self.domains_out, peers)
 
+    def _find_interval_ms(self, age_ms: int) -> int:
+        """Return the interval of announcements for a process of some age."""
+        is_settled = self.version != documents.NO_VERSION and not self._own.wants_peers
+        if is_settled or age_ms > START_MS:
+            return INTERVAL_MS
+        return START_INTERVAL_MS
+
     def _choose_source(self, now_ms: int) -> str:
         """Return the controller to fetch a missing document from, empty for none."""
         if self.version >= self._newest or now_ms - self._fetched_ms < FETCH_MS:
--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -14,6 +14,8 @@
 _TRUE = "true"
 _ROLE_PORTS = {"controller": 0, "gateway": 1, "sidecar": 2}
 """Offset of each role's port for links among the ports between processes."""
+STOP_MARGIN_MS = 700
+"""Time kept of the platform's grace for the last answers and the exit."""
 
 
 @attrs.frozen(slots=True)
@@ -35,7 +37,6 @@
         upstream: Address of the upstream on this host; empty for none.
         grace_ms: Time between the signal to stop and the kill in ms.
         hold_ms: Longest lease of runs in ms.
-        stop_ms: Longest time that a stop of a run takes in ms.
     """
 
     host: str
@@ -52,7 +53,11 @@
     upstream: str
     grace_ms: int
     hold_ms: int
-    stop_ms: int
+
+    @property
+    def stopping_ms(self) -> int:
+        """Time that a process has for its work after the signal to stop, in ms."""
+        return self.grace_ms - STOP_MARGIN_MS
 
     def find_link_address(self, role: str, ip: str = "") -> str:
         """Return the address for links of a role.
@@ -136,7 +141,6 @@
             upstream=self._find("app"),
             grace_ms=1000 * self._read_integer("Bounds.GraceS"),
             hold_ms=self._read_integer("Bounds.MaxHoldMs"),
-            stop_ms=self._read_integer("Bounds.StopTimeoutMs"),
         )
         if self._faults:
             raise errors.SettingsError(self._faults)
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -190,3 +190,27 @@
 
 def test_silent_voter_stays_in_a_set_of_odd_number():
     assert replacement.plan_removal(build_members(), frozenset({"h1"})) == ""
+
+
+def test_process_that_has_just_started_asks_more_often_for_three_seconds():
+    world = Controllers("a")
+    sent = sum(
+        bool(world.announcer.tick(world.now_ms + at)) for at in range(0, 900, 20)
+    )
+    assert sent == 9
+    late_ms = world.now_ms + announcer.START_MS + announcer.INTERVAL_MS
+    assert world.announcer.tick(late_ms)
+    assert not world.announcer.tick(late_ms + announcer.INTERVAL_MS - 20)
+    assert world.announcer.tick(late_ms + announcer.INTERVAL_MS)
+
+
+def test_sidecar_that_has_the_document_asks_at_the_ordinary_interval():
+    world = Controllers("a")
+    world.announcer = announcer.Announcer(
+        attrs.evolve(OWN, role="sidecar", wants_peers=False), ["a"]
+    )
+    world.put(3)
+    world.turn()
+    world.turn()
+    assert world.announcer.version == 3
+    assert not world.announcer.tick(world.now_ms + announcer.START_INTERVAL_MS)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -322,3 +322,35 @@
     assert machine.commit_index == 0
     machine.step(transitions.Persisted(2), 1_000)
     assert machine.commit_index == 3
+
+
+def measure_election_after_restart(seed):
+    """Return how long replicas are without a leader that all restart at once, in ms."""
+    cluster = build_cluster(seed=seed)
+    for name in list(cluster.nodes):
+        cluster.crash(name)
+        cluster.start(name)
+    time_ms = 0
+    while not cluster.list_leaders():
+        cluster.heal(5)
+        time_ms += 5
+    return time_ms
+
+
+def test_replicas_that_all_restart_elect_within_one_election_timeout_on_average():
+    times_ms = [measure_election_after_restart(seed) for seed in range(60)]
+    assert sum(times_ms) / len(times_ms) <= simulation.ELECTION_MS
+    assert max(times_ms) <= 6 * simulation.ELECTION_MS
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_restarted_follower_does_not_disturb_its_leader(seed):
+    cluster = build_cluster(seed=seed)
+    leader = find_leader(cluster)
+    term = cluster.nodes[leader].machine.term
+    follower = list_others(cluster, leader)[0]
+    cluster.crash(follower)
+    cluster.start(follower)
+    cluster.heal(5 * simulation.ELECTION_MS)
+    assert cluster.list_leaders() == [leader]
+    assert cluster.nodes[leader].machine.term == term
