Call the platform's upstreams through the exchange that the product's sidecar uses

Change: platform.upstreams uses upstreams.exchange, whose pool takes a keep-alive time. Tests: test_platform_path and test_upstream pass unchanged.

--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -1,5 +1,7 @@
 """Calls to the upstream of this host, as the platform's upstreams understand them."""
 
+import asyncio
+
 import aiohttp
 
 from amaranthspar import clock
@@ -7,6 +9,7 @@
 from amaranthspar.roles import runsidecar
 from amaranthspar.scheduling import runevents
 from amaranthspar.schema import messages
+from amaranthspar.upstreams import exchange
 
 START_PATH = "/amaranthspar/run-start"
 STOP_PATH = "/amaranthspar/run-stop"
@@ -49,11 +52,10 @@
     """
 
     def __init__(self, address: str, hold_ms: int) -> None:
-        self._url = f"http://{address}"
         self._hold_ms = hold_ms
         self._clock = clock.Clock()
-        self._calls = _open_session(CALL_CONNECTIONS)
-        self._holds = _open_session(1)
+        self._calls = exchange.Pool(address, CALL_CONNECTIONS, KEEP_ALIVE_S)
+        self._holds = exchange.Pool(address, 1, KEEP_ALIVE_S)
         self._life = ""
         self._offset_ms: int | None = None
         self._lease_end_ms = 0
@@ -103,8 +105,9 @@
         else:
             wait_ms = 0
         body = wire.encode_hold(seen, wait_ms, until_ms, fence)
-        timeout = aiohttp.ClientTimeout(total=(wait_ms + HOLD_SLACK_MS) / 1000)
-        status, data = await self._post(self._holds, life, HOLD_PATH, body, timeout)
+        status, data = await _post(
+            self._holds, life, HOLD_PATH, body, wait_ms + HOLD_SLACK_MS
+        )
         if status == _OTHER_LIFE:
             raise runsidecar.ReplacedError("another life of the upstream answered")
         if status == _CONFLICT and wire.decode_answer(data)[1] == _FENCE_REASON:
@@ -147,9 +150,8 @@
     async def _call(
         self, life: runsidecar.Registration, path: str, body: bytes, timeout_ms: int
     ) -> runevents.Answer:
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
         try:
-            status, data = await self._post(self._calls, life, path, body, timeout)
+            status, data = await _post(self._calls, life, path, body, timeout_ms)
         except runsidecar.SilentError:
             return runevents.Answer.SILENT
         if status == _OK:
@@ -165,24 +167,6 @@
             raise runsidecar.FenceError("the upstream has seen a higher fence")
         return _REASONS.get(reason, runevents.Answer.SILENT)
 
-    async def _post(
-        self,
-        session: aiohttp.ClientSession,
-        life: runsidecar.Registration,
-        path: str,
-        body: bytes,
-        timeout: aiohttp.ClientTimeout,
-    ) -> tuple[int, bytes]:
-        headers = {LIFE_HEADER: life.id, "Content-Type": "application/json"}
-        try:
-            async with session.post(
-                f"{self._url}{path}", data=body, headers=headers, timeout=timeout
-            ) as response:
-                return response.status, await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            reason = f"{type(error).__name__}: {error}"
-            raise runsidecar.SilentError(reason) from error
-
 
 def build_incarnation(upstream_id: str, born_ms: int) -> str:
     """Return the name of one life of an upstream.
@@ -194,12 +178,33 @@
     return f"{upstream_id}@{born_ms}"
 
 
-def _open_session(connections: int) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(
-        limit=connections, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-    )
+async def _post(
+    pool: exchange.Pool,
+    life: runsidecar.Registration,
+    path: str,
+    body: bytes,
+    timeout_ms: int,
+) -> tuple[int, bytes]:
+    """Return the status and the body that a call is answered with.
+
+    Raises:
+        runsidecar.SilentError: There was no whole answer in time.
+    """
+    headers = pool.build_headers(body)
+    headers[LIFE_HEADER] = life.id
+    headers["Content-Type"] = "application/json"
+    connection = None
+    is_whole = False
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            connection = await pool.connect()
+            await exchange.send_request(connection, path, headers, body)
+            response = await exchange.read_response(connection)
+        is_whole = True
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        reason = f"{type(error).__name__}: {error}"
+        raise runsidecar.SilentError(reason) from error
+    finally:
+        if connection is not None:
+            exchange.end_exchange(connection, whole=is_whole)
+    return response.status, response.body
--- a/amaranthspar/upstreams/exchange.py
+++ b/amaranthspar/upstreams/exchange.py
@@ -45,12 +45,15 @@
     Args:
         address: Address of the server.
         connections: Connections that may be open at once.
+        keep_alive_s: Time for which an idle connection is kept in s.
     """
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, keep_alive_s: int = KEEP_ALIVE_S
+    ) -> None:
         self._address = address
         self._connector = aiohttp.TCPConnector(
-            limit=connections, keepalive_timeout=KEEP_ALIVE_S
+            limit=connections, keepalive_timeout=keep_alive_s
         )
         self._session = aiohttp.ClientSession(
             connector=self._connector, cookie_jar=aiohttp.DummyCookieJar()
