Count a request's time from its arrival, and log what a refusal was decided by

Cause: a request that waited until a gateway which had just started knew its routes and upstreams was judged as if it had just come, so that old ones took the room of fresh ones. A refusal's log line named none of its inputs.

Change: jobevents.Submit carries the arrival; a refusal for want of room is logged with the forecast, the waiting work and the age of the oldest statement of room. Tests: an old request is refused where a fresh one is taken; the inputs are in the line.

--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -37,7 +37,7 @@
         Args:
             request: Request of a caller.
         """
-        response = await self._route(request)
+        response = await self._route(request, self._clock.read_monotonic())
         if self._gateway.is_draining:
             response.force_close()
         return response
@@ -51,7 +51,7 @@
         is_ready = self._find_table() is not None and self._gateway.is_ready
         return servers.answer_json(200 if is_ready else 503)
 
-    async def _route(self, request: web.BaseRequest) -> web.Response:
+    async def _route(self, request: web.BaseRequest, arrived_ms: int) -> web.Response:
         await self._gateway.wait_until_known()
         table = self._find_table()
         if table is None:
@@ -63,7 +63,9 @@
         name = request.path[len(route.prefix) :]
         match request.method:
             case "POST" if wire.is_job_id(name):
-                return await self._submit(request, route.queue, name, table.version)
+                return await self._submit(
+                    request, route.queue, name, table.version, arrived_ms
+                )
             case "GET" if not name:
                 count = self._gateway.count_waiting(route.queue.name)
                 return _answer({"Pending": count})
@@ -86,9 +88,13 @@
         return self._table
 
     async def _submit(
-        self, request: web.BaseRequest, queue: jobs.Queue, name: str, version: int
+        self,
+        request: web.BaseRequest,
+        queue: jobs.Queue,
+        name: str,
+        version: int,
+        arrived_ms: int,
     ) -> web.Response:
-        began_ms = self._clock.read_monotonic()
         try:
             job = wire.decode_job(await request.read(), name, queue)
         except wire.BodyError as error:
@@ -97,8 +103,8 @@
         if job.unsupported:
             _log.info("job not offered", request=name, reason=job.unsupported)
             return _refuse(f"{job.unsupported} are not offered", None)
-        ended = await self._gateway.submit(job.request)
-        took_ms = self._clock.read_monotonic() - began_ms
+        ended = await self._gateway.submit(job.request, arrived_ms)
+        took_ms = self._clock.read_monotonic() - arrived_ms
         self._gateway.meters.answers.labels(queue.name, ended.outcome.value).inc()
         self._gateway.meters.durations.labels(queue.name).observe(took_ms / 1000)
         _log.info(
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -131,19 +131,22 @@
             self._ticking.cancel()
         self._links.close()
 
-    async def submit(self, request: jobs.Request) -> jobevents.Ended:
+    async def submit(
+        self, request: jobs.Request, arrived_ms: int | None = None
+    ) -> jobevents.Ended:
         """Admit a job and wait for its end.
 
         A job that is already here is not admitted again: both callers get its end.
 
         Args:
             request: Job as submitted.
+            arrived_ms: Time of its arrival in ms; nothing if it has just come.
         """
         future = self._ends.get(request.id)
         if future is None:
             future = asyncio.get_running_loop().create_future()
             self._ends[request.id] = future
-            self._step(jobevents.Submit(request))
+            self._step(jobevents.Submit(request, arrived_ms))
         self._callers[request.id] += 1
         try:
             return await asyncio.shield(future)
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -89,8 +89,10 @@
             What is to be done, in order.
         """
         match event:
-            case jobevents.Submit(request=request):
-                self._submit(request, now_ms)
+            case jobevents.Submit(request=request, arrived_ms=arrived_ms):
+                self._submit(
+                    request, now_ms if arrived_ms is None else arrived_ms, now_ms
+                )
             case jobevents.Cancel(job=name, outcome=outcome, why=why):
                 job = self.jobs.get(name)
                 if job is not None:
@@ -114,14 +116,14 @@
 
     # Jobs.
 
-    def _submit(self, request: jobs.Request, now_ms: int) -> None:
+    def _submit(self, request: jobs.Request, arrived_ms: int, now_ms: int) -> None:
         if request.id in self.jobs:
             return
         reason = self._find_obstacle(request, now_ms)
         if reason:
             self._refuse(request.id, reason)
             return
-        job = jobs.build_job(request, now_ms)
+        job = jobs.build_job(request, arrived_ms)
         entry = self._build_entry(job)
         end_ms = now_ms + DRAIN_MARGIN * entry.chain_ms
         if self.is_draining and end_ms > self._until_ms:
@@ -129,6 +131,7 @@
             return
         forecast = self._forecast(request.queue.service, now_ms)
         if not self.waiting.admit(entry, forecast):
+            self._note_refusal(entry, forecast)
             self._refuse(request.id, "no room in time")
             return
         self.jobs[request.id] = job
@@ -144,6 +147,27 @@
             cores_free=round(forecast.free),
         )
 
+    def _note_refusal(self, entry: waiting.Entry, forecast: waiting.Forecast) -> None:
+        """Log what a refusal was decided by."""
+        job = entry.job
+        sidecars = self.fleet.list_open(job.request.queue.service, forecast.now_ms)
+        oldest_ms = min((item.heard_ms for item in sidecars), default=forecast.now_ms)
+        self._note(
+            "job refused",
+            job.request.id,
+            queue=job.request.queue.name,
+            tasks=len(job.tasks),
+            cores=round(entry.cores, 1),
+            expected_ms=entry.chain_ms,
+            spare_ms=job.start_by_ms - forecast.now_ms,
+            ahead=len(self.waiting),
+            waiting_core_ms=round(self.waiting.work),
+            cores_free=round(forecast.free),
+            cores_working=round(forecast.rate),
+            upstreams=len(sidecars),
+            room_age_ms=forecast.now_ms - oldest_ms,
+        )
+
     def _find_obstacle(self, request: jobs.Request, now_ms: int) -> str:
         """Return why a job cannot be served at all, empty if it can."""
         service = request.queue.service
--- a/amaranthspar/scheduling/jobevents.py
+++ b/amaranthspar/scheduling/jobevents.py
@@ -23,9 +23,15 @@
 
 @attrs.frozen(slots=True)
 class Submit:
-    """A caller submits a job."""
+    """A caller submits a job.
+
+    Attributes:
+        request: Job as submitted.
+        arrived_ms: Time of its arrival in ms; nothing if it has just come.
+    """
 
     request: jobs.Request
+    arrived_ms: int | None = None
 
 
 @attrs.frozen(slots=True)
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -315,3 +315,33 @@
         assert gateway.submit(request)
     most = max(len(item.tasks) for item in gateway.dispatcher.fleet.sidecars.values())
     assert most <= 4
+
+
+def test_request_that_has_waited_since_its_arrival_has_less_time_left():
+    """Load pattern: a gateway has just started, and callers have waited for it."""
+    gateway = build_gateway(free=1.0, capacity=1.0)
+    gateway.now_ms += 10_000
+    gateway.hear_room("one", free=1.0, capacity=1.0)
+    assert gateway.submit(builders.build_request("first"))
+    old_ms = gateway.now_ms - 5_000
+    old = builders.build_request("old")
+    gateway.step(jobevents.Submit(old, old_ms))
+    assert gateway.ended["old"].outcome is jobevents.Outcome.REFUSED
+    gateway.step(jobevents.Submit(builders.build_request("fresh")))
+    assert "fresh" not in gateway.ended
+
+
+def test_refusal_for_want_of_room_is_logged_with_what_decided_it():
+    gateway = build_gateway(free=1.0, capacity=1.0)
+    decided = []
+    for number in range(40):
+        request = builders.build_request(f"job{number}")
+        event = jobevents.Submit(request)
+        decided += gateway.dispatcher.step(event, gateway.now_ms)
+    refused = [
+        item
+        for item in decided
+        if isinstance(item, jobevents.Decided) and item.event == "job refused"
+    ]
+    names = {name for name, _ in refused[0].details}
+    assert {"cores_free", "ahead", "room_age_ms", "spare_ms", "upstreams"} <= names
