--- a/amaranthspar/schema/messages.py
+++ b/amaranthspar/schema/messages.py
@@ -984,7 +984,7 @@
     """Renews the lease of a gateway's runs on a sidecar; runs not named are stopped.
 
     Attributes:
-        number: Number that the answer carries.
+        number: Number of the renewal, which grows with each one.
         started: Number of the last `StartRuns` sent before this.
         is_waiting: Whether the gateway has tasks that wait for room.
         names: Runs that the gateway counts on.
