End the choice of a sidecar early where none has room

At overload mostly no sidecar has room, and a gateway still listed and judged all candidates before it chose none of them. Change: an early return; the choice is the same, and no random number is drawn either way.

--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -293,6 +293,8 @@
             for sidecar in self.list_open(task.job.request.queue.service, now_ms)
             if resources.fits(needs, sidecar.free) and sidecar.name not in reserved
         ]
+        if not found:
+            return None
         if len(found) > CHOICES:
             # Any of some sound ones drawn by lot is nearly as good as the best of all.
             drawn = self._chance.sample(found, CHOICES)
