--- a/amaranthspar/clients/access.py
+++ b/amaranthspar/clients/access.py
@@ -40,28 +40,6 @@
     token: str = attrs.field(repr=False)
 
 
-def add_arguments(parser: argparse.ArgumentParser) -> None:
-    """Add the arguments that give access; they stand before or after a command.
-
-    Args:
-        parser: Parser of the program or of a command.
-    """
-    # Without a default a command leaves what stands before it as it is.
-    kept = argparse.SUPPRESS
-    group = parser.add_argument_group("access")
-    group.add_argument(
-        "--gateway", action="append", default=kept, metavar="URL", help="gateway"
-    )
-    group.add_argument("--token", default=kept, metavar="TOKEN", help="bearer token")
-    group.add_argument(
-        "--access",
-        type=pathlib.Path,
-        default=kept,
-        metavar="FILE",
-        help="INI file with both",
-    )
-
-
 def find_access(
     arguments: argparse.Namespace, environment: Mapping[str, str]
 ) -> Access:
--- a/amaranthspar/commands/remote.py
+++ b/amaranthspar/commands/remote.py
@@ -24,7 +24,7 @@
         run: Carries the command out and returns the exit code.
         examples: Lines that show its use.
     """
-    access.add_arguments(parser)
+    shared.add_access(parser)
     parser.epilog = f"examples:\n{examples.rstrip()}\n\n{access.HELP}"
     parser.add_argument(
         "--timeout-ms",
--- a/amaranthspar/commands/shared.py
+++ b/amaranthspar/commands/shared.py
@@ -33,6 +33,28 @@
     return parser
 
 
+def add_access(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments that give access; they stand before or after a command.
+
+    Args:
+        parser: Parser of the program or of a command.
+    """
+    # Without a default a command leaves what stands before it as it is.
+    kept = argparse.SUPPRESS
+    group = parser.add_argument_group("access")
+    group.add_argument(
+        "--gateway", action="append", default=kept, metavar="URL", help="gateway"
+    )
+    group.add_argument("--token", default=kept, metavar="TOKEN", help="bearer token")
+    group.add_argument(
+        "--access",
+        type=pathlib.Path,
+        default=kept,
+        metavar="FILE",
+        help="INI file with both",
+    )
+
+
 def add_json(parser: argparse.ArgumentParser) -> None:
     """Let a command print JSON for programs."""
     parser.add_argument("--json", action="store_true", help="print JSON")
--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -10,7 +10,7 @@
 
 from amaranthspar import effects
 from amaranthspar.membership import documents
-from amaranthspar.schema import messages
+from amaranthspar.schema import viewmessages
 
 INTERVAL_MS = 300
 """Interval between two announcements, each to the next controller; three fit well into
@@ -37,9 +37,9 @@
     heard_ms: int = -HEARD_MS
     version: int = documents.NO_VERSION
     digest: int = 0
-    peers: dict[str, messages.Peer] = attrs.field(factory=dict)
+    peers: dict[str, viewmessages.Peer] = attrs.field(factory=dict)
 
-    def take_peers(self, view: messages.View) -> bool:
+    def take_peers(self, view: viewmessages.View) -> bool:
         """Take a changed list, and return whether it could be taken.
 
         A difference from another list than the one held answers an old announcement.
@@ -69,7 +69,7 @@
 
     document: bytes | None
     domains_out: frozenset[str]
-    peers: tuple[messages.Peer, ...]
+    peers: tuple[viewmessages.Peer, ...]
 
 
 class Announcer:
@@ -80,11 +80,11 @@
         seeds: Addresses of the first controllers.
     """
 
-    def __init__(self, own: messages.Announce, seeds: list[str]) -> None:
+    def __init__(self, own: viewmessages.Announce, seeds: list[str]) -> None:
         self.version = documents.NO_VERSION
         self.domains_revision = -1
         self.domains_out: frozenset[str] = frozenset()
-        self.peers: tuple[messages.Peer, ...] = ()
+        self.peers: tuple[viewmessages.Peer, ...] = ()
         self.heard_ms = -CONTACT_MS
         self._own = own
         self._controllers = {address: _Controller() for address in seeds}
@@ -130,7 +130,9 @@
             if address in due
         ]
 
-    def take(self, address: str, view: messages.View, now_ms: int) -> Changed | None:
+    def take(
+        self, address: str, view: viewmessages.View, now_ms: int
+    ) -> Changed | None:
         """Take a controller's answer.
 
         Args:
@@ -164,7 +166,7 @@
         return Changed(document, self.domains_out, self.peers)
 
     def _take_peers(
-        self, controller: _Controller, view: messages.View, now_ms: int
+        self, controller: _Controller, view: viewmessages.View, now_ms: int
     ) -> bool:
         """Return whether the merged list is another one than before."""
         heard = frozenset(
@@ -210,7 +212,7 @@
         }
         return max(holders, key=lambda address: holders[address], default="")
 
-    def _build(self, controller: _Controller, is_source: bool) -> messages.Announce:
+    def _build(self, controller: _Controller, is_source: bool) -> viewmessages.Announce:
         return attrs.evolve(
             self._own,
             document_version=self.version,
@@ -219,13 +221,13 @@
             peers_digest=controller.digest,
         )
 
-    def _merge_peers(self, heard: frozenset[str]) -> tuple[messages.Peer, ...]:
+    def _merge_peers(self, heard: frozenset[str]) -> tuple[viewmessages.Peer, ...]:
         """Return the newest statement of each process that any controller lists.
 
         Args:
             heard: Addresses of the controllers whose lists count.
         """
-        merged: dict[str, messages.Peer] = {}
+        merged: dict[str, viewmessages.Peer] = {}
         for address in heard:
             for peer in self._controllers[address].peers.values():
                 known = merged.get(peer.process)
--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -7,7 +7,7 @@
 
 from amaranthspar import places
 from amaranthspar.membership import announcer, documents
-from amaranthspar.schema import codec, messages
+from amaranthspar.schema import codec, viewmessages
 
 _log = structlog.get_logger()
 
@@ -33,7 +33,7 @@
         incarnation: int,
         send: Callable[[str, codec.Message], None],
     ) -> None:
-        own = messages.Announce(
+        own = viewmessages.Announce(
             process=place.name,
             role=role,
             incarnation=incarnation,
@@ -75,7 +75,7 @@
             _log.info(event, version=self.version)
 
     def take(
-        self, address: str, view: messages.View, now_ms: int
+        self, address: str, view: viewmessages.View, now_ms: int
     ) -> announcer.Changed | None:
         """Take a controller's answer.
 
--- a/amaranthspar/membership/directory.py
+++ b/amaranthspar/membership/directory.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from amaranthspar.membership import documents
-from amaranthspar.schema import codec, messages
+from amaranthspar.schema import codec, viewmessages
 
 EXPIRY_MS = 6_000
 """Silence after which a process is no longer listed; with five controllers four
@@ -25,7 +25,7 @@
 class _Known:
     """A process and when it was heard."""
 
-    peer: messages.Peer
+    peer: viewmessages.Peer
     digest: int
     heard_ms: int
 
@@ -50,11 +50,11 @@
 
     def announce(
         self,
-        message: messages.Announce,
+        message: viewmessages.Announce,
         state: documents.Documents,
         controllers: list[str],
         now_ms: int,
-    ) -> messages.View:
+    ) -> viewmessages.View:
         """Take an announcement.
 
         Args:
@@ -73,7 +73,7 @@
         base, names = message.peers_digest, set[str]()
         if message.wants_peers and message.peers_digest != self._digest:
             base, names = self._find_changes(message.peers_digest)
-        return messages.View(
+        return viewmessages.View(
             state.version,
             state.domains_revision,
             sorted(state.domains_out),
@@ -97,8 +97,8 @@
             self._change(name, self._known.pop(name).digest)
         return gone
 
-    def _note(self, message: messages.Announce, now_ms: int) -> None:
-        peer = messages.Peer(
+    def _note(self, message: viewmessages.Announce, now_ms: int) -> None:
+        peer = viewmessages.Peer(
             message.process,
             message.role,
             message.incarnation,
--- a/amaranthspar/membership/documents.py
+++ b/amaranthspar/membership/documents.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from amaranthspar.schema import messages
+from amaranthspar.schema import viewmessages
 
 NO_VERSION = -1
 """Version before the first document."""
@@ -24,7 +24,7 @@
     domains_revision: int = 0
     domains_out: set[str] = attrs.field(factory=set)
 
-    def put(self, command: messages.PutDocument) -> None:
+    def put(self, command: viewmessages.PutDocument) -> None:
         """Take a document if its version is higher than the one held.
 
         Args:
@@ -34,7 +34,7 @@
             self.version = command.version
             self.content = command.content
 
-    def set_domain(self, command: messages.SetDomain) -> None:
+    def set_domain(self, command: viewmessages.SetDomain) -> None:
         """Take a failure domain out of service or back in.
 
         Args:
@@ -48,18 +48,18 @@
         else:
             self.domains_out.discard(command.domain)
 
-    def answer(self, request: str) -> messages.DocumentState:
+    def answer(self, request: str) -> viewmessages.DocumentState:
         """Return that a request is done.
 
         Args:
             request: Unique name of the request.
         """
-        return messages.DocumentState(request, self.version)
+        return viewmessages.DocumentState(request, self.version)
 
-    def fetch(self, request: str) -> messages.DocumentState:
+    def fetch(self, request: str) -> viewmessages.DocumentState:
         """Return the document.
 
         Args:
             request: Unique name of the request.
         """
-        return messages.DocumentState(request, self.version, self.content)
+        return viewmessages.DocumentState(request, self.version, self.content)
--- a/amaranthspar/network/links.py
+++ b/amaranthspar/network/links.py
@@ -15,7 +15,7 @@
 
 from amaranthspar import clock, errors
 from amaranthspar.network import connections, encryption, heartbeats
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, linkmessages, options
 
 QUEUE_BYTES = 16 * 1024 * 1024
 FRAME_BYTES = connections.FRAME_BYTES
@@ -243,7 +243,7 @@
                 self._carry_out(peer, heartbeats.Action.ANSWER)
             case []:
                 pass
-            case [messages.LinkRedialled()]:
+            case [linkmessages.LinkRedialled()]:
                 frame.messages.clear()
                 self._carry_out(peer, peer.health.note_redial())
             case _:
@@ -284,7 +284,7 @@
             return
         self.counts["links.redialled"] += 1
         peer.socket = self._dial(peer.address)
-        told = messages.LinkRedialled(peer.health.number)
+        told = linkmessages.LinkRedialled(peer.health.number)
         self._count_sent(peer.address, "LinkRedialled")
         self._send_frame(peer, [told])
 
--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -8,7 +8,7 @@
 from amaranthspar.platform import wire
 from amaranthspar.roles import runsidecar
 from amaranthspar.scheduling import runevents
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 from amaranthspar.upstreams import exchange
 
 START_PATH = "/amaranthspar/run-start"
@@ -64,7 +64,7 @@
     async def start(
         self,
         life: runsidecar.Registration,
-        order: messages.RunOrder,
+        order: runmessages.RunOrder,
         spec: str,
         fence: int,
     ) -> runevents.Answer:
@@ -81,7 +81,7 @@
         return await self._call(life, START_PATH, body, START_TIMEOUT_MS)
 
     async def stop(
-        self, life: runsidecar.Registration, name: messages.RunName, fence: int
+        self, life: runsidecar.Registration, name: runmessages.RunName, fence: int
     ) -> runevents.Answer:
         """Stop a run and bar it.
 
--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -10,7 +10,7 @@
 
 from amaranthspar import errors
 from amaranthspar.scheduling import jobs, routes, runevents
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 MAX_TASKS = 100_000
 """Most tasks of one job; far above the 1,200 of the largest known job."""
@@ -126,7 +126,7 @@
     born_ms: int
     sequence: int
     is_leaving: bool
-    capacity: messages.Resources
+    capacity: runmessages.Resources
     labels: tuple[str, ...]
 
 
@@ -185,7 +185,7 @@
     steps = tuple(
         jobs.Step(
             step.count,
-            messages.Resources(step.cpu, step.mem_mb, step.gpu),
+            runmessages.Resources(step.cpu, step.mem_mb, step.gpu),
             step.estimate_ms,
             tuple(step.after),
             step.required_label,
@@ -275,7 +275,7 @@
         body.born,
         body.seq,
         body.state == "draining",
-        messages.Resources(amounts.cpu, amounts.mem_mb, amounts.gpu),
+        runmessages.Resources(amounts.cpu, amounts.mem_mb, amounts.gpu),
         tuple(body.labels),
     )
 
@@ -293,13 +293,13 @@
         body = _listings.decode(data)
         running = tuple(
             runevents.Progress(
-                messages.RunName(str(row[0]), int(row[1])), str(row[2]), int(row[3])
+                runmessages.RunName(str(row[0]), int(row[1])), str(row[2]), int(row[3])
             )
             for row in body.running
         )
         ends = tuple(
             runevents.End(
-                messages.RunName(str(row[1]), int(row[2])), str(row[3]), str(row[4])
+                runmessages.RunName(str(row[1]), int(row[2])), str(row[3]), str(row[4])
             )
             for row in body.ended
         )
@@ -325,7 +325,7 @@
 
 
 def encode_start(
-    order: messages.RunOrder, spec: str, until_ms: int, fence: int
+    order: runmessages.RunOrder, spec: str, until_ms: int, fence: int
 ) -> bytes:
     """Return the body that starts a run.
 
@@ -349,7 +349,7 @@
     return msgspec.json.encode(body)
 
 
-def encode_stop(name: messages.RunName, fence: int) -> bytes:
+def encode_stop(name: runmessages.RunName, fence: int) -> bytes:
     """Return the body that stops a run.
 
     Args:
--- a/amaranthspar/program.py
+++ b/amaranthspar/program.py
@@ -9,7 +9,6 @@
 
 import amaranthspar
 from amaranthspar import errors, exits
-from amaranthspar.clients import access
 from amaranthspar.commands import shared
 from amaranthspar.observation import logs
 
@@ -97,7 +96,7 @@
     )
     version = f"amaranthspar {amaranthspar.__version__}"
     parser.add_argument("--version", action="version", version=version)
-    access.add_arguments(parser)
+    shared.add_access(parser)
     subparsers = parser.add_subparsers(title="commands", required=True)
     for command in _COMMANDS:
         subparser = shared.add_parser(subparsers, command.name, command.summary)
--- a/amaranthspar/registry/documentrequests.py
+++ b/amaranthspar/registry/documentrequests.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from amaranthspar import errors
-from amaranthspar.schema import codec, messages
+from amaranthspar.schema import codec, viewmessages
 
 TRY_MS = 350
 """Time after which a request is sent again, as the leader may have changed."""
@@ -28,9 +28,9 @@
 
     def __init__(self, send: Callable[[codec.Message], None]) -> None:
         self._send = send
-        self._waiting: dict[str, asyncio.Future[messages.DocumentState]] = {}
+        self._waiting: dict[str, asyncio.Future[viewmessages.DocumentState]] = {}
 
-    async def put(self, version: int, content: bytes) -> messages.DocumentState:
+    async def put(self, version: int, content: bytes) -> viewmessages.DocumentState:
         """Put a document in force unless a higher version is.
 
         Args:
@@ -41,9 +41,9 @@
             UnavailableError: It may or may not be in force.
         """
         name = _build_name()
-        return await self._ask(name, messages.PutDocument(name, version, content))
+        return await self._ask(name, viewmessages.PutDocument(name, version, content))
 
-    async def set_domain(self, domain: str, is_out: bool) -> messages.DocumentState:
+    async def set_domain(self, domain: str, is_out: bool) -> viewmessages.DocumentState:
         """Take a failure domain out of service or back in.
 
         Args:
@@ -54,18 +54,18 @@
             UnavailableError: It may or may not be in force.
         """
         name = _build_name()
-        return await self._ask(name, messages.SetDomain(name, domain, is_out))
+        return await self._ask(name, viewmessages.SetDomain(name, domain, is_out))
 
-    async def fetch(self) -> messages.DocumentState:
+    async def fetch(self) -> viewmessages.DocumentState:
         """Return the newest document, as confirmed by a majority.
 
         Raises:
             UnavailableError: No leader could confirm one in time.
         """
         name = _build_name()
-        return await self._ask(name, messages.FetchDocument(name))
+        return await self._ask(name, viewmessages.FetchDocument(name))
 
-    def resolve(self, state: messages.DocumentState) -> None:
+    def resolve(self, state: viewmessages.DocumentState) -> None:
         """Take an answer; one that nobody waits for is dropped.
 
         Args:
@@ -75,8 +75,10 @@
         if future is not None and not future.done():
             future.set_result(state)
 
-    async def _ask(self, name: str, request: codec.Message) -> messages.DocumentState:
-        future: asyncio.Future[messages.DocumentState]
+    async def _ask(
+        self, name: str, request: codec.Message
+    ) -> viewmessages.DocumentState:
+        future: asyncio.Future[viewmessages.DocumentState]
         future = asyncio.get_running_loop().create_future()
         self._waiting[name] = future
         try:
--- a/amaranthspar/registry/registry.py
+++ b/amaranthspar/registry/registry.py
@@ -11,7 +11,7 @@
 from amaranthspar import configuration, errors
 from amaranthspar.membership import desks, documents
 from amaranthspar.registry import claims, snapshots
-from amaranthspar.schema import codec, messages
+from amaranthspar.schema import codec, messages, viewmessages
 
 KEPT_VERSIONS = 128
 KEPT_CHANGES = 10_000
@@ -54,7 +54,7 @@
         state: Answer to the request.
     """
 
-    state: messages.DocumentState
+    state: viewmessages.DocumentState
 
 
 Outcome = ConfigurationApplied | MembersApplied | ClaimApplied | DocumentApplied
@@ -103,10 +103,10 @@
             case messages.ReleaseClaim() as command:
                 self.claims.release(command)
                 return []
-            case messages.PutDocument() as command:
+            case viewmessages.PutDocument() as command:
                 self.documents.put(command)
                 return [DocumentApplied(self.documents.answer(command.request))]
-            case messages.SetDomain() as command:
+            case viewmessages.SetDomain() as command:
                 self.documents.set_domain(command)
                 return [DocumentApplied(self.documents.answer(command.request))]
             case _:
--- a/amaranthspar/registry/requests.py
+++ b/amaranthspar/registry/requests.py
@@ -13,7 +13,7 @@
 from amaranthspar import effects
 from amaranthspar.consensus import transitions
 from amaranthspar.registry import proposals, registry
-from amaranthspar.schema import codec, messages
+from amaranthspar.schema import codec, messages, viewmessages
 
 if TYPE_CHECKING:
     from amaranthspar.registry import leases
@@ -147,7 +147,9 @@
         match request.message:
             case messages.RenewLease() as message:
                 return self._renew(request, message, standing)
-            case messages.FetchConfiguration() | messages.FetchDocument() as message:
+            case (
+                messages.FetchConfiguration() | viewmessages.FetchDocument() as message
+            ):
                 waiting = _Waiting(request.address, standing.now_ms, message)
                 if standing.leading:
                     self._reading.append(waiting)
@@ -157,7 +159,7 @@
                 return self._propose(request, message, standing)
             case messages.ClaimSubmission() as message:
                 return self._claim(request, message, standing)
-            case messages.PutDocument() | messages.SetDomain() as message:
+            case viewmessages.PutDocument() | viewmessages.SetDomain() as message:
                 return self._change_document(request, message, standing)
             case messages.ReleaseClaim() as message:
                 if not standing.leading:
@@ -266,10 +268,10 @@
         return [effects.Send(item.address, self._fetch(item.message)) for item in ready]
 
     def _fetch(
-        self, message: messages.FetchConfiguration | messages.FetchDocument
+        self, message: messages.FetchConfiguration | viewmessages.FetchDocument
     ) -> codec.Message:
         match message:
-            case messages.FetchDocument(request=name):
+            case viewmessages.FetchDocument(request=name):
                 return self._state.documents.fetch(name)
             case _:
                 return self._state.fetch(message)
@@ -277,7 +279,7 @@
     def _change_document(
         self,
         request: Request,
-        message: messages.PutDocument | messages.SetDomain,
+        message: viewmessages.PutDocument | viewmessages.SetDomain,
         standing: Standing,
     ) -> list[effects.Send]:
         """Propose a change; without a leader it stays unanswered, and is sent again."""
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -21,7 +21,7 @@
     requests,
     snapshots,
 )
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, messages, options, viewmessages
 from amaranthspar.storage import disk, files
 
 FOLDER_BITS = 62
@@ -263,10 +263,10 @@
     def _take(self, request: requests.Request) -> None:
         standing = self._find_standing()
         message = request.message
-        if isinstance(message, messages.DocumentState):
+        if isinstance(message, viewmessages.DocumentState):
             self.document_requests.resolve(message)
             return
-        if isinstance(message, messages.Announce):
+        if isinstance(message, viewmessages.Announce):
             self._list_process(request.address, message, standing.now_ms)
             return
         if isinstance(message, messages.JoinReplicas) and standing.leading:
@@ -282,7 +282,7 @@
         self._plan_flush()
 
     def _list_process(
-        self, address: str, message: messages.Announce, now_ms: int
+        self, address: str, message: viewmessages.Announce, now_ms: int
     ) -> None:
         members = self._machine.journal.members.replicas
         view = self.directory.announce(
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -13,7 +13,7 @@
 from amaranthspar.network import links
 from amaranthspar.observation import metering
 from amaranthspar.scheduling import dispatcher, jobevents, jobs
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, options, runmessages, viewmessages
 
 TICK_MS = 20
 """Interval of the gateway's clock; well below the least objective of a job."""
@@ -209,18 +209,18 @@
         self._step(jobevents.Tick())
         if not self._known.is_set():
             self._note_known()
-        self.meters.waiting.set(len(self._dispatcher.waiting))
+        self.meters.waiting = len(self._dispatcher.waiting)
         self._contact.tick(self._clock.read_monotonic())
 
     def _receive(self, frame: codec.Frame) -> None:
         for message in frame.messages:
             match message:
-                case messages.RunReports():
+                case runmessages.RunReports():
                     heard = jobevents.Heard(
                         frame.sender, frame.incarnation, frame.address, message
                     )
                     self._take_heard(heard)
-                case messages.View():
+                case viewmessages.View():
                     self._take_view(frame.address, message)
                 case _:
                     _log.warning("unexpected message", kind=type(message).__name__)
@@ -235,7 +235,7 @@
         heard, self._heard = self._heard, []
         self._step(*heard)
 
-    def _take_view(self, address: str, view: messages.View) -> None:
+    def _take_view(self, address: str, view: viewmessages.View) -> None:
         now_ms = self._clock.read_monotonic()
         changed = self._contact.take(address, view, now_ms)
         if changed is None:
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -11,7 +11,7 @@
 from amaranthspar.network import links
 from amaranthspar.observation import metering
 from amaranthspar.scheduling import keeper, runevents
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, options, runmessages, viewmessages
 
 CONTACT_MS = 100
 """Interval in which announcements that are due are looked for."""
@@ -99,7 +99,7 @@
     """Calls to the upstream of this host."""
 
     async def start(
-        self, life: Registration, order: messages.RunOrder, spec: str, fence: int
+        self, life: Registration, order: runmessages.RunOrder, spec: str, fence: int
     ) -> runevents.Answer:
         """Start a run.
 
@@ -108,7 +108,7 @@
         """
 
     async def stop(
-        self, life: Registration, name: messages.RunName, fence: int
+        self, life: Registration, name: runmessages.RunName, fence: int
     ) -> runevents.Answer:
         """Stop a run and bar it.
 
@@ -257,7 +257,7 @@
             self._end_life("upstream has ended")
 
     def _stay_in_contact(self) -> None:
-        self._meters.running.set(len(self._keeper.runs))
+        self._meters.running = len(self._keeper.runs)
         self._contact.tick(self._clock.read_monotonic())
 
     def _plan_tick(self, now_ms: int) -> None:
@@ -278,17 +278,21 @@
     def _receive(self, frame: codec.Frame) -> None:
         for message in frame.messages:
             match message:
-                case messages.StartRuns() | messages.StopRuns() | messages.KeepRuns():
+                case (
+                    runmessages.StartRuns()
+                    | runmessages.StopRuns()
+                    | runmessages.KeepRuns()
+                ):
                     sender = runevents.Sender(
                         frame.sender, frame.incarnation, frame.address
                     )
                     self._step(runevents.Asked(sender, message))
-                case messages.View():
+                case viewmessages.View():
                     self._take_view(frame.address, message)
                 case _:
                     _log.warning("unexpected message", kind=type(message).__name__)
 
-    def _take_view(self, address: str, view: messages.View) -> None:
+    def _take_view(self, address: str, view: viewmessages.View) -> None:
         now_ms = self._clock.read_monotonic()
         changed = self._contact.take(address, view, now_ms)
         if changed is None:
@@ -353,7 +357,7 @@
             self._raise_fence()
             answer = runevents.Answer.UNHEALTHY
         took_ms = self._clock.read_monotonic() - began_ms
-        self._meters.starts.observe(took_ms / 1000)
+        self._meters.starts.observe(took_ms)
         if answer is not runevents.Answer.TAKEN:
             _log.info(
                 "start answered",
@@ -365,7 +369,7 @@
             )
         self._step(runevents.StartAnswered(name, answer))
 
-    async def _call_stop(self, name: messages.RunName) -> None:
+    async def _call_stop(self, name: runmessages.RunName) -> None:
         life = self._life
         answer = runevents.Answer.REPLACED
         began_ms = self._clock.read_monotonic()
--- a/amaranthspar/scheduling/contacts.py
+++ b/amaranthspar/scheduling/contacts.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from amaranthspar import effects
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -115,7 +115,7 @@
         sidecar.kept_ms = now_ms
         sidecar.number += 1
         names = [task.run_name for task in sidecar.tasks.values()]
-        message = messages.KeepRuns(
+        message = runmessages.KeepRuns(
             sidecar.number,
             sidecar.started,
             self._is_waiting,
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -25,7 +25,7 @@
     sidecars,
     waiting,
 )
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 if TYPE_CHECKING:
     import random
@@ -75,7 +75,7 @@
         self._chance = chance
         self._tasks: dict[str, jobs.Task] = {}
         self._listed: frozenset[str] = frozenset()
-        self._needs: dict[str, messages.Resources] = {}
+        self._needs: dict[str, runmessages.Resources] = {}
         self._normed_ms = 0
         self._checked_ms = 0
         self._forgot_ms = 0
@@ -275,7 +275,7 @@
         name = job.request.id
         del self.jobs[name]
         self.waiting.remove(name)
-        stops: dict[str, list[messages.RunName]] = {}
+        stops: dict[str, list[runmessages.RunName]] = {}
         for task in job.tasks:
             del self._tasks[task.name]
             if task.state is jobs.TaskState.PLACED:
@@ -283,7 +283,7 @@
                 self.fleet.sidecars[task.sidecar].forget(task.name)
         for sidecar, names in stops.items():
             address = self.fleet.sidecars[sidecar].address
-            self._effects.append(effects.Send(address, messages.StopRuns(names)))
+            self._effects.append(effects.Send(address, runmessages.StopRuns(names)))
         self._effects.append(jobevents.Ended(name, outcome, reason, retry_after_ms))
 
     # Sidecars.
@@ -332,7 +332,7 @@
         sidecar.started = 0
         self.fleet.note_changed(sidecar)
 
-    def _take_room(self, sidecar: sidecars.Sidecar, room: messages.Room) -> None:
+    def _take_room(self, sidecar: sidecars.Sidecar, room: runmessages.Room) -> None:
         before = sidecar.room
         free_millis = sidecar.free.cpu_millis
         sidecar.take_room(room)
@@ -355,7 +355,7 @@
         self,
         sidecar: sidecars.Sidecar,
         task: jobs.Task,
-        report: messages.RunReport,
+        report: runmessages.RunReport,
         now_ms: int,
     ) -> None:
         match report.state:
@@ -380,7 +380,7 @@
         self,
         sidecar: sidecars.Sidecar,
         task: jobs.Task,
-        report: messages.RunReport,
+        report: runmessages.RunReport,
         now_ms: int,
     ) -> None:
         job = task.job
@@ -425,7 +425,7 @@
         task.job.return_task(task)
         self._wait_again(task.job)
 
-    def _replace(self, task: jobs.Task, report: messages.RunReport) -> None:
+    def _replace(self, task: jobs.Task, report: runmessages.RunReport) -> None:
         """Let a task wait again whose run ended without a result."""
         self._note(
             "run over",
@@ -444,7 +444,7 @@
         self,
         sidecar: sidecars.Sidecar,
         task: jobs.Task,
-        report: messages.RunReport,
+        report: runmessages.RunReport,
         now_ms: int,
     ) -> None:
         """Move a run off a slow or stalled upstream where that ends it sooner."""
@@ -468,7 +468,7 @@
         )
         sidecar.slow_ms = now_ms
         task.avoided.add(sidecar.name)
-        stop = messages.StopRuns([task.run_name])
+        stop = runmessages.StopRuns([task.run_name])
         self._effects.append(effects.Send(sidecar.address, stop))
 
     # Time.
@@ -514,7 +514,7 @@
         if silent_ms <= sidecars.RUNS_END_MS:
             return
         for task in list(sidecar.tasks.values()):
-            report = messages.RunReport(
+            report = runmessages.RunReport(
                 task.run_name, "lost", f"sidecar silent for {silent_ms} ms"
             )
             self._replace(task, report)
@@ -625,9 +625,9 @@
             return
         sidecar.started += 1
         orders = [
-            messages.RunOrder(task.run_name, task.definition.needs) for task in tasks
+            runmessages.RunOrder(task.run_name, task.definition.needs) for task in tasks
         ]
-        message = messages.StartRuns(
+        message = runmessages.StartRuns(
             sidecar.started,
             sidecar.room.upstream,
             tasks[0].job.request.spec,
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -14,7 +14,7 @@
     import random
 
     from amaranthspar.scheduling import jobs
-    from amaranthspar.schema import messages
+    from amaranthspar.schema import viewmessages
 
 FASTEST = 0.5
 """Least slowness that counts in a comparison."""
@@ -66,7 +66,7 @@
             self.pools[service] = found
         return found
 
-    def add(self, peer: messages.Peer) -> sidecars.Sidecar | None:
+    def add(self, peer: viewmessages.Peer) -> sidecars.Sidecar | None:
         """Take a sidecar that controllers list, and return it if it is new.
 
         Args:
--- a/amaranthspar/scheduling/jobevents.py
+++ b/amaranthspar/scheduling/jobevents.py
@@ -8,7 +8,7 @@
 
 from amaranthspar import effects
 from amaranthspar.scheduling import jobs
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages, viewmessages
 
 
 class Outcome(enum.Enum):
@@ -56,14 +56,14 @@
     sidecar: str
     incarnation: int
     address: str
-    reports: messages.RunReports
+    reports: runmessages.RunReports
 
 
 @attrs.frozen(slots=True)
 class Found:
     """Controllers list these processes and domains out of service."""
 
-    peers: tuple[messages.Peer, ...]
+    peers: tuple[viewmessages.Peer, ...]
     domains_out: frozenset[str]
 
 
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 FIRST_OCCURRENCE = 0
 """Occurrence number of a job that runs once."""
@@ -27,7 +27,7 @@
     """
 
     count: int
-    needs: messages.Resources
+    needs: runmessages.Resources
     estimate_ms: int
     after: tuple[int, ...] = ()
     label: str = ""
@@ -120,9 +120,9 @@
         return self.job.request.steps[self.step]
 
     @property
-    def run_name(self) -> messages.RunName:
+    def run_name(self) -> runmessages.RunName:
         """Name of the current run."""
-        return messages.RunName(self.name, self.run)
+        return runmessages.RunName(self.name, self.run)
 
 
 @attrs.define(slots=True, eq=False)
--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -8,7 +8,7 @@
 import itertools
 
 from amaranthspar.scheduling import resources, runevents
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 GATEWAY_LEASE_MS = 800
 """Age of the newest statement that a gateway has heard from which its runs stop and its
@@ -63,9 +63,9 @@
         self._service = service
         self._failure_domain = failure_domain
         self._barred: dict[str, tuple[int, int]] = {}
-        self._final: dict[messages.RunName, tuple[int, messages.RunReport]] = {}
+        self._final: dict[runmessages.RunName, tuple[int, runmessages.RunReport]] = {}
         self._number = first_number
-        self._free: messages.Resources | None = None
+        self._free: runmessages.Resources | None = None
         self._offered_ms = 0
         self._sick_until_ms = 0
         self._is_clean = False
@@ -142,7 +142,7 @@
             return "failure domain is out of service"
         return ""
 
-    def read_free(self) -> messages.Resources:
+    def read_free(self) -> runmessages.Resources:
         """Return what no run occupies."""
         if self.upstream is None:
             return resources.NONE
@@ -156,23 +156,23 @@
     def _take_message(
         self,
         sender: runevents.Sender,
-        message: messages.StartRuns | messages.StopRuns | messages.KeepRuns,
+        message: runmessages.StartRuns | runmessages.StopRuns | runmessages.KeepRuns,
         now_ms: int,
     ) -> None:
         gateway = self._hear(sender, now_ms)
         if gateway is None:
             return
         match message:
-            case messages.StartRuns():
+            case runmessages.StartRuns():
                 gateway.note_heard(message.heard)
                 gateway.started = max(gateway.started, message.number)
                 for order in message.orders:
                     self._take_order(gateway, message, order, now_ms)
                 gateway.is_room_due = True
-            case messages.StopRuns():
+            case runmessages.StopRuns():
                 for name in message.names:
                     self._stop_named(gateway, name, now_ms)
-            case messages.KeepRuns():
+            case runmessages.KeepRuns():
                 self._keep(gateway, message, now_ms)
 
     def _hear(self, sender: runevents.Sender, now_ms: int) -> runevents.Gateway | None:
@@ -206,15 +206,15 @@
     def _take_order(
         self,
         gateway: runevents.Gateway,
-        message: messages.StartRuns,
-        order: messages.RunOrder,
+        message: runmessages.StartRuns,
+        order: runmessages.RunOrder,
         now_ms: int,
     ) -> None:
         name = order.name
         current = self.runs.get(name.task)
         if current is not None and current.name.run == name.run:
             if current.state is runevents.RunState.RUNNING:
-                gateway.reports.append(messages.RunReport(name, "started"))
+                gateway.reports.append(runmessages.RunReport(name, "started"))
             return
         if name in self._final:
             gateway.reports.append(self._final[name][1])
@@ -225,7 +225,7 @@
         if not reason and (known_ms is None or now_ms - known_ms > GATEWAY_LEASE_MS):
             state, reason = "refused", "order is based on an old statement of room"
         if reason:
-            report = messages.RunReport(name, state, reason)
+            report = runmessages.RunReport(name, state, reason)
             self._bar(name, now_ms)
             self._final[name] = (now_ms, report)
             gateway.reports.append(report)
@@ -240,8 +240,8 @@
 
     def _judge_order(
         self,
-        message: messages.StartRuns,
-        order: messages.RunOrder,
+        message: runmessages.StartRuns,
+        order: runmessages.RunOrder,
         current: runevents.Run | None,
         now_ms: int,
     ) -> tuple[runevents.ReportState, str]:
@@ -265,7 +265,7 @@
         return "started", ""
 
     def _stop_named(
-        self, gateway: runevents.Gateway, name: messages.RunName, now_ms: int
+        self, gateway: runevents.Gateway, name: runmessages.RunName, now_ms: int
     ) -> None:
         run = self.runs.get(name.task)
         if run is not None and run.name == name and run.gateway == gateway.name:
@@ -277,16 +277,16 @@
             self._refuse_unknown(gateway, name, now_ms)
 
     def _refuse_unknown(
-        self, gateway: runevents.Gateway, name: messages.RunName, now_ms: int
+        self, gateway: runevents.Gateway, name: runmessages.RunName, now_ms: int
     ) -> None:
         """Bar a run that never arrived, so that a late order cannot start it."""
-        report = messages.RunReport(name, "refused", "order did not arrive")
+        report = runmessages.RunReport(name, "refused", "order did not arrive")
         self._bar(name, now_ms)
         self._final[name] = (now_ms, report)
         gateway.reports.append(report)
 
     def _keep(
-        self, gateway: runevents.Gateway, message: messages.KeepRuns, now_ms: int
+        self, gateway: runevents.Gateway, message: runmessages.KeepRuns, now_ms: int
     ) -> None:
         if message.number <= gateway.kept:
             return
@@ -322,7 +322,7 @@
             self._answer_all()
 
     def _end_start(
-        self, name: messages.RunName, answer: runevents.Answer, now_ms: int
+        self, name: runmessages.RunName, answer: runevents.Answer, now_ms: int
     ) -> None:
         run = self.runs.get(name.task)
         if run is None or run.name != name:
@@ -349,10 +349,10 @@
         run.confirmed_ms = now_ms
         if run.state in (runevents.RunState.STARTING, runevents.RunState.DOUBTFUL):
             run.state = runevents.RunState.RUNNING
-            self._report(run.gateway, messages.RunReport(run.name, "started"))
+            self._report(run.gateway, runmessages.RunReport(run.name, "started"))
 
     def _end_stop(
-        self, name: messages.RunName, answer: runevents.Answer, now_ms: int
+        self, name: runmessages.RunName, answer: runevents.Answer, now_ms: int
     ) -> None:
         run = self.runs.get(name.task)
         if run is None or run.name != name:
@@ -406,7 +406,7 @@
         else:
             self._finish(run, "refused", run.why or "never started", now_ms)
 
-    def _adopt(self, name: messages.RunName, now_ms: int) -> None:
+    def _adopt(self, name: runmessages.RunName, now_ms: int) -> None:
         """Stop a run that nobody here has asked for."""
         if name.task in self.runs:
             return
@@ -429,7 +429,9 @@
                 and elapsed_ms >= REPORTED_PROGRESS_MS
             ):
                 gateway.reports.append(
-                    messages.RunReport(run.name, "running", "", elapsed_ms, run.percent)
+                    runmessages.RunReport(
+                        run.name, "running", "", elapsed_ms, run.percent
+                    )
                 )
 
     # Ends.
@@ -471,7 +473,7 @@
     ) -> None:
         del self.runs[run.name.task]
         self._bar(run.name, now_ms)
-        report = messages.RunReport(
+        report = runmessages.RunReport(
             run.name, state, reason, now_ms - run.called_ms, run.percent, saved
         )
         self._final[run.name] = (now_ms, report)
@@ -483,11 +485,11 @@
             self._effects.append(decided)
         self._note_room()
 
-    def _bar(self, name: messages.RunName, now_ms: int) -> None:
+    def _bar(self, name: runmessages.RunName, now_ms: int) -> None:
         highest = max(self._barred.get(name.task, (0, 0))[0], name.run)
         self._barred[name.task] = (highest, now_ms)
 
-    def _report(self, gateway: str, report: messages.RunReport) -> None:
+    def _report(self, gateway: str, report: runmessages.RunReport) -> None:
         known = self.gateways.get(gateway)
         if known is not None:
             known.reports.append(report)
@@ -544,7 +546,7 @@
             if not is_due and not _has_news(gateway, now_ms):
                 continue
             self._report_progress(gateway, now_ms)
-            reports = messages.RunReports(gateway.reports, self._build_room(gateway))
+            reports = runmessages.RunReports(gateway.reports, self._build_room(gateway))
             gateway.told[self._number] = now_ms
             if len(gateway.told) > MAX_TOLD:
                 del gateway.told[next(iter(gateway.told))]
@@ -576,10 +578,10 @@
             return False
         return not resources.fits(self.read_free(), gateway.believed)
 
-    def _build_room(self, gateway: runevents.Gateway) -> messages.Room:
+    def _build_room(self, gateway: runevents.Gateway) -> runmessages.Room:
         self._number += 1
         upstream = self.upstream
-        return messages.Room(
+        return runmessages.Room(
             self._number,
             gateway.started,
             "" if upstream is None or not self._is_clean else upstream.incarnation,
--- a/amaranthspar/scheduling/placement.py
+++ b/amaranthspar/scheduling/placement.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from amaranthspar.scheduling import jobs, sidecars
-    from amaranthspar.schema import messages
+    from amaranthspar.schema import runmessages
 
 
 class Pass:
@@ -31,7 +31,7 @@
         self.reserved: set[str] = set()
         self._fleet = known
         self._now_ms = now_ms
-        self._unmet: dict[str, list[messages.Resources]] = {}
+        self._unmet: dict[str, list[runmessages.Resources]] = {}
         self._sorted: dict[str, list[sidecars.Sidecar]] = {}
 
     def choose(self, task: jobs.Task) -> sidecars.Sidecar | None:
--- a/amaranthspar/scheduling/pool.py
+++ b/amaranthspar/scheduling/pool.py
@@ -21,7 +21,7 @@
     import random
     from collections.abc import Callable
 
-    from amaranthspar.schema import messages
+    from amaranthspar.schema import runmessages
 
 LEAST_MEMBERS = 20
 """Sidecars that a gateway works with at least; a smaller service is used whole."""
@@ -355,7 +355,7 @@
     return sum(max(0, item.free.cpu_millis) for item in found) / 1000
 
 
-def sum_capacity(found: list[sidecars.Sidecar]) -> messages.Resources:
+def sum_capacity(found: list[sidecars.Sidecar]) -> runmessages.Resources:
     """Return what some sidecars offer together.
 
     Args:
--- a/amaranthspar/scheduling/progress.py
+++ b/amaranthspar/scheduling/progress.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from amaranthspar.scheduling import jobs, sidecars
-    from amaranthspar.schema import messages
+    from amaranthspar.schema import runmessages
 
 MOVE_RATIO = 2.5
 """Slowness of a sidecar from which its runs are moved where that saves time."""
@@ -25,7 +25,7 @@
 def note_progress(
     sidecar: sidecars.Sidecar,
     task: jobs.Task,
-    report: messages.RunReport,
+    report: runmessages.RunReport,
     expected_ms: int,
     now_ms: int,
 ) -> bool:
--- a/amaranthspar/scheduling/resources.py
+++ b/amaranthspar/scheduling/resources.py
@@ -2,30 +2,34 @@
 
 from collections.abc import Iterable
 
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
-NONE = messages.Resources()
+NONE = runmessages.Resources()
 
 
-def add(first: messages.Resources, second: messages.Resources) -> messages.Resources:
+def add(
+    first: runmessages.Resources, second: runmessages.Resources
+) -> runmessages.Resources:
     """Return the sum of two amounts."""
-    return messages.Resources(
+    return runmessages.Resources(
         first.cpu_millis + second.cpu_millis,
         first.memory_mb + second.memory_mb,
         first.accelerators + second.accelerators,
     )
 
 
-def subtract(whole: messages.Resources, part: messages.Resources) -> messages.Resources:
+def subtract(
+    whole: runmessages.Resources, part: runmessages.Resources
+) -> runmessages.Resources:
     """Return what is left of an amount; it may be negative."""
-    return messages.Resources(
+    return runmessages.Resources(
         whole.cpu_millis - part.cpu_millis,
         whole.memory_mb - part.memory_mb,
         whole.accelerators - part.accelerators,
     )
 
 
-def total(amounts: Iterable[messages.Resources]) -> messages.Resources:
+def total(amounts: Iterable[runmessages.Resources]) -> runmessages.Resources:
     """Return the sum of many amounts."""
     result = NONE
     for amount in amounts:
@@ -33,7 +37,7 @@
     return result
 
 
-def fits(need: messages.Resources, free: messages.Resources) -> bool:
+def fits(need: runmessages.Resources, free: runmessages.Resources) -> bool:
     """Return whether a need is covered in every dimension."""
     return (
         need.cpu_millis <= free.cpu_millis
@@ -42,7 +46,7 @@
     )
 
 
-def read_share(used: messages.Resources, capacity: messages.Resources) -> float:
+def read_share(used: runmessages.Resources, capacity: runmessages.Resources) -> float:
     """Return the share of the scarcest dimension that is in use, from 0."""
     pairs = (
         (used.cpu_millis, capacity.cpu_millis),
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 ReportState: TypeAlias = Literal[
     "started", "running", "refused", "stale", "done", "failed", "stopped", "lost"
@@ -40,9 +40,9 @@
         stopped_ms: Time at which the upstream confirmed its stop in ms; -1 before.
     """
 
-    name: messages.RunName
+    name: runmessages.RunName
     gateway: str
-    needs: messages.Resources
+    needs: runmessages.Resources
     called_ms: int
     state: RunState = RunState.STARTING
     percent: int = 0
@@ -90,8 +90,8 @@
     told_ms: int = 0
     is_room_due: bool = False
     is_answer_due: bool = True
-    reports: list[messages.RunReport] = attrs.field(factory=list)
-    believed: messages.Resources = messages.Resources()
+    reports: list[runmessages.RunReport] = attrs.field(factory=list)
+    believed: runmessages.Resources = runmessages.Resources()
 
     def note_heard(self, number: int) -> None:
         """Take which statement the gateway has heard, which renews its lease.
@@ -123,7 +123,7 @@
     """
 
     incarnation: str
-    capacity: messages.Resources
+    capacity: runmessages.Resources
     labels: tuple[str, ...]
     is_leaving: bool
 
@@ -140,7 +140,7 @@
     """A gateway sent a message."""
 
     sender: Sender
-    message: messages.StartRuns | messages.StopRuns | messages.KeepRuns
+    message: runmessages.StartRuns | runmessages.StopRuns | runmessages.KeepRuns
 
 
 class Answer(enum.Enum):
@@ -160,7 +160,7 @@
 class StartAnswered:
     """The call of a start has ended."""
 
-    name: messages.RunName
+    name: runmessages.RunName
     answer: Answer
 
 
@@ -168,7 +168,7 @@
 class StopAnswered:
     """The call of a stop has ended."""
 
-    name: messages.RunName
+    name: runmessages.RunName
     answer: Answer
 
 
@@ -176,7 +176,7 @@
 class Progress:
     """A run on the upstream's list."""
 
-    name: messages.RunName
+    name: runmessages.RunName
     saved: str
     percent: int
 
@@ -191,7 +191,7 @@
         saved: Last checkpoint; empty for none.
     """
 
-    name: messages.RunName
+    name: runmessages.RunName
     how: str
     saved: str
 
@@ -251,7 +251,7 @@
         decided_ms: Time of the decision in ms, after which it holds for some time only.
     """
 
-    order: messages.RunOrder
+    order: runmessages.RunOrder
     spec: str
     decided_ms: int
 
@@ -260,7 +260,7 @@
 class CallStop:
     """Asks the upstream to stop a run and never to start it any more."""
 
-    name: messages.RunName
+    name: runmessages.RunName
     why: str
 
 
@@ -270,7 +270,7 @@
 
     gateway: str
     address: str
-    reports: messages.RunReports
+    reports: runmessages.RunReports
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -12,7 +12,7 @@
 import attrs
 
 from amaranthspar.scheduling import resources
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 if TYPE_CHECKING:
     from amaranthspar.scheduling import jobs
@@ -76,11 +76,11 @@
     incarnation: int
     address: str
     service: str
-    room: messages.Room | None = None
+    room: runmessages.Room | None = None
     heard_ms: int = -1
     number: int = 0
     started: int = 0
-    unseen: dict[int, messages.Resources] = attrs.field(factory=dict)
+    unseen: dict[int, runmessages.Resources] = attrs.field(factory=dict)
     slowness: float = 1.0
     norm: float = 1.0
     slow_ms: int = -SLOW_RETRY_MS
@@ -88,7 +88,7 @@
     failed_ms: int = -FAILURE_RETRY_MS
     tasks: dict[str, jobs.Task] = attrs.field(factory=dict)
     ratios: dict[str, float] = attrs.field(factory=dict)
-    free: messages.Resources = resources.NONE
+    free: runmessages.Resources = resources.NONE
     failure_domain: str = ""
     kept_ms: int = -1
     used_millis: int = 0
@@ -106,7 +106,7 @@
         """
         return self.room is not None and label in self.room.labels
 
-    def take_room(self, room: messages.Room | None) -> None:
+    def take_room(self, room: runmessages.Room | None) -> None:
         """Take a newer statement of room, or none after a restart.
 
         Args:
--- a/amaranthspar/schema/codec.py
+++ b/amaranthspar/schema/codec.py
@@ -5,28 +5,24 @@
 list of pairs of a message's class name and its fields.
 """
 
+import functools
+import importlib
+
 import attrs
 import msgspec
 
 from amaranthspar import errors
-from amaranthspar.schema import messages
 
 FORMAT_VERSION = 2
+MODULES = ("linkmessages", "runmessages", "viewmessages", "messages")
+"""Modules with message classes; the large one is imported only by those that need it."""
 
 Message = object
-_CLASSES: dict[str, type] = {
-    name: value
-    for name, value in vars(messages).items()
-    if isinstance(value, type) and attrs.has(value)
-}
 _encoder = msgspec.msgpack.Encoder()
 _header = msgspec.msgpack.Decoder(
     tuple[int, str, int, str, int, int, list[tuple[str, msgspec.Raw]]]
 )
 _fields = msgspec.msgpack.Decoder(list[msgspec.Raw])
-_decoders: dict[str, msgspec.msgpack.Decoder[Message]] = {
-    name: msgspec.msgpack.Decoder(kind) for name, kind in _CLASSES.items()
-}
 
 
 @attrs.frozen(slots=True)
@@ -101,7 +97,7 @@
     if version != FORMAT_VERSION:
         raise errors.SchemaError(f"unknown format version {version}")
     try:
-        decoded = [_decoders[tag].decode(raw) for tag, raw in body]
+        decoded = [_build_decoder(tag).decode(raw) for tag, raw in body]
     except msgspec.MsgspecError as error:
         raise errors.SchemaError(str(error)) from error
     except RecursionError as error:
@@ -111,6 +107,24 @@
     return Frame(sender, incarnation, address, decoded, number, heard)
 
 
+@functools.cache
+def _build_decoder(tag: str) -> msgspec.msgpack.Decoder[Message]:
+    """Return the decoder of a message class.
+
+    Args:
+        tag: Name of the class.
+
+    Raises:
+        KeyError: No module has such a class.
+    """
+    for name in MODULES:
+        module = importlib.import_module(f"amaranthspar.schema.{name}")
+        kind = vars(module).get(tag)
+        if isinstance(kind, type) and attrs.has(kind):
+            return msgspec.msgpack.Decoder(kind)
+    raise KeyError(tag)
+
+
 def _check_version(data: bytes) -> None:
     """Raise the error that names the version if it is another one."""
     try:
@@ -140,10 +154,9 @@
     Raises:
         errors.SchemaError: The class is unknown or the bytes do not fit it.
     """
-    decoder = _decoders.get(kind)
-    if decoder is None:
-        raise errors.SchemaError(f"unknown message {kind!r}")
     try:
-        return decoder.decode(data)
+        return _build_decoder(kind).decode(data)
+    except KeyError as error:
+        raise errors.SchemaError(f"unknown message {kind!r}") from error
     except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.SchemaError(str(error)) from error
--- a/benchmarks/crowd.py
+++ b/benchmarks/crowd.py
@@ -19,7 +19,7 @@
 
 from amaranthspar import effects
 from amaranthspar.scheduling import dispatcher, jobevents, jobs, keeper, runevents
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages, viewmessages
 
 SERVICE = "recalculate"
 TICK_MS = 20
@@ -127,8 +127,8 @@
 class _Run:
     """A run on a fake upstream."""
 
-    name: messages.RunName
-    needs: messages.Resources
+    name: runmessages.RunName
+    needs: runmessages.Resources
     began_ms: float
     end_ms: float
 
@@ -138,8 +138,8 @@
 
     def __init__(self, name: str, cores: int) -> None:
         self.name = name
-        self.capacity = messages.Resources(cores * 1000, 262_144, 0)
-        self.runs: dict[messages.RunName, _Run] = {}
+        self.capacity = runmessages.Resources(cores * 1000, 262_144, 0)
+        self.runs: dict[runmessages.RunName, _Run] = {}
         self.ends: list[runevents.End] = []
         self.is_lost = False
 
@@ -212,10 +212,10 @@
 
     def _begin(self) -> None:
         peers = tuple(
-            messages.Peer(name, "sidecar", 1, f"{name}:1", SERVICE, "", False)
+            viewmessages.Peer(name, "sidecar", 1, f"{name}:1", SERVICE, "", False)
             for name in self._keepers
         ) + tuple(
-            messages.Peer(f"g{number}", "gateway", 1, f"g{number}:1", "", "", False)
+            viewmessages.Peer(f"g{number}", "gateway", 1, f"g{number}:1", "", "", False)
             for number in range(len(self._gateways))
         )
         for name in self._keepers:
@@ -260,7 +260,7 @@
         work_ms = kind.work_ms * chance.lognormvariate(-0.08, 0.4)
         millis = round(self.plan.task_millis * chance.lognormvariate(-0.02, 0.2))
         estimate_ms = max(1, round(work_ms * chance.lognormvariate(-0.08, 0.4)))
-        needs = messages.Resources(millis, 64, 0)
+        needs = runmessages.Resources(millis, 64, 0)
         queue = jobs.Queue(kind.name, SERVICE, kind.priority, 3, 1.6, 62)
         step = jobs.Step(tasks, needs, estimate_ms)
         request = jobs.Request(name, queue, "", (step,))
@@ -368,7 +368,7 @@
         known = runevents.UpstreamKnown("u@1", upstream.capacity, ("a",), False)
         self._step_sidecar(name, known)
 
-    def _start(self, name: str, order: messages.RunOrder) -> None:
+    def _start(self, name: str, order: runmessages.RunOrder) -> None:
         upstream = self._upstreams[name]
         if upstream.is_lost:
             return
@@ -390,7 +390,7 @@
         upstream.ends.append(runevents.End(run.name, "done", ""))
         self._post(CALL_MS, functools.partial(self._list, name))
 
-    def _stop(self, name: str, run: messages.RunName) -> None:
+    def _stop(self, name: str, run: runmessages.RunName) -> None:
         upstream = self._upstreams[name]
         if upstream.is_lost:
             return
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,13 +13,13 @@
 
 from amaranthspar import effects
 from amaranthspar.scheduling import dispatcher, jobevents, jobs
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages, viewmessages
 from benchmarks import fits, outcomes, trials
 
 SIZES = (10, 60, 160, 600, 2_500)
 SERVICE = "recalculate"
-CAPACITY = messages.Resources(64_000, 262_144, 0)
-NEEDS = messages.Resources(10_000, 1_024, 0)
+CAPACITY = runmessages.Resources(64_000, 262_144, 0)
+NEEDS = runmessages.Resources(10_000, 1_024, 0)
 RUNS = 3_000
 QUEUE_JOBS = 1_000
 PASSES = 200
@@ -63,7 +63,7 @@
         self._number = 0
         self._spent_s = 0.0
         peers = tuple(
-            messages.Peer(
+            viewmessages.Peer(
                 f"s{number}", "sidecar", 1, f"s{number}:1", SERVICE, "", False
             )
             for number in range(count)
@@ -83,14 +83,14 @@
         return spent_s * 1000
 
     def hear(
-        self, name: str, *reports: messages.RunReport, started: int = 0
+        self, name: str, *reports: runmessages.RunReport, started: int = 0
     ) -> list[jobevents.Effect]:
         """Hear a sidecar."""
         self._number += 1
-        room = messages.Room(
+        room = runmessages.Room(
             self._number, started, "u@1", SERVICE, "", [], CAPACITY, self.free, False
         )
-        body = messages.RunReports(list(reports), room)
+        body = runmessages.RunReports(list(reports), room)
         return self.step(jobevents.Heard(name, 1, f"{name}:1", body))
 
     def answer(self, found: list[jobevents.Effect]) -> int:
@@ -99,7 +99,7 @@
             item.peer.partition(":")[0]
             for item in found
             if isinstance(item, effects.Send)
-            and isinstance(item.message, messages.KeepRuns)
+            and isinstance(item.message, runmessages.KeepRuns)
         ]
         for name in asked:
             known = self.dispatcher.fleet.sidecars[name]
@@ -173,10 +173,10 @@
         for item in found:
             if not isinstance(item, effects.Send):
                 continue
-            if not isinstance(item.message, messages.StartRuns):
+            if not isinstance(item.message, runmessages.StartRuns):
                 continue
             start = item.message
-            done = messages.RunReport(start.orders[0].name, "done", "", 100, 100)
+            done = runmessages.RunReport(start.orders[0].name, "done", "", 100, 100)
             name = item.peer.partition(":")[0]
             gateway.take_spent_ms()
             gateway.hear(name, done, started=start.number)
@@ -188,7 +188,7 @@
 
 def _measure_passes(gateway: Gateway) -> float:
     """Return the time of a pass over many waiting jobs that find no room in ms."""
-    gateway.free = messages.Resources(1_000, 1_024, 0)
+    gateway.free = runmessages.Resources(1_000, 1_024, 0)
     gateway.wait(WARM_UP_MS)
     for number in range(QUEUE_JOBS):
         # Queued by hand: admission would turn them away.
@@ -202,7 +202,7 @@
     names = [item.name for item in gateway.dispatcher.fleet.list_members()]
     for number in range(PASSES):
         # Each statement has a little more room, which is reason to look again.
-        gateway.free = messages.Resources(1_000 + number, 1_024, 0)
+        gateway.free = runmessages.Resources(1_000 + number, 1_024, 0)
         gateway.hear(names[number % len(names)])
     return gateway.take_spent_ms() / PASSES
 
--- a/tests/builders_scheduling.py
+++ b/tests/builders_scheduling.py
@@ -7,7 +7,7 @@
 
 from amaranthspar import effects
 from amaranthspar.scheduling import dispatcher, jobevents, jobs, runevents
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages, viewmessages
 
 SERVICE = "quotes"
 DOMAINS = ("east", "west", "north")
@@ -28,7 +28,7 @@
 
 
 def build_step(count=1, cores=1.0, duration_ms=100, **changes) -> jobs.Step:
-    needs = messages.Resources(round(cores * 1000), 64, 0)
+    needs = runmessages.Resources(round(cores * 1000), 64, 0)
     return jobs.Step(count, needs, duration_ms, **changes)
 
 
@@ -45,15 +45,15 @@
         "service": SERVICE,
         "failure_domain": DOMAINS[0],
         "labels": ["a", "r1"],
-        "capacity": messages.Resources(round(capacity * 1000), 65_536, 0),
-        "free": messages.Resources(round(free * 1000), 65_536, 0),
+        "capacity": runmessages.Resources(round(capacity * 1000), 65_536, 0),
+        "free": runmessages.Resources(round(free * 1000), 65_536, 0),
         "is_leaving": False,
     }
-    return messages.Room(**(values | changes))
+    return runmessages.Room(**(values | changes))
 
 
-def build_peer(name: str, failure_domain: str = DOMAINS[0]) -> messages.Peer:
-    return messages.Peer(
+def build_peer(name: str, failure_domain: str = DOMAINS[0]) -> viewmessages.Peer:
+    return viewmessages.Peer(
         name, "sidecar", 1, f"{name}:1", SERVICE, failure_domain, False
     )
 
@@ -87,7 +87,7 @@
 
     def hear(self, name: str, room, *reports, incarnation=1):
         """Hear a sidecar and return the starts that it caused."""
-        body = messages.RunReports(list(reports), room)
+        body = runmessages.RunReports(list(reports), room)
         event = jobevents.Heard(name, incarnation, f"{name}:1", body)
         return list_starts(self.step(event))
 
@@ -96,7 +96,7 @@
         self._numbers[name] += 1
         return self.hear(name, build_room(self._numbers[name], **changes))
 
-    def submit(self, request) -> list[messages.StartRuns]:
+    def submit(self, request) -> list[runmessages.StartRuns]:
         """Submit a job and return the starts that it caused."""
         return list_starts(self.step(jobevents.Submit(request)))
 
@@ -109,10 +109,10 @@
         return sent
 
 
-def list_starts(sent) -> list[messages.StartRuns]:
+def list_starts(sent) -> list[runmessages.StartRuns]:
     """Return the messages with starts among those sent."""
     return [
-        item.message for item in sent if isinstance(item.message, messages.StartRuns)
+        item.message for item in sent if isinstance(item.message, runmessages.StartRuns)
     ]
 
 
@@ -125,7 +125,7 @@
 class FakeRun:
     """A run on a fake upstream."""
 
-    name: messages.RunName
+    name: runmessages.RunName
     end_ms: int
     fails: bool
     began_ms: int
@@ -141,7 +141,7 @@
 
     def __init__(self, name: str, cores: int) -> None:
         self.name = name
-        self.capacity = messages.Resources(cores * 1000, 65_536, 0)
+        self.capacity = runmessages.Resources(cores * 1000, 65_536, 0)
         self.life = 1
         self.fence = 0
         self.runs: dict[str, FakeRun] = {}
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -6,9 +6,9 @@
 
 from amaranthspar.consensus import joining, replacement
 from amaranthspar.membership import announcer, directory, documents
-from amaranthspar.schema import messages
+from amaranthspar.schema import messages, viewmessages
 
-OWN = messages.Announce(
+OWN = viewmessages.Announce(
     process="gate",
     role="gateway",
     incarnation=1,
@@ -36,11 +36,11 @@
         self.sent_documents = 0
 
     def put(self, version: int, *names: str) -> None:
-        command = messages.PutDocument("r", version, f"v{version}".encode())
+        command = viewmessages.PutDocument("r", version, f"v{version}".encode())
         for name in names or self.states:
             self.states[name].put(command)
 
-    def ask(self, name: str, message: messages.Announce) -> messages.View:
+    def ask(self, name: str, message: viewmessages.Announce) -> viewmessages.View:
         listed = list(self.directories)
         place = self.directories[name]
         return place.announce(message, self.states[name], listed, self.now_ms)
@@ -90,7 +90,7 @@
 
 def test_view_stays_in_force_while_all_controllers_are_silent():
     world = Controllers("a", "b")
-    command = messages.SetDomain("r", "east", True)
+    command = viewmessages.SetDomain("r", "east", True)
     for state in world.states.values():
         state.set_domain(command)
     for _ in range(3):
@@ -104,7 +104,7 @@
 
 def test_controller_without_domains_of_late_takes_none_back():
     world = Controllers("a", "b")
-    world.states["a"].set_domain(messages.SetDomain("r", "east", True))
+    world.states["a"].set_domain(viewmessages.SetDomain("r", "east", True))
     for _ in range(4):
         world.turn()
     assert world.announcer.domains_out == {"east"}
@@ -137,7 +137,7 @@
 def test_domain_set_twice_changes_once():
     state = documents.Documents()
     for is_out in (True, True, False, False, True):
-        state.set_domain(messages.SetDomain("r", "east", is_out))
+        state.set_domain(viewmessages.SetDomain("r", "east", is_out))
     assert (state.domains_revision, state.domains_out) == (3, {"east"})
 
 
@@ -226,7 +226,7 @@
     )
     world.put(3)
     for state in world.states.values():
-        state.set_domain(messages.SetDomain("r", "east", True))
+        state.set_domain(viewmessages.SetDomain("r", "east", True))
     for _ in range(6):
         world.turn()
     assert world.sent_documents == 0
@@ -299,7 +299,7 @@
 @hypothesis.given(strategies.lists(strategies.integers(0, 9), max_size=60))
 def test_differences_lead_to_the_same_list_as_the_whole(numbers):
     place, state = directory.Directory(), documents.Documents()
-    held: dict[str, messages.Peer] = {}
+    held: dict[str, viewmessages.Peer] = {}
     digest = 0
     now_ms = 0
     for number in numbers:
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -1,7 +1,7 @@
 """Tests of a gateway's decisions on jobs with needs."""
 
 from amaranthspar.scheduling import contacts, dispatcher, jobevents, keeper, sidecars
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 from tests import builders_scheduling as builders
 
 
@@ -14,7 +14,7 @@
 
 
 def report(order, state, reason="", **changes):
-    return messages.RunReport(order.name, state, reason, **changes)
+    return runmessages.RunReport(order.name, state, reason, **changes)
 
 
 def test_job_is_complete_when_every_task_is_done():
@@ -57,7 +57,7 @@
     refused = report(start.orders[0], "refused", "no room")
     room = builders.build_room(2, free=0.0, started=1)
     (again,) = gateway.hear(name, room, refused)
-    assert again.orders[0].name == messages.RunName("a1.0.0.0", 2)
+    assert again.orders[0].name == runmessages.RunName("a1.0.0.0", 2)
     assert gateway.sent[-1].peer.partition(":")[0] != name
 
 
@@ -90,9 +90,9 @@
     stops = [
         item.message
         for item in gateway.sent
-        if isinstance(item.message, messages.StopRuns)
+        if isinstance(item.message, runmessages.StopRuns)
     ]
-    assert stops == [messages.StopRuns([start.orders[1].name])]
+    assert stops == [runmessages.StopRuns([start.orders[1].name])]
 
 
 def test_job_whose_caller_left_is_stopped():
@@ -100,7 +100,9 @@
     (start,) = gateway.submit(builders.build_request())
     outcome = jobevents.Outcome.ABANDONED
     sent = gateway.step(jobevents.Cancel("a1", outcome, "caller left"))
-    assert messages.StopRuns([start.orders[0].name]) in [item.message for item in sent]
+    assert runmessages.StopRuns([start.orders[0].name]) in [
+        item.message for item in sent
+    ]
     assert gateway.ended["a1"].outcome is outcome
 
 
@@ -130,11 +132,11 @@
 
 
 def is_start(item):
-    return isinstance(item.message, messages.StartRuns)
+    return isinstance(item.message, runmessages.StartRuns)
 
 
 def list_keeps(sent):
-    return [item for item in sent if isinstance(item.message, messages.KeepRuns)]
+    return [item for item in sent if isinstance(item.message, runmessages.KeepRuns)]
 
 
 def test_renewals_of_runs_come_four_times_within_a_sidecars_patience():
@@ -228,7 +230,7 @@
     still = report(start.orders[0], "running", elapsed_ms=200, percent=0)
     gateway.hear(name, builders.build_room(2, started=1), still)
     stops = [item.message for item in gateway.sent]
-    assert messages.StopRuns([start.orders[0].name]) in stops
+    assert runmessages.StopRuns([start.orders[0].name]) in stops
     stopped = report(start.orders[0], "stopped", "gateway asked")
     gateway.hear(name, builders.build_room(3, started=1), stopped)
     assert gateway.sent[-1].peer.partition(":")[0] != name
@@ -245,7 +247,7 @@
         )
         gateway.hear(name, builders.build_room(number, started=1), going)
     kinds = {type(item.message) for item in gateway.sent}
-    assert messages.StopRuns not in kinds
+    assert runmessages.StopRuns not in kinds
 
 
 def test_runs_leave_an_upstream_that_is_slow_for_all_of_them():
@@ -260,7 +262,9 @@
             for order in start.orders
         ]
         gateway.hear("slow", builders.build_room(number, started=1), *going)
-    stops = [item for item in gateway.sent if type(item.message) is messages.StopRuns]
+    stops = [
+        item for item in gateway.sent if type(item.message) is runmessages.StopRuns
+    ]
     assert {name for item in stops for name in item.message.names} == {
         order.name for order in start.orders
     }
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -3,10 +3,10 @@
 import pytest
 
 from amaranthspar.scheduling import keeper, runevents
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 
 SENDER = runevents.Sender("gate", 1, "gate:1")
-CAPACITY = messages.Resources(8_000, 8_192, 0)
+CAPACITY = runmessages.Resources(8_000, 8_192, 0)
 KNOWN = runevents.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), False)
 
 
@@ -17,12 +17,12 @@
         self.keeper = keeper.Keeper("quotes", "east")
         self.now_ms = 1_000
         self.number = 0
-        self.told: list[messages.RunReport] = []
-        self.room: messages.Room | None = None
+        self.told: list[runmessages.RunReport] = []
+        self.room: runmessages.Room | None = None
         self.step(KNOWN)
         self.list()
         # The gateway hears the sidecar's first statement before it sends orders.
-        self.ask(messages.KeepRuns(0, 0, False, [], 0))
+        self.ask(runmessages.KeepRuns(0, 0, False, [], 0))
 
     def step(self, event, advance_ms=0):
         self.now_ms += advance_ms
@@ -41,10 +41,10 @@
 
     def start(self, task="t", run=1, cores=1, upstream="u@1"):
         self.number += 1
-        needs = messages.Resources(round(cores * 1000), 64, 0)
-        order = messages.RunOrder(messages.RunName(task, run), needs)
+        needs = runmessages.Resources(round(cores * 1000), 64, 0)
+        order = runmessages.RunOrder(runmessages.RunName(task, run), needs)
         return self.ask(
-            messages.StartRuns(self.number, upstream, "spec", [order], self.heard)
+            runmessages.StartRuns(self.number, upstream, "spec", [order], self.heard)
         )
 
     @property
@@ -53,15 +53,17 @@
         return 0 if self.room is None else self.room.number
 
     def answer(self, answer, task="t", run=1):
-        return self.step(runevents.StartAnswered(messages.RunName(task, run), answer))
+        return self.step(
+            runevents.StartAnswered(runmessages.RunName(task, run), answer)
+        )
 
     def list(self, *running, ends=(), asked_ms=None):
         rows = tuple(
-            runevents.Progress(messages.RunName(task, run), "", percent)
+            runevents.Progress(runmessages.RunName(task, run), "", percent)
             for task, run, percent in running
         )
         found = tuple(
-            runevents.End(messages.RunName(task, run), how, "")
+            runevents.End(runmessages.RunName(task, run), how, "")
             for task, run, how in ends
         )
         asked_ms = self.now_ms if asked_ms is None else asked_ms
@@ -142,7 +144,9 @@
     assert [type(call) for call in calls] == [runevents.CallStop]
     sidecar.list()
     assert sidecar.told == []
-    stopped = runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.TAKEN)
+    stopped = runevents.StopAnswered(
+        runmessages.RunName("t", 1), runevents.Answer.TAKEN
+    )
     sidecar.step(stopped)
     sidecar.list(asked_ms=sidecar.now_ms - 1)
     assert sidecar.told == []
@@ -165,7 +169,9 @@
     sidecar = Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.SILENT)
-    stopped = runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.TAKEN)
+    stopped = runevents.StopAnswered(
+        runmessages.RunName("t", 1), runevents.Answer.TAKEN
+    )
     sidecar.step(stopped)
     sidecar.step(runevents.Tick(), keeper.STOPPED_MS)
     assert sidecar.told == []
@@ -177,7 +183,9 @@
     sidecar = Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.SILENT)
-    silent = runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.SILENT)
+    silent = runevents.StopAnswered(
+        runmessages.RunName("t", 1), runevents.Answer.SILENT
+    )
     calls = sidecar.step(silent)
     assert [type(call) for call in calls] == [runevents.CallStop]
 
@@ -219,16 +227,16 @@
     for task in ("a", "b"):
         sidecar.start(task)
         sidecar.answer(runevents.Answer.TAKEN, task)
-    named = [messages.RunName("a", 1)]
-    keep = messages.KeepRuns(1, sidecar.number, False, named, sidecar.heard)
+    named = [runmessages.RunName("a", 1)]
+    keep = runmessages.KeepRuns(1, sidecar.number, False, named, sidecar.heard)
     calls = sidecar.ask(keep)
     assert [call.name.task for call in calls] == ["b"]
 
 
 def test_run_that_never_arrived_is_barred_when_it_is_told_so():
     sidecar = Sidecar()
-    name = messages.RunName("t", 1)
-    sidecar.ask(messages.KeepRuns(1, 0, False, [name], 0))
+    name = runmessages.RunName("t", 1)
+    sidecar.ask(runmessages.KeepRuns(1, 0, False, [name], 0))
     assert sidecar.read_states() == [("t", 1, "refused")]
     assert sidecar.start() == []
 
@@ -236,7 +244,7 @@
 def test_nothing_is_said_of_unknown_runs_before_the_upstream_is_clean():
     sidecar = Sidecar()
     sidecar.step(runevents.UpstreamGone("lease has run out"))
-    sidecar.ask(messages.KeepRuns(1, 0, False, [messages.RunName("t", 1)], 0))
+    sidecar.ask(runmessages.KeepRuns(1, 0, False, [runmessages.RunName("t", 1)], 0))
     assert sidecar.told == []
 
 
@@ -245,11 +253,11 @@
     sidecar.step(runevents.UpstreamGone("lease has run out"))
     sidecar.step(KNOWN)
     calls = sidecar.list(("old", 3, 40))
-    assert [call.name for call in calls] == [messages.RunName("old", 3)]
-    sidecar.ask(messages.KeepRuns(1, 0, False, [], 0))
+    assert [call.name for call in calls] == [runmessages.RunName("old", 3)]
+    sidecar.ask(runmessages.KeepRuns(1, 0, False, [], 0))
     assert sidecar.room.upstream == ""
     sidecar.list(ends=[("old", 3, "stopped")])
-    sidecar.ask(messages.KeepRuns(2, 0, False, [], 0))
+    sidecar.ask(runmessages.KeepRuns(2, 0, False, [], 0))
     assert sidecar.room.upstream == "u@1"
 
 
@@ -258,7 +266,7 @@
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sender = runevents.Sender("gate", 2, "gate:1")
-    keep = messages.KeepRuns(1, 0, False, [], 0)
+    keep = runmessages.KeepRuns(1, 0, False, [], 0)
     calls = sidecar.step(runevents.Asked(sender, keep))
     assert [type(call) for call in calls] == [runevents.CallStop]
 
@@ -267,7 +275,7 @@
     sidecar = Sidecar()
     sidecar.start()
     sender = runevents.Sender("gate", 0, "gate:1")
-    stop = messages.StopRuns([messages.RunName("t", 1)])
+    stop = runmessages.StopRuns([runmessages.RunName("t", 1)])
     assert sidecar.step(runevents.Asked(sender, stop)) == []
 
 
@@ -318,16 +326,16 @@
         """Order a run that needs all the room that a gateway was told of."""
         self.orders += 1
         room = tell.reports.room
-        name = messages.RunName(f"{tell.gateway}.{self.orders}", 1)
-        order = messages.RunOrder(name, room.free)
+        name = runmessages.RunName(f"{tell.gateway}.{self.orders}", 1)
+        order = runmessages.RunOrder(name, room.free)
         sender = runevents.Sender(tell.gateway, 1, tell.address)
-        start = messages.StartRuns(self.orders, "u@1", "spec", [order], room.number)
+        start = runmessages.StartRuns(self.orders, "u@1", "spec", [order], room.number)
         refused = self.step(runevents.Asked(sender, start))
         assert not any(tell.reports.reports for tell in refused)
 
     def keep(self, number):
         for name in self.names:
-            message = messages.KeepRuns(number, 0, True, [], 0)
+            message = runmessages.KeepRuns(number, 0, True, [], 0)
             sender = runevents.Sender(name, 1, f"{name}:1")
             self.step(runevents.Asked(sender, message))
 
@@ -338,7 +346,7 @@
     sidecar = crowd.sidecar
     crowd.told.clear()
     began_ms = sidecar.now_ms
-    names = [messages.RunName(f"t{number}", 1) for number in range(100)]
+    names = [runmessages.RunName(f"t{number}", 1) for number in range(100)]
     for number, name in enumerate(names):
         end = runevents.End(name, "done", "")
         left = tuple(runevents.Progress(item, "", 1) for item in names[number + 1 :])
@@ -359,7 +367,7 @@
     for number in range(100):
         task = f"t{number}"
         sidecar.start(task)
-        name = messages.RunName(task, 1)
+        name = runmessages.RunName(task, 1)
         crowd.step(runevents.StartAnswered(name, runevents.Answer.TAKEN))
         end = runevents.End(name, "done", "")
         crowd.step(runevents.Listed(sidecar.now_ms, (), (end,)), 5)
@@ -375,8 +383,8 @@
     for _ in range(20):
         sidecar.list(("t", 1, 50))
     assert sidecar.told == []
-    names = [messages.RunName("t", 1)]
-    sidecar.ask(messages.KeepRuns(1, 1, False, names, sidecar.heard))
+    names = [runmessages.RunName("t", 1)]
+    sidecar.ask(runmessages.KeepRuns(1, 1, False, names, sidecar.heard))
     (running,) = sidecar.told
     assert (running.state, running.percent) == ("running", 50)
     assert running.elapsed_ms == sidecar.now_ms - 1_001
@@ -388,12 +396,12 @@
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(("t", 1, 0))
-    names = [messages.RunName("t", 1)]
-    sidecar.ask(messages.KeepRuns(1, 1, False, names, sidecar.heard), 200)
+    names = [runmessages.RunName("t", 1)]
+    sidecar.ask(runmessages.KeepRuns(1, 1, False, names, sidecar.heard), 200)
     assert "running" not in [item.state for item in sidecar.told]
     sidecar.list(("t", 1, 40))
     began_ms = sidecar.now_ms
-    sidecar.ask(messages.KeepRuns(2, 1, False, names, sidecar.heard), 100)
+    sidecar.ask(runmessages.KeepRuns(2, 1, False, names, sidecar.heard), 100)
     (running,) = [item for item in sidecar.told if item.state == "running"]
     assert running.elapsed_ms == began_ms - 1_001
 
@@ -418,9 +426,9 @@
     sidecar = Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
-    sidecar.ask(messages.StopRuns([messages.RunName("t", 1)]))
+    sidecar.ask(runmessages.StopRuns([runmessages.RunName("t", 1)]))
     sidecar.step(
-        runevents.StopAnswered(messages.RunName("t", 1), runevents.Answer.TAKEN)
+        runevents.StopAnswered(runmessages.RunName("t", 1), runevents.Answer.TAKEN)
     )
     for _ in range(5):
         due_ms = sidecar.keeper.find_due_ms(sidecar.now_ms)
@@ -456,12 +464,12 @@
     sidecar = Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
-    named = [messages.RunName("t", 1)]
-    sidecar.ask(messages.KeepRuns(1, 1, False, named, 0))
+    named = [runmessages.RunName("t", 1)]
+    sidecar.ask(runmessages.KeepRuns(1, 1, False, named, 0))
     old = sidecar.heard
     calls = []
     for number in range(2, 12):
-        keep = messages.KeepRuns(number, 1, False, named, old)
+        keep = runmessages.KeepRuns(number, 1, False, named, old)
         calls += sidecar.ask(keep, 100)
         calls += sidecar.step(runevents.Tick())
     assert [type(call) for call in calls] == [runevents.CallStop]
@@ -471,20 +479,20 @@
     sidecar = Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
-    named = [messages.RunName("t", 1)]
+    named = [runmessages.RunName("t", 1)]
     for number in range(1, 40):
-        keep = messages.KeepRuns(number, 1, False, named, sidecar.heard)
+        keep = runmessages.KeepRuns(number, 1, False, named, sidecar.heard)
         assert sidecar.ask(keep, 200) == []
         assert sidecar.step(runevents.Tick()) == []
 
 
 def test_order_based_on_an_old_statement_starts_nothing():
     sidecar = Sidecar()
-    sidecar.ask(messages.KeepRuns(1, 0, False, [], 0))
+    sidecar.ask(runmessages.KeepRuns(1, 0, False, [], 0))
     heard = sidecar.heard
     sidecar.step(runevents.Tick(), keeper.GATEWAY_LEASE_MS + 1)
-    needs = messages.Resources(1_000, 64, 0)
-    order = messages.RunOrder(messages.RunName("t", 1), needs)
-    late = messages.StartRuns(1, "u@1", "spec", [order], heard)
+    needs = runmessages.Resources(1_000, 64, 0)
+    order = runmessages.RunOrder(runmessages.RunName("t", 1), needs)
+    late = runmessages.StartRuns(1, "u@1", "spec", [order], heard)
     assert sidecar.ask(late) == []
     assert sidecar.read_states() == [("t", 1, "refused")]
--- /dev/null
+++ b/tests/test_metering.py
@@ -0,0 +1,49 @@
+"""Tests of the measures that a process exposes."""
+
+from amaranthspar.observation import metering
+
+
+def read_lines(meters) -> set[str]:
+    return set(meters.render().decode().splitlines())
+
+
+def test_answers_are_counted_by_queue_and_outcome():
+    meters = metering.Meters()
+    meters.note_answer("desk", "completed", 12)
+    meters.note_answer("desk", "completed", 30)
+    meters.note_answer("desk", "refused", 1)
+
+    lines = read_lines(meters)
+
+    name = "amaranthspar_answers_total"
+    assert f'{name}{{outcome="completed",queue="desk"}} 2.0' in lines
+    assert f'{name}{{outcome="refused",queue="desk"}} 1.0' in lines
+
+
+def test_durations_count_in_every_bucket_from_their_own():
+    meters = metering.Meters()
+    for took_ms in (1, 12, 12, 60_000):
+        meters.note_answer("desk", "completed", took_ms)
+
+    lines = read_lines(meters)
+
+    bucket = "amaranthspar_answer_seconds_bucket"
+    assert f'{bucket}{{le="0.001",queue="desk"}} 1.0' in lines
+    assert f'{bucket}{{le="0.01",queue="desk"}} 1.0' in lines
+    assert f'{bucket}{{le="0.02",queue="desk"}} 3.0' in lines
+    assert f'{bucket}{{le="20.0",queue="desk"}} 3.0' in lines
+    assert f'{bucket}{{le="+Inf",queue="desk"}} 4.0' in lines
+    assert 'amaranthspar_answer_seconds_count{queue="desk"} 4.0' in lines
+    assert 'amaranthspar_answer_seconds_sum{queue="desk"} 60.025' in lines
+
+
+def test_gauges_and_starts_show_their_last_values():
+    meters = metering.Meters()
+    meters.waiting, meters.running = 3, 4
+    meters.starts.observe(2)
+
+    lines = read_lines(meters)
+
+    assert "amaranthspar_jobs_waiting 3.0" in lines
+    assert "amaranthspar_runs 4.0" in lines
+    assert 'amaranthspar_start_seconds_bucket{le="0.002"} 1.0' in lines
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -12,7 +12,7 @@
 from amaranthspar.platform import callers, operators, servers, statements, upstreams
 from amaranthspar.roles import controller, jobgateway, runsidecar
 from amaranthspar.scheduling import runevents
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, options, runmessages, viewmessages
 from tests import builders_platform as builders
 
 WAIT_S = 20
@@ -292,14 +292,14 @@
 
     async def scenario(system) -> None:
         await system.submit_until_done(count=1)
-        name = messages.RunName("", -1)
-        stale = messages.RunReport(name, "stale", "not a number")
+        name = runmessages.RunName("", -1)
+        stale = runmessages.RunReport(name, "stale", "not a number")
         bad = [
-            messages.StopRuns([name] * 3),
-            messages.KeepRuns(10**15, 10**15, True, [name], -5),
-            messages.StartRuns(-1, "", "", [], 10**15),
-            messages.View(10**6, -1, [""], ["no address"], [], ["x"], 7, 9, b"{"),
-            messages.RunReports([stale], system_room()),
+            runmessages.StopRuns([name] * 3),
+            runmessages.KeepRuns(10**15, 10**15, True, [name], -5),
+            runmessages.StartRuns(-1, "", "", [], 10**15),
+            viewmessages.View(10**6, -1, [""], ["no address"], [], ["x"], 7, 9, b"{"),
+            runmessages.RunReports([stale], system_room()),
         ]
         for message in bad:
             frame = codec.Frame("stranger", 1, "127.0.0.1:1", [message])
@@ -312,9 +312,9 @@
     play(tmp_path, scenario)
 
 
-def system_room() -> messages.Room:
-    needs = messages.Resources(-1, -1, -1)
-    return messages.Room(1, 0, "u@9", "quotes", "", [], needs, needs, False)
+def system_room() -> runmessages.Room:
+    needs = runmessages.Resources(-1, -1, -1)
+    return runmessages.Room(1, 0, "u@9", "quotes", "", [], needs, needs, False)
 
 
 def test_runs_end_soon_after_their_caller_has_left(tmp_path):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -4,7 +4,7 @@
 
 from amaranthspar import errors
 from amaranthspar.platform import settings, wire
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 from tests import builders_platform as builders, builders_scheduling
 
 QUEUE = builders_scheduling.build_queue()
@@ -34,7 +34,7 @@
     assert not job.unsupported
     (step,) = job.request.steps
     assert (step.count, step.estimate_ms) == (3, 50)
-    assert step.needs == messages.Resources(1000, 64, 0)
+    assert step.needs == runmessages.Resources(1000, 64, 0)
 
 
 @pytest.mark.parametrize(
@@ -112,7 +112,7 @@
 def test_heartbeat_states_the_upstream():
     stated = wire.decode_heartbeat(builders.build_heartbeat(4, 9, State="draining"))
     assert (stated.sequence, stated.born_ms, stated.is_leaving) == (4, 9, True)
-    assert stated.capacity == messages.Resources(8000, 8192, 0)
+    assert stated.capacity == runmessages.Resources(8000, 8192, 0)
 
 
 @pytest.mark.parametrize(
@@ -137,7 +137,7 @@
     )
     found = wire.decode_listing(body)
     assert (found.clock_ms, found.born_ms, found.last) == (5, 3, 58)
-    assert found.running[0].name == messages.RunName("t.0.0.1", 2)
+    assert found.running[0].name == runmessages.RunName("t.0.0.1", 2)
     assert found.ends[0].how == "done"
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -10,7 +10,7 @@
 import pytest
 
 from amaranthspar.scheduling import jobevents, pool, sidecars
-from amaranthspar.schema import messages
+from amaranthspar.schema import runmessages
 from tests import builders_scheduling as builders
 
 
@@ -185,7 +185,7 @@
     asked = {
         item.peer.partition(":")[0]
         for item in sent
-        if isinstance(item.message, messages.KeepRuns)
+        if isinstance(item.message, runmessages.KeepRuns)
     }
     for name in sorted(asked):
         gateway.hear_room(name, **changes)
@@ -233,7 +233,7 @@
         gateway.wait(2 * builders.STEP_MS)
         for item in list(gateway.sent):
             name = item.peer.partition(":")[0]
-            if isinstance(item.message, messages.KeepRuns):
+            if isinstance(item.message, runmessages.KeepRuns):
                 labels = ["b", "r9"] if name == special else ["a", "r1"]
                 gateway.hear_room(name, labels=labels, started=99)
         placed += [
@@ -274,7 +274,7 @@
         placed = [item.peer for item in gateway.sent if hasattr(item.message, "orders")]
         gateway.wait(2 * builders.STEP_MS)
         for item in list(gateway.sent):
-            if isinstance(item.message, messages.KeepRuns):
+            if isinstance(item.message, runmessages.KeepRuns):
                 name = item.peer.partition(":")[0]
                 labels = ["a", "r9"] if name == far else ["a", "r1"]
                 gateway.hear_room(name, labels=labels, free=99.0, capacity=99.0)
--- /dev/null
+++ b/tests/test_startup.py
@@ -0,0 +1,30 @@
+"""What a process of the platform imports before it can serve."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+PROGRAM = """
+import importlib, json, sys
+import amaranthspar.program, amaranthspar.commands.platform, amaranthspar.platform.program
+importlib.import_module("amaranthspar.platform.ROLE")
+print(json.dumps(sorted(sys.modules)))
+"""
+UNUSED = {
+    # Importing these took a third of the time of the package's own modules.
+    "gateway": {"prometheus_client", "amaranthspar.schema.messages"},
+    "sidecar": {"prometheus_client", "amaranthspar.schema.messages"},
+    "controller": {"prometheus_client"},
+}
+
+
+@pytest.mark.parametrize("role", sorted(UNUSED))
+def test_outage_is_not_made_longer_by_imports_that_a_role_does_not_use(role):
+    code = PROGRAM.replace("ROLE", role)
+    found = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, check=True
+    )
+
+    assert not UNUSED[role] & set(json.loads(found.stdout))
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -11,7 +11,14 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-MODULES = ("entries", "messages", "options")
+MODULES = (
+    "entries",
+    "linkmessages",
+    "messages",
+    "options",
+    "runmessages",
+    "viewmessages",
+)
 IMPORTS = "attrs,msgspec,typing.Annotated"
 
 
