--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -63,6 +63,7 @@
 
     Attributes:
         document: New document; nothing if it is the same.
+        document_age_ms: Time since this process first heard of its version, in ms.
         domains_out: Failure domains out of service.
         peers: Processes listed by any controller.
     """
@@ -70,6 +71,7 @@
     document: bytes | None
     domains_out: frozenset[str]
     peers: tuple[viewmessages.Peer, ...]
+    document_age_ms: int = 0
 
 
 class Announcer:
@@ -92,6 +94,7 @@
         self._began_ms: int | None = None
         self._fetched_ms = -FETCH_MS
         self._newest = documents.NO_VERSION
+        self._newest_ms = 0
         self._turn = 0
         self._merged: frozenset[str] = frozenset()
 
@@ -103,6 +106,19 @@
         """
         return now_ms - self.heard_ms <= CONTACT_MS
 
+    @property
+    def newest(self) -> int:
+        """Highest version of the routing document that any controller has stated."""
+        return self._newest
+
+    def find_document_age_ms(self, now_ms: int) -> int:
+        """Return for how long the newest document has been missing here, in ms.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        return now_ms - self._newest_ms if self.version < self._newest else 0
+
     def note_leaving(self) -> None:
         """Tell controllers from now on that the process is stopping."""
         self._own = attrs.evolve(self._own, is_leaving=True)
@@ -149,11 +165,15 @@
         self.heard_ms = now_ms
         for known in view.controllers:
             self._controllers.setdefault(known, _Controller())
-        self._newest = max(self._newest, view.document_version)
+        if view.document_version > self._newest:
+            self._newest = view.document_version
+            self._newest_ms = now_ms
         document = None
+        document_age_ms = 0
         if view.document and view.document_version > self.version:
             self.version = view.document_version
             document = view.document
+            document_age_ms = now_ms - self._newest_ms
         has_changed = document is not None
         if view.domains_revision > self.domains_revision:
             self.domains_revision = view.domains_revision
@@ -163,7 +183,7 @@
             has_changed = self._take_peers(controller, view, now_ms) or has_changed
         if not has_changed:
             return None
-        return Changed(document, self.domains_out, self.peers)
+        return Changed(document, self.domains_out, self.peers, document_age_ms)
 
     def _take_peers(
         self, controller: _Controller, view: viewmessages.View, now_ms: int
--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -67,6 +67,15 @@
             now_ms: Monotonic time in ms.
         """
         for send in self._announcer.tick(now_ms):
+            match send.message:
+                case viewmessages.Announce(wants_document=True):
+                    _log.info(
+                        "document asked",
+                        source=send.peer,
+                        held=self.version,
+                        newest=self._announcer.newest,
+                        age_ms=self._announcer.find_document_age_ms(now_ms),
+                    )
             self._send(send.peer, send.message)
         is_heard = self._announcer.is_in_touch(now_ms)
         if is_heard is not self._was_heard:
@@ -93,6 +102,7 @@
                 "view changed",
                 source=address,
                 version=self.version,
+                document_age_ms=changed.document_age_ms,
                 domains_out=sorted(changed.domains_out),
                 peers=len(changed.peers),
             )
--- a/amaranthspar/observation/metering.py
+++ b/amaranthspar/observation/metering.py
@@ -62,6 +62,8 @@
         waiting: Jobs that wait for room.
         running: Runs on the upstream.
         starts: Time of calls that start a run.
+        lateness: How late the process's repeated work was done.
+        document_age: Time from hearing of a newer routing document to holding it.
     """
 
     def __init__(self) -> None:
@@ -71,6 +73,8 @@
         self.waiting = 0
         self.running = 0
         self.starts = Histogram()
+        self.lateness = Histogram()
+        self.document_age = Histogram()
 
     def note_answer(self, queue: str, outcome: str, took_ms: int) -> None:
         """Count a job that was answered.
@@ -115,8 +119,18 @@
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_runs", "Runs on the upstream", self.running
         )
-        starts = metrics_core.HistogramMetricFamily(
-            "amaranthspar_start_seconds", "Time of calls that start a run"
+        histograms = (
+            ("start", "Time of calls that start a run", self.starts),
+            ("loop_late", "Lateness of repeated work", self.lateness),
+            (
+                "document_age",
+                "Time from hearing of a routing document to holding it",
+                self.document_age,
+            ),
         )
-        starts.add_metric([], self.starts.list_buckets(), self.starts.total_s)
-        yield starts
+        for name, help_text, histogram in histograms:
+            family = metrics_core.HistogramMetricFamily(
+                f"amaranthspar_{name}_seconds", help_text
+            )
+            family.add_metric([], histogram.list_buckets(), histogram.total_s)
+            yield family
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -84,7 +84,7 @@
         """
         await self._links.open()
         self._started_ms = self._clock.read_monotonic()
-        ticking = loops.repeat(TICK_MS, self._tick)
+        ticking = loops.repeat(TICK_MS, self._tick, self.meters.lateness.observe)
         self._ticking = asyncio.get_running_loop().create_task(ticking)
 
     @property
@@ -242,6 +242,7 @@
             return
         if changed.document is not None:
             self.document = changed.document
+            self.meters.document_age.observe(changed.document_age_ms)
         self._step(jobevents.Found(changed.peers, changed.domains_out))
 
     def _note_known(self) -> None:
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -196,7 +196,11 @@
         await self._links.open()
         loop = asyncio.get_running_loop()
         self._loops = [
-            loop.create_task(loops.repeat(CONTACT_MS, self._stay_in_contact)),
+            loop.create_task(
+                loops.repeat(
+                    CONTACT_MS, self._stay_in_contact, self._meters.lateness.observe
+                )
+            ),
             loop.create_task(self._hold_forever()),
         ]
 
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -317,3 +317,50 @@
         digest = view.peers_digest
         whole = place.announce(attrs.evolve(asked, peers_digest=0), state, [], now_ms)
         assert held == {peer.process: peer for peer in whole.peers}
+
+
+class DelayedControllers(Controllers):
+    """Controllers asked on a gateway's clock of 20 ms; some fall silent on the way."""
+
+    def find_delay_ms(self, silent: set[str], falls_silent: int) -> int:
+        """Return the time from a new version at all controllers to holding it.
+
+        Args:
+            silent: Controllers that answer nothing.
+            falls_silent: Further ones that fall silent once they have stated it.
+        """
+        self.silent |= silent
+        began_ms = self.now_ms
+        self.put(2)
+        while self.announcer.version < 2:
+            self.now_ms += 20
+            for send in self.announcer.tick(self.now_ms):
+                if send.peer in self.silent:
+                    continue
+                view = self.ask(send.peer, send.message)
+                self.announcer.take(send.peer, view, self.now_ms)
+                if falls_silent and view.document_version == 2 and not view.document:
+                    falls_silent -= 1
+                    self.silent.add(send.peer)
+        return self.now_ms - began_ms
+
+
+NAMES = ("a", "b", "c", "d", "e")
+
+
+@hypothesis.given(
+    strategies.sets(strategies.sampled_from(NAMES), max_size=2),
+    strategies.integers(0, 100),
+)
+def test_document_is_held_in_time_when_two_of_five_controllers_are_silent(
+    silent, passed
+):
+    world = DelayedControllers(*NAMES)
+    world.put(1)
+    for _ in range(200 + passed):
+        world.turn(20)
+
+    delay_ms = world.find_delay_ms(silent, falls_silent=2 - len(silent))
+
+    # Less than the 2 s within which the smallest site wants a configuration in force.
+    assert delay_ms < 2_000
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -1,6 +1,7 @@
 """Tests of work that is repeated for as long as a process lives."""
 
 import asyncio
+import time
 
 import structlog
 
@@ -27,3 +28,20 @@
     (line,) = lines
     assert line["event"] == "repeated work failed"
     assert "act" in line["work"]
+
+
+def test_work_that_is_done_late_is_logged_and_counted():
+    late = []
+
+    async def run():
+        task = asyncio.get_running_loop().create_task(loops.repeat(1, int, late.append))
+        await asyncio.sleep(0.01)
+        time.sleep((loops.HELD_UP_MS + 50) / 1000)
+        await asyncio.sleep(0.01)
+        task.cancel()
+
+    with structlog.testing.capture_logs() as lines:
+        asyncio.run(run())
+
+    assert max(late) >= loops.HELD_UP_MS
+    assert [line["event"] for line in lines if line["late_ms"] >= loops.HELD_UP_MS]
