Let orders that confirm statements take the place of renewals

On the harness of one sidecar (trial, loopback, 5 gateways, 25 starts/s) half of its frames are renewals and their answers, although orders and reports say the same: each order names the newest statement heard, each report carries one. Cause: a gateway renewed every 200 ms whatever else it had sent. Change: a renewal is due when no statement came for an interval, when the one last confirmed is two intervals old, or after 600 ms for the names. The statement that a sidecar knows to be heard is as old as before at most, 400 ms of its 800 ms. Evidence: the new test counts renewals over 2 s of orders (3 at most, 10 before) and holds the age of what is confirmed to 400 ms. A first rule without asking for a statement after an interval let that age reach 600 ms and failed the test of four renewals within a lease; it was not kept.

--- a/amaranthspar/scheduling/contacts.py
+++ b/amaranthspar/scheduling/contacts.py
@@ -22,6 +22,12 @@
 IDLE_INTERVAL_MS = 280
 """Interval of renewals to a sidecar without them, whose room is asked for; below the
 heartbeat of links, so that these need no frames of their own."""
+CONFIRM_INTERVALS = 2
+"""Age, in intervals, of what a sidecar was last told to have stated from which it is told
+anew: what renewals alone come to, each of which confirms the answer to the one before."""
+NAMING_INTERVAL_MS = 600
+"""Longest time between two renewals while orders confirm statements: a run that a lost
+message should have stopped ends well before its caller sends it again after 1.3 s."""
 WAITING_HOLD_MS = 1_000
 """Time for which a gateway whose tasks have waited asks to be told of room, so that a
 queue that empties and fills again costs no messages."""
@@ -61,12 +67,14 @@
     def renew(self, now_ms: int) -> None:
         """Send the renewals that are due.
 
+        Load pattern: every gateway sends orders to every member several times a second.
+        These confirm statements as renewals do, which are then sent for the names alone.
+
         Args:
             now_ms: Current time in ms.
         """
         for sidecar in self._fleet.list_members():
-            interval_ms = KEEP_INTERVAL_MS if sidecar.tasks else IDLE_INTERVAL_MS
-            if now_ms - sidecar.kept_ms >= interval_ms:
+            if _is_due(sidecar, now_ms):
                 self._keep(sidecar, now_ms)
 
     def fill(self, now_ms: int) -> None:
@@ -120,6 +128,19 @@
             sidecar.started,
             self._is_waiting,
             names,
-            sidecar.heard_number,
+            sidecar.confirm(),
         )
         self._send(effects.Send(sidecar.address, message))
+
+
+def _is_due(sidecar: sidecars.Sidecar, now_ms: int) -> bool:
+    """Return whether a sidecar needs a renewal for its runs, or to state its room."""
+    interval_ms = KEEP_INTERVAL_MS if sidecar.tasks else IDLE_INTERVAL_MS
+    passed_ms = now_ms - sidecar.kept_ms
+    if passed_ms < interval_ms:
+        return False
+    return (
+        passed_ms >= NAMING_INTERVAL_MS
+        or now_ms - sidecar.stated_ms >= interval_ms
+        or now_ms - sidecar.confirmed_ms >= CONFIRM_INTERVALS * interval_ms
+    )
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -307,13 +307,13 @@
         if sidecar is None:
             return
         if sidecar.incarnation != heard.incarnation:
-            self._restart(sidecar, heard.incarnation)
+            self._restart(sidecar, heard.incarnation, now_ms)
         sidecar.address = heard.address
         was_open = sidecar.takes_runs(now_ms)
         sidecar.heard_ms = now_ms
         room = heard.reports.room
         if sidecar.room is None or room.number > sidecar.room.number:
-            self._take_room(sidecar, room)
+            self._take_room(sidecar, room, now_ms)
         if was_open is not sidecar.takes_runs(now_ms):
             self.fleet.note_changed(sidecar)
         for report in heard.reports.reports:
@@ -323,19 +323,23 @@
             if task.sidecar == sidecar.name and task.run == report.name.run:
                 self._take_report(sidecar, task, report, now_ms)
 
-    def _restart(self, sidecar: sidecars.Sidecar, incarnation: int) -> None:
+    def _restart(
+        self, sidecar: sidecars.Sidecar, incarnation: int, now_ms: int
+    ) -> None:
         """Start anew with a sidecar that has restarted; its old runs may still end."""
         if sidecar.incarnation:
             self._note("sidecar restarted", sidecar=sidecar.name)
         sidecar.incarnation = incarnation
-        sidecar.take_room(None)
+        sidecar.take_room(None, now_ms)
         sidecar.started = 0
         self.fleet.note_changed(sidecar)
 
-    def _take_room(self, sidecar: sidecars.Sidecar, room: runmessages.Room) -> None:
+    def _take_room(
+        self, sidecar: sidecars.Sidecar, room: runmessages.Room, now_ms: int
+    ) -> None:
         before = sidecar.room
         free_millis = sidecar.free.cpu_millis
-        sidecar.take_room(room)
+        sidecar.take_room(room, now_ms)
         if before is None or sidecar.free.cpu_millis > free_millis:
             self._is_due = True
         if before is None or before.failure_domain != room.failure_domain:
@@ -632,7 +636,7 @@
             sidecar.room.upstream,
             tasks[0].job.request.spec,
             orders,
-            sidecar.heard_number,
+            sidecar.confirm(),
         )
         self._effects.append(effects.Send(sidecar.address, message))
         for task in tasks:
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -69,6 +69,8 @@
         free: Room less what was sent since it was stated.
         failure_domain: Failure domain that controllers list for it.
         kept_ms: Time of the last renewal in ms; -1 before the first.
+        stated_ms: Time at which its newest statement came in ms; -1 before the first.
+        confirmed_ms: Time at which the statement had come that it was last told of in ms.
         used_millis: Processor that the tasks placed here need.
     """
 
@@ -91,13 +93,10 @@
     free: runmessages.Resources = resources.NONE
     failure_domain: str = ""
     kept_ms: int = -1
+    stated_ms: int = -1
+    confirmed_ms: int = -1
     used_millis: int = 0
 
-    @property
-    def heard_number(self) -> int:
-        """Number of its newest statement; 0 before the first."""
-        return 0 if self.room is None else self.room.number
-
     def has_label(self, label: str) -> bool:
         """Return whether its upstream has a label, such as its rack.
 
@@ -106,13 +105,20 @@
         """
         return self.room is not None and label in self.room.labels
 
-    def take_room(self, room: runmessages.Room | None) -> None:
+    def confirm(self) -> int:
+        """Return the number of the newest statement, 0 before the first, to be told."""
+        self.confirmed_ms = self.stated_ms
+        return 0 if self.room is None else self.room.number
+
+    def take_room(self, room: runmessages.Room | None, now_ms: int) -> None:
         """Take a newer statement of room, or none after a restart.
 
         Args:
             room: The statement.
+            now_ms: Current time in ms.
         """
         self.room = room
+        self.stated_ms = now_ms if room is not None else -1
         if room is None:
             self.unseen.clear()
             self.free = resources.NONE
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -145,6 +145,26 @@
     assert len(list_keeps(gateway.wait(800))) >= 4
 
 
+def test_orders_that_confirm_statements_take_the_place_of_renewals():
+    gateway = build_gateway()
+    gateway.sent.clear()
+    stated_ms = [gateway.now_ms]
+    ages_ms = []
+    for step in range(200):
+        if step % 10 == 0:
+            (start,) = gateway.submit(builders.build_request(f"j{step}"))
+        if step % 10 == 5:
+            stated_ms.append(gateway.now_ms)
+            room = builders.build_room(len(stated_ms), started=start.number)
+            gateway.hear("one", room, report(start.orders[0], "done"))
+        gateway.wait(builders.STEP_MS)
+        confirmed = max([item.message.heard for item in gateway.sent], default=1)
+        ages_ms.append(gateway.now_ms - stated_ms[confirmed - 1])
+
+    assert len(list_keeps(gateway.sent)) <= 2_000 / contacts.NAMING_INTERVAL_MS
+    assert max(ages_ms) <= contacts.CONFIRM_INTERVALS * contacts.KEEP_INTERVAL_MS
+
+
 def test_sidecar_without_runs_is_asked_before_its_statement_is_too_old():
     gateway = build_gateway()
     for _ in range(5):
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -41,7 +41,7 @@
                     self.number += 1
                     domain = member.failure_domain
                     room = builders.build_room(self.number, failure_domain=domain)
-                    member.take_room(room)
+                    member.take_room(room, 0)
                     member.heard_ms = self.now_ms
             self.pool.note_changed()
             self.pool.fill(self.now_ms)
