Keep a sidecar's used share with its room

The share changes with room and orders only, and is kept where these are taken. The choice is the same; gateway, pool and crowd tests: 56 passed.

--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -254,10 +254,8 @@
         rack = task.definition.data_rack
         if rack and rack not in sidecar.room.labels:
             duration *= SPREAD_FACTOR
-        capacity = sidecar.room.capacity
-        used = resources.subtract(capacity, sidecar.free)
-        share = resources.read_share(used, capacity)
-        return duration + USED_WEIGHT * share + JITTER * self._chance.random()
+        load = USED_WEIGHT * sidecar.used_share
+        return duration + load + JITTER * self._chance.random()
 
 
 def may_run(task: jobs.Task, sidecar: sidecars.Sidecar) -> bool:
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -67,6 +67,7 @@
         tasks: Tasks placed here.
         ratios: Projected over expected duration of runs under way, by task.
         free: Room less what was sent since it was stated.
+        used_share: Share of its scarcest capacity that is not free.
         failure_domain: Failure domain that controllers list for it.
         kept_ms: Time of the last renewal in ms; -1 before the first.
         stated_ms: Time at which its newest statement came in ms; -1 before the first.
@@ -91,6 +92,7 @@
     tasks: dict[str, jobs.Task] = attrs.field(factory=dict)
     ratios: dict[str, float] = attrs.field(factory=dict)
     free: runmessages.Resources = resources.NONE
+    used_share: float = 1.0
     failure_domain: str = ""
     kept_ms: int = -1
     stated_ms: int = -1
@@ -121,11 +123,12 @@
         self.stated_ms = now_ms if room is not None else -1
         if room is None:
             self.unseen.clear()
-            self.free = resources.NONE
+            self._set_free(resources.NONE)
             return
         for number in [item for item in self.unseen if item <= room.started]:
             del self.unseen[number]
-        self.free = resources.subtract(room.free, resources.total(self.unseen.values()))
+        promised = resources.total(self.unseen.values())
+        self._set_free(resources.subtract(room.free, promised))
 
     def take_task(self, task: jobs.Task) -> None:
         """Take a task that the next message with orders will start.
@@ -139,7 +142,15 @@
         number = self.started + 1
         known = self.unseen.get(number)
         self.unseen[number] = needs if known is None else resources.add(known, needs)
-        self.free = resources.subtract(self.free, needs)
+        self._set_free(resources.subtract(self.free, needs))
+
+    def _set_free(self, free: runmessages.Resources) -> None:
+        self.free = free
+        self.used_share = 1.0
+        if self.room is not None:
+            capacity = self.room.capacity
+            used = resources.subtract(capacity, free)
+            self.used_share = resources.read_share(used, capacity)
 
     def takes_runs(self, now_ms: int) -> bool:
         """Return whether new runs may be sent there at all.
