Let an order wait for a moment where a full upstream has no room yet

Cause: gateways send to the same room within the time that a statement of it takes. Change: an order without room waits for 40 ms, one at a time, and is then refused; what it was based on (statement, domain, upstream, lease) is judged anew when its turn comes, and its room is not offered to others. A start is the same code path for all orders.

--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -7,7 +7,7 @@
 
 import itertools
 
-from amaranthspar.scheduling import resources, runevents
+from amaranthspar.scheduling import orderqueue, resources, runevents
 from amaranthspar.schema import runmessages
 
 GATEWAY_LEASE_MS = 800
@@ -36,6 +36,7 @@
 not heard of for 300 ms."""
 QUIET_STATES = frozenset({"started"})
 """States of runs whose report may wait."""
+NO_ROOM = "no room"
 SICK_PAUSE_MS = 500
 """Time without starts after the upstream refused one as unhealthy."""
 IDLE_MS = 1_000
@@ -66,6 +67,7 @@
         self._final: dict[runmessages.RunName, tuple[int, runmessages.RunReport]] = {}
         self._number = first_number
         self._free: runmessages.Resources | None = None
+        self._queue = orderqueue.OrderQueue()
         self._offered_ms = 0
         self._sick_until_ms = 0
         self._is_clean = False
@@ -103,6 +105,7 @@
                 self._answer_all()
             case runevents.Tick():
                 self._tick(now_ms)
+        self._serve_queue(now_ms)
         self._tell(now_ms)
         effects, self._effects = self._effects, []
         return effects
@@ -119,6 +122,8 @@
                 due_ms = min(due_ms, gateway.told_ms + QUIET_REPORT_MS)
             if self._is_offer_due(gateway):
                 due_ms = min(due_ms, self._offered_ms + ROOM_INTERVAL_MS)
+        for waiting in self._queue.list_orders():
+            due_ms = min(due_ms, waiting.until_ms)
         for run in self.runs.values():
             holder = self.gateways.get(run.gateway)
             if run.stopped_ms >= 0:
@@ -151,6 +156,10 @@
             self._free = resources.subtract(self.upstream.capacity, used)
         return self._free
 
+    def read_offered(self) -> runmessages.Resources:
+        """Return what neither a run nor an order that waits will occupy."""
+        return resources.subtract(self.read_free(), self._queue.needs)
+
     # Messages of gateways.
 
     def _take_message(
@@ -181,7 +190,7 @@
             return None
         if known is None or known.incarnation != sender.incarnation:
             if known is not None:
-                self._stop_all(known, "gateway has restarted")
+                self._stop_all(known, "gateway has restarted", now_ms)
             # Orders count only from one that has heard this process.
             confirmed_ms = now_ms - GATEWAY_LEASE_MS - 1
             known = runevents.Gateway(
@@ -216,34 +225,98 @@
             if current.state is runevents.RunState.RUNNING:
                 gateway.reports.append(runmessages.RunReport(name, "started"))
             return
+        waiting = self._queue.find(name.task)
+        if waiting is not None and waiting.order.name == name:
+            return
         if name in self._final:
             gateway.reports.append(self._final[name][1])
             return
-        state, reason = self._judge_order(message, order, current, now_ms)
-        # An order may have been overtaken by messages that confirm newer statements.
-        known_ms = gateway.told.get(message.heard)
-        if not reason and (known_ms is None or now_ms - known_ms > GATEWAY_LEASE_MS):
-            state, reason = "refused", "order is based on an old statement of room"
+        if waiting is not None:
+            state, reason = _judge_beside(order, waiting.order.name.run)
+        else:
+            state, reason = self._judge_order(order, current)
+        if not reason:
+            reason = self._find_change(gateway, message, now_ms)
+            state = "refused"
+        if not reason and not self._has_room(order):
+            reason = NO_ROOM if self._queue.is_full else ""
         if reason:
-            report = runmessages.RunReport(name, state, reason)
-            self._bar(name, now_ms)
-            self._final[name] = (now_ms, report)
-            gateway.reports.append(report)
-            self._effects.append(
-                runevents.Decided("start refused", name.task, name.run, reason)
-            )
+            self._refuse_order(gateway.name, name, state, reason, now_ms)
             return
-        self.runs[name.task] = runevents.Run(name, gateway.name, order.needs, now_ms)
-        self._free = None
         gateway.believed = resources.subtract(gateway.believed, order.needs)
-        self._effects.append(runevents.CallStart(order, message.spec, now_ms))
+        self._queue.add(gateway.name, message, order, now_ms)
+
+    def _has_room(self, order: runmessages.RunOrder) -> bool:
+        return resources.fits(order.needs, self.read_offered())
+
+    def _serve_queue(self, now_ms: int) -> None:
+        """Start the orders whose turn has come, and refuse those that cannot wait."""
+        is_blocked = False
+        for waiting in self._queue.list_orders():
+            order = waiting.order
+            gateway = self.gateways.get(waiting.gateway)
+            reason = self._find_change(gateway, waiting.message, now_ms)
+            has_turn = not is_blocked and resources.fits(order.needs, self.read_free())
+            if not reason and not has_turn and now_ms >= waiting.until_ms:
+                reason = NO_ROOM
+            if reason:
+                self._drop_order(waiting, reason, now_ms)
+            elif has_turn:
+                self._queue.remove(order.name.task)
+                self._start(waiting, now_ms)
+            else:
+                is_blocked = True
+
+    def _start(self, waiting: orderqueue.WaitingOrder, now_ms: int) -> None:
+        order = waiting.order
+        self.runs[order.name.task] = runevents.Run(
+            order.name, waiting.gateway, order.needs, now_ms
+        )
+        self._free = None
+        spec = waiting.message.spec
+        self._effects.append(runevents.CallStart(order, spec, now_ms))
 
-    def _judge_order(
+    def _refuse_order(
         self,
+        gateway: str,
+        name: runmessages.RunName,
+        state: runevents.ReportState,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """Refuse an order for good, also where it arrives once more."""
+        report = runmessages.RunReport(name, state, reason)
+        self._bar(name, now_ms)
+        self._final[name] = (now_ms, report)
+        self._report(gateway, report)
+        self._effects.append(
+            runevents.Decided("start refused", name.task, name.run, reason)
+        )
+
+    def _find_change(
+        self,
+        gateway: runevents.Gateway | None,
         message: runmessages.StartRuns,
+        now_ms: int,
+    ) -> str:
+        """Return why what an order was based on does not hold, empty if it does."""
+        reason = self.refuses_all
+        if reason:
+            return reason
+        if self.upstream is None or message.upstream != self.upstream.incarnation:
+            return "another upstream was meant"
+        if now_ms < self._sick_until_ms:
+            return runevents.Answer.UNHEALTHY.value
+        # An order may have been overtaken by messages that confirm newer statements.
+        known_ms = None if gateway is None else gateway.told.get(message.heard)
+        if known_ms is None or now_ms - known_ms > GATEWAY_LEASE_MS:
+            return "order is based on an old statement of room"
+        return ""
+
+    def _judge_order(
+        self,
         order: runmessages.RunOrder,
         current: runevents.Run | None,
-        now_ms: int,
     ) -> tuple[runevents.ReportState, str]:
         """Return the state and the reason of a refusal; the reason is empty for none."""
         barred = self._barred.get(order.name.task, (0, 0))[0]
@@ -253,15 +326,6 @@
             return "stale", str(barred)
         if current is not None:
             return "refused", "another run of the task has not ended"
-        reason = self.refuses_all
-        if reason:
-            return "refused", reason
-        if self.upstream is None or message.upstream != self.upstream.incarnation:
-            return "refused", "another upstream was meant"
-        if now_ms < self._sick_until_ms:
-            return "refused", runevents.Answer.UNHEALTHY.value
-        if not resources.fits(order.needs, self.read_free()):
-            return "refused", "no room"
         return "started", ""
 
     def _stop_named(
@@ -271,11 +335,22 @@
         if run is not None and run.name == name and run.gateway == gateway.name:
             self._stop(run, "gateway asked")
             return
-        if name in self._final:
+        waiting = self._queue.find(name.task)
+        if waiting is not None and waiting.order.name == name:
+            self._drop_order(waiting, "gateway asked", now_ms)
+        elif name in self._final:
             gateway.reports.append(self._final[name][1])
         elif self._is_clean:
             self._refuse_unknown(gateway, name, now_ms)
 
+    def _drop_order(
+        self, waiting: orderqueue.WaitingOrder, why: str, now_ms: int
+    ) -> None:
+        """Refuse an order that waits."""
+        self._queue.remove(waiting.order.name.task)
+        self._refuse_order(waiting.gateway, waiting.order.name, "refused", why, now_ms)
+        self._note_room()
+
     def _refuse_unknown(
         self, gateway: runevents.Gateway, name: runmessages.RunName, now_ms: int
     ) -> None:
@@ -298,6 +373,9 @@
         for run in list(self.runs.values()):
             if run.gateway == gateway.name and run.name not in wanted:
                 self._stop(run, "gateway does not count on it")
+        for waiting in self._queue.list_orders(gateway.name):
+            if waiting.order.name not in wanted:
+                self._drop_order(waiting, "gateway does not count on it", now_ms)
         if message.started > gateway.started:
             # Orders are still on their way, on a connection that was replaced.
             return
@@ -305,6 +383,9 @@
             held = self.runs.get(name.task)
             if held is not None and held.name == name and held.gateway == gateway.name:
                 continue
+            queued = self._queue.find(name.task)
+            if queued is not None and queued.order.name == name:
+                continue
             if name in self._final:
                 gateway.reports.append(self._final[name][1])
             elif self._is_clean:
@@ -446,7 +527,9 @@
             runevents.Decided("run stopped", run.name.task, run.name.run, why)
         )
 
-    def _stop_all(self, gateway: runevents.Gateway, why: str) -> None:
+    def _stop_all(self, gateway: runevents.Gateway, why: str, now_ms: int) -> None:
+        for waiting in self._queue.list_orders(gateway.name):
+            self._drop_order(waiting, why, now_ms)
         for run in list(self.runs.values()):
             if run.gateway == gateway.name:
                 self._stop(run, why)
@@ -510,7 +593,8 @@
         for gateway in list(self.gateways.values()):
             age_ms = now_ms - gateway.confirmed_ms
             if age_ms > GATEWAY_LEASE_MS:
-                self._stop_all(gateway, f"gateway heard nothing for {age_ms} ms")
+                why = f"gateway heard nothing for {age_ms} ms"
+                self._stop_all(gateway, why, now_ms)
             if now_ms - gateway.heard_ms > KEPT_REPORT_MS:
                 del self.gateways[gateway.name]
         for run in list(self.runs.values()):
@@ -576,7 +660,7 @@
         """Return whether a gateway waits for room and knows of less than there is."""
         if not gateway.is_waiting or not gateway.is_room_due:
             return False
-        return not resources.fits(self.read_free(), gateway.believed)
+        return not resources.fits(self.read_offered(), gateway.believed)
 
     def _build_room(self, gateway: runevents.Gateway) -> runmessages.Room:
         self._number += 1
@@ -589,7 +673,7 @@
             self._failure_domain,
             [] if upstream is None else list(upstream.labels),
             resources.NONE if upstream is None else upstream.capacity,
-            self.read_free(),
+            self.read_offered(),
             bool(self.refuses_all),
         )
 
@@ -603,6 +687,15 @@
     return any(report.state not in QUIET_STATES for report in gateway.reports)
 
 
+def _judge_beside(
+    order: runmessages.RunOrder, waiting: int
+) -> tuple[runevents.ReportState, str]:
+    """Return the refusal of an order beside another one that waits for its task."""
+    if waiting > order.name.run:
+        return "stale", str(waiting)
+    return "refused", "another run of the task has not ended"
+
+
 def _judge_end(
     end: runevents.End, run: runevents.Run
 ) -> tuple[runevents.ReportState, str]:
--- /dev/null
+++ b/tests/builders_keeper.py
@@ -0,0 +1,76 @@
+"""Builders of a sidecar's decisions with an upstream and one gateway."""
+
+from amaranthspar.scheduling import keeper, runevents
+from amaranthspar.schema import runmessages
+
+SENDER = runevents.Sender("gate", 1, "gate:1")
+CAPACITY = runmessages.Resources(8_000, 8_192, 0)
+KNOWN = runevents.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), False)
+
+
+class Sidecar:
+    """A keeper with a clean upstream and what it asked for."""
+
+    def __init__(self) -> None:
+        self.keeper = keeper.Keeper("quotes", "east")
+        self.now_ms = 1_000
+        self.number = 0
+        self.told: list[runmessages.RunReport] = []
+        self.room: runmessages.Room | None = None
+        self.step(KNOWN)
+        self.list()
+        # The gateway hears the sidecar's first statement before it sends orders.
+        self.ask(runmessages.KeepRuns(0, 0, False, [], 0))
+
+    def step(self, event, advance_ms=0):
+        self.now_ms += advance_ms
+        calls = []
+        for effect in self.keeper.step(event, self.now_ms):
+            match effect:
+                case runevents.Tell(reports=reports):
+                    self.told += reports.reports
+                    self.room = reports.room
+                case runevents.CallStart() | runevents.CallStop():
+                    calls.append(effect)
+        return calls
+
+    def ask(self, message, advance_ms=0):
+        return self.step(runevents.Asked(SENDER, message), advance_ms)
+
+    def start(self, task="t", run=1, cores=1, upstream="u@1"):
+        self.number += 1
+        needs = runmessages.Resources(round(cores * 1000), 64, 0)
+        order = runmessages.RunOrder(runmessages.RunName(task, run), needs)
+        return self.ask(
+            runmessages.StartRuns(self.number, upstream, "spec", [order], self.heard)
+        )
+
+    @property
+    def heard(self):
+        """Number of the newest statement."""
+        return 0 if self.room is None else self.room.number
+
+    def answer(self, answer, task="t", run=1):
+        return self.step(
+            runevents.StartAnswered(runmessages.RunName(task, run), answer)
+        )
+
+    def list(self, *running, ends=(), asked_ms=None):
+        rows = tuple(
+            runevents.Progress(runmessages.RunName(task, run), "", percent)
+            for task, run, percent in running
+        )
+        found = tuple(
+            runevents.End(runmessages.RunName(task, run), how, "")
+            for task, run, how in ends
+        )
+        asked_ms = self.now_ms if asked_ms is None else asked_ms
+        return self.step(runevents.Listed(asked_ms, rows, found), 1)
+
+    def read_states(self):
+        """Return what was told of runs, without their progress."""
+        return [
+            (item.name.task, item.name.run, item.state)
+            for item in self.told
+            if item.state != "running"
+        ]
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -2,101 +2,30 @@
 
 import pytest
 
-from amaranthspar.scheduling import keeper, runevents
+from amaranthspar.scheduling import keeper, orderqueue, runevents
 from amaranthspar.schema import runmessages
-
-SENDER = runevents.Sender("gate", 1, "gate:1")
-CAPACITY = runmessages.Resources(8_000, 8_192, 0)
-KNOWN = runevents.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), False)
-
-
-class Sidecar:
-    """A keeper with a clean upstream and what it asked for."""
-
-    def __init__(self) -> None:
-        self.keeper = keeper.Keeper("quotes", "east")
-        self.now_ms = 1_000
-        self.number = 0
-        self.told: list[runmessages.RunReport] = []
-        self.room: runmessages.Room | None = None
-        self.step(KNOWN)
-        self.list()
-        # The gateway hears the sidecar's first statement before it sends orders.
-        self.ask(runmessages.KeepRuns(0, 0, False, [], 0))
-
-    def step(self, event, advance_ms=0):
-        self.now_ms += advance_ms
-        calls = []
-        for effect in self.keeper.step(event, self.now_ms):
-            match effect:
-                case runevents.Tell(reports=reports):
-                    self.told += reports.reports
-                    self.room = reports.room
-                case runevents.CallStart() | runevents.CallStop():
-                    calls.append(effect)
-        return calls
-
-    def ask(self, message, advance_ms=0):
-        return self.step(runevents.Asked(SENDER, message), advance_ms)
-
-    def start(self, task="t", run=1, cores=1, upstream="u@1"):
-        self.number += 1
-        needs = runmessages.Resources(round(cores * 1000), 64, 0)
-        order = runmessages.RunOrder(runmessages.RunName(task, run), needs)
-        return self.ask(
-            runmessages.StartRuns(self.number, upstream, "spec", [order], self.heard)
-        )
-
-    @property
-    def heard(self):
-        """Number of the newest statement."""
-        return 0 if self.room is None else self.room.number
-
-    def answer(self, answer, task="t", run=1):
-        return self.step(
-            runevents.StartAnswered(runmessages.RunName(task, run), answer)
-        )
-
-    def list(self, *running, ends=(), asked_ms=None):
-        rows = tuple(
-            runevents.Progress(runmessages.RunName(task, run), "", percent)
-            for task, run, percent in running
-        )
-        found = tuple(
-            runevents.End(runmessages.RunName(task, run), how, "")
-            for task, run, how in ends
-        )
-        asked_ms = self.now_ms if asked_ms is None else asked_ms
-        return self.step(runevents.Listed(asked_ms, rows, found), 1)
-
-    def read_states(self):
-        """Return what was told of runs, without their progress."""
-        return [
-            (item.name.task, item.name.run, item.state)
-            for item in self.told
-            if item.state != "running"
-        ]
+from tests import builders_keeper as builders
 
 
 def test_run_goes_from_start_to_its_end():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     calls = sidecar.start()
     assert [call.order.name.task for call in calls] == ["t"]
     sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(("t", 1, 50))
     sidecar.list(ends=[("t", 1, "done")])
     assert sidecar.read_states() == [("t", 1, "started"), ("t", 1, "done")]
-    assert sidecar.room.free == CAPACITY
+    assert sidecar.room.free == builders.CAPACITY
 
 
 def test_order_that_comes_twice_starts_once():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     assert len(sidecar.start()) == 1
     assert sidecar.start() == []
 
 
 def test_end_is_told_again_when_the_order_comes_again():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(ends=[("t", 1, "done")])
@@ -111,34 +40,35 @@
         (runevents.Leave(), "sidecar is stopping"),
         (runevents.DomainChanged(True), "failure domain is out of service"),
         (
-            runevents.UpstreamKnown("u@1", CAPACITY, ("a", "r1"), True),
+            runevents.UpstreamKnown("u@1", builders.CAPACITY, ("a", "r1"), True),
             "upstream is leaving",
         ),
         (runevents.UpstreamGone("gone"), "no upstream"),
     ],
 )
 def test_no_run_starts_where_none_may(event, reason):
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.step(event)
     assert sidecar.start() == []
     assert [(item.state, item.reason) for item in sidecar.told] == [("refused", reason)]
 
 
 def test_start_beyond_the_room_is_refused_without_a_call():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     assert sidecar.start("a", cores=6)
     assert sidecar.start("b", cores=3) == []
+    assert sidecar.step(runevents.Tick(), orderqueue.WAIT_MS) == []
     assert sidecar.told[-1].reason == "no room"
 
 
 def test_start_meant_for_another_life_of_the_upstream_is_refused():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     assert sidecar.start(upstream="u@0") == []
     assert sidecar.told[-1].reason == "another upstream was meant"
 
 
 def test_silent_start_is_stopped_before_the_task_is_given_back():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     calls = sidecar.answer(runevents.Answer.SILENT)
     assert [type(call) for call in calls] == [runevents.CallStop]
@@ -155,7 +85,7 @@
 
 
 def test_start_on_its_way_to_a_lost_upstream_is_in_doubt_until_it_is_barred():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.step(runevents.UpstreamGone("lease has run out"))
     assert sidecar.told == []
@@ -166,7 +96,7 @@
 
 
 def test_confirmed_stop_needs_no_list_after_the_time_that_a_stop_takes():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.SILENT)
     stopped = runevents.StopAnswered(
@@ -180,7 +110,7 @@
 
 
 def test_silent_stop_is_asked_for_again():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.SILENT)
     silent = runevents.StopAnswered(
@@ -191,7 +121,7 @@
 
 
 def test_silent_start_that_runs_counts_as_started():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.SILENT)
     sidecar.list(("t", 1, 10))
@@ -200,7 +130,7 @@
 
 
 def test_list_asked_before_the_start_says_nothing_about_it():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     asked_ms = sidecar.now_ms
     sidecar.start()
     sidecar.now_ms += 5
@@ -213,7 +143,7 @@
 
 
 def test_runs_of_a_silent_gateway_stop_within_a_second():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     assert sidecar.step(runevents.Tick(), keeper.GATEWAY_LEASE_MS) == []
@@ -223,7 +153,7 @@
 
 
 def test_renewed_lease_keeps_runs_and_stops_those_not_named():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     for task in ("a", "b"):
         sidecar.start(task)
         sidecar.answer(runevents.Answer.TAKEN, task)
@@ -234,7 +164,7 @@
 
 
 def test_run_that_never_arrived_is_barred_when_it_is_told_so():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     name = runmessages.RunName("t", 1)
     sidecar.ask(runmessages.KeepRuns(1, 0, False, [name], 0))
     assert sidecar.read_states() == [("t", 1, "refused")]
@@ -242,16 +172,16 @@
 
 
 def test_nothing_is_said_of_unknown_runs_before_the_upstream_is_clean():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.step(runevents.UpstreamGone("lease has run out"))
     sidecar.ask(runmessages.KeepRuns(1, 0, False, [runmessages.RunName("t", 1)], 0))
     assert sidecar.told == []
 
 
 def test_run_of_a_predecessor_is_stopped_before_room_is_offered():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.step(runevents.UpstreamGone("lease has run out"))
-    sidecar.step(KNOWN)
+    sidecar.step(builders.KNOWN)
     calls = sidecar.list(("old", 3, 40))
     assert [call.name for call in calls] == [runmessages.RunName("old", 3)]
     sidecar.ask(runmessages.KeepRuns(1, 0, False, [], 0))
@@ -262,7 +192,7 @@
 
 
 def test_gateway_that_has_restarted_has_its_runs_stopped():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sender = runevents.Sender("gate", 2, "gate:1")
@@ -272,7 +202,7 @@
 
 
 def test_message_of_an_incarnation_before_changes_nothing():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sender = runevents.Sender("gate", 0, "gate:1")
     stop = runmessages.StopRuns([runmessages.RunName("t", 1)])
@@ -280,7 +210,7 @@
 
 
 def test_stale_run_tells_the_highest_one_known():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start(run=4)
     sidecar.answer(runevents.Answer.TAKEN, run=4)
     sidecar.list(ends=[("t", 4, "failed")])
@@ -289,7 +219,7 @@
 
 
 def test_upstream_that_refuses_as_unhealthy_gets_a_pause():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start("a")
     sidecar.answer(runevents.Answer.UNHEALTHY, "a")
     assert sidecar.start("b") == []
@@ -301,7 +231,7 @@
     """A sidecar whose gateways all have tasks that wait."""
 
     def __init__(self, count: int, runs: int = 0) -> None:
-        self.sidecar = Sidecar()
+        self.sidecar = builders.Sidecar()
         for number in range(runs):
             self.sidecar.start(f"t{number}", cores=8 / runs)
             self.sidecar.answer(runevents.Answer.TAKEN, f"t{number}")
@@ -375,7 +305,7 @@
 
 
 def test_progress_goes_with_the_answer_to_a_renewal_and_costs_no_message():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sidecar.step(runevents.Tick(), keeper.QUIET_REPORT_MS + 1)
@@ -392,7 +322,7 @@
 
 def test_progress_is_told_with_the_age_that_it_had_when_it_was_listed():
     """A list from just after the start says nothing 200 ms later: no run has stalled."""
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sidecar.list(("t", 1, 0))
@@ -407,7 +337,7 @@
 
 
 def test_tick_is_due_when_a_report_has_waited_and_when_a_lease_ends():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     due_ms = sidecar.keeper.find_due_ms(sidecar.now_ms)
@@ -423,7 +353,7 @@
 
 
 def test_tick_is_due_when_a_stopped_run_must_be_over():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     sidecar.ask(runmessages.StopRuns([runmessages.RunName("t", 1)]))
@@ -437,7 +367,7 @@
 
 
 def test_idle_sidecar_needs_few_ticks():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.step(runevents.Tick(), keeper.QUIET_REPORT_MS + 1)
     due_ms = sidecar.keeper.find_due_ms(sidecar.now_ms)
     assert due_ms - sidecar.now_ms == keeper.IDLE_MS
@@ -452,7 +382,7 @@
 
 
 def test_report_of_a_start_goes_with_the_end_that_soon_follows():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     assert sidecar.told == []
@@ -461,7 +391,7 @@
 
 
 def test_renewals_that_confirm_no_newer_statement_do_not_keep_runs():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     named = [runmessages.RunName("t", 1)]
@@ -476,7 +406,7 @@
 
 
 def test_renewals_that_confirm_the_newest_statement_keep_runs():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.start()
     sidecar.answer(runevents.Answer.TAKEN)
     named = [runmessages.RunName("t", 1)]
@@ -487,7 +417,7 @@
 
 
 def test_order_based_on_an_old_statement_starts_nothing():
-    sidecar = Sidecar()
+    sidecar = builders.Sidecar()
     sidecar.ask(runmessages.KeepRuns(1, 0, False, [], 0))
     heard = sidecar.heard
     sidecar.step(runevents.Tick(), keeper.GATEWAY_LEASE_MS + 1)
--- /dev/null
+++ b/tests/test_orderqueue.py
@@ -0,0 +1,220 @@
+"""Tests of orders that wait in a sidecar for room."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from amaranthspar.scheduling import keeper, orderqueue, runevents
+from amaranthspar.schema import runmessages
+from tests import builders_keeper as builders
+
+GATEWAYS = ("g1", "g2", "g3")
+
+
+def build_full() -> builders.Sidecar:
+    """Return a sidecar whose upstream has room for two of eight cores."""
+    sidecar = builders.Sidecar()
+    assert sidecar.start("a", cores=6)
+    sidecar.answer(runevents.Answer.TAKEN, "a")
+    return sidecar
+
+
+def list_started(calls) -> list[str]:
+    return [
+        call.order.name.task for call in calls if isinstance(call, runevents.CallStart)
+    ]
+
+
+def end_run(sidecar, task="a") -> list[str]:
+    return list_started(sidecar.list(ends=[(task, 1, "done")]))
+
+
+def test_task_sent_to_room_that_was_just_taken_is_not_sent_to_and_fro():
+    sidecar = build_full()
+    assert sidecar.start("b", cores=3) == []
+    sidecar.step(runevents.Tick(), orderqueue.WAIT_MS - 5)
+    assert "refused" not in [state for _, _, state in sidecar.read_states()]
+
+    assert end_run(sidecar) == ["b"]
+
+
+def test_room_that_is_spoken_for_is_not_offered():
+    sidecar = build_full()
+    sidecar.start("b", cores=3)
+
+    names = [runmessages.RunName("a", 1), runmessages.RunName("b", 1)]
+    sidecar.ask(runmessages.KeepRuns(1, 2, True, names, sidecar.heard))
+
+    assert sidecar.room.free.cpu_millis < 0
+
+
+def test_small_order_does_not_pass_a_large_one_that_waits():
+    sidecar = build_full()
+    sidecar.start("b", cores=3)
+    assert sidecar.start("c", cores=1) == []
+
+    assert end_run(sidecar)[0] == "b"
+
+
+def test_few_orders_wait_at_once():
+    sidecar = build_full()
+    for number in range(orderqueue.MOST_ORDERS):
+        sidecar.start(f"b{number}", cores=3)
+    assert sidecar.told == [] or "refused" not in [item.state for item in sidecar.told]
+
+    sidecar.start("c", cores=3)
+
+    assert sidecar.told[-1].name.task == "c"
+    assert sidecar.told[-1].reason == keeper.NO_ROOM
+
+
+def test_waiting_order_is_due_at_its_end():
+    sidecar = build_full()
+    sidecar.start("b", cores=3)
+    since_ms = sidecar.now_ms
+
+    assert sidecar.keeper.find_due_ms(since_ms) <= since_ms + orderqueue.WAIT_MS
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        runevents.Leave(),
+        runevents.DomainChanged(True),
+        runevents.UpstreamKnown("u@1", builders.CAPACITY, ("a", "r1"), True),
+        runevents.UpstreamKnown("u@2", builders.CAPACITY, ("a", "r1"), False),
+        runevents.UpstreamGone("gone"),
+        runevents.Asked(
+            runevents.Sender("gate", 2, "gate:1"),
+            runmessages.KeepRuns(1, 0, False, [], 0),
+        ),
+        runevents.Asked(
+            builders.SENDER, runmessages.StopRuns([runmessages.RunName("b", 1)])
+        ),
+        runevents.Asked(
+            builders.SENDER,
+            runmessages.KeepRuns(1, 2, False, [runmessages.RunName("a", 1)], 0),
+        ),
+    ],
+)
+def test_order_that_waited_does_not_start_once_what_it_was_based_on_is_gone(event):
+    sidecar = build_full()
+    sidecar.start("b", cores=3)
+
+    calls = sidecar.step(event)
+    calls += sidecar.list(ends=[("a", 1, "done")])
+    calls += sidecar.step(runevents.DomainChanged(False))
+    calls += sidecar.start("b", cores=3)
+
+    assert "b" not in list_started(calls)
+
+
+def test_order_that_waits_while_its_process_is_paused_does_not_start():
+    sidecar = build_full()
+    sidecar.start("b", cores=3)
+
+    calls = sidecar.step(runevents.Tick(), keeper.GATEWAY_LEASE_MS + 1)
+
+    assert list_started(calls) == []
+    assert end_run(sidecar) == []
+
+
+class Crowd:
+    """Gateways that send orders to one sidecar, whose upstream ends runs at random."""
+
+    def __init__(self) -> None:
+        self.sidecar = builders.Sidecar()
+        self.sidecar.keeper.gateways.clear()
+        self.heard = dict.fromkeys(GATEWAYS, 0)
+        self.sent = 0
+        self.running: dict[str, int] = {}
+        self.final: set[str] = set()
+        self.needs: dict[str, int] = {}
+        for name in GATEWAYS:
+            self.ask(name, runmessages.KeepRuns(0, 0, True, [], 0))
+
+    def ask(self, name, message) -> None:
+        self.step(runevents.Asked(runevents.Sender(name, 1, name), message))
+
+    def step(self, event, advance_ms=0) -> None:
+        sidecar = self.sidecar
+        sidecar.now_ms += advance_ms
+        for effect in sidecar.keeper.step(event, sidecar.now_ms):
+            match effect:
+                case runevents.CallStart(order=order):
+                    task = order.name.task
+                    assert task not in self.running and task not in self.final
+                    assert not sidecar.keeper.refuses_all
+                    self.running[task] = order.needs.cpu_millis
+                    taken = sum(self.running.values())
+                    assert taken <= builders.CAPACITY.cpu_millis
+                case runevents.Tell(gateway=name, reports=reports):
+                    self.heard[name] = reports.room.number
+                    for report in reports.reports:
+                        if report.state not in ("started", "running"):
+                            self.final.add(report.name.task)
+
+    def send(self, name, cores) -> None:
+        self.sent += 1
+        order = runmessages.RunOrder(
+            runmessages.RunName(f"t{self.sent}", 1),
+            runmessages.Resources(cores * 1000, 1, 0),
+        )
+        message = runmessages.StartRuns(
+            self.sent, "u@1", "spec", [order], self.heard[name]
+        )
+        self.ask(name, message)
+
+    def end(self) -> None:
+        """Let the run that started first end."""
+        if not self.running:
+            return
+        task = next(iter(self.running))
+        name = runmessages.RunName(task, 1)
+        self.step(runevents.StartAnswered(name, runevents.Answer.TAKEN))
+        del self.running[task]
+        self.step(
+            runevents.Listed(
+                self.sidecar.now_ms + 1,
+                tuple(
+                    runevents.Progress(runmessages.RunName(item, 1), "", 1)
+                    for item in self.running
+                ),
+                (runevents.End(name, "done", ""),),
+            ),
+            1,
+        )
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.one_of(
+            strategies.tuples(
+                strategies.sampled_from(GATEWAYS), strategies.integers(1, 5)
+            ),
+            strategies.sampled_from(["end", "tick", "stop", "out", "in"]),
+        ),
+        max_size=60,
+    )
+)
+def test_crowded_upstream_is_never_overcommitted_and_each_order_starts_once(actions):
+    crowd = Crowd()
+    for action in actions:
+        match action:
+            case (name, cores):
+                crowd.send(name, cores)
+            case "end":
+                crowd.end()
+            case "tick":
+                crowd.step(runevents.Tick(), 15)
+            case "stop":
+                task = runmessages.RunName(f"t{crowd.sent}", 1)
+                crowd.ask(GATEWAYS[crowd.sent % 3], runmessages.StopRuns([task]))
+            case "out" | "in":
+                crowd.step(runevents.DomainChanged(action == "out"))
+    crowd.step(runevents.DomainChanged(False))
+    for _ in range(2 * len(actions) + 10):
+        crowd.end()
+    crowd.step(runevents.Tick(), orderqueue.WAIT_MS)
+    assert not crowd.running
+    assert not crowd.sidecar.keeper.read_offered().cpu_millis < 0
