Let upstreams that are added take the places of members that are full

Cause: a gateway works with 32 of 60 sidecars at the worst load and takes in others only for members that are lost. Of ten upstreams that came at 10.8 s, found by every gateway, none got a run before 26 s, when members were lost again: 45 of 55 upstreams had all the work for 15 s (run sent of all gateways, by sidecar). Ruled out: discovery (sidecar found at 10.8 s), their statements (sidecar changed once asked), the admission of a gateway (cores_free and upstreams of job refused are true of its members). Change: while tasks find no room, sidecars that rank before members by the gateway's lot take their places, every 500 ms; a member that is exchanged keeps its runs and gets no further ones. Ranks differ by gateway, so that new ones get an even share. The four new tests of tests/test_pool.py fail before.

--- a/amaranthspar/scheduling/contacts.py
+++ b/amaranthspar/scheduling/contacts.py
@@ -86,6 +86,15 @@
         for found in self._fleet.pools.values():
             self._ask(found.fill(now_ms), now_ms)
 
+    def rebalance(self, now_ms: int) -> None:
+        """Let new sidecars take the places of members that rank behind them.
+
+        Args:
+            now_ms: Current time in ms.
+        """
+        for found in self._fleet.pools.values():
+            self._ask(found.rebalance(now_ms), now_ms)
+
     def widen(self, found: pool.Pool, now_ms: int) -> None:
         """Add members to a pool whose members have little room.
 
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -495,6 +495,7 @@
             self._end_lost_runs(sidecar, now_ms)
             self._send_again(sidecar, now_ms)
         self._contacts.fill(now_ms)
+        self._contacts.rebalance(now_ms)
         for found in self.fleet.pools.values():
             found.narrow(now_ms)
         if now_ms - self._forgot_ms >= FORGET_INTERVAL_MS:
--- a/amaranthspar/scheduling/pool.py
+++ b/amaranthspar/scheduling/pool.py
@@ -36,6 +36,9 @@
 """Least time between two additions: a sidecar answers its first message within it."""
 NARROW_AFTER_MS = 3_000
 """Time without need of more room after which idle members are left."""
+REBALANCE_MS = 500
+"""Interval in which sidecars that rank before members take their places; hysteresis keeps
+one that falls silent for a moment from costing several changes."""
 REFRESH_MS = 50
 """Age from which the list of open members is read anew, for those that fell silent."""
 
@@ -78,6 +81,9 @@
         self._open: _Listed | None = None
         self._widened_ms = -WIDEN_INTERVAL_MS
         self._needed_ms = 0
+        self._rebalanced_ms = 0
+        self._invited: set[str] = set()
+        self._retiring: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._known)
@@ -129,6 +135,8 @@
             name: Its process name.
         """
         if self.members.pop(name, None) is not None:
+            self._invited.discard(name)
+            self._retiring.discard(name)
             self._open = None
             self._extent = None
 
@@ -149,6 +157,7 @@
             sidecar
             for sidecar in self.members.values()
             if sidecar.room is not None
+            and sidecar.name not in self._retiring
             and sidecar.room.service == self.service
             and sidecar.room.failure_domain not in self._domains_out
             and sidecar.takes_runs(now_ms)
@@ -189,8 +198,41 @@
         found = self._list_outside(WIDEN_STEP, lambda item: item.name in names)
         if not found or not self._may_grow(now_ms):
             return []
+        self._invited |= {item.name for item in found}
         return self._take_in(found, now_ms)
 
+    def rebalance(self, now_ms: int) -> list[sidecars.Sidecar]:
+        """Exchange members for sidecars that rank before them, and return the new ones.
+
+        Load pattern: upstreams are added while those in use are full. Every gateway has
+        as many members as it may, so that none would ever find room on a new one. Ranks
+        differ by gateway, so that each new one gets its share of them. A member that is
+        exchanged ends its runs and gets no further ones. While room is found nothing is
+        exchanged.
+
+        Args:
+            now_ms: Current time in ms.
+        """
+        is_pressed = now_ms - self._needed_ms < NARROW_AFTER_MS
+        if not is_pressed or now_ms - self._rebalanced_ms < REBALANCE_MS:
+            return []
+        self._rebalanced_ms = now_ms
+        useful = [
+            item for item in self._list_usable() if not self._is_useless(item, now_ms)
+        ]
+        # Those that were looked for stay: what they suit finds no other place.
+        ranked = [item for item in useful if item.name not in self._invited]
+        best = ranked[: self._count_useful(now_ms) - len(self._invited)]
+        names = {item.name for item in best} | self._invited
+        retiring = {item.name for item in useful if item.name in self.members} - names
+        if retiring != self._retiring:
+            self._retiring = retiring
+            self.note_changed()
+            self._extent = None
+        return self._take_in(
+            [item for item in best if item.name not in self.members], now_ms
+        )
+
     def search(self, now_ms: int) -> list[sidecars.Sidecar]:
         """Add members that were never heard, and return them.
 
@@ -232,6 +274,8 @@
                 self.members[name], now_ms
             ):
                 self.leave(name)
+        for name in [item for item in self._retiring if not self.members[item].tasks]:
+            self.leave(name)
         if now_ms - self._needed_ms < NARROW_AFTER_MS:
             return
         wanted = max(LEAST_MEMBERS, self._count_needed())
@@ -248,7 +292,10 @@
         """Return how many sidecars are listed for each member."""
         if self._extent is None:
             usable = self._list_usable()
-            members = sum(item.name in self.members for item in usable)
+            members = sum(
+                item.name in self.members and item.name not in self._retiring
+                for item in usable
+            )
             self._extent = len(usable) / members if members else 1.0
         return self._extent
 
@@ -269,7 +316,11 @@
         return True
 
     def _count_useful(self, now_ms: int) -> int:
-        return sum(not self._is_useless(item, now_ms) for item in self.members.values())
+        """Return how many members take runs and go on doing so."""
+        return sum(
+            name not in self._retiring and not self._is_useless(item, now_ms)
+            for name, item in self.members.items()
+        )
 
     def _is_silent(self, sidecar: sidecars.Sidecar, now_ms: int) -> bool:
         """Return whether a member has not answered for long."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -23,13 +23,7 @@
         self.dead: set[str] = set()
         self.number = 0
         self.sidecars: dict[str, sidecars.Sidecar] = {}
-        for number in range(count):
-            name = f"s{number}"
-            sidecar = sidecars.Sidecar(name, 1, f"{name}:1", builders.SERVICE)
-            sidecar.failure_domain = builders.DOMAINS[number % 3]
-            self.sidecars[name] = sidecar
-            self.pool.add(sidecar)
-        self.pool.set_listed(frozenset(self.sidecars))
+        self.add(*(f"s{number}" for number in range(count)))
         self.pool.fill(self.now_ms)
 
     def advance(self, time_ms: int) -> None:
@@ -45,8 +39,27 @@
                     member.heard_ms = self.now_ms
             self.pool.note_changed()
             self.pool.fill(self.now_ms)
+            self.pool.rebalance(self.now_ms)
             self.pool.narrow(self.now_ms)
 
+    def press(self, time_ms: int) -> None:
+        """Let time pass while every member has runs and tasks find no room."""
+        for _ in range(0, time_ms, 50):
+            for member in self.pool.members.values():
+                if member.name in self.open_names:
+                    member.tasks["t"] = None
+            self.pool.widen(self.now_ms)
+            self.advance(50)
+
+    def add(self, *names: str) -> None:
+        """Let controllers list further sidecars."""
+        for number, name in enumerate(names):
+            sidecar = sidecars.Sidecar(name, 1, f"{name}:1", builders.SERVICE)
+            sidecar.failure_domain = builders.DOMAINS[number % 3]
+            self.sidecars[name] = sidecar
+            self.pool.add(sidecar)
+        self.pool.set_listed(frozenset(self.sidecars))
+
     @property
     def open_names(self) -> set[str]:
         return {item.name for item in self.pool.list_open(self.now_ms)}
@@ -149,6 +162,61 @@
     assert len(site.open_names) == pool.LEAST_MEMBERS
 
 
+def test_added_upstreams_get_work_while_all_others_are_full():
+    sites = [Site(50, builders.DOMAINS[seed % 3], seed) for seed in range(10)]
+    added = [f"new{number}" for number in range(10)]
+    for site in sites:
+        site.press(1_000)
+        assert len(site.open_names) == pool.MOST_MEMBERS
+        site.add(*added)
+        site.press(2 * pool.REBALANCE_MS)
+        assert len(site.open_names) == pool.MOST_MEMBERS
+
+    uses = collections.Counter(name for site in sites for name in site.open_names)
+    even = len(sites) * pool.MOST_MEMBERS / 60
+    assert min(uses[name] for name in added) >= 1
+    assert sum(uses[name] for name in added) / len(added) >= 0.75 * even
+
+
+def test_exchanged_member_keeps_its_runs_until_they_end():
+    site = Site(50)
+    site.press(1_000)
+    before = set(site.pool.members)
+    site.add(*(f"new{number}" for number in range(10)))
+    site.press(2 * pool.REBALANCE_MS)
+    retired = before - site.open_names
+    assert retired
+    assert retired <= set(site.pool.members)
+
+    for name in retired:
+        site.sidecars[name].tasks.clear()
+    site.advance(100)
+
+    assert not retired & set(site.pool.members)
+
+
+def test_member_that_was_looked_for_is_not_exchanged():
+    site = Site(160)
+    site.advance(1_000)
+    special = min(set(site.sidecars) - set(site.pool.members))
+    site.pool.invite([site.sidecars[special]], site.now_ms)
+    site.sidecars[special].tasks["t"] = None
+
+    site.press(3 * pool.REBALANCE_MS)
+
+    assert special in site.open_names
+
+
+def test_members_do_not_change_while_none_is_added_or_lost():
+    site = Site(160)
+    site.press(2_000)
+    before = site.open_names
+
+    site.press(4 * pool.REBALANCE_MS)
+
+    assert site.open_names == before
+
+
 def test_half_of_the_members_stand_in_the_own_domain_and_the_rest_elsewhere():
     north = 0
     for seed in range(40):
