Ask for a list at once when a stop is confirmed

Cause: a start without an answer is stopped after 60 ms, and its task is given back when the run is known to be over. Change: while a stop is confirmed and its run not listed as over, the list waits for 5 ms only. A run that a list asked after the confirmed stop does not show is over, as before. Evidence: the new test of tests/test_keeper.py (no such wait before).

--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -17,11 +17,6 @@
 """Interval in which announcements that are due are looked for."""
 LINK_HEARTBEAT_MS = 300
 """Heartbeat of links; a silent one is dialled anew after three."""
-WAIT_BUSY_MS = 150
-"""Longest wait of the upstream's list while runs go on: progress is known as often, and an
-end is listed at once."""
-WAIT_IDLE_MS = 300
-"""The same while nothing runs; three renewals fit into the shortest lease of 1 s."""
 PAUSE_MS = 50
 """Least time between two tries of a call that was not answered, and the first pause after
 a renewal that failed: a host that refuses connections answers in no time."""
@@ -416,7 +411,7 @@
                 # A new life knows no fence: calls meant for the last one must not count.
                 incarnation, seen = life.known.incarnation, 0
                 self._fence += 1
-            wait_ms = WAIT_BUSY_MS if self._keeper.runs else WAIT_IDLE_MS
+            wait_ms = self._keeper.find_wait_ms()
             asked_ms = self._clock.read_monotonic()
             try:
                 holding = await self._upstream.hold(life, seen, wait_ms, self._fence)
--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -21,6 +21,14 @@
 STOPPED_MS = 70
 """Time after a confirmed stop by which the run is over, listed or not: the platform's
 limit of 50 ms and two ticks."""
+WAIT_STOPPED_MS = 5
+"""Wait of the upstream's list once a stop is confirmed: a run that is not listed then is
+over, and its task can start elsewhere before `STOPPED_MS` have passed."""
+WAIT_BUSY_MS = 150
+"""Longest wait of the upstream's list while runs go on: progress is known as often, and an
+end is listed at once."""
+WAIT_IDLE_MS = 300
+"""The same while nothing runs; three renewals fit into the shortest lease of 1 s."""
 START_BARRED_MS = 700
 """Time after which an upstream no longer carries out a start; above its 600 ms."""
 KEPT_REPORT_MS = 10_000
@@ -134,6 +142,12 @@
                 due_ms = min(due_ms, holder.confirmed_ms + GATEWAY_LEASE_MS + 1)
         return max(due_ms, now_ms + 1)
 
+    def find_wait_ms(self) -> int:
+        """Return how long the upstream's list may wait for an end, in ms."""
+        if any(run.stopped_ms >= 0 for run in self.runs.values()):
+            return WAIT_STOPPED_MS
+        return WAIT_BUSY_MS if self.runs else WAIT_IDLE_MS
+
     @property
     def refuses_all(self) -> str:
         """Why no run may start at all; empty if runs may."""
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -109,6 +109,25 @@
     assert sidecar.read_states() == [("t", 1, "refused")]
 
 
+def test_task_of_an_unanswered_start_is_given_back_as_soon_as_a_list_shows_it_is_over():
+    sidecar = builders.Sidecar()
+    sidecar.start("other")
+    sidecar.answer(runevents.Answer.TAKEN, "other")
+    sidecar.start()
+    assert sidecar.keeper.find_wait_ms() == keeper.WAIT_BUSY_MS
+    sidecar.answer(runevents.Answer.SILENT)
+    name = runmessages.RunName("t", 1)
+    sidecar.step(runevents.StopAnswered(name, runevents.Answer.TAKEN), 2)
+
+    asked_ms = sidecar.now_ms + 1
+    assert sidecar.keeper.find_wait_ms() == keeper.WAIT_STOPPED_MS
+    sidecar.list(("other", 1, 10), asked_ms=asked_ms)
+
+    assert ("t", 1, "refused") in sidecar.read_states()
+    assert sidecar.now_ms < asked_ms + keeper.STOPPED_MS
+    assert sidecar.keeper.find_wait_ms() == keeper.WAIT_BUSY_MS
+
+
 def test_silent_stop_is_asked_for_again():
     sidecar = builders.Sidecar()
     sidecar.start()
