Let an order pass one that waits for another resource

Found on reading the change: an order that waits for memory or an accelerator left a negative amount of it, so that orders that need none of it were refused for 40 ms. What is spoken for now counts as nothing left, and those behind start beside it. The new test of tests/test_orderqueue.py fails before; 64 tests of keeper, queue, fuzz and crowd passed.

--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -172,7 +172,8 @@
 
     def read_offered(self) -> runmessages.Resources:
         """Return what neither a run nor an order that waits will occupy."""
-        return resources.subtract(self.read_free(), self._queue.needs)
+        left = resources.subtract(self.read_free(), self._queue.needs)
+        return resources.clip(left)
 
     # Messages of gateways.
 
@@ -265,12 +266,13 @@
 
     def _serve_queue(self, now_ms: int) -> None:
         """Start the orders whose turn has come, and refuse those that cannot wait."""
-        is_blocked = False
+        blocked = resources.NONE
         for waiting in self._queue.list_orders():
             order = waiting.order
             gateway = self.gateways.get(waiting.gateway)
             reason = self._find_change(gateway, waiting.message, now_ms)
-            has_turn = not is_blocked and resources.fits(order.needs, self.read_free())
+            left = resources.clip(resources.subtract(self.read_free(), blocked))
+            has_turn = resources.fits(order.needs, left)
             if not reason and not has_turn and now_ms >= waiting.until_ms:
                 reason = NO_ROOM
             if reason:
@@ -279,7 +281,7 @@
                 self._queue.remove(order.name.task)
                 self._start(waiting, now_ms)
             else:
-                is_blocked = True
+                blocked = resources.add(blocked, order.needs)
 
     def _start(self, waiting: orderqueue.WaitingOrder, now_ms: int) -> None:
         order = waiting.order
--- a/amaranthspar/scheduling/resources.py
+++ b/amaranthspar/scheduling/resources.py
@@ -29,6 +29,15 @@
     )
 
 
+def clip(amount: runmessages.Resources) -> runmessages.Resources:
+    """Return an amount with nothing in place of what is negative."""
+    return runmessages.Resources(
+        max(amount.cpu_millis, 0),
+        max(amount.memory_mb, 0),
+        max(amount.accelerators, 0),
+    )
+
+
 def total(amounts: Iterable[runmessages.Resources]) -> runmessages.Resources:
     """Return the sum of many amounts."""
     result = NONE
--- a/tests/builders_keeper.py
+++ b/tests/builders_keeper.py
@@ -37,9 +37,9 @@
     def ask(self, message, advance_ms=0):
         return self.step(runevents.Asked(SENDER, message), advance_ms)
 
-    def start(self, task="t", run=1, cores=1, upstream="u@1"):
+    def start(self, task="t", run=1, cores=1, upstream="u@1", memory_mb=64):
         self.number += 1
-        needs = runmessages.Resources(round(cores * 1000), 64, 0)
+        needs = runmessages.Resources(round(cores * 1000), memory_mb, 0)
         order = runmessages.RunOrder(runmessages.RunName(task, run), needs)
         return self.ask(
             runmessages.StartRuns(self.number, upstream, "spec", [order], self.heard)
--- a/tests/test_orderqueue.py
+++ b/tests/test_orderqueue.py
@@ -45,7 +45,7 @@
     names = [runmessages.RunName("a", 1), runmessages.RunName("b", 1)]
     sidecar.ask(runmessages.KeepRuns(1, 2, True, names, sidecar.heard))
 
-    assert sidecar.room.free.cpu_millis < 0
+    assert sidecar.room.free.cpu_millis == 0
 
 
 def test_small_order_does_not_pass_a_large_one_that_waits():
@@ -56,6 +56,14 @@
     assert end_run(sidecar)[0] == "b"
 
 
+def test_order_that_waits_for_one_resource_holds_up_none_that_needs_another():
+    sidecar = builders.Sidecar()
+    assert sidecar.start("a", cores=1, memory_mb=8_000)
+    assert sidecar.start("b", cores=1, memory_mb=500) == []
+
+    assert list_started(sidecar.start("c", cores=4, memory_mb=0)) == ["c"]
+
+
 def test_few_orders_wait_at_once():
     sidecar = build_full()
     for number in range(orderqueue.MOST_ORDERS):
@@ -217,4 +225,4 @@
         crowd.end()
     crowd.step(runevents.Tick(), orderqueue.WAIT_MS)
     assert not crowd.running
-    assert not crowd.sidecar.keeper.read_offered().cpu_millis < 0
+    assert crowd.sidecar.keeper.read_offered() == builders.CAPACITY
