Count only members that take runs among those kept at an exchange

Found on reading the change: members that were looked for and are lost counted against the places of sound ones, so that each exchange retired as many members and the next need of room took in others: eight a second in the new test of tests/test_pool.py, which fails before. Crowd and pool tests pass.

--- a/amaranthspar/scheduling/pool.py
+++ b/amaranthspar/scheduling/pool.py
@@ -222,7 +222,8 @@
         ]
         # Those that were looked for stay: what they suit finds no other place.
         ranked = [item for item in useful if item.name not in self._invited]
-        best = ranked[: self._count_useful(now_ms) - len(self._invited)]
+        kept = len(useful) - len(ranked)
+        best = ranked[: max(self._count_useful(now_ms) - kept, 0)]
         names = {item.name for item in best} | self._invited
         retiring = {item.name for item in useful if item.name in self.members} - names
         if retiring != self._retiring:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -207,6 +207,20 @@
     assert special in site.open_names
 
 
+def test_lost_members_that_were_looked_for_cost_no_others():
+    site = Site(160)
+    site.press(1_000)
+    outside = set(site.sidecars) - set(site.pool.members)
+    site.pool.invite([site.sidecars[name] for name in outside], site.now_ms + 100)
+    lost = outside & set(site.pool.members)
+    site.dead |= lost
+
+    site.press(sidecars.SILENCE_MS + 4 * pool.REBALANCE_MS)
+
+    assert len(site.open_names) == pool.MOST_MEMBERS
+    assert len(site.pool.members) == pool.MOST_MEMBERS + len(lost)
+
+
 def test_members_do_not_change_while_none_is_added_or_lost():
     site = Site(160)
     site.press(2_000)
