Settle and judge runs in one place each in the sidecar's decisions

Barring a run, keeping its report and telling it stood three times (refused order, order that never came, end of a run); whether an order may stand beside another run was judged twice, for one that goes on and one that waits; what is free besides some needs was worked out twice; the age of a missing document had two computations and its version an attribute with a property.

--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -93,7 +93,7 @@
         self._sent_ms = -INTERVAL_MS
         self._began_ms: int | None = None
         self._fetched_ms = -FETCH_MS
-        self._newest = documents.NO_VERSION
+        self.newest = documents.NO_VERSION
         self._newest_ms = 0
         self._turn = 0
         self._merged: frozenset[str] = frozenset()
@@ -106,18 +106,13 @@
         """
         return now_ms - self.heard_ms <= CONTACT_MS
 
-    @property
-    def newest(self) -> int:
-        """Highest version of the routing document that any controller has stated."""
-        return self._newest
-
     def find_document_age_ms(self, now_ms: int) -> int:
         """Return for how long the newest document has been missing here, in ms.
 
         Args:
             now_ms: Monotonic time in ms.
         """
-        return now_ms - self._newest_ms if self.version < self._newest else 0
+        return now_ms - self._newest_ms if self.version < self.newest else 0
 
     def note_leaving(self) -> None:
         """Tell controllers from now on that the process is stopping."""
@@ -165,15 +160,15 @@
         self.heard_ms = now_ms
         for known in view.controllers:
             self._controllers.setdefault(known, _Controller())
-        if view.document_version > self._newest:
-            self._newest = view.document_version
+        if view.document_version > self.newest:
+            self.newest = view.document_version
             self._newest_ms = now_ms
         document = None
         document_age_ms = 0
         if view.document and view.document_version > self.version:
+            document_age_ms = self.find_document_age_ms(now_ms)
             self.version = view.document_version
             document = view.document
-            document_age_ms = now_ms - self._newest_ms
         has_changed = document is not None
         if view.domains_revision > self.domains_revision:
             self.domains_revision = view.domains_revision
@@ -220,7 +215,7 @@
 
         Only a process that routes requests, and so wants peers, reads the document.
         """
-        if not self._own.wants_peers or self.version >= self._newest:
+        if not self._own.wants_peers or self.version >= self.newest:
             return ""
         if now_ms - self._fetched_ms < FETCH_MS:
             return ""
@@ -228,7 +223,7 @@
         holders = {
             address: controller.heard_ms
             for address, controller in self._controllers.items()
-            if controller.version >= self._newest
+            if controller.version >= self.newest
         }
         return max(holders, key=lambda address: holders[address], default="")
 
--- a/amaranthspar/scheduling/keeper.py
+++ b/amaranthspar/scheduling/keeper.py
@@ -187,8 +187,11 @@
 
     def read_offered(self) -> runmessages.Resources:
         """Return what neither a run nor an order that waits will occupy."""
-        left = resources.subtract(self.read_free(), self._queue.needs)
-        return resources.clip(left)
+        return self._find_left(self._queue.needs)
+
+    def _find_left(self, spoken_for: runmessages.Resources) -> runmessages.Resources:
+        """Return what is free besides some of it, nothing where that is more."""
+        return resources.clip(resources.subtract(self.read_free(), spoken_for))
 
     # Messages of gateways.
 
@@ -261,24 +264,20 @@
         if name in self._final:
             gateway.reports.append(self._final[name][1])
             return
-        if waiting is not None:
-            state, reason = _judge_beside(order, waiting.order.name.run)
-        else:
-            state, reason = self._judge_order(order, current)
+        beside = current or (waiting and waiting.order)
+        state, reason = self._judge_name(name, beside.name if beside else None)
         if not reason:
             reason = self._find_change(gateway, message, now_ms)
             state = "refused"
-        if not reason and not self._has_room(order):
-            reason = NO_ROOM if self._queue.is_full else ""
+        has_room = resources.fits(order.needs, self.read_offered())
+        if not reason and not has_room and self._queue.is_full:
+            reason = NO_ROOM
         if reason:
             self._refuse_order(gateway.name, name, state, reason, now_ms)
             return
         gateway.believed = resources.subtract(gateway.believed, order.needs)
         self._queue.add(gateway.name, message, order, now_ms)
 
-    def _has_room(self, order: runmessages.RunOrder) -> bool:
-        return resources.fits(order.needs, self.read_offered())
-
     def _serve_queue(self, now_ms: int) -> None:
         """Start the orders whose turn has come, and refuse those that cannot wait."""
         blocked = resources.NONE
@@ -286,8 +285,7 @@
             order = waiting.order
             gateway = self.gateways.get(waiting.gateway)
             reason = self._find_change(gateway, waiting.message, now_ms)
-            left = resources.clip(resources.subtract(self.read_free(), blocked))
-            has_turn = resources.fits(order.needs, left)
+            has_turn = resources.fits(order.needs, self._find_left(blocked))
             if not reason and not has_turn and now_ms >= waiting.until_ms:
                 reason = NO_ROOM
             if reason:
@@ -316,14 +314,17 @@
         now_ms: int,
     ) -> None:
         """Refuse an order for good, also where it arrives once more."""
-        report = runmessages.RunReport(name, state, reason)
-        self._bar(name, now_ms)
-        self._final[name] = (now_ms, report)
-        self._report(gateway, report)
+        self._settle(gateway, runmessages.RunReport(name, state, reason), now_ms)
         self._effects.append(
             runevents.Decided("start refused", name.task, name.run, reason)
         )
 
+    def _settle(self, gateway: str, report: runmessages.RunReport, now_ms: int) -> None:
+        """Bar a run, and tell what became of it, now and whenever it is asked about."""
+        self._bar(report.name, now_ms)
+        self._final[report.name] = (now_ms, report)
+        self._report(gateway, report)
+
     def _find_change(
         self,
         gateway: runevents.Gateway | None,
@@ -344,18 +345,21 @@
             return "order is based on an old statement of room"
         return ""
 
-    def _judge_order(
-        self,
-        order: runmessages.RunOrder,
-        current: runevents.Run | None,
+    def _judge_name(
+        self, name: runmessages.RunName, beside: runmessages.RunName | None
     ) -> tuple[runevents.ReportState, str]:
-        """Return the state and the reason of a refusal; the reason is empty for none."""
-        barred = self._barred.get(order.name.task, (0, 0))[0]
-        if current is not None and current.name.run > order.name.run:
-            barred = current.name.run
-        if barred >= order.name.run:
+        """Return the state and the reason of a refusal; the reason is empty for none.
+
+        Args:
+            name: Run that is asked for.
+            beside: Another run of its task that goes on or waits; nothing for none.
+        """
+        barred = self._barred.get(name.task, (0, 0))[0]
+        if beside is not None and beside.run > name.run:
+            barred = beside.run
+        if barred >= name.run:
             return "stale", str(barred)
-        if current is not None:
+        if beside is not None:
             return "refused", "another run of the task has not ended"
         return "started", ""
 
@@ -387,9 +391,7 @@
     ) -> None:
         """Bar a run that never arrived, so that a late order cannot start it."""
         report = runmessages.RunReport(name, "refused", "order did not arrive")
-        self._bar(name, now_ms)
-        self._final[name] = (now_ms, report)
-        gateway.reports.append(report)
+        self._settle(gateway.name, report, now_ms)
 
     def _keep(
         self, gateway: runevents.Gateway, message: runmessages.KeepRuns, now_ms: int
@@ -586,12 +588,10 @@
         saved: str = "",
     ) -> None:
         del self.runs[run.name.task]
-        self._bar(run.name, now_ms)
         report = runmessages.RunReport(
             run.name, state, reason, now_ms - run.called_ms, run.percent, saved
         )
-        self._final[run.name] = (now_ms, report)
-        self._report(run.gateway, report)
+        self._settle(run.gateway, report, now_ms)
         if state not in ("done", "failed"):
             decided = runevents.Decided(
                 f"run {state}", run.name.task, run.name.run, reason
@@ -718,15 +718,6 @@
     return any(report.state not in QUIET_STATES for report in gateway.reports)
 
 
-def _judge_beside(
-    order: runmessages.RunOrder, waiting: int
-) -> tuple[runevents.ReportState, str]:
-    """Return the refusal of an order beside another one that waits for its task."""
-    if waiting > order.name.run:
-        return "stale", str(waiting)
-    return "refused", "another run of the task has not ended"
-
-
 def _judge_end(
     end: runevents.End, run: runevents.Run
 ) -> tuple[runevents.ReportState, str]:
