--- a/review/standins/minions.py
+++ b/review/standins/minions.py
@@ -64,6 +64,7 @@
         self._running: dict[str, Run] = {}
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task] = []
+        self._has_ended = False
 
     async def open(self) -> None:
         """Start to serve and to send heartbeats."""
@@ -85,6 +86,7 @@
 
     async def crash(self) -> None:
         """End at once; everything that runs ends too."""
+        self._has_ended = True
         for task in self._tasks:
             task.cancel()
         for run in list(self._running.values()):
@@ -108,6 +110,9 @@
     async def _read(self, request: web.Request) -> tuple[dict, web.Response | None]:
         """Return the body, and a response if the call is not for this minion."""
         body = await request.json()
+        if self._has_ended:
+            # A call that was on its way when this life ended is not carried out.
+            raise web.HTTPServiceUnavailable
         expected = request.headers.get("X-Amaranthspar-Expected-Instance", self.name)
         if expected != self.name:
             return body, self._answer(421)
