A heartbeat ends no run: the upstream's own list decides on its incarnation

Callers saw tasks that ran on two upstreams at once (TWICE). The users' record has them in lines of the sidecar of the first run: 'run lost', reason 'upstream has restarted'.

The sidecar reported all runs of the former incarnation as lost on the word of a heartbeat with another id or a later start time, and gateways started the tasks again at once. That word is wrong in two ways. The heartbeat may not be the upstream's: then the first runs go on until their lease ends. Or it is, but a start meant for the former incarnation has reached the next one, which keeps the listener and the id: then the run that has just begun is called lost. A deregistration ended runs in the same way, and unconfirmed starts that were to stop were called lost with their upstream.

Class of fault: a statement about a process is taken as evidence of what runs in it.

Change. scheduling/incarnations.py (pure) takes a heartbeat as a claim. The sidecar asks the claimed incarnation for its list of runs with a fencing token above those of all starts so far. Only the answer replaces an incarnation, and its list is complete then: what is missing from it is lost, what it lists is stopped by name before the gateway hears of it. A start carries the incarnation that it was decided for. A refused connection covers only runs confirmed before the call began. The log has the claim ('upstream claimed') and the verdict ('upstream listed'), which tell the two ways apart.

Before the change these failed, all with 'run lost' of runs that were at work: test_heartbeat_of_another_upstream_ends_no_runs test_deregistration_under_the_name_of_a_live_upstream_ends_no_runs test_reborn_upstream_runs_no_task_twice_at_once The new fuzz test (upstreams that restart under their names, late and odd heartbeats) fails within 400 examples if listed runs of a former incarnation are reported as lost at once.

Tests: test_undelivered_renewal_does_not_extend_lease reads the registration and the fence from their new place; what it checks is unchanged.

--- a/amaranthspar/platform/registrations.py
+++ b/amaranthspar/platform/registrations.py
@@ -5,7 +5,7 @@
 
 from amaranthspar.platform import servers, upstreams, wire
 from amaranthspar.roles import runsidecar
-from amaranthspar.scheduling import runevents
+from amaranthspar.scheduling import incarnations, runevents
 
 PATH = "/amaranthspar/instances/"
 
@@ -59,6 +59,6 @@
             heartbeat.is_leaving,
         )
         self._sidecar.register(
-            runsidecar.Registration(name, heartbeat.born_ms, heartbeat.sequence, event)
+            incarnations.Registration(name, heartbeat.sequence, event)
         )
         return servers.answer_json(200)
--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -7,7 +7,7 @@
 from amaranthspar import clock
 from amaranthspar.platform import wire
 from amaranthspar.roles import runsidecar
-from amaranthspar.scheduling import runevents
+from amaranthspar.scheduling import incarnations, runevents
 from amaranthspar.schema import runmessages
 from amaranthspar.upstreams import exchange
 
@@ -65,7 +65,7 @@
 
     async def start(
         self,
-        registration: runsidecar.Registration,
+        registration: incarnations.Registration,
         order: runmessages.RunOrder,
         spec: str,
         fence: int,
@@ -84,7 +84,7 @@
 
     async def stop(
         self,
-        registration: runsidecar.Registration,
+        registration: incarnations.Registration,
         name: runmessages.RunName,
         fence: int,
     ) -> runevents.Answer:
@@ -97,7 +97,11 @@
         return await self._call(registration, STOP_PATH, body, STOP_TIMEOUT_MS)
 
     async def renew_lease(
-        self, registration: runsidecar.Registration, seen: int, wait_ms: int, fence: int
+        self,
+        registration: incarnations.Registration,
+        seen: int,
+        wait_ms: int,
+        fence: int,
     ) -> runsidecar.RenewalResult:
         """Renew the lease of all runs and list them.
 
@@ -110,7 +114,7 @@
         sent_ms = self._clock.read_monotonic()
         deadline_ms = 0
         if (
-            registration.status.incarnation == self._clock_incarnation
+            registration.incarnation == self._clock_incarnation
             and self._offset_ms is not None
         ):
             deadline_ms = sent_ms + self._offset_ms + self._max_lease_ms
@@ -143,10 +147,12 @@
             listing = wire.decode_listing(data)
         except wire.BodyError as error:
             raise runsidecar.SilentError(str(error)) from error
-        self._note_clock(registration, listing.clock_ms)
-        incarnation = build_incarnation(registration.id, listing.born_ms)
+        incarnation = ""
+        if listing.born_ms:
+            incarnation = build_incarnation(registration.id, listing.born_ms)
+        self._note_clock(incarnation or registration.incarnation, listing.clock_ms)
         return runsidecar.RenewalResult(
-            incarnation if listing.born_ms else "",
+            incarnation,
             listing.last,
             self._lease_end_ms,
             listing.running,
@@ -165,23 +171,23 @@
         await self._call_pool.close()
         await self._renewal_pool.close()
 
-    def _read_clock(self, registration: runsidecar.Registration) -> int:
+    def _read_clock(self, registration: incarnations.Registration) -> int:
         """Return the estimated time on the upstream's clock in ms."""
         offset_ms = (
             self._offset_ms
-            if registration.status.incarnation == self._clock_incarnation
+            if registration.incarnation == self._clock_incarnation
             else None
         )
         return self._clock.read_monotonic() + (offset_ms or 0)
 
-    def _note_clock(self, registration: runsidecar.Registration, clock_ms: int) -> None:
-        """Update the offset of the upstream's clock from a response just received."""
-        self._clock_incarnation = registration.status.incarnation
+    def _note_clock(self, incarnation: str, clock_ms: int) -> None:
+        """Update the offset of an incarnation's clock from a response just received."""
+        self._clock_incarnation = incarnation
         self._offset_ms = clock_ms - self._clock.read_monotonic()
 
     async def _call(
         self,
-        registration: runsidecar.Registration,
+        registration: incarnations.Registration,
         path: str,
         body: bytes,
         timeout_ms: int,
@@ -219,7 +225,7 @@
 
 async def _post(
     pool: exchange.Pool,
-    registration: runsidecar.Registration,
+    registration: incarnations.Registration,
     path: str,
     body: bytes,
     timeout_ms: int,
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -13,7 +13,7 @@
 from amaranthspar.membership import contact
 from amaranthspar.network import links
 from amaranthspar.observation import metering
-from amaranthspar.scheduling import runevents, runmanager
+from amaranthspar.scheduling import incarnations, runevents, runmanager
 from amaranthspar.schema import codec, options, runmessages, viewmessages
 
 CONTACT_INTERVAL_MS = 100
@@ -31,9 +31,6 @@
 MAX_DECISION_AGE_MS = 250
 """Age beyond which a decision to start a run is no longer carried out. With this limit, a
 start is sent less than 1.3 s after the last message from the gateway."""
-FIRST_FENCE_STEP = 16
-"""Amount by which the fencing token is first raised after the upstream has received a
-higher one; doubled each time."""
 
 _log = structlog.get_logger()
 
@@ -58,24 +55,6 @@
     """The upstream has received a higher fencing token and rejected the call."""
 
 
-@attrs.frozen(slots=True)
-class Registration:
-    """Identity and status that an upstream sends in its registration.
-
-    Attributes:
-        id: Name that the upstream gives itself; with `born_ms`, it identifies the
-            incarnation.
-        born_ms: Wall-clock time of its start in ms.
-        sequence: Number that rises with each registration of an incarnation.
-        status: Event for the run manager, with incarnation, capacity and labels.
-    """
-
-    id: str
-    born_ms: int
-    sequence: int
-    status: runevents.UpstreamKnown
-
-
 @attrs.frozen(slots=True)
 class RenewalResult:
     """Answer to a renewal of the lease.
@@ -100,7 +79,7 @@
 
     async def start(
         self,
-        registration: Registration,
+        registration: incarnations.Registration,
         order: runmessages.RunOrder,
         spec: str,
         fence: int,
@@ -112,7 +91,10 @@
         """
 
     async def stop(
-        self, registration: Registration, name: runmessages.RunName, fence: int
+        self,
+        registration: incarnations.Registration,
+        name: runmessages.RunName,
+        fence: int,
     ) -> runevents.Answer:
         """Stop a run and prevent it from starting later.
 
@@ -121,7 +103,11 @@
         """
 
     async def renew_lease(
-        self, registration: Registration, seen: int, wait_ms: int, fence: int
+        self,
+        registration: incarnations.Registration,
+        seen: int,
+        wait_ms: int,
+        fence: int,
     ) -> RenewalResult:
         """Renew the lease of all runs and list them.
 
@@ -175,10 +161,7 @@
         self._manager = runmanager.RunManager(
             service, failure_domain, self._incarnation
         )
-        self._registration: Registration | None = None
-        self._ended_incarnations: set[str] = set()
-        self._fence = self._incarnation
-        self._fence_step = FIRST_FENCE_STEP
+        self._incarnations = incarnations.Incarnations(self._incarnation)
         section = options.LinkOptions(heartbeat_ms=LINK_HEARTBEAT_MS)
         self._links = links.Links(
             process.name, self._incarnation, process.listen, self._receive, section
@@ -195,6 +178,7 @@
         self._loops: list[asyncio.Task[None]] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_ms = 0
+        self._last_end = 0
         self._registered = asyncio.Event()
 
     @property
@@ -235,47 +219,53 @@
         self._links.close()
         await self._upstream.close()
 
-    def register(self, registration: Registration) -> bool:
-        """Process a registration of the upstream.
+    def register(self, registration: incarnations.Registration) -> None:
+        """Process a heartbeat of the upstream.
 
         Args:
-            registration: Registration that arrived.
-
-        Returns:
-            Whether it was accepted, being newer than the last one.
+            registration: Content of the heartbeat.
         """
-        before = self._registration
-        incarnation = registration.status.incarnation
-        if incarnation in self._ended_incarnations:
-            return False
-        if before is not None and before.status.incarnation == incarnation:
-            if registration.sequence <= before.sequence:
-                return False
-        elif before is not None:
-            if registration.born_ms < before.born_ms:
-                return False
-            self._ended_incarnations.add(before.status.incarnation)
-        if before is None or before.status != registration.status:
-            _log.info(
-                "upstream registered",
-                upstream=incarnation,
-                is_leaving=registration.status.is_leaving,
-                cpu_millis=registration.status.capacity.cpu_millis,
-                sequence=registration.sequence,
-            )
-        self._registration = registration
-        self._registered.set()
-        self._step(registration.status)
-        return True
+        before = self._incarnations.current
+        match self._incarnations.claim(registration):
+            case incarnations.Claim.UPDATED:
+                if before is None or before.status != registration.status:
+                    self._log_registration("upstream changed", registration)
+                self._step(registration.status)
+            case incarnations.Claim.PENDING:
+                self._log_registration("upstream claimed", registration)
+                self._registered.set()
+            case incarnations.Claim.IGNORED:
+                _log.info(
+                    "heartbeat ignored",
+                    upstream=registration.incarnation,
+                    sequence=registration.sequence,
+                )
 
     def deregister(self, upstream_id: str) -> None:
-        """Drop the registration of an upstream that shuts down.
+        """Start no more runs on an upstream that shuts down.
+
+        Its runs are lost once a call shows that it has ended.
 
         Args:
             upstream_id: Name that the upstream gives itself.
         """
-        if self._registration is not None and self._registration.id == upstream_id:
-            self._drop_registration("upstream has ended")
+        status = self._incarnations.mark_leaving(upstream_id)
+        if status is not None:
+            self._step(status)
+
+    def _log_registration(
+        self, event: str, registration: incarnations.Registration
+    ) -> None:
+        current = self._incarnations.current
+        status = registration.status
+        _log.info(
+            event,
+            upstream=registration.incarnation,
+            current="" if current is None else current.incarnation,
+            is_leaving=status.is_leaving,
+            cpu_millis=status.capacity.cpu_millis,
+            sequence=registration.sequence,
+        )
 
     def _tick_contact(self) -> None:
         self._meters.running = len(self._manager.runs)
@@ -356,8 +346,8 @@
 
     async def _call_start(self, call: runevents.CallStart) -> None:
         name = call.order.name
-        registration = self._registration
-        if registration is None:
+        registration = self._incarnations.current
+        if registration is None or registration.incarnation != call.upstream:
             self._step(runevents.StartAnswered(name, runevents.Answer.REPLACED))
             return
         began_ms = self._clock.read_monotonic()
@@ -372,12 +362,13 @@
             )
             self._step(runevents.StartAnswered(name, runevents.Answer.LATE))
             return
+        fence = self._incarnations.fence
         try:
             answer = await self._upstream.start(
-                registration, call.order, call.spec, self._fence
+                registration, call.order, call.spec, fence
             )
         except FenceError:
-            self._raise_fence()
+            self._raise_fence(fence)
             answer = runevents.Answer.UNHEALTHY
         took_ms = self._clock.read_monotonic() - began_ms
         self._meters.starts.observe(took_ms)
@@ -393,14 +384,15 @@
         self._step(runevents.StartAnswered(name, answer))
 
     async def _call_stop(self, name: runmessages.RunName) -> None:
-        registration = self._registration
+        registration = self._incarnations.current
         answer = runevents.Answer.REPLACED
         began_ms = self._clock.read_monotonic()
         if registration is not None:
+            fence = self._incarnations.fence
             try:
-                answer = await self._upstream.stop(registration, name, self._fence)
+                answer = await self._upstream.stop(registration, name, fence)
             except FenceError:
-                self._raise_fence()
+                self._raise_fence(fence)
                 answer = runevents.Answer.UNKNOWN
         if answer is runevents.Answer.UNKNOWN:
             took_ms = self._clock.read_monotonic() - began_ms
@@ -417,80 +409,114 @@
                 await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def _renew_leases(self) -> None:
-        """Renew the lease for as long as an upstream is registered.
+        """Renew the lease for as long as an incarnation of the upstream is known.
 
         After an unexpected error the ends are listed again from the first. This has no
         effect, as the end of an unknown run is ignored.
         """
-        last_end = 0
-        incarnation = ""
+        self._last_end = 0
         pause_ms = RETRY_PAUSE_MS
         while True:
-            registration = self._registration
-            if registration is None:
+            request = self._incarnations.build_request()
+            if request is None:
                 self._registered.clear()
                 await self._registered.wait()
                 continue
-            if registration.status.incarnation != incarnation:
-                # A new incarnation has received no fencing token; calls meant for the
-                # previous one must have no effect on it.
-                incarnation, last_end = registration.status.incarnation, 0
-                self._fence += 1
             requested_ms = self._clock.read_monotonic()
-            wait_ms = self._manager.find_list_wait_ms(requested_ms)
             try:
-                result = await self._upstream.renew_lease(
-                    registration, last_end, wait_ms, self._fence
-                )
+                result = await self._request_list(request, requested_ms)
             except FenceError:
-                self._raise_fence()
+                self._raise_fence(request.fence)
                 continue
             except ReplacedError as error:
-                self._drop_registration(str(error))
+                self._handle_other_instance(request, str(error))
                 continue
             except SilentError as error:
-                _log.info("lease not renewed", reason=str(error))
-                self._check_upstream_lost(error)
-                self._step(runevents.Unlisted())
+                self._handle_silence(request, requested_ms, error)
+                if request.is_probe and self._incarnations.current is not None:
+                    continue
                 # After a timeout, no further pause is needed.
                 took_ms = self._clock.read_monotonic() - requested_ms
                 await asyncio.sleep(max(pause_ms - took_ms, 0) / 1000)
                 pause_ms = min(2 * pause_ms, MAX_RETRY_PAUSE_MS)
                 continue
             pause_ms = RETRY_PAUSE_MS
-            newest = self._registration
-            if newest is None or newest.status.incarnation != incarnation:
-                continue
-            if result.incarnation and result.incarnation != incarnation:
-                self._drop_registration("another life of the upstream answered")
-                continue
-            last_end = max(last_end, result.last)
-            if self._manager.upstream is None and self._registration is not None:
-                self._step(self._registration.status)
-            self._step(runevents.Listed(requested_ms, result.running, result.ends))
+            self._handle_list(request, result, requested_ms)
+
+    async def _request_list(
+        self, request: incarnations.ListRequest, now_ms: int
+    ) -> RenewalResult:
+        seen, wait_ms = 0, 0
+        if not request.is_probe:
+            seen, wait_ms = self._last_end, self._manager.find_list_wait_ms(now_ms)
+        return await self._upstream.renew_lease(
+            request.registration, seen, wait_ms, request.fence
+        )
 
-    def _check_upstream_lost(self, error: SilentError) -> None:
+    def _handle_list(
+        self,
+        request: incarnations.ListRequest,
+        result: RenewalResult,
+        requested_ms: int,
+    ) -> None:
+        verdict = self._incarnations.handle_list(request, result.incarnation)
+        current = self._incarnations.current
+        if verdict is not incarnations.Verdict.CURRENT:
+            _log.info(
+                "upstream listed",
+                verdict=verdict.name.lower(),
+                asked=request.registration.incarnation,
+                answered=result.incarnation,
+                current="" if current is None else current.incarnation,
+                running=len(result.running),
+                fence=request.fence,
+            )
+        match verdict:
+            case incarnations.Verdict.REPLACED if current is not None:
+                self._last_end = result.last
+                self._step(current.status)
+            case incarnations.Verdict.CURRENT if current is not None:
+                self._last_end = max(self._last_end, result.last)
+                if self._manager.upstream is None:
+                    self._step(current.status)
+            case _:
+                return
+        self._step(runevents.Listed(requested_ms, result.running, result.ends))
+
+    def _handle_other_instance(
+        self, request: incarnations.ListRequest, reason: str
+    ) -> None:
+        verdict = self._incarnations.handle_other_instance(request)
+        _log.info(
+            "upstream gone"
+            if verdict is incarnations.Verdict.ENDED
+            else "upstream not confirmed",
+            upstream=request.registration.incarnation,
+            sequence=request.registration.sequence,
+            reason=reason,
+        )
+        if verdict is incarnations.Verdict.ENDED:
+            self._step(runevents.UpstreamGone(reason))
+
+    def _handle_silence(
+        self, request: incarnations.ListRequest, asked_ms: int, error: SilentError
+    ) -> None:
         """Drop all runs if the upstream refuses connections or its lease has expired."""
-        if self._manager.upstream is None:
+        _log.info(
+            "lease not renewed",
+            upstream=request.registration.incarnation,
+            reason=str(error),
+        )
+        if not request.is_probe:
+            self._step(runevents.Unlisted())
+        if self._manager.upstream is None and not self._manager.runs:
             return
         expiry_ms = self._upstream.find_lease_end_ms() + LEASE_MARGIN_MS
         if isinstance(error, RefusedError):
-            self._step(runevents.UpstreamGone("upstream has no listener"))
+            self._step(runevents.UpstreamGone("upstream has no listener", asked_ms))
         elif self._clock.read_monotonic() > expiry_ms:
             self._step(runevents.UpstreamGone("lease has run out"))
 
-    def _drop_registration(self, reason: str) -> None:
-        if self._registration is not None:
-            _log.info(
-                "upstream gone",
-                upstream=self._registration.status.incarnation,
-                reason=reason,
-            )
-            self._ended_incarnations.add(self._registration.status.incarnation)
-        self._registration = None
-        self._step(runevents.UpstreamGone(reason))
-
-    def _raise_fence(self) -> None:
-        self._fence += self._fence_step
-        self._fence_step *= 2
-        _log.info("fence raised", fence=self._fence)
+    def _raise_fence(self, used: int) -> None:
+        if self._incarnations.raise_fence(used):
+            _log.info("fence raised", used=used, fence=self._incarnations.fence)
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -43,6 +43,8 @@
         name: Task and number of the start.
         gateway: Name of the gateway that requested it; empty if none did.
         needs: Capacity that it occupies.
+        upstream: Incarnation of the upstream for which its start was decided; empty if
+            this process did not start it.
         state: State of the run.
         requested_ms: Time at which its start was requested in ms.
         percent: Percentage of the work that was done according to the last list.
@@ -57,6 +59,7 @@
     name: runmessages.RunName
     gateway: str
     needs: runmessages.Resources
+    upstream: str
     requested_ms: int
     state: RunState = RunState.STARTING
     percent: int = 0
@@ -133,8 +136,11 @@
 class UpstreamKnown:
     """The upstream stated its identity and capacity.
 
+    A list of a new incarnation follows, requested with a fencing token above those of
+    the starts for earlier ones.
+
     Attributes:
-        incarnation: Incarnation of the upstream; a new one has no runs yet.
+        incarnation: Incarnation of the upstream.
         capacity: Total capacity.
         labels: Kind and rack.
         is_leaving: Whether it takes no new runs.
@@ -148,9 +154,16 @@
 
 @attrs.frozen(slots=True)
 class UpstreamGone:
-    """The upstream has ended or its last lease has expired, so it has no runs."""
+    """The upstream has ended or its last lease has expired, so it has no runs.
+
+    Attributes:
+        reason: What showed that it has ended.
+        asked_ms: Time in ms at which the call began that showed it. Starts confirmed
+            later may be those of its successor. None if all starts are covered.
+    """
 
     reason: str
+    asked_ms: int | None = None
 
 
 @attrs.frozen(slots=True)
@@ -291,11 +304,13 @@
     Attributes:
         order: Run to start.
         spec: Specification of its job.
+        upstream: Incarnation of the upstream for which the start was decided.
         decided_ms: Time of the decision in ms, which is valid for a limited time.
     """
 
     order: runmessages.RunOrder
     spec: str
+    upstream: str
     decided_ms: int
 
 
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -117,8 +117,8 @@
                 self._handle_message(sender, message, now_ms)
             case runevents.UpstreamKnown():
                 self._update_upstream(event, now_ms)
-            case runevents.UpstreamGone(reason=reason):
-                self._end_lost_runs(reason, now_ms)
+            case runevents.UpstreamGone(reason=reason, asked_ms=asked_ms):
+                self._end_lost_runs(reason, asked_ms, now_ms)
             case runevents.StartAnswered(name=name, answer=answer):
                 self._handle_start_answer(name, answer, now_ms)
             case runevents.StopAnswered(name=name, answer=answer):
@@ -321,13 +321,14 @@
                 reserved = resources.add(reserved, order.needs)
 
     def _start_run(self, waiting: orderqueue.WaitingOrder, now_ms: int) -> None:
-        order = waiting.order
+        order, message = waiting.order, waiting.message
         self.runs[order.name.task] = runevents.Run(
-            order.name, waiting.gateway, order.needs, now_ms
+            order.name, waiting.gateway, order.needs, message.upstream, now_ms
         )
         self._cached_free = None
-        spec = waiting.message.spec
-        self._effects.append(runevents.CallStart(order, spec, now_ms))
+        self._effects.append(
+            runevents.CallStart(order, message.spec, message.upstream, now_ms)
+        )
 
     def _refuse_order(
         self,
@@ -467,8 +468,10 @@
 
     def _update_upstream(self, statement: runevents.UpstreamKnown, now_ms: int) -> None:
         previous = self.upstream
-        if previous is not None and previous.incarnation != statement.incarnation:
-            self._end_lost_runs("upstream has restarted", now_ms)
+        if previous is None or previous.incarnation != statement.incarnation:
+            # The list of this incarnation settles the runs of the previous one.
+            self._is_reconciled = False
+            self._unhealthy_until_ms = now_ms
         if previous != statement:
             self.upstream = statement
             self._report_to_all()
@@ -532,7 +535,9 @@
         running = {item.name: item for item in listed.running}
         for run in list(self.runs.values()):
             item = running.pop(run.name, None)
-            if item is not None:
+            if self._is_of_predecessor(run):
+                self._settle_predecessor_run(run, item is not None, now_ms)
+            elif item is not None:
                 run.percent = item.percent
                 run.listed_ms = now_ms
                 self._confirm_start(run, now_ms)
@@ -544,6 +549,30 @@
             self._is_reconciled = True
             self._report_to_all()
 
+    def _is_of_predecessor(self, run: runevents.Run) -> bool:
+        """Return whether a start was decided for an earlier incarnation."""
+        return (
+            bool(run.upstream)
+            and self.upstream is not None
+            and run.upstream != self.upstream.incarnation
+        )
+
+    def _settle_predecessor_run(
+        self, run: runevents.Run, is_listed: bool, now_ms: int
+    ) -> None:
+        """Settle a run whose start was decided for an earlier incarnation.
+
+        An upstream that restarts under its name may carry out such a start. A run that
+        it does not list has ended or cannot start, as the request for the list had a
+        higher fencing token.
+        """
+        if not is_listed:
+            self._finish_run(run, "lost", "upstream has restarted", now_ms)
+            return
+        if not run.is_confirmed:
+            run.start_confirmed_ms = now_ms
+        self._stop_run(run, "upstream has restarted")
+
     def _has_ended(self, run: runevents.Run, asked_ms: int) -> bool:
         """Return whether a run missing from a list has ended or cannot start."""
         if run.stop_confirmed_ms >= 0:
@@ -571,7 +600,7 @@
         if name.task in self.runs:
             return
         run = runevents.Run(
-            name, "", resources.NONE, now_ms, runevents.RunState.RUNNING
+            name, "", resources.NONE, "", now_ms, runevents.RunState.RUNNING
         )
         run.start_confirmed_ms = now_ms
         self.runs[name.task] = run
@@ -615,13 +644,16 @@
             if run.gateway == gateway.name:
                 self._stop_run(run, reason)
 
-    def _end_lost_runs(self, reason: str, now_ms: int) -> None:
-        """End the runs of a lost upstream, except starts in transit."""
+    def _end_lost_runs(self, reason: str, asked_ms: int | None, now_ms: int) -> None:
+        """End the confirmed runs of a lost upstream.
+
+        Starts in transit may still reach its next incarnation.
+        """
         for run in list(self.runs.values()):
-            if run.is_confirmed or run.state is runevents.RunState.STOPPING:
-                self._finish_run(run, "lost", reason, now_ms)
+            if run.is_confirmed:
+                if asked_ms is None or run.start_confirmed_ms < asked_ms:
+                    self._finish_run(run, "lost", reason, now_ms)
             elif run.state is runevents.RunState.STARTING:
-                # The start may still reach the upstream's next incarnation.
                 run.state = runevents.RunState.UNCONFIRMED
                 self._effects.append(runevents.CallStop(run.name, reason))
         self._is_reconciled = False
@@ -687,11 +719,7 @@
                 self._finish_unlisted(run, now_ms)
                 continue
             is_start_expired = now_ms - run.requested_ms > START_EXPIRY_MS
-            if (
-                run.state is runevents.RunState.UNCONFIRMED
-                and is_start_expired
-                and self.upstream is None
-            ):
+            if not run.is_confirmed and is_start_expired and self.upstream is None:
                 self._finish_run(run, "lost", "upstream has gone", now_ms)
         self._expire_old(now_ms - RETENTION_MS)
 
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -9,6 +9,7 @@
 
 from amaranthspar import ports
 
+UPSTREAM_ID = "i-1"
 SETTINGS = """\
 Node=front-east-1
 Zone=east
@@ -86,7 +87,11 @@
 
 
 class FakeUpstream:
-    """Fake upstream that serves starts, stops and renewals; tasks take 50 ms."""
+    """Fake upstream that serves starts, stops and renewals; tasks take 50 ms.
+
+    Attributes:
+        overlaps: Starts of tasks of which another run had not ended.
+    """
 
     def __init__(self, born: int = 1) -> None:
         self.address = ports.find_addresses()[0]
@@ -96,6 +101,7 @@
         self.unanswered_starts = 0
         self.fence = 0
         self.starts: list[tuple[str, int]] = []
+        self.overlaps: list[tuple[str, int]] = []
         self.runs: dict[str, FakeRun] = {}
         self.ends: list[list] = []
         self.lease_s = 0.0
@@ -114,6 +120,18 @@
     async def close(self) -> None:
         await self._runner.cleanup()
 
+    def reborn(self) -> None:
+        """Begin another life under the same id, at a listener that stays open."""
+        self.born += 1
+        self.fence = 0
+        self.runs.clear()
+        self.ends.clear()
+
+    @staticmethod
+    def _is_for_another(request) -> bool:
+        header = "X-Amaranthspar-Expected-Instance"
+        return request.headers.get(header, UPSTREAM_ID) != UPSTREAM_ID
+
     def _answer(self, status=200, **fields) -> web.Response:
         body = {"ClockMs": int(time.monotonic() * 1000), "born": self.born} | fields
         return web.json_response(body, status=status)
@@ -126,11 +144,15 @@
 
     async def _start(self, request) -> web.Response:
         body = await request.json()
+        if self._is_for_another(request):
+            return self._answer(421)
         if self._is_fenced(body):
             return self._answer(409, Reason="fence")
         now_s = time.monotonic()
         run = FakeRun(body["Task"], body["Run"], now_s, now_s + self.task_s)
         self.starts.append((run.task, run.run))
+        if run.task in self.runs:
+            self.overlaps.append((run.task, run.run))
         self.runs[run.task] = run
         if self.unanswered_starts:
             self.unanswered_starts -= 1
@@ -139,6 +161,8 @@
 
     async def _stop(self, request) -> web.Response:
         body = await request.json()
+        if self._is_for_another(request):
+            return self._answer(421)
         if self._is_fenced(body):
             return self._answer(409, Reason="fence")
         run = self.runs.get(body["Task"])
@@ -148,6 +172,8 @@
 
     async def _hold(self, request) -> web.Response:
         body = await request.json()
+        if self._is_for_another(request):
+            return self._answer(421)
         if self._is_fenced(body):
             return self._answer(409, Reason="fence")
         if body.get("DeadlineMs"):
--- a/tests/builders_scheduling.py
+++ b/tests/builders_scheduling.py
@@ -141,10 +141,14 @@
 
     Runs end when the lease expires. A run that has ended or was stopped, or an older
     run of the same task, cannot start any more.
+
+    Attributes:
+        id: Name that it gives itself; a crash keeps it.
     """
 
     def __init__(self, name: str, cores: int) -> None:
         self.name = name
+        self.id = name
         self.capacity = runmessages.Resources(cores * 1000, 65_536, 0)
         self.incarnation_number = 1
         self.fence = 0
@@ -156,7 +160,7 @@
 
     @property
     def incarnation(self) -> str:
-        return f"{self.name}@{self.incarnation_number}"
+        return f"{self.id}@{self.incarnation_number}"
 
     def crash(self) -> None:
         self.incarnation_number += 1
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -221,14 +221,15 @@
         async with asyncio.timeout(WAIT_S):
             while not system.sidecar._upstream.find_lease_end_ms():
                 await asyncio.sleep(0.02)
-        life = system.sidecar._registration
+        known = system.sidecar._incarnations
+        life, fence = known.current, known.fence
         system.sidecar._loops[1].cancel()
         await system.upstream.close()
         calls = system.sidecar._upstream
         end_ms = calls.find_lease_end_ms()
         for _ in range(20):
             with contextlib.suppress(runsidecar.RefusedError):
-                await calls.renew_lease(life, 0, 0, system.sidecar._fence)
+                await calls.renew_lease(life, 0, 0, fence)
             await asyncio.sleep(0.01)
         assert calls.find_lease_end_ms() == end_ms
 
@@ -406,6 +407,63 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_heartbeat_of_another_upstream_ends_no_runs(tmp_path):
+    """A complete heartbeat with another id, or a later start, and a wrong address."""
+
+    async def scenario(system) -> None:
+        caller = await system.start_long_runs(JOB, count=2)
+        with structlog.testing.capture_logs() as lines:
+            for name, born in (("i-2", 5), ("i-1", 5), ("i-1", 0)):
+                path = f"{registrations.PATH}{name}/heartbeat"
+                address = "127.0.0.1:9"
+                body = builders.build_heartbeat(1, born=born, Address=address)
+                await system.call("POST", system.registrations, path, body)
+                await asyncio.sleep(0.4)
+        assert [line for line in lines if line["event"] == "run lost"] == []
+        assert sorted(run for _, run in system.upstream.starts) == [1, 1]
+        assert len(system.upstream.runs) == 2
+        caller.cancel()
+        system.upstream.task_s = 0.05
+        assert await system.submit_until_done(JOB[::-1], count=1) == "completed"
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_deregistration_under_the_name_of_a_live_upstream_ends_no_runs(tmp_path):
+    async def scenario(system) -> None:
+        caller = await system.start_long_runs(JOB, count=2)
+        path = f"{registrations.PATH}i-1/deregister"
+        with structlog.testing.capture_logs() as lines:
+            await system.call("POST", system.registrations, path)
+            await asyncio.sleep(0.4)
+        assert [line for line in lines if line["event"] == "run lost"] == []
+        assert sorted(run for _, run in system.upstream.starts) == [1, 1]
+        assert len(system.upstream.runs) == 2
+        caller.cancel()
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_reborn_upstream_runs_no_task_twice_at_once(tmp_path):
+    """An upstream returns under its id; its first heartbeat comes after the starts."""
+
+    async def scenario(system) -> None:
+        system.upstream.reborn()
+        caller = await system.start_long_runs(JOB, count=2)
+        body = builders.build_heartbeat(1, born=2)
+        path = f"{registrations.PATH}i-1/heartbeat"
+        with structlog.testing.capture_logs() as lines:
+            await system.call("POST", system.registrations, path, body)
+            async with asyncio.timeout(WAIT_S):
+                while len(system.upstream.starts) < 4:
+                    await asyncio.sleep(0.02)
+        assert [line for line in lines if line["event"] == "run lost"] == []
+        assert system.upstream.overlaps == []
+        caller.cancel()
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_sidecar_exceeds_higher_fencing_token_of_upstream(tmp_path):
     async def scenario(system) -> None:
         await system.submit_until_done(count=1)
--- a/tests/test_runmanager.py
+++ b/tests/test_runmanager.py
@@ -1,5 +1,6 @@
 """Tests of the manager of a sidecar's runs."""
 
+import attrs
 import pytest
 
 from amaranthspar.scheduling import orderqueue, runevents, runmanager
@@ -459,3 +460,57 @@
     late = runmessages.StartRuns(1, "u@1", "spec", [order], heard)
     assert sidecar.ask(late) == []
     assert sidecar.read_states() == [("t", 1, "refused")]
+
+
+def test_run_carried_out_by_a_reborn_upstream_is_not_lost_while_it_runs():
+    """The start was meant for the former incarnation, and the next one confirmed it."""
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    sidecar.step(attrs.evolve(builders.KNOWN, incarnation="u@2"))
+    calls = sidecar.list(("t", 1, 10))
+    assert [type(call) for call in calls] == [runevents.CallStop]
+    assert "lost" not in [state for _, _, state in sidecar.read_states()]
+    assert sidecar.room.upstream == ""
+    sidecar.list(ends=[("t", 1, "stopped")])
+    assert sidecar.read_states()[-1] == ("t", 1, "stopped")
+    assert sidecar.room.upstream == "u@2"
+
+
+@pytest.mark.parametrize("answer", [None, *runevents.Answer])
+def test_run_of_a_former_incarnation_is_lost_once_the_next_one_does_not_list_it(answer):
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    if answer in (None, runevents.Answer.UNKNOWN, runevents.Answer.ACCEPTED):
+        if answer is not None:
+            sidecar.answer(answer)
+        sidecar.step(attrs.evolve(builders.KNOWN, incarnation="u@2"))
+        assert "lost" not in [state for _, _, state in sidecar.read_states()]
+        sidecar.list()
+        assert sidecar.read_states()[-1] == ("t", 1, "lost")
+        assert sidecar.room.upstream == "u@2"
+    else:
+        sidecar.answer(answer)
+        assert sidecar.read_states()[-1][2] in ("refused", "stale")
+
+
+def test_refused_connection_does_not_end_runs_confirmed_after_the_call_began():
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    asked_ms = sidecar.now_ms
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    sidecar.step(runevents.UpstreamGone("no listener", asked_ms))
+    assert sidecar.read_states() == [("t", 1, "started")]
+    sidecar.step(runevents.UpstreamGone("no listener", sidecar.now_ms + 1))
+    assert sidecar.read_states()[-1] == ("t", 1, "lost")
+
+
+def test_unconfirmed_run_that_was_to_stop_is_not_lost_with_its_upstream():
+    """Its start is in transit and may reach the next incarnation."""
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    sidecar.ask(runmessages.StopRuns([runmessages.RunName("t", 1)]))
+    sidecar.step(runevents.UpstreamGone("lease has run out"))
+    assert sidecar.read_states() == []
+    sidecar.step(runevents.Tick(), runmanager.START_EXPIRY_MS + 1)
+    assert sidecar.read_states() == [("t", 1, "lost")]
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -12,7 +12,13 @@
 from hypothesis import strategies
 
 from amaranthspar import effects
-from amaranthspar.scheduling import dispatcher, jobevents, runevents, runmanager
+from amaranthspar.scheduling import (
+    dispatcher,
+    incarnations,
+    jobevents,
+    runevents,
+    runmanager,
+)
 from tests import builders_scheduling as builders
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
@@ -282,6 +288,22 @@
             simulation.loss_rate = value / 10
 
 
+def recover(simulation) -> None:
+    """End all faults and check that every job ends."""
+    simulation.unreachable.clear()
+    simulation.reports_lost.clear()
+    simulation.extra_delay_ms = 0
+    simulation.loss_rate = 0.0
+    for host in simulation.hosts.values():
+        host.timeout_rate = 0.0
+    submitted = set(simulation.gateway.jobs) | set(simulation.ended)
+    for _ in range(RECOVERY_S):
+        simulation.advance(1_000)
+        if set(simulation.ended) == submitted:
+            return
+    raise AssertionError(submitted - set(simulation.ended))
+
+
 @hypothesis.settings(
     max_examples=EXAMPLES,
     deadline=None,
@@ -328,18 +350,7 @@
     simulation.advance(200)
     for action, value in actions:
         apply(simulation, action, value)
-    simulation.unreachable.clear()
-    simulation.reports_lost.clear()
-    simulation.extra_delay_ms = 0
-    simulation.loss_rate = 0.0
-    for host in simulation.hosts.values():
-        host.timeout_rate = 0.0
-    submitted = set(simulation.gateway.jobs) | set(simulation.ended)
-    for _ in range(RECOVERY_S):
-        simulation.advance(1_000)
-        if set(simulation.ended) == submitted:
-            return
-    raise AssertionError(submitted - set(simulation.ended))
+    recover(simulation)
 
 
 def test_run_ends_before_its_task_is_retried_if_only_reports_are_lost():
@@ -363,3 +374,210 @@
         simulation.advance(400)
         simulation.extra_delay_ms = 0
         simulation.advance(4_000)
+
+
+HEARTBEAT_MS = 400
+MAX_HEARTBEAT_DELAY_MS = 150
+
+
+@attrs.define
+class Claims:
+    """What a sidecar knows of its upstream by heartbeats and lists.
+
+    Attributes:
+        known: Incarnations of the upstream.
+        heartbeat_ms: Time of the next heartbeat in ms.
+        sequence: Number of the last heartbeat.
+    """
+
+    known: incarnations.Incarnations
+    heartbeat_ms: int = 0
+    sequence: int = 0
+
+
+class RebirthSimulation(Simulation):
+    """A simulation in which sidecars learn of their upstreams by what these say.
+
+    Upstreams restart under the same name, with a listener that stays open, or under
+    another one. Heartbeats are delayed, and some are from another sender.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.claims: dict[str, Claims] = {}
+        super().__init__(seed)
+        for name, host in self.hosts.items():
+            self.claims[name] = Claims(incarnations.Incarnations(host.fence))
+
+    def advance(self, time_ms) -> None:
+        for _ in range(0, time_ms, 10):
+            for host in self.hosts.values():
+                self.send_heartbeat(host)
+            super().advance(10)
+
+    def send_heartbeat(self, host) -> None:
+        claims = self.claims[host.name]
+        if self.now_ms < claims.heartbeat_ms:
+            return
+        claims.heartbeat_ms = self.now_ms + HEARTBEAT_MS
+        claims.sequence += 1
+        self.send_claim(host, host.upstream.id, host.upstream.incarnation)
+
+    def send_claim(self, host, upstream_id, incarnation) -> None:
+        claims = self.claims[host.name]
+        status = runevents.UpstreamKnown(
+            incarnation, host.upstream.capacity, ("a",), False
+        )
+        heartbeat = incarnations.Registration(upstream_id, claims.sequence, status)
+
+        def receive():
+            known = self.claims[host.name].known
+            if known.claim(heartbeat) is incarnations.Claim.UPDATED:
+                self.run_sidecar(host, heartbeat.status)
+
+        self.post(receive, self.chance.randint(1, MAX_HEARTBEAT_DELAY_MS))
+
+    def send_odd_claim(self, host) -> None:
+        odd = self.chance.choice((host.upstream.id, "odd"))
+        self.send_claim(host, odd, f"{odd}@{self.chance.choice((0, 999))}")
+
+    def call_start(self, host, order) -> None:
+        known = self.claims[host.name].known
+        if known.current is None:
+            event = runevents.StartAnswered(order.name, runevents.Answer.REPLACED)
+            self.run_sidecar(host, event)
+            return
+        expected, sent_ms = known.current.id, self.now_ms
+        life = host.upstream.incarnation
+        fence, duration_ms = known.fence, self.chance.choice(RUN_MS)
+        incarnation = host.incarnation
+
+        def carry_out():
+            upstream = host.upstream
+            if upstream.id != expected:
+                return runevents.Answer.REPLACED
+            # The clock of another incarnation starts anew, so that it takes any start.
+            is_same = upstream.incarnation == life
+            until_ms = sent_ms + 600 if is_same else self.now_ms + builders.LEASE_MS
+            name = order.name
+            return upstream.start(
+                fence, name, until_ms, duration_ms, False, self.now_ms
+            )
+
+        def answer(found):
+            if host.incarnation == incarnation:
+                self.run_sidecar(host, runevents.StartAnswered(order.name, found))
+
+        if self.chance.random() < host.timeout_rate:
+            self.post(carry_out, self.chance.randint(1, 4_000))
+            self.post(lambda: answer(runevents.Answer.UNKNOWN), 60)
+        else:
+            self.post(lambda: answer(carry_out()), 2)
+
+    def call_stop(self, host, name) -> None:
+        known = self.claims[host.name].known
+        if known.current is None:
+            event = runevents.StopAnswered(name, runevents.Answer.REPLACED)
+            self.run_sidecar(host, event)
+            return
+        expected, fence = known.current.id, known.fence
+        incarnation = host.incarnation
+
+        def carry_out():
+            upstream = host.upstream
+            if upstream.id != expected:
+                return runevents.Answer.REPLACED
+            if fence < upstream.fence:
+                known.raise_fence(fence)
+                return runevents.Answer.UNKNOWN
+            upstream.stop(fence, name)
+            return runevents.Answer.ACCEPTED
+
+        def answer(found):
+            if host.incarnation == incarnation:
+                self.run_sidecar(host, runevents.StopAnswered(name, found))
+
+        if self.chance.random() < host.timeout_rate:
+            self.post(carry_out, self.chance.randint(1, 4_000))
+            self.post(lambda: answer(runevents.Answer.UNKNOWN), 120)
+        else:
+            self.post(lambda: answer(carry_out()), 2)
+
+    def renew_lease(self, host) -> None:
+        host.renewed_ms = self.now_ms
+        known = self.claims[host.name].known
+        request = known.build_request()
+        if request is None or self.chance.random() < host.timeout_rate:
+            return
+        upstream = host.upstream
+        if upstream.id != request.registration.id:
+            if known.handle_other_instance(request) is incarnations.Verdict.ENDED:
+                self.run_sidecar(host, runevents.UpstreamGone("another answered"))
+            return
+        last_end = 0 if request.is_probe else host.last_end
+        until_ms = self.now_ms + builders.LEASE_MS
+        found = upstream.renew_lease(request.fence, last_end, until_ms, self.now_ms)
+        if found is None:
+            known.raise_fence(request.fence)
+            return
+        self.handle_list(host, request, *found)
+
+    def handle_list(self, host, request, running, ends) -> None:
+        known = self.claims[host.name].known
+        verdict = known.handle_list(request, host.upstream.incarnation)
+        numbers = [number for number, _ in ends]
+        match verdict:
+            case incarnations.Verdict.REPLACED:
+                host.last_end = max(numbers, default=0)
+                self.run_sidecar(host, known.current.status)
+            case incarnations.Verdict.CURRENT:
+                host.last_end = max(numbers, default=host.last_end)
+                if host.manager.upstream is None:
+                    self.run_sidecar(host, known.current.status)
+            case _:
+                return
+        for _, item in ends:
+            if item.outcome == "done":
+                job = item.name.task.partition(".")[0]
+                self.done.setdefault(job, set()).add(item.name.task)
+        listed = runevents.Listed(self.now_ms, running, tuple(end for _, end in ends))
+        self.run_sidecar(host, listed)
+
+    def crash_upstream(self, host) -> None:
+        host.upstream.crash()
+        if self.chance.random() < 0.5:
+            host.upstream.id = f"{host.name}{host.upstream.incarnation_number}"
+        delay_ms = self.chance.choice((0, 100, 600))
+        self.claims[host.name].heartbeat_ms = self.now_ms + delay_ms
+        self.claims[host.name].sequence = 0
+
+    def restart_sidecar(self, host) -> None:
+        super().restart_sidecar(host)
+        host.fence = 1_000_000 * host.incarnation
+        self.claims[host.name].known = incarnations.Incarnations(host.fence)
+
+
+REBIRTH_ACTIONS = strategies.one_of(
+    ACTIONS,
+    strategies.tuples(strategies.just("odd"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("crash"), strategies.sampled_from("xyz")),
+)
+
+
+@hypothesis.settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=not os.environ.get("FUZZ_EXAMPLES"),
+)
+@hypothesis.given(
+    strategies.integers(0, 2**32),
+    strategies.lists(REBIRTH_ACTIONS, min_size=5, max_size=25),
+)
+def test_no_task_runs_twice_while_upstreams_restart_under_their_names(seed, actions):
+    simulation = RebirthSimulation(seed)
+    simulation.advance(300)
+    for action, value in actions:
+        if action == "odd":
+            simulation.send_odd_claim(simulation.hosts[value])
+        else:
+            apply(simulation, action, value)
+    recover(simulation)
