An order is refused or sent again only by who can know what became of it

Three statements were made without the knowledge that they need. 1. A sidecar that has just started refused orders for good, with 'no upstream', that its predecessor might have carried out. Gateways took that for 'never ran'. 2. A gateway sent an unconfirmed order again to whatever incarnation of the sidecar or its upstream answered next, without deciding anew on label, size or domain. 3. A sidecar with an active run of a task refused an order for another run of it, or for the same run by another gateway, with 'another run of the task has not ended', 'stale' or 'order did not arrive'. Any of them let the second gateway start the task elsewhere at once. It told a gateway 'started' of a run that belongs to another one.

Class of fault: 'did not run' said by a process that cannot know.

A sidecar leaves an order open ('start left open') until the upstream's list, or the longest lease since its own start, has ended its predecessor's runs, and while any other run of the task is active. A gateway remembers for which incarnations a run was placed: it sends an order again to the same ones only, and else withdraws it ('run withdrawn') and places the task anew after the report.

Evidence: test_order_that_the_previous_process_may_have_started_is_not_refused, test_run_is_not_refused_while_another_gateway_has_a_run_of_its_task (3 cases) and test_start_for_another_incarnation_is_withdrawn_and_placed_anew (2 cases) failed before.

Tests: test_unknown_runs_are_not_reported_before_the_first_list_of_the_upstream began with a process that had taken over long ago and lost its upstream. Such a process does know its runs. It now begins with a new process, which is what its name says, asks in three ways and up to the end of the time limit.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -359,6 +359,7 @@
         if before is None or before.failure_domain != room.failure_domain:
             self.fleet.invalidate_accepting(sidecar)
         if before is None or before.upstream != room.upstream:
+            self._needs_placement = True
             sidecar.slowness = 1.0
             sidecar.failure_rate = 0.0
         if before is None or before.is_leaving != room.is_leaving:
@@ -511,7 +512,7 @@
     def _check_sidecars(self, now_ms: int) -> None:
         for sidecar in self.fleet.list_members():
             self._retry_lost_tasks(sidecar, now_ms)
-            self._resend_starts(sidecar, now_ms)
+            self._settle_unconfirmed(sidecar, now_ms)
         self._renewals.fill(now_ms)
         self._renewals.rebalance(now_ms)
         for service_pool in self.fleet.pools.values():
@@ -545,22 +546,41 @@
             )
             self._retry_task(task, report)
 
-    def _resend_starts(self, sidecar: sidecars.Sidecar, now_ms: int) -> None:
-        """Send unconfirmed starts again, as a broken connection may have lost them."""
+    def _settle_unconfirmed(self, sidecar: sidecars.Sidecar, now_ms: int) -> None:
+        """Send unconfirmed starts again, as a broken connection may have lost them.
+
+        Another incarnation of the sidecar or of its upstream may not suit the task, and
+        the start may have been carried out before. Such a start is withdrawn: the task is
+        placed anew once the sidecar reports that the run has not and will not start.
+        """
         if now_ms - sidecar.received_ms > RESEND_MS or sidecar.room is None:
             return
-        unconfirmed = [
-            task
-            for task in sidecar.tasks.values()
-            if not task.is_running and now_ms - task.placed_ms > RESEND_MS
-        ]
-        by_job: dict[str, list[jobs.Task]] = {}
-        for task in unconfirmed:
-            by_job.setdefault(task.job.request.id, []).append(task)
-        for tasks in by_job.values():
-            for task in tasks:
-                task.placed_ms = now_ms
+        room = sidecar.room
+        lost: dict[str, list[jobs.Task]] = {}
+        withdrawn: list[runmessages.RunName] = []
+        for task in sidecar.tasks.values():
+            if task.is_running or now_ms - task.placed_ms <= RESEND_MS:
+                continue
+            task.placed_ms = now_ms
+            is_same = task.incarnation == sidecar.incarnation
+            if is_same and task.upstream == room.upstream:
+                lost.setdefault(task.job.request.id, []).append(task)
+                continue
+            withdrawn.append(task.run_name)
+            self._log(
+                "run withdrawn",
+                task.job.request.id,
+                task=task.name,
+                run=task.run,
+                sidecar=sidecar.name,
+                has_restarted=not is_same,
+                meant=task.upstream,
+                upstream=room.upstream,
+            )
+        for tasks in lost.values():
             self._send_orders(sidecar, tasks)
+        if withdrawn:
+            self._send(effects.Send(sidecar.address, runmessages.StopRuns(withdrawn)))
 
     # Placement.
 
@@ -636,6 +656,8 @@
             task.state = jobs.TaskState.PLACED
             task.run += 1
             task.sidecar = sidecar.name
+            task.incarnation = sidecar.incarnation
+            task.upstream = sidecar.room.upstream if sidecar.room else ""
             task.placed_ms = now_ms
             task.is_running = False
             sidecar.add_task(task)
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -102,6 +102,8 @@
         run: Number of its last run; 0 before the first.
         failures: Number of its runs that failed.
         sidecar: Name of the sidecar of its current run; empty for none.
+        incarnation: Incarnation of that sidecar when the run was placed.
+        upstream: Incarnation of its upstream when the run was placed.
         placed_ms: Time at which the start was last sent in ms.
         is_running: Whether the sidecar confirmed the start.
         percent: Progress of its run in percent.
@@ -116,6 +118,8 @@
     run: int = 0
     failures: int = 0
     sidecar: str = ""
+    incarnation: int = 0
+    upstream: str = ""
     placed_ms: int = 0
     is_running: bool = False
     percent: int = 0
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -60,6 +60,10 @@
 """States of runs whose reports may be delayed."""
 NO_ROOM = "no room"
 """Reason of a refusal for lack of free capacity."""
+PREDECESSOR_EXPIRY_MS = 1_100
+"""Time after the start of this process by which all runs of its predecessor have ended,
+whether the upstream listed them or not: the longest lease of 1 s, on a clock that is 2%
+slow."""
 UNHEALTHY_PAUSE_MS = 500
 """Time without starts after the upstream refused one as unhealthy."""
 MAX_TICK_INTERVAL_MS = 1_000
@@ -100,6 +104,10 @@
         self._unanswered_list_ms = -UNANSWERED_WINDOW_MS
         # Whether the upstream's list has shown that no earlier run is left on it.
         self._is_reconciled = False
+        # Whether no run of this process's predecessor is left, so that a run unknown
+        # to this process has not started.
+        self._has_taken_over = False
+        self._started_ms: int | None = None
         self._effects: list[runevents.Effect] = []
 
     def step(self, event: runevents.Event, now_ms: int) -> list[runevents.Effect]:
@@ -112,6 +120,7 @@
         Returns:
             Effects to carry out, in order.
         """
+        self._check_takeover(now_ms)
         match event:
             case runevents.Asked(sender=sender, message=message):
                 self._handle_message(sender, message, now_ms)
@@ -141,6 +150,14 @@
         effects, self._effects = self._effects, []
         return effects
 
+    def _check_takeover(self, now_ms: int) -> None:
+        if self._has_taken_over:
+            return
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        passed_ms = now_ms - self._started_ms
+        self._has_taken_over = passed_ms > PREDECESSOR_EXPIRY_MS and not self.runs
+
     def find_due_ms(self, now_ms: int) -> int:
         """Return the latest time of the next tick, in ms.
 
@@ -278,8 +295,10 @@
     ) -> None:
         name = order.name
         current = self.runs.get(name.task)
-        if current is not None and current.name.run == name.run:
-            if current.state is runevents.RunState.RUNNING:
+        if current is not None and current.name == name:
+            if current.gateway != gateway.name:
+                self._leave_open(name, "gateway has no right to the run")
+            elif current.state is runevents.RunState.RUNNING:
                 gateway.reports.append(runmessages.RunReport(name, "started"))
             return
         waiting = self._queue.find(name.task)
@@ -288,11 +307,18 @@
         if name in self._final_reports:
             gateway.reports.append(self._final_reports[name][1])
             return
-        other = current or (waiting and waiting.order)
-        state, reason = self._check_name(name, other.name if other else None)
+        if not self._has_taken_over:
+            self._leave_open(name, "previous process may have started it")
+            return
+        if current is not None or waiting is not None:
+            self._leave_open(name, "another run of the task has not ended")
+            return
+        state: runevents.ReportState = "refused"
+        reason = self._find_blocking_run(name)
+        if reason:
+            state = "stale"
         if not reason:
             reason = self._find_refusal(gateway, message, now_ms)
-            state = "refused"
         has_room = resources.fits(order.needs, self.read_offered())
         if not reason and not has_room and self._queue.is_full:
             reason = NO_ROOM
@@ -375,24 +401,19 @@
             return "order is based on an old statement of room"
         return ""
 
-    def _check_name(
-        self, name: runmessages.RunName, other: runmessages.RunName | None
-    ) -> tuple[runevents.ReportState, str]:
-        """Return the state and the reason of a refusal; the reason is empty for none.
+    def _find_blocking_run(self, name: runmessages.RunName) -> str:
+        """Return the highest run number that blocks a run; empty if none does."""
+        blocked = self._blocked_runs.get(name.task, (0, 0))[0]
+        return str(blocked) if blocked >= name.run else ""
 
-        Args:
-            name: Requested run.
-            other: Another run of the same task that is active or queued; None if there
-                is none.
+    def _leave_open(self, name: runmessages.RunName, reason: str) -> None:
+        """Neither start nor refuse a run: a refusal would let it start elsewhere.
+
+        Its gateway sends the order again, or names the run in a renewal.
         """
-        blocked = self._blocked_runs.get(name.task, (0, 0))[0]
-        if other is not None and other.run > name.run:
-            blocked = other.run
-        if blocked >= name.run:
-            return "stale", str(blocked)
-        if other is not None:
-            return "refused", "another run of the task has not ended"
-        return "started", ""
+        self._effects.append(
+            runevents.LogDecision("start left open", name.task, name.run, reason)
+        )
 
     def _stop_named(
         self, gateway: runevents.Gateway, name: runmessages.RunName, now_ms: int
@@ -406,7 +427,7 @@
             self._refuse_queued(waiting, "gateway asked", now_ms)
         elif name in self._final_reports:
             gateway.reports.append(self._final_reports[name][1])
-        elif self._is_reconciled:
+        elif run is None and self._has_taken_over:
             self._refuse_unknown(gateway, name, now_ms)
 
     def _refuse_queued(
@@ -448,20 +469,12 @@
             # connection that has been replaced.
             return
         for name in message.names:
-            current = self.runs.get(name.task)
-            if (
-                current is not None
-                and current.name == name
-                and current.gateway == gateway.name
-            ):
-                continue
             queued = self._queue.find(name.task)
             if queued is not None and queued.order.name == name:
                 continue
             if name in self._final_reports:
                 gateway.reports.append(self._final_reports[name][1])
-            elif self._is_reconciled:
-                # Until then, a run of the sidecar's previous process may be active.
+            elif name.task not in self.runs and self._has_taken_over:
                 self._refuse_unknown(gateway, name, now_ms)
 
     # Statements, answers and lists of the upstream.
@@ -547,6 +560,7 @@
             self._stop_unowned(name, now_ms)
         if not self._is_reconciled and not self.runs:
             self._is_reconciled = True
+            self._has_taken_over = True
             self._report_to_all()
 
     def _is_of_predecessor(self, run: runevents.Run) -> bool:
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -127,6 +127,10 @@
             room: Reported capacity; `None` after a restart.
             now_ms: Current time in ms.
         """
+        before = self.room
+        if before is not None and room is not None and before.upstream != room.upstream:
+            # Orders for another incarnation of the upstream take up none of its capacity.
+            self.reservations.clear()
         self.room = room
         self.reported_ms = now_ms if room is not None else -1
         if room is None:
--- a/tests/builders_runmanager.py
+++ b/tests/builders_runmanager.py
@@ -9,16 +9,21 @@
 
 
 class Sidecar:
-    """A run manager with an upstream without runs, and the effects it returned."""
+    """A run manager with an upstream without runs, and the effects it returned.
 
-    def __init__(self) -> None:
+    Args:
+        is_listed: Whether the upstream has listed its runs to this process.
+    """
+
+    def __init__(self, is_listed: bool = True) -> None:
         self.manager = runmanager.RunManager("quotes", "east")
         self.now_ms = 1_000
         self.number = 0
         self.reports: list[runmessages.RunReport] = []
         self.room: runmessages.Room | None = None
         self.step(KNOWN)
-        self.list()
+        if is_listed:
+            self.list()
         # The gateway receives the sidecar's first report before it sends orders.
         self.ask(runmessages.KeepRuns(0, 0, False, [], 0))
 
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -1,5 +1,7 @@
 """Tests of the gateway's dispatcher: admission, placement, retries and renewals."""
 
+import pytest
+
 from amaranthspar.scheduling import (
     dispatcher,
     jobevents,
@@ -190,6 +192,41 @@
     assert again[0].orders == start.orders
 
 
+@pytest.mark.parametrize(("upstream", "incarnation"), [("u@2", 1), ("u@1", 2)])
+def test_start_for_another_incarnation_is_withdrawn_and_placed_anew(
+    upstream, incarnation
+):
+    """The next upstream may be of another kind, and the start may have been carried out."""
+    gateway = build_gateway()
+    step = builders.build_step(label="a")
+    (start,) = gateway.submit(builders.build_request(steps=[step]))
+    for number in range(2, dispatcher.RESEND_MS // builders.STEP_MS + 8):
+        room = builders.build_room(number, upstream=upstream, labels=["b"])
+        gateway.receive("one", room, incarnation=incarnation)
+        gateway.wait(builders.STEP_MS)
+    assert builders.list_starts(gateway.sent)[1:] == []
+    stops = [
+        item.message
+        for item in gateway.sent
+        if isinstance(item.message, runmessages.StopRuns)
+    ]
+    assert stops and stops[0].names == [start.orders[0].name]
+    refused = report(start.orders[0], "refused", "order did not arrive")
+    room = builders.build_room(99, upstream=upstream, labels=["b"])
+    assert gateway.receive("one", room, refused, incarnation=incarnation) == []
+    room = builders.build_room(100, upstream="u@3")
+    (again,) = gateway.receive("one", room, incarnation=incarnation)
+    assert (again.upstream, again.orders[0].name.run) == ("u@3", 2)
+
+
+def test_capacity_of_a_new_upstream_is_not_reserved_by_orders_for_the_former():
+    gateway = build_gateway()
+    gateway.submit(builders.build_request(steps=[builders.build_step(cores=8)]))
+    gateway.receive("one", builders.build_room(2, upstream="u@2"))
+    sidecar = gateway.dispatcher.fleet.sidecars["one"]
+    assert sidecar.free == sidecar.room.free
+
+
 def test_job_larger_than_any_upstream_is_refused_at_once():
     gateway = build_gateway(capacity=4.0, free=4.0)
     gateway.submit(builders.build_request(steps=[builders.build_step(cores=5)]))
--- a/tests/test_runmanager.py
+++ b/tests/test_runmanager.py
@@ -206,10 +206,59 @@
 
 
 def test_unknown_runs_are_not_reported_before_the_first_list_of_the_upstream():
-    sidecar = builders.Sidecar()
-    sidecar.step(runevents.UpstreamGone("lease has run out"))
-    sidecar.ask(runmessages.KeepRuns(1, 0, False, [runmessages.RunName("t", 1)], 0))
+    sidecar = builders.Sidecar(is_listed=False)
+    name = runmessages.RunName("t", 1)
+    sidecar.ask(runmessages.KeepRuns(1, 0, False, [name], 0))
+    sidecar.ask(runmessages.StopRuns([name]))
+    sidecar.ask(
+        runmessages.KeepRuns(2, 0, False, [name], 0), runmanager.PREDECESSOR_EXPIRY_MS
+    )
+    assert sidecar.reports == []
+
+
+def test_unknown_runs_are_refused_once_those_of_the_previous_process_have_lapsed():
+    sidecar = builders.Sidecar(is_listed=False)
+    name = runmessages.RunName("t", 1)
+    passed_ms = runmanager.PREDECESSOR_EXPIRY_MS + 1
+    sidecar.ask(runmessages.KeepRuns(1, 0, False, [name], 0), passed_ms)
+    assert sidecar.read_states() == [("t", 1, "refused")]
+
+
+def test_order_that_the_previous_process_may_have_started_is_not_refused():
+    """The order is sent again to a restarted sidecar, while its first start runs."""
+    sidecar = builders.Sidecar(is_listed=False)
+    assert sidecar.start() == []
+    assert sidecar.reports == []
+    calls = sidecar.list(("t", 1, 40))
+    assert [type(call) for call in calls] == [runevents.CallStop]
+    assert sidecar.start() == []
+    sidecar.ask(runmessages.KeepRuns(1, 2, False, [runmessages.RunName("t", 1)], 0))
     assert sidecar.reports == []
+    sidecar.list(ends=[("t", 1, "stopped")])
+    sidecar.ask(runmessages.KeepRuns(2, 2, False, [runmessages.RunName("t", 1)], 0))
+    assert sidecar.read_states() == [("t", 1, "stopped")]
+
+
+@pytest.mark.parametrize("run", [1, 2, 3])
+def test_run_is_not_refused_while_another_gateway_has_a_run_of_its_task(run):
+    """A caller sends its job to a second gateway while the first one's run is active."""
+    sidecar = builders.Sidecar()
+    sidecar.start(run=2)
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    second = runevents.Sender("second", 1, "second:1")
+    name = runmessages.RunName("t", run)
+    order = runmessages.RunOrder(name, runmessages.Resources(1_000, 64, 0))
+    sidecar.reports.clear()
+    for message in (
+        runmessages.StartRuns(1, "u@1", "spec", [order], 0),
+        runmessages.KeepRuns(1, 1, False, [name], 0),
+        runmessages.StopRuns([name]),
+    ):
+        assert sidecar.step(runevents.Asked(second, message)) == []
+    assert sidecar.read_states() == []
+    sidecar.list(ends=[("t", 2, "done")])
+    sidecar.step(runevents.Asked(second, runmessages.KeepRuns(2, 1, False, [name], 0)))
+    assert sidecar.read_states()[-1][:2] == ("t", run)
 
 
 def test_run_of_a_previous_process_is_stopped_before_capacity_is_offered():
