The lease on an upstream ends before callers of a lost gateway resend their jobs

Callers could see tasks that ran on two upstreams at once (TWICE) after a gateway was killed and a sidecar was killed, froze or got no answer to its stops within the next second.

A sidecar stops the runs of a gateway 800 ms after the newest report that it has acknowledged. Until then each list request renewed the lease of all runs by 1 s, so that runs which nobody could stop went on for up to 1.8 s. Their callers resend after 1.3 s. A run that was to stop was renewed for as long as the upstream left its stops unanswered.

Class of fault: a permission is passed on for longer than the one it rests on.

RunManager.find_lease_ms bounds each lease, of list requests and of starts: no gateway's runs are leased beyond 1.1 s after its newest acknowledged report, and no run that is to stop beyond 1.1 s after it was to. Runs of a previous process are not leased at all.

Evidence: the fuzz test now kills gateways whose jobs come again after 1.3 s.

Cost: an upstream that answers no stop for 1.1 s loses its other runs as well.

--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -23,6 +23,8 @@
 """Timeout of a stop."""
 START_VALID_MS = 600
 """Time within which the upstream may carry out a start; more than twice its timeout."""
+MIN_START_VALID_MS = 120
+"""Shortest such time; the lease that a start gives may exceed the limit by as much."""
 RENEWAL_MARGIN_MS = 80
 """Timeout of a renewal in addition to the time that the upstream is asked to wait."""
 CALL_CONNECTIONS = 6
@@ -69,16 +71,21 @@
         order: runmessages.RunOrder,
         spec: str,
         fence: int,
+        lease_ms: int | None = None,
     ) -> runevents.Answer:
         """Start a run.
 
         Raises:
             runsidecar.FenceError: The upstream has seen a higher fencing token.
         """
-        deadline_ms = self._read_clock(registration) + START_VALID_MS
+        valid_ms = START_VALID_MS
+        if lease_ms is not None:
+            valid_ms = max(min(valid_ms, lease_ms), MIN_START_VALID_MS)
+        deadline_ms = self._read_clock(registration) + valid_ms
         body = wire.encode_start(order, spec, deadline_ms, fence)
         # A start that is carried out extends the lease of all runs on the upstream.
-        self._start_lease_end_ms = self._clock.read_monotonic() + START_VALID_MS
+        end_ms = self._clock.read_monotonic() + valid_ms
+        self._start_lease_end_ms = max(self._start_lease_end_ms, end_ms)
         self._lease_end_ms = max(self._lease_end_ms, self._start_lease_end_ms)
         return await self._call(registration, START_PATH, body, START_TIMEOUT_MS)
 
@@ -102,6 +109,7 @@
         seen: int,
         wait_ms: int,
         fence: int,
+        lease_ms: int | None = None,
     ) -> runsidecar.RenewalResult:
         """Renew the lease of all runs and list them.
 
@@ -113,17 +121,19 @@
         """
         sent_ms = self._clock.read_monotonic()
         deadline_ms = 0
+        if lease_ms is None or lease_ms > self._max_lease_ms:
+            lease_ms = self._max_lease_ms
         if (
-            registration.incarnation == self._clock_incarnation
-            and self._offset_ms is not None
+            registration.incarnation != self._clock_incarnation
+            or self._offset_ms is None
         ):
-            deadline_ms = sent_ms + self._offset_ms + self._max_lease_ms
-        else:
             wait_ms = 0
+        elif lease_ms > 0:
+            deadline_ms = sent_ms + self._offset_ms + lease_ms
         body = wire.encode_renewal(seen, wait_ms, deadline_ms, fence)
         before_ms = self._lease_end_ms
         if deadline_ms:
-            self._lease_end_ms = max(before_ms, sent_ms + self._max_lease_ms)
+            self._lease_end_ms = max(before_ms, sent_ms + lease_ms)
         try:
             status, data = await _post(
                 self._renewal_pool,
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -83,9 +83,18 @@
         order: runmessages.RunOrder,
         spec: str,
         fence: int,
+        lease_ms: int | None,
     ) -> runevents.Answer:
         """Start a run.
 
+        Args:
+            registration: Registration of the upstream.
+            order: Run to start.
+            spec: Specification of its job.
+            fence: Fencing token.
+            lease_ms: Longest lease in ms that the start may give to all runs; None for
+                no limit.
+
         Raises:
             FenceError: The upstream has received a higher fencing token.
         """
@@ -108,6 +117,7 @@
         seen: int,
         wait_ms: int,
         fence: int,
+        lease_ms: int | None,
     ) -> RenewalResult:
         """Renew the lease of all runs and list them.
 
@@ -116,6 +126,7 @@
             seen: Number of the last end received; later ends are listed.
             wait_ms: Time in ms for which the upstream may delay the list.
             fence: Fencing token.
+            lease_ms: Longest lease in ms; None for no limit.
 
         Raises:
             SilentError: There was no answer in time.
@@ -365,7 +376,11 @@
         fence = self._incarnations.fence
         try:
             answer = await self._upstream.start(
-                registration, call.order, call.spec, fence
+                registration,
+                call.order,
+                call.spec,
+                fence,
+                self._manager.find_lease_ms(began_ms),
             )
         except FenceError:
             self._raise_fence(fence)
@@ -450,7 +465,11 @@
         if not request.is_probe:
             seen, wait_ms = self._last_end, self._manager.find_list_wait_ms(now_ms)
         return await self._upstream.renew_lease(
-            request.registration, seen, wait_ms, request.fence
+            request.registration,
+            seen,
+            wait_ms,
+            request.fence,
+            self._manager.find_lease_ms(now_ms),
         )
 
     def _handle_list(
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -15,6 +15,11 @@
 """Age of the newest report that a gateway has acknowledged beyond which its runs are
 stopped and its orders refused. It is below the 1.3 s after which a caller resends.
 Delayed messages acknowledge only old reports, so they do not renew the lease."""
+RUN_LEASE_MS = 1_100
+"""Age of the newest report that a gateway has acknowledged beyond which the upstream holds
+no lease of its runs, whether stops reach the upstream or not; and the time for which runs
+that are to stop are leased. It is below the 1.3 s after which a caller resends, with a
+margin for an upstream whose clock is 2% slow."""
 MAX_REPORT_TIMES = 256
 """Send times of reports kept per gateway: more than the reports of one second."""
 LOWER_INCARNATION_SILENCE_MS = 500
@@ -197,6 +202,25 @@
         has_unanswered = now_ms - self._unanswered_list_ms < UNANSWERED_WINDOW_MS
         return LIST_WAIT_UNANSWERED_MS if has_unanswered else LIST_WAIT_BUSY_MS
 
+    def find_lease_ms(self, now_ms: int) -> int | None:
+        """Return for how long the upstream may lease its runs; None without a limit.
+
+        One lease covers all runs of an upstream, so the gateway that was silent longest
+        limits it. Nobody leases runs that this process did not start.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        ends_ms: list[int] = []
+        for run in self.runs.values():
+            owner = self.gateways.get(run.gateway)
+            if owner is None:
+                return 0
+            ends_ms.append(owner.acknowledged_ms + RUN_LEASE_MS)
+            if run.stopping_ms >= 0:
+                ends_ms.append(run.stopping_ms + RUN_LEASE_MS)
+        return max(min(ends_ms) - now_ms, 0) if ends_ms else None
+
     @property
     def refusal_reason(self) -> str:
         """Why every start is refused; empty if runs may start."""
@@ -420,7 +444,7 @@
     ) -> None:
         run = self.runs.get(name.task)
         if run is not None and run.name == name and run.gateway == gateway.name:
-            self._stop_run(run, "gateway asked")
+            self._stop_run(run, "gateway asked", now_ms)
             return
         waiting = self._queue.find(name.task)
         if waiting is not None and waiting.order.name == name:
@@ -460,7 +484,7 @@
         named = set(message.names)
         for run in list(self.runs.values()):
             if run.gateway == gateway.name and run.name not in named:
-                self._stop_run(run, "gateway does not count on it")
+                self._stop_run(run, "gateway does not count on it", now_ms)
         for waiting in self._queue.list_orders(gateway.name):
             if waiting.order.name not in named:
                 self._refuse_queued(waiting, "gateway does not count on it", now_ms)
@@ -585,7 +609,7 @@
             return
         if not run.is_confirmed:
             run.start_confirmed_ms = now_ms
-        self._stop_run(run, "upstream has restarted")
+        self._stop_run(run, "upstream has restarted", now_ms)
 
     def _has_ended(self, run: runevents.Run, asked_ms: int) -> bool:
         """Return whether a run missing from a list has ended or cannot start."""
@@ -618,7 +642,7 @@
         )
         run.start_confirmed_ms = now_ms
         self.runs[name.task] = run
-        self._stop_run(run, "no gateway counts on it")
+        self._stop_run(run, "no gateway counts on it", now_ms)
 
     def _add_progress(self, gateway: runevents.Gateway, now_ms: int) -> None:
         """Add the progress of a gateway's runs to its reports."""
@@ -639,10 +663,11 @@
 
     # Ends of runs, reports and expiry.
 
-    def _stop_run(self, run: runevents.Run, reason: str) -> None:
+    def _stop_run(self, run: runevents.Run, reason: str, now_ms: int) -> None:
         if run.state is runevents.RunState.STOPPING:
             return
         run.stop_reason = reason
+        run.stopping_ms = now_ms
         run.state = runevents.RunState.STOPPING
         self._effects.append(runevents.CallStop(run.name, reason))
         self._effects.append(
@@ -656,7 +681,7 @@
             self._refuse_queued(waiting, reason, now_ms)
         for run in list(self.runs.values()):
             if run.gateway == gateway.name:
-                self._stop_run(run, reason)
+                self._stop_run(run, reason, now_ms)
 
     def _end_lost_runs(self, reason: str, asked_ms: int | None, now_ms: int) -> None:
         """End the confirmed runs of a lost upstream.
--- a/tests/test_runmanager.py
+++ b/tests/test_runmanager.py
@@ -7,6 +7,8 @@
 from amaranthspar.schema import runmessages
 from tests import builders_runmanager as builders
 
+T1 = runmessages.RunName("t", 1)
+
 
 def test_run_is_reported_as_started_and_done():
     sidecar = builders.Sidecar()
@@ -563,3 +565,39 @@
     assert sidecar.read_states() == []
     sidecar.step(runevents.Tick(), runmanager.START_EXPIRY_MS + 1)
     assert sidecar.read_states() == [("t", 1, "lost")]
+
+
+def test_lease_on_the_upstream_ends_before_callers_of_a_lost_gateway_resend():
+    sidecar = builders.Sidecar()
+    assert sidecar.manager.find_lease_ms(sidecar.now_ms) is None
+    sidecar.start()
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    keep = runmessages.KeepRuns(1, 1, False, [T1], sidecar.newest_report)
+    sidecar.ask(keep)
+    lost_ms = sidecar.now_ms
+    for _ in range(runmanager.RUN_LEASE_MS // 100):
+        sidecar.step(runevents.Tick(), 100)
+        lease_ms = sidecar.manager.find_lease_ms(sidecar.now_ms)
+        assert sidecar.now_ms + lease_ms <= lost_ms + runmanager.RUN_LEASE_MS
+    assert lease_ms == 0
+
+
+def test_lease_ends_although_the_upstream_leaves_stops_unanswered():
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    sidecar.ask(runmessages.StopRuns([T1]))
+    stopped_ms = sidecar.now_ms
+    for number in range(runmanager.RUN_LEASE_MS // 100):
+        keep = runmessages.KeepRuns(number + 1, 1, False, [], sidecar.newest_report)
+        sidecar.ask(keep, 100)
+        sidecar.step(runevents.StopAnswered(T1, runevents.Answer.UNKNOWN))
+        lease_ms = sidecar.manager.find_lease_ms(sidecar.now_ms)
+        assert sidecar.now_ms + lease_ms <= stopped_ms + runmanager.RUN_LEASE_MS
+    assert lease_ms == 0
+
+
+def test_runs_of_a_previous_process_are_not_leased():
+    sidecar = builders.Sidecar(is_listed=False)
+    sidecar.list(("t", 1, 40))
+    assert sidecar.manager.find_lease_ms(sidecar.now_ms) == 0
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -54,6 +54,7 @@
         self.gateway = dispatcher.Dispatcher(random.Random(seed))
         self.done: dict[str, set[str]] = {}
         self.ended: dict[str, jobevents.JobEnded] = {}
+        self.resent: set[str] = set()
         self.scheduled: list[tuple[int, int, object]] = []
         self.unreachable: set[str] = set()
         self.reports_lost: set[str] = set()
@@ -108,20 +109,23 @@
 
     def run_sidecar(self, host, event) -> None:
         for effect in host.manager.step(event, self.now_ms):
-            match effect:
-                case runevents.SendReports(reports=reports):
-                    if host.name in self.unreachable | self.reports_lost:
-                        continue
-                    if self.chance.random() < self.loss_rate:
-                        continue
-                    received = jobevents.Heard(
-                        host.name, host.incarnation, f"{host.name}:1", reports
-                    )
-                    self.post(lambda r=received: self.run_gateway(r))
-                case runevents.CallStart(order=order):
-                    self.call_start(host, order)
-                case runevents.CallStop(name=name):
-                    self.call_stop(host, name)
+            self.carry_out(host, effect)
+
+    def carry_out(self, host, effect) -> None:
+        match effect:
+            case runevents.SendReports(reports=reports):
+                if host.name in self.unreachable | self.reports_lost:
+                    return
+                if self.chance.random() < self.loss_rate:
+                    return
+                received = jobevents.Heard(
+                    host.name, host.incarnation, f"{host.name}:1", reports
+                )
+                self.post(lambda: self.run_gateway(received))
+            case runevents.CallStart(order=order):
+                self.call_start(host, order)
+            case runevents.CallStop(name=name):
+                self.call_stop(host, name)
 
     def call_start(self, host, order) -> None:
         until_ms = self.now_ms + 600
@@ -297,6 +301,7 @@
     for host in simulation.hosts.values():
         host.timeout_rate = 0.0
     submitted = set(simulation.gateway.jobs) | set(simulation.ended)
+    submitted |= simulation.resent
     for _ in range(RECOVERY_S):
         simulation.advance(1_000)
         if set(simulation.ended) == submitted:
@@ -378,6 +383,10 @@
 
 HEARTBEAT_MS = 400
 MAX_HEARTBEAT_DELAY_MS = 150
+START_VALID_MS = 600
+MIN_START_VALID_MS = 120
+RETRY_MS = 1_300
+"""Time after which a caller sends a job again that its gateway has not answered."""
 
 
 @attrs.define
@@ -404,6 +413,8 @@
 
     def __init__(self, seed: int) -> None:
         self.claims: dict[str, Claims] = {}
+        self.gateway_number = 1
+        self.sender = "gate1"
         super().__init__(seed)
         for name, host in self.hosts.items():
             self.claims[name] = Claims(incarnations.Incarnations(host.fence))
@@ -414,6 +425,55 @@
                 self.send_heartbeat(host)
             super().advance(10)
 
+    def kill_gateway(self) -> None:
+        """Kill the gateway; callers send its jobs to another one after a while."""
+        requests = [job.request for job in self.gateway.jobs.values()]
+        self.gateway_number += 1
+        self.gateway = dispatcher.Dispatcher(random.Random(self.gateway_number))
+        peers = tuple(builders.build_peer(name) for name in self.hosts)
+        self.run_gateway(jobevents.Found(peers, frozenset()))
+        self.resent |= {request.id for request in requests}
+        for request in requests:
+            self.post(lambda item=request: self.resend(item), RETRY_MS)
+
+    def resend(self, request) -> None:
+        self.resent.discard(request.id)
+        self.run_gateway(jobevents.Submit(request))
+
+    def run_gateway(self, event) -> None:
+        current = f"gate{self.gateway_number}"
+        if isinstance(event, jobevents.Heard) and self.sender != current:
+            return
+        self.sender = current
+        super().run_gateway(event)
+
+    def post(self, action, delay_ms=None) -> None:
+        """Post an action; messages are those of the gateway that sends them."""
+        number = self.gateway_number
+
+        def carry_out():
+            self.sender = f"gate{number}"
+            action()
+
+        super().post(carry_out, delay_ms)
+
+    def deliver(self, name, message) -> None:
+        host = self.hosts[name]
+        if self.now_ms < host.frozen_until_ms:
+            super().deliver(name, message)
+            return
+        sender = runevents.Sender(self.sender, 1, f"{self.sender}:1")
+        self.run_sidecar(host, runevents.Asked(sender, message))
+
+    def run_sidecar(self, host, event) -> None:
+        current = f"gate{self.gateway_number}"
+        found = host.manager.step(event, self.now_ms)
+        for effect in found:
+            match effect:
+                case runevents.SendReports(gateway=gateway) if gateway != current:
+                    continue
+            self.carry_out(host, effect)
+
     def send_heartbeat(self, host) -> None:
         claims = self.claims[host.name]
         if self.now_ms < claims.heartbeat_ms:
@@ -450,6 +510,8 @@
         life = host.upstream.incarnation
         fence, duration_ms = known.fence, self.chance.choice(RUN_MS)
         incarnation = host.incarnation
+        valid_ms = min(host.manager.find_lease_ms(sent_ms) or 0, START_VALID_MS)
+        valid_ms = max(valid_ms, MIN_START_VALID_MS)
 
         def carry_out():
             upstream = host.upstream
@@ -457,7 +519,9 @@
                 return runevents.Answer.REPLACED
             # The clock of another incarnation starts anew, so that it takes any start.
             is_same = upstream.incarnation == life
-            until_ms = sent_ms + 600 if is_same else self.now_ms + builders.LEASE_MS
+            until_ms = self.now_ms + builders.LEASE_MS
+            if is_same:
+                until_ms = sent_ms + valid_ms
             name = order.name
             return upstream.start(
                 fence, name, until_ms, duration_ms, False, self.now_ms
@@ -514,7 +578,9 @@
                 self.run_sidecar(host, runevents.UpstreamGone("another answered"))
             return
         last_end = 0 if request.is_probe else host.last_end
-        until_ms = self.now_ms + builders.LEASE_MS
+        lease_ms = host.manager.find_lease_ms(self.now_ms)
+        lease_ms = builders.LEASE_MS if lease_ms is None else lease_ms
+        until_ms = self.now_ms + min(lease_ms, builders.LEASE_MS)
         found = upstream.renew_lease(request.fence, last_end, until_ms, self.now_ms)
         if found is None:
             known.raise_fence(request.fence)
@@ -559,6 +625,7 @@
 REBIRTH_ACTIONS = strategies.one_of(
     ACTIONS,
     strategies.tuples(strategies.just("odd"), strategies.sampled_from("xyz")),
+    strategies.tuples(strategies.just("kill"), strategies.none()),
     strategies.tuples(strategies.just("crash"), strategies.sampled_from("xyz")),
 )
 
@@ -572,12 +639,39 @@
     strategies.integers(0, 2**32),
     strategies.lists(REBIRTH_ACTIONS, min_size=5, max_size=25),
 )
+# A sidecar froze after its gateway was killed, so that no stop ended the runs in time.
+@hypothesis.example(
+    0,
+    [
+        ("submit", 2),
+        ("submit", 1),
+        ("advance", 5),
+        ("kill", None),
+        ("advance", 351),
+        ("freeze", "x"),
+    ],
+)
+# Orders that were lost with a former upstream reserved all capacity of the next one.
+@hypothesis.example(
+    53909,
+    [
+        ("cut", "y"),
+        ("restart", "x"),
+        ("submit", 5),
+        ("crash", "y"),
+        ("submit", 2),
+        ("freeze", "x"),
+    ],
+)
 def test_no_task_runs_twice_while_upstreams_restart_under_their_names(seed, actions):
     simulation = RebirthSimulation(seed)
     simulation.advance(300)
     for action, value in actions:
-        if action == "odd":
-            simulation.send_odd_claim(simulation.hosts[value])
-        else:
-            apply(simulation, action, value)
+        match action:
+            case "odd":
+                simulation.send_odd_claim(simulation.hosts[value])
+            case "kill":
+                simulation.kill_gateway()
+            case _:
+                apply(simulation, action, value)
     recover(simulation)
