A gateway that was paused sends no start before it has seen which callers left

Callers could see tasks that ran on two upstreams at once (TWICE): a gateway process stood still for longer than the 1.3 s after which callers send their jobs elsewhere. Its runs were stopped meanwhile. When it woke, it could read the reports of these ends, and place the tasks again, before it had read that the callers' connections had ended.

Class of fault: a process that was paused acts on what it believed before.

After 1 s without any event (it ticks every 10 ms) the dispatcher sends no start, new or again, for 50 ms, in which ended connections are read. It logs 'process resumed' with the length of the pause.

Evidence: test_no_start_is_sent_after_a_pause_before_ended_connections_are_noticed fails without the change (it sends the start on the first report).

Tests: test_time_since_arrival_counts_against_the_deadline let 10 s pass in one step, which is a pause now. It lets them pass tick by tick; what it checks is the same.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -39,6 +39,11 @@
 RESEND_MS = 300
 """Time after which an unconfirmed start is sent again; above the 200 ms for which a
 sidecar holds back the report that confirms it."""
+PAUSE_MS = 1_000
+"""Time without an event from which the process counts as paused. It is below the 1.3 s
+after which callers whose connections have ended send their jobs to another gateway."""
+RESUME_MS = 50
+"""Time after a pause in which no start is sent, so that ended connections are noticed."""
 MAX_SCANNED_JOBS = 64
 """Maximum number of waiting jobs examined per pass, which bounds its processor time."""
 MAX_RESERVED_SIDECARS = 8
@@ -91,6 +96,8 @@
         self._cleaned_ms = 0
         self._drain_deadline_ms = 0
         self._needs_placement = False
+        self._event_ms: int | None = None
+        self._resumed_ms = -RESUME_MS
         self._effects: list[jobevents.Effect] = []
         self._renewals = renewals.Renewals(self.fleet, self._send)
 
@@ -116,7 +123,7 @@
         Returns:
             Effects to carry out, in order.
         """
-        if self._needs_placement:
+        if self._needs_placement and not self._is_resuming(now_ms):
             self._needs_placement = False
             self._dispatch(now_ms)
         self._renewals.set_waiting(len(self.waiting) > 0, now_ms)
@@ -130,6 +137,7 @@
             event: Event to handle.
             now_ms: Monotonic time in ms.
         """
+        self._check_pause(now_ms)
         match event:
             case jobevents.Submit(request=request, arrived_ms=arrived_ms):
                 self._submit(
@@ -149,6 +157,19 @@
             case jobevents.Tick():
                 self._tick(now_ms)
 
+    def _check_pause(self, now_ms: int) -> None:
+        """Hold back starts after a pause of the process.
+
+        Callers may have left meanwhile, and sent their jobs to another gateway.
+        """
+        if self._event_ms is not None and now_ms - self._event_ms > PAUSE_MS:
+            self._resumed_ms = now_ms
+            self._log("process resumed", paused_ms=now_ms - self._event_ms)
+        self._event_ms = now_ms
+
+    def _is_resuming(self, now_ms: int) -> bool:
+        return now_ms - self._resumed_ms < RESUME_MS
+
     # Jobs.
 
     def _submit(self, request: jobs.Request, arrived_ms: int, now_ms: int) -> None:
@@ -553,9 +574,11 @@
         the start may have been carried out before. Such a start is withdrawn: the task is
         placed anew once the sidecar reports that the run has not and will not start.
         """
-        if now_ms - sidecar.received_ms > RESEND_MS or sidecar.room is None:
-            return
         room = sidecar.room
+        if room is None or self._is_resuming(now_ms):
+            return
+        if now_ms - sidecar.received_ms > RESEND_MS:
+            return
         lost: dict[str, list[jobs.Task]] = {}
         withdrawn: list[runmessages.RunName] = []
         for task in sidecar.tasks.values():
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -192,6 +192,32 @@
     assert again[0].orders == start.orders
 
 
+def test_no_start_is_sent_after_a_pause_before_ended_connections_are_noticed():
+    """Callers resend after 1.3 s; the gateway was paused and has not seen them leave."""
+    gateway = build_gateway("one", "two")
+    (start,) = gateway.submit(builders.build_request())
+    (sent,) = [item for item in gateway.sent if item.message is start]
+    name = sent.peer.partition(":")[0]
+    gateway.now_ms += dispatcher.PAUSE_MS + 1
+    stopped = report(start.orders[0], "stopped", "gateway heard nothing for 801 ms")
+    other = "two" if name == "one" else "one"
+    assert gateway.receive(other, builders.build_room(2)) == []
+    assert gateway.receive(name, builders.build_room(2), stopped) == []
+    left = jobevents.Cancel("a1", jobevents.Outcome.ABANDONED, "caller left")
+    gateway.step(left)
+    gateway.wait(2 * dispatcher.CHECK_INTERVAL_MS)
+    assert builders.list_starts(gateway.sent) == [start]
+
+
+def test_starts_go_on_soon_after_a_pause():
+    gateway = build_gateway()
+    gateway.now_ms += dispatcher.PAUSE_MS + 1
+    gateway.receive("one", builders.build_room(2))
+    assert gateway.submit(builders.build_request()) == []
+    gateway.wait(dispatcher.RESUME_MS + dispatcher.CHECK_INTERVAL_MS)
+    assert len(builders.list_starts(gateway.sent)) == 1
+
+
 @pytest.mark.parametrize(("upstream", "incarnation"), [("u@2", 1), ("u@1", 2)])
 def test_start_for_another_incarnation_is_withdrawn_and_placed_anew(
     upstream, incarnation
@@ -399,7 +425,7 @@
 def test_time_since_arrival_counts_against_the_deadline():
     """A gateway that has just started gets requests that have waited for its start."""
     gateway = build_gateway(free=1.0, capacity=1.0)
-    gateway.now_ms += 10_000
+    gateway.wait(10_000)
     gateway.receive_room("one", free=1.0, capacity=1.0)
     assert gateway.submit(builders.build_request("first"))
     old_ms = gateway.now_ms - 5_000
