A heartbeat with an odd sequence no longer hides the later ones of the upstream

What operators would see: an upstream that drains is given tasks, or one that is ready gets none, until it restarts (capacity, DRAIN).

Cause: a heartbeat with the id and start time of the upstream and a sequence far ahead made all its own later heartbeats count as late.

Change: that an upstream drains counts from any heartbeat of its incarnation, as it never takes that back. Three rising heartbeats below the newest sequence, each 0.5 s or more after the one before, show that the newest was odd. Heartbeats that a partition held up arrive together and show nothing.

--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -237,15 +237,17 @@
             registration: Content of the heartbeat.
         """
         before = self._incarnations.current
-        match self._incarnations.claim(registration):
-            case incarnations.Claim.UPDATED:
-                if before is None or before.status != registration.status:
+        claim = self._incarnations.claim(registration, self._clock.read_monotonic())
+        current = self._incarnations.current
+        match claim:
+            case incarnations.Claim.UPDATED if current is not None:
+                if before is None or before.status != current.status:
                     self._log_registration("upstream changed", registration)
-                self._step(registration.status)
+                self._step(current.status)
             case incarnations.Claim.PENDING:
                 self._log_registration("upstream claimed", registration)
                 self._registered.set()
-            case incarnations.Claim.IGNORED:
+            case _:
                 _log.info(
                     "heartbeat ignored",
                     upstream=registration.incarnation,
--- a/amaranthspar/scheduling/incarnations.py
+++ b/amaranthspar/scheduling/incarnations.py
@@ -17,6 +17,12 @@
 FIRST_FENCE_STEP = 16
 """Amount by which the fencing token is first raised after the upstream has received a
 higher one; doubled each time."""
+MAX_LATE_HEARTBEATS = 3
+"""Number of rising heartbeats below the newest sequence from which they count as the
+upstream's own, and the newest one as odd."""
+LATE_SPACING_MS = 500
+"""Shortest time between two such heartbeats. Those that a partition has held up arrive
+together; an upstream sends its own every 1.5 s."""
 PROVISIONAL_SEQUENCE = -1
 """Sequence of an incarnation that is known by its list of runs only."""
 
@@ -108,21 +114,23 @@
         self._candidate: Registration | None = None
         self._is_probe_sent = False
         self._was_probed_last = False
+        self._late_sequence = PROVISIONAL_SEQUENCE
+        self._late_ms = 0
+        self._late_count = 0
 
-    def claim(self, registration: Registration) -> Claim:
+    def claim(self, registration: Registration, now_ms: int) -> Claim:
         """Process a heartbeat.
 
         Args:
             registration: Content of the heartbeat.
+            now_ms: Monotonic time in ms.
         """
-        for known in (self.current, self._candidate):
-            if known is None or known.incarnation != registration.incarnation:
-                continue
-            if registration.sequence <= known.sequence:
+        current, candidate = self.current, self._candidate
+        if current is not None and current.incarnation == registration.incarnation:
+            return self._update_current(current, registration, now_ms)
+        if candidate is not None and candidate.incarnation == registration.incarnation:
+            if registration.sequence <= candidate.sequence:
                 return Claim.IGNORED
-            if known is self.current:
-                self.current = registration
-                return Claim.UPDATED
             self._candidate = registration
             return Claim.PENDING
         if self._candidate is not None and not self._is_probe_sent:
@@ -130,6 +138,33 @@
         self._set_candidate(registration)
         return Claim.PENDING
 
+    def _update_current(
+        self, current: Registration, heartbeat: Registration, now_ms: int
+    ) -> Claim:
+        if heartbeat.sequence > current.sequence or self._is_sequence_odd(
+            heartbeat, now_ms
+        ):
+            self._late_count = 0
+            self._late_sequence = PROVISIONAL_SEQUENCE
+            self.current = heartbeat
+            return Claim.UPDATED
+        if heartbeat.status.is_leaving and not current.status.is_leaving:
+            # An upstream that drains goes on to its end, so this holds however late.
+            status = attrs.evolve(current.status, is_leaving=True)
+            self.current = attrs.evolve(current, status=status)
+            return Claim.UPDATED
+        return Claim.IGNORED
+
+    def _is_sequence_odd(self, late: Registration, now_ms: int) -> bool:
+        """Return whether late heartbeats show that the newest sequence is odd."""
+        if late.sequence <= self._late_sequence:
+            return False
+        if not self._late_count or now_ms - self._late_ms >= LATE_SPACING_MS:
+            self._late_count += 1
+        self._late_ms = now_ms
+        self._late_sequence = late.sequence
+        return self._late_count >= MAX_LATE_HEARTBEATS
+
     def mark_leaving(self, upstream_id: str) -> runevents.UpstreamKnown | None:
         """Process a deregistration, which a call to the upstream has yet to confirm.
 
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -491,8 +491,9 @@
 
         def receive():
             known = self.claims[host.name].known
-            if known.claim(heartbeat) is incarnations.Claim.UPDATED:
-                self.run_sidecar(host, heartbeat.status)
+            claim = known.claim(heartbeat, self.now_ms)
+            if claim is incarnations.Claim.UPDATED:
+                self.run_sidecar(host, known.current.status)
 
         self.post(receive, self.chance.randint(1, MAX_HEARTBEAT_DELAY_MS))
 
