A connect that times out closes no descriptor of another connection

What operators would see on a busy host: 'lease renewal failed' with 'File descriptor 16 is used by transport', again and again, runs that lapse, and starts and stops that end without an outcome.

Cause. aiohttp's connector hands a connected socket to create_connection. If the call's timeout cancels it in that turn of the loop, uvloop's transport closes the descriptor and the socket object closes the same number again, which may be another connection's by then.

The pool has a connector of its own for IP addresses: connecting may be cancelled, the one turn that makes the transport may not. A connection whose caller has gone is closed once it is made.

--- a/amaranthspar/upstreams/exchange.py
+++ b/amaranthspar/upstreams/exchange.py
@@ -7,12 +7,19 @@
 """
 
 import asyncio
+import socket
+from typing import TYPE_CHECKING
 
 import aiohttp
 import attrs
 import multidict
 import yarl
-from aiohttp import http
+from aiohttp import client_proto, http
+
+from amaranthspar import addresses
+
+if TYPE_CHECKING:
+    from aiohttp import tracing
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 KEEP_ALIVE_S = 1
@@ -40,6 +47,53 @@
     body: bytes
 
 
+class _Connector(aiohttp.BaseConnector):
+    """Connector to an IP address that may be cancelled at any moment.
+
+    A call of `create_connection` with a connected socket must not be cancelled on uvloop:
+    both the transport and the socket object then close the descriptor, which may belong
+    to another connection by the second time.
+
+    Args:
+        address: Address of the server.
+        limit: Largest number of open connections.
+        keepalive_timeout: Time for which an idle connection is kept open in s.
+    """
+
+    def __init__(self, address: str, limit: int, keepalive_timeout: int) -> None:
+        super().__init__(limit=limit, keepalive_timeout=keepalive_timeout)
+        self._address = addresses.parse_address(address)
+        is_v6 = ":" in self._address.host
+        self._family = socket.AF_INET6 if is_v6 else socket.AF_INET
+
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: "list[tracing.Trace]",
+        timeout: aiohttp.ClientTimeout,
+    ) -> client_proto.ResponseHandler:
+        connected = socket.socket(self._family, socket.SOCK_STREAM)
+        try:
+            connected.setblocking(False)
+            target = (self._address.host, self._address.port)
+            async with asyncio.timeout(timeout.sock_connect):
+                await self._loop.sock_connect(connected, target)
+        except BaseException as error:
+            connected.close()
+            if isinstance(error, OSError) and not isinstance(error, TimeoutError):
+                raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+            raise
+        opening = self._loop.create_task(
+            self._loop.create_connection(self._factory, sock=connected)
+        )
+        try:
+            _, protocol = await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            opening.add_done_callback(_abort_transport)
+            raise
+        return protocol
+
+
 class Pool:
     """Pool of connections to one HTTP server.
 
@@ -53,9 +107,7 @@
         self, address: str, connections: int, keep_alive_s: int = KEEP_ALIVE_S
     ) -> None:
         self._address = address
-        self._connector = aiohttp.TCPConnector(
-            limit=connections, keepalive_timeout=keep_alive_s
-        )
+        self._connector = _Connector(address, connections, keep_alive_s)
         self._session = aiohttp.ClientSession(
             connector=self._connector, cookie_jar=aiohttp.DummyCookieJar()
         )
@@ -174,6 +226,14 @@
     connection.close()
 
 
+def _abort_transport(
+    opening: "asyncio.Task[tuple[asyncio.Transport, client_proto.ResponseHandler]]",
+) -> None:
+    """Close a connection whose caller has gone."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[0].abort()
+
+
 async def _read_body(payload: aiohttp.StreamReader) -> bytes:
     first = await payload.readany()
     if payload.at_eof() and len(first) <= MAX_BODY_BYTES:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import pytest
+import uvloop
 
 from amaranthspar.execution import executor
 from amaranthspar.upstreams import exchange, upstream
@@ -13,6 +14,34 @@
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
+def test_cancelled_connect_closes_no_descriptor_of_another_connection():
+    """Calls time out in any turn of the loop while their connection is being made."""
+
+    async def run() -> None:
+        server = Server()
+        await server.open()
+        pool = exchange.Pool(server.address, 6)
+        for turns in [*range(12)] * 5:
+            connecting = asyncio.ensure_future(pool.connect())
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            connecting.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                exchange.release_connection(await connecting, reusable=False)
+            others = [await pool.connect() for _ in range(3)]
+            headers = pool.build_headers(b"{}")
+            for other in others:
+                await exchange.send_request(other, "/", headers, b"{}")
+                response = await exchange.read_response(other)
+                assert response.status == 200
+                exchange.release_connection(other, reusable=False)
+        await pool.close()
+        server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
 def build_run(index=0, timeout_ms=5000, payload=b"{}") -> executor.RunTask:
     return executor.RunTask("job", index, "hold", "json", payload, timeout_ms, "")
 
