Evidence of a former incarnation counts for no run of the next one

A listed run is now stopped anew, and an answer of another incarnation to a stop counts as none. No start is sent while less than 120 ms is left. The limit is 3 s, two heartbeats; a list ends it sooner. - Stops that an unhealthy upstream refuses were repeated without a pause, 2,300 in a second. - Ticks were due each millisecond for an unconfirmed run of a known upstream. - An unexpected error in a start or stop left its run without an outcome for good.

Tests: test_start_in_transit_to_a_lost_upstream_is_unconfirmed_until_it_expires and two others use the new, longer limit; they check as much as before.

--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -23,8 +23,6 @@
 """Timeout of a stop."""
 START_VALID_MS = 600
 """Time within which the upstream may carry out a start; more than twice its timeout."""
-MIN_START_VALID_MS = 120
-"""Shortest such time; the lease that a start gives may exceed the limit by as much."""
 RENEWAL_MARGIN_MS = 80
 """Timeout of a renewal in addition to the time that the upstream is asked to wait."""
 CALL_CONNECTIONS = 6
@@ -80,7 +78,7 @@
         """
         valid_ms = START_VALID_MS
         if lease_ms is not None:
-            valid_ms = max(min(valid_ms, lease_ms), MIN_START_VALID_MS)
+            valid_ms = min(valid_ms, lease_ms)
         deadline_ms = self._read_clock(registration) + valid_ms
         body = wire.encode_start(order, spec, deadline_ms, fence)
         # A start that is carried out extends the lease of all runs on the upstream.
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -387,6 +387,9 @@
         except FenceError:
             self._raise_fence(fence)
             answer = runevents.Answer.UNHEALTHY
+        except Exception:
+            _log.exception("start failed", task=name.task, run=name.run)
+            answer = runevents.Answer.UNKNOWN
         took_ms = self._clock.read_monotonic() - began_ms
         self._meters.starts.observe(took_ms)
         if answer is not runevents.Answer.ACCEPTED:
@@ -411,10 +414,18 @@
             except FenceError:
                 self._raise_fence(fence)
                 answer = runevents.Answer.UNKNOWN
-        if answer is runevents.Answer.UNKNOWN:
+            except Exception:
+                _log.exception("stop failed", task=name.task, run=name.run)
+                answer = runevents.Answer.UNKNOWN
+        if answer not in (runevents.Answer.ACCEPTED, runevents.Answer.REPLACED):
+            # The stop is repeated.
             took_ms = self._clock.read_monotonic() - began_ms
             await asyncio.sleep(max(RETRY_PAUSE_MS - took_ms, 0) / 1000)
-        self._step(runevents.StopAnswered(name, answer))
+        self._step(
+            runevents.StopAnswered(
+                name, answer, "" if registration is None else registration.incarnation
+            )
+        )
 
     async def _renew_forever(self) -> None:
         """Renew the lease repeatedly, and again after an unexpected error."""
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -212,10 +212,17 @@
 
 @attrs.frozen(slots=True)
 class StopAnswered:
-    """A call that requested a stop has ended, answered or not."""
+    """A call that requested a stop has ended, answered or not.
+
+    Attributes:
+        name: Run to stop.
+        answer: Answer of the upstream.
+        upstream: Incarnation of the upstream that was called; empty for none.
+    """
 
     name: runmessages.RunName
     answer: Answer
+    upstream: str = ""
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -45,9 +45,6 @@
 LIST_WAIT_IDLE_MS = 300
 """Wait of a list request while there are no runs. Three renewals fit into the shortest
 lease of 1 s."""
-START_EXPIRY_MS = 700
-"""Time after which the upstream no longer carries out a start; above its limit of
-600 ms."""
 RETENTION_MS = 10_000
 """Time for which final reports, blocked run numbers and unresponsive gateways are kept;
 above the delay of any late message."""
@@ -65,10 +62,13 @@
 """States of runs whose reports may be delayed."""
 NO_ROOM = "no room"
 """Reason of a refusal for lack of free capacity."""
-PREDECESSOR_EXPIRY_MS = 1_100
-"""Time after the start of this process by which all runs of its predecessor have ended,
-whether the upstream listed them or not: the longest lease of 1 s, on a clock that is 2%
-slow."""
+UNKNOWN_UPSTREAM_MS = 3_000
+"""Time after which runs on an upstream of which nothing is known have ended: its longest
+lease of 1 s is over, and two of its heartbeats are missing, so that it is not a restarted
+one either, which may have carried out a start in transit."""
+MIN_START_LEASE_MS = 120
+"""Shortest lease that a start may give. A start leases all runs of the upstream, so none is
+sent while less is left for one of them."""
 UNHEALTHY_PAUSE_MS = 500
 """Time without starts after the upstream refused one as unhealthy."""
 MAX_TICK_INTERVAL_MS = 1_000
@@ -135,8 +135,8 @@
                 self._end_lost_runs(reason, asked_ms, now_ms)
             case runevents.StartAnswered(name=name, answer=answer):
                 self._handle_start_answer(name, answer, now_ms)
-            case runevents.StopAnswered(name=name, answer=answer):
-                self._handle_stop_answer(name, answer, now_ms)
+            case runevents.StopAnswered():
+                self._handle_stop_answer(event, now_ms)
             case runevents.Listed():
                 self._handle_list(event, now_ms)
             case runevents.Unlisted():
@@ -161,7 +161,7 @@
         if self._started_ms is None:
             self._started_ms = now_ms
         passed_ms = now_ms - self._started_ms
-        self._has_taken_over = passed_ms > PREDECESSOR_EXPIRY_MS and not self.runs
+        self._has_taken_over = passed_ms > UNKNOWN_UPSTREAM_MS and not self.runs
 
     def find_due_ms(self, now_ms: int) -> int:
         """Return the latest time of the next tick, in ms.
@@ -184,7 +184,8 @@
             if run.stop_confirmed_ms >= 0:
                 due_ms = min(due_ms, run.stop_confirmed_ms + STOP_COMPLETION_MS + 1)
             elif run.state is runevents.RunState.UNCONFIRMED:
-                due_ms = min(due_ms, run.requested_ms + START_EXPIRY_MS + 1)
+                if self.upstream is None:
+                    due_ms = min(due_ms, run.requested_ms + UNKNOWN_UPSTREAM_MS + 1)
             elif owner is not None and run.state is not runevents.RunState.STOPPING:
                 due_ms = min(due_ms, owner.acknowledged_ms + GATEWAY_LEASE_MS + 1)
         return max(due_ms, now_ms + 1)
@@ -355,11 +356,15 @@
     def _serve_queue(self, now_ms: int) -> None:
         """Start queued orders that fit, in order, and refuse those that expired."""
         reserved = resources.NONE
+        lease_ms = self.find_lease_ms(now_ms)
+        is_leased = lease_ms is None or lease_ms >= MIN_START_LEASE_MS
         for waiting in self._queue.list_orders():
             order = waiting.order
             gateway = self.gateways.get(waiting.gateway)
             reason = self._find_refusal(gateway, waiting.message, now_ms)
-            has_turn = resources.fits(order.needs, self._find_remaining(reserved))
+            has_turn = is_leased and resources.fits(
+                order.needs, self._find_remaining(reserved)
+            )
             if not reason and not has_turn and now_ms >= waiting.until_ms:
                 reason = NO_ROOM
             if reason:
@@ -543,12 +548,15 @@
             run.state = runevents.RunState.RUNNING
             self._add_report(run.gateway, runmessages.RunReport(run.name, "started"))
 
-    def _handle_stop_answer(
-        self, name: runmessages.RunName, answer: runevents.Answer, now_ms: int
-    ) -> None:
+    def _handle_stop_answer(self, event: runevents.StopAnswered, now_ms: int) -> None:
+        name, answer = event.name, event.answer
         run = self.runs.get(name.task)
         if run is None or run.name != name:
             return
+        current = "" if self.upstream is None else self.upstream.incarnation
+        if event.upstream and current and event.upstream != current:
+            # A former incarnation has answered. The current one knows of no stop.
+            answer = runevents.Answer.UNKNOWN
         match answer:
             case runevents.Answer.ACCEPTED:
                 run.stop_confirmed_ms = now_ms
@@ -609,6 +617,11 @@
             return
         if not run.is_confirmed:
             run.start_confirmed_ms = now_ms
+        if self.upstream is not None:
+            run.upstream = self.upstream.incarnation
+        # A stop that the earlier incarnation has confirmed does not count here.
+        run.stop_confirmed_ms = -1
+        run.state = runevents.RunState.RUNNING
         self._stop_run(run, "upstream has restarted", now_ms)
 
     def _has_ended(self, run: runevents.Run, asked_ms: int) -> bool:
@@ -757,7 +770,7 @@
             ):
                 self._finish_unlisted(run, now_ms)
                 continue
-            is_start_expired = now_ms - run.requested_ms > START_EXPIRY_MS
+            is_start_expired = now_ms - run.requested_ms > UNKNOWN_UPSTREAM_MS
             if not run.is_confirmed and is_start_expired and self.upstream is None:
                 self._finish_run(run, "lost", "upstream has gone", now_ms)
         self._expire_old(now_ms - RETENTION_MS)
--- a/tests/test_runmanager.py
+++ b/tests/test_runmanager.py
@@ -94,7 +94,7 @@
     sidecar.start()
     sidecar.step(runevents.UpstreamGone("lease has run out"))
     assert sidecar.reports == []
-    sidecar.step(runevents.Tick(), runmanager.START_EXPIRY_MS)
+    sidecar.step(runevents.Tick(), runmanager.UNKNOWN_UPSTREAM_MS)
     assert sidecar.reports == []
     sidecar.step(runevents.Tick(), 1)
     assert sidecar.read_states() == [("t", 1, "lost")]
@@ -213,7 +213,7 @@
     sidecar.ask(runmessages.KeepRuns(1, 0, False, [name], 0))
     sidecar.ask(runmessages.StopRuns([name]))
     sidecar.ask(
-        runmessages.KeepRuns(2, 0, False, [name], 0), runmanager.PREDECESSOR_EXPIRY_MS
+        runmessages.KeepRuns(2, 0, False, [name], 0), runmanager.UNKNOWN_UPSTREAM_MS
     )
     assert sidecar.reports == []
 
@@ -221,7 +221,7 @@
 def test_unknown_runs_are_refused_once_those_of_the_previous_process_have_lapsed():
     sidecar = builders.Sidecar(is_listed=False)
     name = runmessages.RunName("t", 1)
-    passed_ms = runmanager.PREDECESSOR_EXPIRY_MS + 1
+    passed_ms = runmanager.UNKNOWN_UPSTREAM_MS + 1
     sidecar.ask(runmessages.KeepRuns(1, 0, False, [name], 0), passed_ms)
     assert sidecar.read_states() == [("t", 1, "refused")]
 
@@ -563,7 +563,7 @@
     sidecar.ask(runmessages.StopRuns([runmessages.RunName("t", 1)]))
     sidecar.step(runevents.UpstreamGone("lease has run out"))
     assert sidecar.read_states() == []
-    sidecar.step(runevents.Tick(), runmanager.START_EXPIRY_MS + 1)
+    sidecar.step(runevents.Tick(), runmanager.UNKNOWN_UPSTREAM_MS + 1)
     assert sidecar.read_states() == [("t", 1, "lost")]
 
 
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -384,7 +384,6 @@
 HEARTBEAT_MS = 400
 MAX_HEARTBEAT_DELAY_MS = 150
 START_VALID_MS = 600
-MIN_START_VALID_MS = 120
 RETRY_MS = 1_300
 """Time after which a caller sends a job again that its gateway has not answered."""
 
@@ -512,7 +511,6 @@
         fence, duration_ms = known.fence, self.chance.choice(RUN_MS)
         incarnation = host.incarnation
         valid_ms = min(host.manager.find_lease_ms(sent_ms) or 0, START_VALID_MS)
-        valid_ms = max(valid_ms, MIN_START_VALID_MS)
 
         def carry_out():
             upstream = host.upstream
