A gateway runs no job whose caller has given up or left

Callers could see tasks that ran on two upstreams at once (TWICE), in three ways that share one cause: the gateway did not know that its caller had gone and had sent the job elsewhere.

- A gateway that was cut off, not paused, placed its tasks anew as soon as it heard sidecars again.
A second without a report now counts like a pause.
- A gateway kept a job after its caller's deadline: X-Amaranthspar-Deadline-Ms was not read.
With the caller cut off, the end of the connection may never come.
At the deadline the job ends, its runs are stopped, and the answer is 504.

--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers: submits, shows, counts and cancels jobs."""
 
+import asyncio
 import math
 
 import msgspec
@@ -11,9 +12,15 @@
 from amaranthspar.roles import jobgateway
 from amaranthspar.scheduling import jobevents, jobs, routes
 
+DEADLINE_HEADER = "X-Amaranthspar-Deadline-Ms"
 OUTCOME_HEADER = "Amaranthspar-Outcome"
 RETRY_MIN_S = 1
 """Shortest time after which a rejected caller is asked to retry."""
+MAX_DEADLINE_MS = 3_600_000
+"""Longest deadline of a caller; a longer one is ignored."""
+DISCONNECT_TURNS = 3
+"""Turns of the event loop before a job is submitted. After a pause of the process, a request
+may have waited so long that its caller has left; the end of its connection is read then."""
 
 _log = structlog.get_logger()
 
@@ -103,7 +110,16 @@
         if job.unsupported:
             _log.info("unsupported job rejected", request=name, reason=job.unsupported)
             return _refuse(f"{job.unsupported} are not offered", None)
-        ended = await self._gateway.submit(job.request, arrived_ms)
+        for _ in range(DISCONNECT_TURNS):
+            await asyncio.sleep(0)
+        deadline_s = _read_deadline_s(request, name)
+        try:
+            # Once its caller has given up, the job may run elsewhere.
+            async with asyncio.timeout(deadline_s):
+                ended = await self._gateway.submit(job.request, arrived_ms)
+        except TimeoutError:
+            _log.info("deadline passed", request=name, deadline_s=deadline_s)
+            return _answer_unknown(504)
         took_ms = self._clock.read_monotonic() - arrived_ms
         self._gateway.meters.count_answer(queue.name, ended.outcome.value, took_ms)
         _log.info(
@@ -124,9 +140,7 @@
             case jobevents.Outcome.CANCELLED:
                 return _answer({"State": "cancelled"}, "unknown")
             case _:
-                response = servers.answer_json(502)
-                response.headers[OUTCOME_HEADER] = "unknown"
-                return response
+                return _answer_unknown(502)
 
     def _show(self, name: str) -> web.Response:
         state = self._gateway.find_state(name)
@@ -152,3 +166,21 @@
     if retry_after_s is not None:
         response.headers["Retry-After"] = str(retry_after_s)
     return response
+
+
+def _answer_unknown(status: int) -> web.Response:
+    """Return a response to a caller whose job may have run in part."""
+    response = servers.answer_json(status)
+    response.headers[OUTCOME_HEADER] = "unknown"
+    return response
+
+
+def _read_deadline_s(request: web.BaseRequest, name: str) -> float | None:
+    """Return for how long the caller waits for a response in s; None if not stated."""
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit() and 0 < int(text) <= MAX_DEADLINE_MS):
+        _log.info("malformed deadline ignored", request=name, deadline=text[:20])
+        return None
+    return int(text) / 1000
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -40,8 +40,8 @@
 """Time after which an unconfirmed start is sent again; above the 200 ms for which a
 sidecar holds back the report that confirms it."""
 PAUSE_MS = 1_000
-"""Time without an event from which the process counts as paused. It is below the 1.3 s
-after which callers whose connections have ended send their jobs to another gateway."""
+"""Time without a report from which the process counts as paused or cut off. It is below the
+1.3 s after which callers whose connections have ended send their jobs to another gateway."""
 RESUME_MS = 50
 """Time after a pause in which no start is sent, so that ended connections are noticed."""
 MAX_SCANNED_JOBS = 64
@@ -96,7 +96,7 @@
         self._cleaned_ms = 0
         self._drain_deadline_ms = 0
         self._needs_placement = False
-        self._event_ms: int | None = None
+        self._heard_ms: int | None = None
         self._resumed_ms = -RESUME_MS
         self._effects: list[jobevents.Effect] = []
         self._renewals = renewals.Renewals(self.fleet, self._send)
@@ -137,7 +137,6 @@
             event: Event to handle.
             now_ms: Monotonic time in ms.
         """
-        self._check_pause(now_ms)
         match event:
             case jobevents.Submit(request=request, arrived_ms=arrived_ms):
                 self._submit(
@@ -148,6 +147,7 @@
                 if job is not None:
                     self._end_job(job, outcome, reason)
             case jobevents.Heard():
+                self._check_pause(now_ms)
                 self._handle_reports(event, now_ms)
             case jobevents.Found():
                 self._update_peers(event, now_ms)
@@ -158,14 +158,14 @@
                 self._tick(now_ms)
 
     def _check_pause(self, now_ms: int) -> None:
-        """Hold back starts after a pause of the process.
+        """Hold back starts if no sidecar has reported for a while.
 
         Callers may have left meanwhile, and sent their jobs to another gateway.
         """
-        if self._event_ms is not None and now_ms - self._event_ms > PAUSE_MS:
+        if self._heard_ms is not None and now_ms - self._heard_ms > PAUSE_MS:
             self._resumed_ms = now_ms
-            self._log("process resumed", paused_ms=now_ms - self._event_ms)
-        self._event_ms = now_ms
+            self._log("process resumed", paused_ms=now_ms - self._heard_ms)
+        self._heard_ms = now_ms
 
     def _is_resuming(self, now_ms: int) -> bool:
         return now_ms - self._resumed_ms < RESUME_MS
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -427,6 +427,7 @@
     gateway = build_gateway(free=1.0, capacity=1.0)
     gateway.wait(10_000)
     gateway.receive_room("one", free=1.0, capacity=1.0)
+    gateway.wait(dispatcher.RESUME_MS)
     assert gateway.submit(builders.build_request("first"))
     old_ms = gateway.now_ms - 5_000
     old = builders.build_request("old")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,7 @@
 import json
 
 import aiohttp
+import pytest
 import structlog
 
 from amaranthspar import clock, ports, processes
@@ -334,6 +335,31 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("deadline", ["300", "x", "0", "9" * 400])
+def test_job_ends_once_its_caller_has_given_up(tmp_path, deadline):
+    """The end of the connection does not arrive, and the job may run elsewhere."""
+
+    async def scenario(system) -> None:
+        system.upstream.task_s = 30.0
+        headers = HEADERS | {callers.DEADLINE_HEADER: deadline}
+        url = f"http://{system.callers}/quotes/{JOB}"
+        body = builders.build_job(count=2)
+        call = system.session.post(url, data=body, headers=headers)
+        if deadline != "300":
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1):
+                    await call
+            return
+        async with call as response:
+            assert response.status == 504
+        async with asyncio.timeout(WAIT_S):
+            while system.upstream.runs:
+                await asyncio.sleep(0.02)
+        assert len(system.upstream.starts) == 2
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_failure_domain_out_of_service_starts_no_runs_until_returned(tmp_path):
     async def scenario(system) -> None:
         await system.submit_until_done(count=1)
