Wire: an odd heartbeat no longer stops a sidecar

What operators saw: one heartbeat with a number too large, and the sidecar's host took no more tasks. It was answered 500, yet registered; from then on each message of a gateway to the sidecar closed its connection, and no job was served until a newer heartbeat came.

Cause: integers of any size were decoded. A capacity beyond 64 bits was taken over, and each report to a gateway then failed while it was encoded (OverflowError), in whatever called the link: the registration, the receiving connection, the timer of the run manager. A negative capacity was taken over too and offered to the gateways. The address wasn't read at all, and labels without limit (1 MB) went into each report to each gateway. Fields without a meaning here were skipped unread, so a body that can't be read in full was accepted.

Evidence: test_odd_heartbeat_is_refused_and_work_goes_on failed before in all 7 cases, twice by "assert 500 == 400", five times by "assert 200 == 400"; of the cases of test_invalid_heartbeat_is_rejected 18 failed with DID NOT RAISE, and 2 of test_heartbeat_that_cannot_be_read_in_full_is_rejected.

Ruled out: nesting of 10**5 and 10**6 levels was refused before, without a crash.

Why it holds: one bound, 0 to 2**53-1, holds for all numbers of a heartbeat, so what is taken over can be encoded, and so can sums of hundreds of them.

--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -7,18 +7,31 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from amaranthspar import errors
+from amaranthspar import addresses, errors
 from amaranthspar.scheduling import jobs, routes, runevents
 from amaranthspar.schema import runmessages
 
 MAX_TASKS = 100_000
 """Largest number of tasks of one job; the largest known job has 1,200."""
+MAX_NUMBER = 2**53 - 1
+"""Largest number in a body. Every JSON reader represents it exactly, and the sum of many
+such numbers still fits into the 64 bits of an encoded message."""
+MAX_LABELS = 64
+"""Largest number of labels of an upstream; each report to a gateway carries them."""
+MAX_LABEL_LENGTH = 256
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 JOB_ID_LENGTH = 16
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Measure = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Label = Annotated[str, msgspec.Meta(max_length=MAX_LABEL_LENGTH)]
+
+
 class BodyError(errors.AmaranthsparError):
     """A body is malformed or violates a rule of its format."""
 
@@ -70,9 +83,9 @@
 
 
 class _Amounts(msgspec.Struct, rename="pascal"):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Number
+    mem_mb: _Number
+    gpu: _Number = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="pascal"):
@@ -80,12 +93,18 @@
     address: str
     zone: str
     state: str
-    seq: int
+    seq: _Number
     capacity: _Amounts
-    labels: list[str] = []
+    labels: Annotated[list[_Label], msgspec.Meta(max_length=MAX_LABELS)] = []
     # Wall-clock time of the start in ms; the only field that distinguishes two
     # incarnations with the same id.
-    born: int = msgspec.field(name="born", default=0)
+    born: _Number = msgspec.field(name="born", default=0)
+    # The rest has no use here; a wrong type shows that another program wrote the body.
+    version: str = ""
+    slots: _Measure = 0
+    cold_remaining_ms: _Measure = 0
+    remaining_ms: _Measure = 0
+    clock_ms: _Measure = 0
 
 
 class _Listing(msgspec.Struct, rename="pascal"):
@@ -263,11 +282,15 @@
         data: Body of the call.
 
     Raises:
-        BodyError: A field is missing or has a wrong type, or the state is unknown.
+        BodyError: The body cannot be read in full, a field is missing, has a wrong type
+            or is out of bounds, or the state is unknown.
     """
     try:
+        # Fields without a meaning here are otherwise skipped without being read.
+        msgspec.json.decode(data)
         body = _heartbeat_decoder.decode(data)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        addresses.parse_address(body.address)
+    except (msgspec.MsgspecError, RecursionError, errors.SchemaError) as error:
         raise BodyError(f"invalid heartbeat: {error}") from error
     if body.state not in ("ready", "draining"):
         raise BodyError(f"unknown state {body.state!r}")
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,61 @@
+"""Tests of entries that another writer left: they stop nothing and name no upstream.
+
+Each test leaves one odd entry in a running system and requires that what follows it is
+served, as before.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from amaranthspar.platform import registrations
+from tests import builders_platform as builders, test_platform_path as paths
+
+SETTLE_S = 0.3
+SERVE_S = 5
+
+
+async def send_heartbeat(system, body: bytes, upstream: str = "i-1") -> int:
+    """Return the status of the response to a heartbeat.
+
+    Args:
+        system: Running system.
+        body: Body of the heartbeat.
+        upstream: Id of the upstream, percent-encoded.
+    """
+    path = f"{registrations.PATH}{upstream}/heartbeat"
+    return (await system.call("POST", system.registrations, path, body))[0]
+
+
+async def serve_job(system) -> None:
+    """Require that a new job is completed soon."""
+    async with asyncio.timeout(SERVE_S):
+        job = f"{time.monotonic_ns():016x}"[-16:]
+        assert await system.submit_until_done(job, count=1) == "completed"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Capacity": {"Cpu": 2**64, "MemMb": 8192}},
+        {"Capacity": {"Cpu": 8000, "MemMb": -(2**64)}},
+        {"Capacity": {"Cpu": -1, "MemMb": 8192}},
+        {"Seq": 10**400},
+        {"Labels": ["a"] * 100_000},
+        {"Labels": ["a" * 500_000]},
+        {"Address": "127.0.0.1:99999"},
+    ],
+    ids=["cpu", "memory", "negative", "sequence", "labels", "label", "port"],
+)
+def test_odd_heartbeat_is_refused_and_work_goes_on(tmp_path, changes):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        odd = builders.build_heartbeat(2, **changes)
+        assert await send_heartbeat(system, odd) == 400
+        await asyncio.sleep(SETTLE_S)
+        await serve_job(system)
+        assert await send_heartbeat(system, builders.build_heartbeat(3)) == 200
+        assert system.sidecar._registration.sequence == 3
+
+    paths.run_scenario(tmp_path, scenario)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -123,6 +123,33 @@
         {"Capacity": None},
         {"Capacity": {"Cpu": "many"}},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 2**53},
+        {"Seq": 2**64},
+        {"Seq": -1},
+        {"Seq": float("nan")},
+        {"Capacity": {"Cpu": -1, "MemMb": 1}},
+        {"Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": 2**53}},
+        {"Labels": [1]},
+        {"Labels": "a"},
+        {"Labels": ["a"] * 65},
+        {"Labels": ["a" * 257]},
+        {"Version": 1},
+        {"Slots": "many"},
+        {"ClockMs": -1},
+        {"ColdRemainingMs": []},
+        {"RemainingMs": 2**64},
+        {"Address": None},
+        {"Address": ""},
+        {"Address": "127.0.0.1"},
+        {"Address": "127.0.0.1:"},
+        {"Address": "127.0.0.1:0"},
+        {"Address": "127.0.0.1:65536"},
+        {"Address": "127.0.0.1:99999"},
+        {"Address": "127.0.0.1:-1"},
+        {"Address": "127.0.0.1:8_0"},
+        {"Address": "127.0.0.1:\u0663"},
+        {"Address": "::1:80"},
     ],
 )
 def test_invalid_heartbeat_is_rejected(changes):
@@ -130,6 +157,32 @@
         wire.decode_heartbeat(builders.build_heartbeat(**changes))
 
 
+@pytest.mark.parametrize(
+    "value",
+    [b'"\xff"', b"1e400", b"[" * 100_000, b"[" * 100_000 + b"]" * 100_000, b"01"],
+)
+def test_heartbeat_that_cannot_be_read_in_full_is_rejected(value):
+    body = builders.build_heartbeat(Other="x").replace(b'"x"', value)
+    with pytest.raises(wire.BodyError):
+        wire.decode_heartbeat(body)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": 0},
+        {"born": 1_900_000_000_000},
+        {"Seq": 2**53 - 1},
+        {"Labels": []},
+        {"Address": "127.0.0.1:1"},
+        {"Address": "127.0.0.1:65535"},
+        {"Address": "[::1]:8080"},
+    ],
+)
+def test_heartbeat_within_bounds_is_decoded(changes):
+    wire.decode_heartbeat(builders.build_heartbeat(**changes))
+
+
 def test_list_of_runs_is_decoded():
     body = (
         b'{"ClockMs":5,"born":3,"Running":[["t.0.0.1",2,"s",41,0]],'
