Wire: an odd list of runs no longer ends the renewal of leases

What operators would see: after one list of runs with a clock beyond 64 bits, a sidecar renews no lease any more; its host is lost until a process of it is restarted.

Cause: the clock of the list sets the offset by which the end of the next lease is computed. An upstream refuses a lease whose end is no number for it, the refusal states no clock, and so the offset was never corrected. Run numbers, percentages and numbers of ends had no bound either, a fraction was cut to a run number, a text was read as one, and 1e308 became a run number of 309 digits, which can't be sent to a gateway.

Evidence: test_odd_list_of_runs_is_dropped_and_later_ones_count failed before for the clock and for the clock of 64 bits (no job was served within 5 s: TimeoutError), and held for the other three cases; 12 cases of test_invalid_list_of_runs_is_rejected failed with DID NOT RAISE, and test_malformed_answer_counts_as_one_without_fields with "assert (-1, '') == (0, '')".

Why it holds: rows are typed and all numbers have the bound of heartbeats. A list that breaks it counts as no answer, with the reason in 'lease not renewed', and the next one counts again. Further entries of a row stay allowed, and the rough figure and the percentage may be fractions.

--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -107,15 +107,30 @@
     clock_ms: _Measure = 0
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: _Number
+    saved: str
+    percent: _Measure
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: _Number
+    task: str
+    run: _Number
+    how: str
+    saved: str
+
+
 class _Listing(msgspec.Struct, rename="pascal"):
-    clock_ms: int
-    running: list[list[str | int | float]] = []
-    ended: list[list[str | int]] = []
-    born: int = msgspec.field(name="born", default=0)
+    clock_ms: _Number
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
+    born: _Number = msgspec.field(name="born", default=0)
 
 
 class _Answer(msgspec.Struct, rename="pascal"):
-    clock_ms: int = 0
+    clock_ms: _Number = 0
     reason: str = ""
 
 
@@ -316,21 +331,19 @@
     """
     try:
         body = _listing_decoder.decode(data)
-        running = tuple(
-            runevents.ListedRun(
-                runmessages.RunName(str(row[0]), int(row[1])), str(row[2]), int(row[3])
-            )
-            for row in body.running
-        )
-        ends = tuple(
-            runevents.EndedRun(
-                runmessages.RunName(str(row[1]), int(row[2])), str(row[3]), str(row[4])
-            )
-            for row in body.ended
-        )
-        last = max((int(row[0]) for row in body.ended), default=0)
-    except (msgspec.MsgspecError, RecursionError, IndexError, ValueError) as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BodyError(f"invalid list of runs: {error}") from error
+    running = tuple(
+        runevents.ListedRun(
+            runmessages.RunName(row.task, row.run), row.saved, int(row.percent)
+        )
+        for row in body.running
+    )
+    ends = tuple(
+        runevents.EndedRun(runmessages.RunName(row.task, row.run), row.how, row.saved)
+        for row in body.ended
+    )
+    last = max((row.number for row in body.ended), default=0)
     return Listing(body.clock_ms, body.born, last, running, ends)
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -59,3 +59,55 @@
         assert system.sidecar._registration.sequence == 3
 
     paths.run_scenario(tmp_path, scenario)
+
+
+def leave_odd_list(upstream: builders.FakeUpstream, changes) -> None:
+    """Let the upstream answer one request for its list with other fields.
+
+    A lease whose end is no number of 64 bits is refused, as by most servers.
+    """
+    hold, answer = upstream._hold, upstream._answer
+    odd = dict(changes)
+
+    async def hold_checked(request):
+        body = await request.json()
+        if body.get("DeadlineMs", 0) >= 2**63:
+            return answer(400)
+        return await hold(request)
+
+    def answer_oddly(status=200, **fields):
+        if "Ended" in fields:
+            fields |= odd
+            odd.clear()
+        return answer(status, **fields)
+
+    upstream._hold, upstream._answer = hold_checked, answer_oddly
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"ClockMs": 10**30},
+        {"ClockMs": 2**63},
+        {"Ended": [[10**30, "t.0.0.0", 1, "done", ""]]},
+        {"Running": [["t.0.0.0", 10**30, "", 10**30]]},
+        {"Ended": [["t.0.0.0", 1]]},
+    ],
+    ids=["clock", "clock of 64 bits", "number", "run", "row"],
+)
+def test_odd_list_of_runs_is_dropped_and_later_ones_count(tmp_path, changes):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        leave_odd_list(system.upstream, changes)
+        await restart_upstream_server(system)
+        await asyncio.sleep(SETTLE_S)
+        await serve_job(system)
+        await serve_job(system)
+
+    paths.run_scenario(tmp_path, scenario)
+
+
+async def restart_upstream_server(system) -> None:
+    """Serve the upstream by the methods that it has now, at the same address."""
+    await system.upstream.close()
+    await system.upstream.open()
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -195,8 +195,45 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b"", b"{}", b'{"ClockMs":5,"Running":[["t"]]}', b'{"ClockMs":5,"Ended":1}']
+    "body",
+    [
+        b"",
+        b"{}",
+        b'{"ClockMs":5,"Running":[["t"]]}',
+        b'{"ClockMs":5,"Ended":1}',
+        b'{"ClockMs":-1}',
+        b'{"ClockMs":9007199254740992}',
+        b'{"ClockMs":5.5}',
+        b'{"ClockMs":5,"born":-1}',
+        b'{"ClockMs":5,"born":9007199254740992}',
+        b'{"ClockMs":5,"Running":[["t",2,"s"]]}',
+        b'{"ClockMs":5,"Running":[["t","2","s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",2.5,"s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",-1,"s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",1e308,"s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",2,"s",1e308]]}',
+        b'{"ClockMs":5,"Running":[["t",2,"s",1e400]]}',
+        b'{"ClockMs":5,"Running":[["t",2,"s",18446744073709551616]]}',
+        b'{"ClockMs":5,"Ended":[[58,"t",1,"done"]]}',
+        b'{"ClockMs":5,"Ended":[[9007199254740992,"t",1,"done",""]]}',
+        b'{"ClockMs":5,"Ended":[[58,"t",18446744073709551616,"done",""]]}',
+        b'{"ClockMs":5,"Running":[["\xff",2,"s",41]]}',
+        b'{"ClockMs":5,"Running":' + b"[" * 100_000,
+    ],
 )
 def test_invalid_list_of_runs_is_rejected(body):
     with pytest.raises(wire.BodyError):
         wire.decode_listing(body)
+
+
+def test_rough_figure_and_later_fields_of_a_listed_run_are_accepted():
+    body = b'{"ClockMs":5,"Running":[["t",2,"",41.5,1500.5,"new"]]}'
+    (run,) = wire.decode_listing(body).running
+    assert run.percent == 41
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b'{"ClockMs":1e400}', b'{"ClockMs":-1}', b"[" * 100_000]
+)
+def test_malformed_answer_counts_as_one_without_fields(body):
+    assert wire.decode_answer(body) == (0, "")
