Wire: a job with a number too large is malformed, not to be sent again

What callers saw: a job with an estimate of 401 digits, or with more cpu or memory than any host has by orders, was answered 503 with a time to retry, for ever; so was a negative MaxPerServer.

Cause: the numbers had no upper bound. The estimate failed in the arithmetic of the dispatcher (OverflowError), logged as 'event not taken' with a trace for each attempt.

Ruled out: no job served later was harmed by one of them, before or after.

Why it holds: the numbers of a job have the bound of heartbeats, under which sums over the most tasks of a job stay finite.

--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -37,17 +37,17 @@
 
 
 class _Step(msgspec.Struct, rename="pascal"):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = []
+    count: _Number
+    cpu: _Number = 0
+    mem_mb: _Number = 0
+    gpu: _Number = 0
+    estimate_ms: _Number = 0
+    after: list[_Number] = []
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: _Number = 0
     checkpoints: bool = False
     speculative: bool = False
 
@@ -57,7 +57,7 @@
     spec: str = ""
     best_effort: bool = False
     persistent: bool = False
-    repeat_count: int = 0
+    repeat_count: _Number = 0
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -212,10 +212,8 @@
     except (msgspec.MsgspecError, RecursionError) as error:
         raise BodyError(f"invalid job: {error}") from error
     for number, step in enumerate(body.steps):
-        if step.count < 1 or any(not 0 <= item < number for item in step.after):
+        if step.count < 1 or any(item >= number for item in step.after):
             raise BodyError(f"step {number}: no tasks, or after a step not before it")
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-            raise BodyError(f"step {number}: negative resources or duration")
     if not body.steps or sum(step.count for step in body.steps) > MAX_TASKS:
         raise BodyError(f"no steps, or more than {MAX_TASKS} tasks")
     steps = tuple(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,6 +8,7 @@
 import time
 
 import pytest
+import structlog
 
 from amaranthspar.platform import registrations
 from tests import builders_platform as builders, test_platform_path as paths
@@ -111,3 +112,27 @@
     """Serve the upstream by the methods that it has now, at the same address."""
     await system.upstream.close()
     await system.upstream.open()
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("EstimateMs", 10**400),
+        ("Cpu", 2**64),
+        ("MemMb", 10**400),
+        ("MaxPerServer", -5),
+        ("Count", 10**30),
+    ],
+    ids=["estimate", "cpu", "memory", "per server", "count"],
+)
+def test_odd_job_is_refused_as_malformed(tmp_path, field, value):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        step = {"Count": 1, "Cpu": 1000, "MemMb": 64, "EstimateMs": 50, field: value}
+        with structlog.testing.capture_logs() as lines:
+            status, _ = await system.submit(Steps=[step])
+        assert status == 400
+        assert [line["event"] for line in lines] == ["malformed job rejected"]
+        await serve_job(system)
+
+    paths.run_scenario(tmp_path, scenario)
