Wire: a configuration that no process could use is refused with 400

What operators would see: a configuration with a version beyond 64 bits was answered 503 for ever, and each attempt threw away the other changes that the leading controller collected in the same turn of its loop. A version of 63 bits was acknowledged, and none after it can be higher. A Stretch of 1e308 was acknowledged, and then each job of that queue refused. Bytes that can't be read were acknowledged where they stood in a field without a meaning here.

Cause: no upper bound on numbers; unknown fields are skipped by the decoder unread; and the depth to which it reads depends on the functions in progress, so that a controller could acknowledge a nesting that a gateway can't read.

Evidence: test_odd_configuration_is_refused_and_later_one_is_in_force failed before in 3 of 4 cases ("assert 503 == 400" once, "assert 200 == 400" twice), and 12 cases of test_invalid_configuration_is_rejected with DID NOT RAISE. In a trial the loop of the controller logged "Exception in callback Controller._flush() OverflowError" for each of 3 attempts.

Why it holds: the bounds of heartbeats, all fields read, and at most 64 levels, which doesn't depend on the reader.

--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -20,6 +20,8 @@
 MAX_NUMBER = 2**53 - 1
 """Largest number in a body. Every JSON reader represents it exactly, and the sum of many
 such numbers still fits into the 64 bits of an encoded message."""
+MAX_NESTING = 64
+"""Deepest nesting of arrays and objects in a configuration."""
 MAX_LABELS = 64
 """Largest number of labels of an upstream; each report to a gateway carries them."""
 MAX_LABEL_LENGTH = 256
@@ -28,6 +30,7 @@
 
 
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_SignedNumber = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 _Measure = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 _Label = Annotated[str, msgspec.Meta(max_length=MAX_LABEL_LENGTH)]
 
@@ -65,11 +68,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
+    timeout_ms: _Number
+    priority: _SignedNumber = 0
+    max_attempts: _Number = 1
+    stretch: _Measure = 1.0
+    target_latency_ms: _Number = 0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -77,7 +80,7 @@
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Number
     routes: list[_Route]
     services: list[_Service]
 
@@ -255,6 +258,8 @@
     """
     try:
         body = _configuration_decoder.decode(data)
+        # Fields without a meaning here are otherwise skipped without being read.
+        _check_nesting(msgspec.json.decode(data))
     except (msgspec.MsgspecError, RecursionError) as error:
         raise BodyError(f"invalid configuration: {error}") from error
     services = {service.name for service in body.services}
@@ -268,8 +273,6 @@
         if prefix in prefixes:
             raise BodyError(f"route {route.name}: duplicate host and path prefix")
         prefixes.add(prefix)
-    if body.version < 0:
-        raise BodyError("negative version")
     found = [
         routes.Route(
             route.host,
@@ -288,6 +291,30 @@
     return routes.Table(body.version, found)
 
 
+def _check_nesting(value: Any) -> None:
+    """Raise an error if arrays and objects are nested too deeply.
+
+    The decoder's own limit depends on the functions that are being called, so that a
+    process could accept a configuration that another one cannot read.
+
+    Args:
+        value: Decoded array or object.
+
+    Raises:
+        BodyError: The limit is exceeded.
+    """
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [
+            inner
+            for outer in level
+            for inner in (outer.values() if isinstance(outer, dict) else outer)
+            if isinstance(inner, (dict, list))
+        ]
+    if level:
+        raise BodyError(f"nested more than {MAX_NESTING} levels deep")
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Return the heartbeat of an upstream.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -10,7 +10,7 @@
 import pytest
 import structlog
 
-from amaranthspar.platform import registrations
+from amaranthspar.platform import operators, registrations
 from tests import builders_platform as builders, test_platform_path as paths
 
 SETTLE_S = 0.3
@@ -136,3 +136,32 @@
         await serve_job(system)
 
     paths.run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": 2**64},
+        {"version": 2**63},
+        {"version": 2, "Other": "\ud800"},
+        {"routes": [builders.build_route(Stretch=1e308)], "version": 2},
+    ],
+    ids=["64 bits", "63 bits", "text", "stretch"],
+)
+def test_odd_configuration_is_refused_and_later_one_is_in_force(tmp_path, changes):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        body = builders.build_configuration(**changes)
+        status, _ = await put_configuration(system, body)
+        assert status == 400
+        await serve_job(system)
+        status, _ = await put_configuration(system, builders.build_configuration(3))
+        assert status == 200
+        assert system.controller.state.documents.version == 3
+
+    paths.run_scenario(tmp_path, scenario)
+
+
+async def put_configuration(system, body: bytes) -> tuple[int, bytes]:
+    """Return the status and the body of the response to a configuration."""
+    return await system.call("POST", system.operators, operators.PUT_PATH, body)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -110,6 +110,27 @@
         ),
         builders.build_configuration("one"),
         builders.build_configuration(-2),
+        builders.build_configuration(2**53),
+        builders.build_configuration(2**64),
+        builders.build_configuration(10**400),
+        builders.build_configuration(1.5),
+        builders.build_configuration(routes=[builders.build_route(TimeoutMs=2**64)]),
+        builders.build_configuration(routes=[builders.build_route(TimeoutMs=-1)]),
+        builders.build_configuration(routes=[builders.build_route(Stretch=1e308)]),
+        builders.build_configuration(routes=[builders.build_route(Stretch=-1)]),
+        builders.build_configuration(routes=[builders.build_route(Priority=2**63)]),
+        builders.build_configuration(routes=[builders.build_route(MaxAttempts=2**63)]),
+        builders.build_configuration(
+            routes=[builders.build_route(TargetLatencyMs=10**400)]
+        ),
+        builders.build_configuration().replace(b"1.6", b"1e400"),
+        builders.build_configuration(Limits="x").replace(b'"x"', b'"\xff"'),
+        builders.build_configuration(Limits="x").replace(b'"x"', b"1e400"),
+        builders.build_configuration(Limits="x").replace(b'"x"', b"[" * 64 + b"]" * 64),
+        builders.build_configuration(Limits="x").replace(b'"x"', b"[" * 100_000),
+        b"[" * 100_000,
+        b"[]",
+        b"",
     ],
 )
 def test_invalid_configuration_is_rejected(body):
@@ -117,6 +138,16 @@
         wire.decode_configuration(body)
 
 
+def test_configuration_within_bounds_is_decoded():
+    route = builders.build_route(
+        Priority=-1, MaxAttempts=0, Stretch=2, TargetLatencyMs=2**53 - 1
+    )
+    limits = {"text": "[" * 100 + '"' + "{" * 100}
+    body = builders.build_configuration(2**53 - 1, [route], Limits=limits, Other="x")
+    body = body.replace(b'"x"', b"[" * 63 + b"]" * 63)
+    assert wire.decode_configuration(body).version == 2**53 - 1
+
+
 def test_heartbeat_is_decoded():
     heartbeat = wire.decode_heartbeat(builders.build_heartbeat(4, 9, State="draining"))
     assert (heartbeat.sequence, heartbeat.born_ms, heartbeat.is_leaving) == (4, 9, True)
