Callers: an unreadable routing document answers no caller with 500

What callers would see: the first request or readiness check after such a document reached a gateway was answered 500; the cause stood in the log only as the trace of that request.

Cause: the decoder's error wasn't expected where the gateway reads the document, as a controller has validated it. A controller of another release, with other bounds, may still have accepted it.

Evidence: test_unreadable_document_leaves_the_former_routes_in_force failed before with "assert 500 == 200".

Why it holds: the former table stays in force, and one line 'routing document unreadable' tells the reason and the version held; a later document that can be read is loaded as before.

--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -79,11 +79,21 @@
                 return servers.answer_json(405)
 
     def _find_table(self) -> routes.Table | None:
-        """Return the routing table of the newest document, already validated."""
+        """Return the routing table of the newest document that can be read.
+
+        Controllers validate a document before they accept it, but a controller of
+        another release may have other bounds.
+        """
         document = self._gateway.document
-        if document is not self._document:
-            self._document = document
+        if document is self._document:
+            return self._table
+        self._document = document
+        try:
             self._table = wire.decode_configuration(document)
+        except wire.BodyError as error:
+            held = None if self._table is None else self._table.version
+            _log.error("routing document unreadable", held=held, reason=str(error))
+        else:
             _log.info("routing table loaded", version=self._table.version)
         return self._table
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -162,6 +162,22 @@
     paths.run_scenario(tmp_path, scenario)
 
 
+def test_unreadable_document_leaves_the_former_routes_in_force(tmp_path):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        with structlog.testing.capture_logs() as lines:
+            system.gateway.document = builders.build_configuration(2**64)
+            assert (await system.submit(count=1))[0] == 200
+            assert (await system.submit(paths.JOB[::-1], count=1))[0] == 200
+        found = [item for item in lines if item["log_level"] == "error"]
+        assert [item["event"] for item in found] == ["routing document unreadable"]
+        assert found[0]["held"] == 1
+        system.gateway.document = builders.build_configuration(2, [])
+        assert (await system.submit(count=1))[0] == 404
+
+    paths.run_scenario(tmp_path, scenario)
+
+
 async def put_configuration(system, body: bytes) -> tuple[int, bytes]:
     """Return the status and the body of the response to a configuration."""
     return await system.call("POST", system.operators, operators.PUT_PATH, body)
