Registrations: rejected heartbeats no longer flood the log

What operators would see: a sender of odd heartbeats gets a line for each of them, as long as the text in its fields (10,000 characters in the test), in a log whose buffer drops further lines.

Cause: each rejection was logged, and its reason quotes the body.

Evidence: test_rejected_heartbeats_are_logged_with_a_reason_but_only_now_and_then failed before: 90 lines for 90 heartbeats ("Left contains 88 more items").

The events keep their names.

--- a/amaranthspar/platform/registrations.py
+++ b/amaranthspar/platform/registrations.py
@@ -3,6 +3,7 @@
 import structlog
 from aiohttp import web
 
+from amaranthspar import rejections
 from amaranthspar.platform import servers, upstreams, wire
 from amaranthspar.roles import runsidecar
 from amaranthspar.scheduling import runevents
@@ -23,6 +24,7 @@
     def __init__(self, sidecar: runsidecar.RunSidecar, service: str) -> None:
         self._sidecar = sidecar
         self._service = service
+        self._rejections = rejections.RejectionLog()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request.
@@ -47,11 +49,9 @@
         try:
             heartbeat = wire.decode_heartbeat(body)
         except wire.BodyError as error:
-            _log.info("malformed heartbeat", upstream=name, reason=str(error))
-            return servers.answer_json(400)
+            return self._reject("malformed heartbeat", name, str(error))
         if self._service and heartbeat.service != self._service:
-            _log.info("unknown service", upstream=name, service=heartbeat.service)
-            return servers.answer_json(400)
+            return self._reject("unknown service", name, heartbeat.service)
         event = runevents.UpstreamKnown(
             upstreams.build_incarnation(name, heartbeat.born_ms),
             heartbeat.capacity,
@@ -62,3 +62,7 @@
             runsidecar.Registration(name, heartbeat.born_ms, heartbeat.sequence, event)
         )
         return servers.answer_json(200)
+
+    def _reject(self, event: str, name: str, reason: str) -> web.Response:
+        self._rejections.record(event, upstream=name, reason=reason)
+        return servers.answer_json(400)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -62,6 +62,25 @@
     paths.run_scenario(tmp_path, scenario)
 
 
+def test_rejected_heartbeats_are_logged_with_a_reason_but_only_now_and_then(tmp_path):
+    async def scenario(system) -> None:
+        other = builders.build_heartbeat(2, Service="s" * 10_000)
+        odd = builders.build_heartbeat(2, State="x" * 10_000)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(30):
+                assert await send_heartbeat(system, odd) == 400
+                assert await send_heartbeat(system, other) == 400
+                assert await send_heartbeat(system, b"[" * 100_000) == 400
+        assert [item["event"] for item in lines] == [
+            "malformed heartbeat",
+            "unknown service",
+        ]
+        assert lines[0]["reason"].startswith("unknown state")
+        assert all(len(str(item)) < 1_000 for item in lines)
+
+    paths.run_scenario(tmp_path, scenario)
+
+
 def leave_odd_list(upstream: builders.FakeUpstream, changes) -> None:
     """Let the upstream answer one request for its list with other fields.
 
