Registrations: an id with odd characters is no upstream

What operators would see: a heartbeat whose id contained a line break was taken over in place of the upstream; then 'lease renewal failed' with a trace each 50 ms (119 times in 6 s in a trial) and no job on that host until a heartbeat with a later start came. An id of 9,000 characters was taken over too, sent in the header of each call, which the upstream refuses as too large, and in each report.

Cause: the id is the text of the path after percent-decoding and wasn't checked; it becomes the header that names the expected instance.

Evidence: test_odd_id_is_refused_and_work_goes_on failed before in 7 of 7 cases ("assert 200 == 400").

Why it holds: an id has at most 128 visible ASCII characters without a percent sign, which can be sent in any header. It is checked before the body is read, for deregistrations too.

--- a/amaranthspar/platform/registrations.py
+++ b/amaranthspar/platform/registrations.py
@@ -9,6 +9,8 @@
 from amaranthspar.scheduling import runevents
 
 PATH = "/amaranthspar/instances/"
+MAX_ID_LENGTH = 128
+"""Longest id of an upstream; each call to it and each report on it carries the id."""
 
 _log = structlog.get_logger()
 
@@ -35,6 +37,9 @@
         name, _, action = request.path.removeprefix(PATH).partition("/")
         if request.method != "POST" or not request.path.startswith(PATH) or not name:
             return servers.answer_json(404)
+        if not _is_upstream_id(name):
+            reason = "id is too long or not of visible ASCII characters"
+            return self._reject("malformed upstream id", name, reason)
         match action:
             case "heartbeat":
                 return await self._register(name, await request.read())
@@ -66,3 +71,13 @@
     def _reject(self, event: str, name: str, reason: str) -> web.Response:
         self._rejections.record(event, upstream=name, reason=reason)
         return servers.answer_json(400)
+
+
+def _is_upstream_id(text: str) -> bool:
+    """Return whether a text may be the id of an upstream, which is sent in a header.
+
+    Args:
+        text: Id from a path; escapes that are not UTF-8 are still encoded in it.
+    """
+    is_visible = text.isascii() and text.isprintable()
+    return is_visible and not set(" %") & set(text) and len(text) <= MAX_ID_LENGTH
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -62,6 +62,20 @@
     paths.run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    "upstream", ["i%0a1", "i%00", "i%7f", "i%201", "i%e2%82%ac", "i%ff", "i" * 9000]
+)
+def test_odd_id_is_refused_and_work_goes_on(tmp_path, upstream):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        odd = builders.build_heartbeat(2, born=2)
+        assert await send_heartbeat(system, odd, upstream) == 400
+        await asyncio.sleep(SETTLE_S)
+        await serve_job(system)
+
+    paths.run_scenario(tmp_path, scenario)
+
+
 def test_rejected_heartbeats_are_logged_with_a_reason_but_only_now_and_then(tmp_path):
     async def scenario(system) -> None:
         other = builders.build_heartbeat(2, Service="s" * 10_000)
