Links: an address with a port out of range is not dialled

What operators would see: a message to a peer that is listed with the port 99999 opens a connection to port 34463 of that host. uvloop keeps 16 bits of the port, as a trial shows; on the standard loop the task that keeps the connection ends with OverflowError and nothing dials it again.

Cause: any text that Python reads as an integer was a port: 0, -1, 8_0, digits of other scripts. And a host that can't be encoded (an IPv6 address with a long scope) raises UnicodeError, which wasn't expected where the connection is kept.

Why it holds: links now read a port by the same function as the settings. IPv6 addresses without brackets, as links have them on the platform, are read as before.

--- a/amaranthspar/addresses.py
+++ b/amaranthspar/addresses.py
@@ -41,7 +41,19 @@
         ipaddress.ip_address(host)
     except ValueError as error:
         raise errors.SchemaError(f"{text!r} is not {EXPECTED}") from error
-    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
-    if not is_number or not 0 < int(port) <= MAX_PORT:
-        raise errors.SchemaError(f"{text!r} is not {EXPECTED}")
-    return Address(host, int(port))
+    return Address(host, parse_port(port))
+
+
+def parse_port(text: str) -> int:
+    """Parse the port of an address.
+
+    Args:
+        text: Port in decimal digits.
+
+    Raises:
+        errors.SchemaError: The text is not a port from 1 to 65535.
+    """
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_PORT))
+    if not is_number or not 0 < int(text) <= MAX_PORT:
+        raise errors.SchemaError(f"{text!r} is not a port from 1 to {MAX_PORT}")
+    return int(text)
--- a/amaranthspar/network/connections.py
+++ b/amaranthspar/network/connections.py
@@ -13,7 +13,7 @@
 import typing
 from collections.abc import Callable
 
-from amaranthspar import errors
+from amaranthspar import addresses, errors
 
 FRAME_BYTES = 4 * 1024 * 1024
 """Largest batch of small messages in one frame; limits what one read delivers."""
@@ -56,8 +56,8 @@
     """
     host, _, port = address.rpartition(":")
     try:
-        return str(ipaddress.ip_address(host)), int(port)
-    except ValueError as error:
+        return str(ipaddress.ip_address(host)), addresses.parse_port(port)
+    except (ValueError, errors.SchemaError) as error:
         raise errors.LinkError(
             f"{address!r} is not an IP address with a port"
         ) from error
@@ -137,7 +137,7 @@
                         ssl=self._context,
                         server_hostname=self._host if self._context else None,
                     )
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError, UnicodeError):
                 # An absent peer is a normal condition, which heartbeats detect.
                 await asyncio.sleep(pause_ms / 1000)
                 pause_ms = min(2 * pause_ms, RECONNECT_MAX_MS)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,7 +8,7 @@
 import pytest
 
 from amaranthspar import errors
-from amaranthspar.network import heartbeats, links
+from amaranthspar.network import connections, heartbeats, links
 from amaranthspar.schema import messages, options
 from tests import builders_links
 
@@ -182,6 +182,32 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    "port",
+    ["", "0", "65536", "99999", "-1", "8_0", " 80", "\u0663", "1e3", "9" * 5_000],
+)
+def test_address_with_odd_port_is_not_dialled(port):
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            here.send(f"127.0.0.1:{port}", 1)
+            assert here.links.counts["links.addresses.invalid"] == 1
+            assert not here.links._peers
+
+    asyncio.run(run())
+
+
+def test_connection_is_retried_after_the_host_could_not_be_encoded():
+    async def run() -> None:
+        address = f"fe80::1%{'x' * 100}:80"
+        connection = connections.OutgoingConnection(address, None)
+        await asyncio.sleep(0.1)
+        assert not connection._connect_task.done()
+        connection.close()
+
+    asyncio.run(run())
+
+
 def test_peers_with_valid_certificates_exchange_messages(tmp_path):
     async def run() -> None:
         authority = builders_links.Authority(tmp_path, "ca")
