Links: what is rejected stands in the log with its reason

What operators would see: nothing. Frames that can't be read, addresses that can't be dialled and senders without their certificate were only counted, and on the platform no page shows these counters.

Evidence: test_malformed_address_is_counted_and_logged failed before ("assert [] == ['address not dialled']") and so did the 5 cases of test_odd_frames_are_logged_once_and_the_connection_stays ("assert [] == ['frame rejected']"), where the connection stayed before too.

--- a/amaranthspar/network/links.py
+++ b/amaranthspar/network/links.py
@@ -14,7 +14,7 @@
 import attrs
 import msgspec
 
-from amaranthspar import clock, errors
+from amaranthspar import clock, errors, rejections
 from amaranthspar.network import connections, encryption, heartbeats
 from amaranthspar.schema import codec, linkmessages, options
 
@@ -80,6 +80,7 @@
         self._encryption = encryption.Encryption(options)
         self._peers: dict[str, _Peer] = {}
         self._clock = clock.Clock()
+        self._rejections = rejections.RejectionLog()
         self._listener: connections.Listener | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
 
@@ -172,8 +173,8 @@
             return peer
         try:
             connection = self._dial(address)
-        except errors.LinkError:
-            self.counts["links.addresses.invalid"] += 1
+        except errors.LinkError as error:
+            self._reject("links.addresses.invalid", "address not dialled", str(error))
             return None
         now_ms = self._clock.read_monotonic()
         if peer is not None:
@@ -244,11 +245,12 @@
         self.counts["links.frames.received"] += 1
         try:
             frame = codec.decode_frame(data)
-        except errors.SchemaError:
-            self.counts["links.frames.rejected"] += 1
+        except errors.SchemaError as error:
+            self._reject("links.frames.rejected", "frame rejected", str(error))
             return
         if peer_name is not None and peer_name != frame.sender:
-            self.counts["links.senders.rejected"] += 1
+            reason = f"{frame.sender} has the certificate of {peer_name}"
+            self._reject("links.senders.rejected", "sender rejected", reason)
             return
         peer = self._ensure_peer(frame.address)
         if peer is not None:
@@ -256,6 +258,10 @@
         if frame.messages:
             self._receive(frame)
 
+    def _reject(self, counter: str, event: str, reason: str) -> None:
+        self.counts[counter] += 1
+        self._rejections.record(event, reason=reason)
+
     def _update_health(self, peer: _Peer, frame: codec.Frame) -> None:
         now_ms = self._clock.read_monotonic()
         received = (frame.incarnation, frame.number, frame.heard)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,6 +6,7 @@
 import struct
 
 import pytest
+import structlog
 
 from amaranthspar import errors
 from amaranthspar.network import connections, heartbeats, links
@@ -172,12 +173,113 @@
     asyncio.run(run())
 
 
-def test_malformed_address_is_counted():
+def test_malformed_address_is_counted_and_logged():
     async def run() -> None:
         here = builders_links.Peer("here")
         async with open_links(here):
-            here.send("no address", 1)
-            assert here.links.counts["links.addresses.invalid"] == 1
+            with structlog.testing.capture_logs() as lines:
+                for _ in range(100):
+                    here.send("no address", 1)
+            assert here.links.counts["links.addresses.invalid"] == 100
+            assert [line["event"] for line in lines] == ["address not dialled"]
+            assert "no address" in lines[0]["reason"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"garbage",
+        struct.pack(">I", links.MAX_FRAME_BYTES + 1),
+        struct.pack(">I", 0xFFFFFFFF),
+        struct.pack(">I", 3) + b"\xff\xff\xff",
+        struct.pack(">I", 0) * 3,
+    ],
+)
+def test_malformed_data_does_not_disturb_other_connections(data):
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            host, port = there.address.split(":")
+            with socket.create_connection((host, int(port))) as raw:
+                raw.sendall(data)
+                here.send(there.address, 1)
+                await there.wait_for(1)
+
+    asyncio.run(run())
+
+
+def test_address_in_use_is_an_error():
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            other = builders_links.Peer("other", address=here.address)
+            with pytest.raises(errors.LinkError, match="cannot listen"):
+                await other.links.open()
+            other.links.close()
+
+    asyncio.run(run())
+
+
+def test_malformed_address_is_counted_and_logged():
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            with structlog.testing.capture_logs() as lines:
+                for _ in range(100):
+                    here.send("no address", 1)
+            assert here.links.counts["links.addresses.invalid"] == 100
+            assert [line["event"] for line in lines] == ["address not dialled"]
+            assert "no address" in lines[0]["reason"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.LeaseDenied(2**64, "no_quorum"),
+        messages.LeaseDenied(-(2**70), "no_quorum"),
+        messages.TaskResult("\ud800", 1, "done"),
+    ],
+)
+def test_message_that_cannot_be_encoded_is_dropped_and_later_ones_arrive(message):
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            here.send(there.address, 1)
+            with structlog.testing.capture_logs() as lines:
+                here.links.send(there.address, message)
+            here.send(there.address, 2)
+            await there.wait_for(2)
+            assert there.received == [1, 2]
+            assert here.links.counts["links.messages.unencodable"] == 1
+            assert [line["event"] for line in lines] == ["message not sent"]
+            assert type(message).__name__ in lines[0]["reason"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff" * 10, b"\x91" * 100_000, b"GET / HTTP/1.1", b"\x97\xa1\xff"]
+)
+def test_odd_frames_are_logged_once_and_the_connection_stays(data):
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            here.send(there.address, 1)
+            await there.wait_for(1)
+            with structlog.testing.capture_logs() as lines:
+                connection = here.links._peers[there.address].connection
+                for _ in range(20):
+                    connection.send(data)
+                here.send(there.address, 2)
+                await there.wait_for(2)
+            assert there.links.counts["links.frames.rejected"] == 20
+            assert [line["event"] for line in lines] == ["frame rejected"]
+            assert lines[0]["reason"]
+            assert here.links._peers[there.address].connection is connection
 
     asyncio.run(run())
 
