Links: a message that can't be encoded no longer ends what sent it

Cause: the error of the encoder left Links.send, whose callers expect that any message may be lost, but no error.

Why it holds: such a message is dropped like one that is too large, counted and logged with its class.

--- a/amaranthspar/network/links.py
+++ b/amaranthspar/network/links.py
@@ -111,8 +111,9 @@
     def send(self, address: str, message: codec.Message) -> None:
         """Queue a message; those queued in one turn of the event loop share a frame.
 
-        A message that is too large, or that does not fit into the queue, is dropped
-        and counted; every protocol on links tolerates the loss of any message.
+        A message that cannot be encoded, is too large or does not fit into the queue
+        is dropped and counted; every protocol on links tolerates the loss of any
+        message.
 
         Args:
             address: Address at which the peer listens.
@@ -123,7 +124,11 @@
         peer = self._ensure_peer(address)
         if peer is None:
             return
-        part = codec.encode_part(message)
+        try:
+            part = codec.encode_part(message)
+        except errors.SchemaError as error:
+            self._reject("links.messages.unencodable", "message not sent", str(error))
+            return
         size = memoryview(part).nbytes
         if size > MAX_MESSAGE_BYTES:
             self.counts["links.messages.oversized"] += 1
--- a/amaranthspar/schema/codec.py
+++ b/amaranthspar/schema/codec.py
@@ -78,8 +78,15 @@
 
     Args:
         message: Message to encode.
+
+    Raises:
+        errors.SchemaError: A number has more than 64 bits, or a text is no Unicode.
     """
-    return msgspec.Raw(_encoder.encode((type(message).__name__, message)))
+    try:
+        return msgspec.Raw(_encoder.encode((type(message).__name__, message)))
+    except (OverflowError, UnicodeEncodeError) as error:
+        kind = type(message).__name__
+        raise errors.SchemaError(f"{kind} cannot be encoded: {error}") from error
 
 
 def decode_frame(data: bytes) -> Frame:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -45,3 +45,9 @@
             codec.decode_frame(data)
     with pytest.raises(errors.SchemaError):
         codec.decode_message("TaskResult", deep)
+
+
+@pytest.mark.parametrize("number", [2**64, -(2**63) - 1, 10**400])
+def test_number_of_more_than_64_bits_is_a_schema_error(number: int) -> None:
+    with pytest.raises(errors.SchemaError, match="LeaseDenied"):
+        codec.encode_part(messages.LeaseDenied(number, "no_quorum"))
