Operators: an odd name of a failure domain is refused; rejections in short

What operators would see: a domain named by a line break or by 9,000 characters was taken out of service, and from then on stood in each answer of a controller to each process. A rejected configuration left a line as long as the name of its route (100,000 characters in the test), each time.

Why it holds: a name has at most 256 printable characters, else 400; rejections go through the bounded log. Names with letters of any language and spaces stay allowed.

--- a/amaranthspar/platform/operators.py
+++ b/amaranthspar/platform/operators.py
@@ -3,6 +3,7 @@
 import structlog
 from aiohttp import web
 
+from amaranthspar import rejections
 from amaranthspar.membership import documents
 from amaranthspar.platform import servers, wire
 from amaranthspar.registry import documentrequests
@@ -12,6 +13,9 @@
 DOMAIN_PATH = "/amaranthspar/evacuations/"
 START = "start"
 FINISH = "finish"
+MAX_DOMAIN_LENGTH = 256
+"""Longest name of a failure domain; each answer of a controller carries those that are
+out of service."""
 
 _log = structlog.get_logger()
 
@@ -25,6 +29,7 @@
 
     def __init__(self, requests: documentrequests.DocumentRequests) -> None:
         self._requests = requests
+        self._rejections = rejections.RejectionLog()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request.
@@ -51,8 +56,7 @@
         try:
             table = wire.decode_configuration(body)
         except wire.BodyError as error:
-            _log.info("configuration rejected", reason=str(error))
-            return servers.answer_json(400)
+            return self._reject("configuration rejected", str(error))
         state = await self._requests.put(table.version, body)
         _log.info("configuration taken", version=table.version, newest=state.version)
         return servers.answer_json(200)
@@ -67,6 +71,8 @@
         domain, _, action = rest.partition("/")
         if not domain or action not in (START, FINISH):
             return servers.answer_json(404)
+        if not domain.isprintable() or len(domain) > MAX_DOMAIN_LENGTH:
+            return self._reject("failure domain rejected", repr(domain))
         state = await self._requests.set_domain(domain, action == START)
         _log.info(
             "failure domain set",
@@ -75,3 +81,7 @@
             version=state.version,
         )
         return servers.answer_json(200)
+
+    def _reject(self, event: str, reason: str) -> web.Response:
+        self._rejections.record(event, reason=reason)
+        return servers.answer_json(400)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -195,6 +195,32 @@
     paths.run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("domain", ["%0a", "%00", "east%7f", "x" * 9_000])
+def test_odd_failure_domain_is_refused(tmp_path, domain):
+    async def scenario(system) -> None:
+        path = f"{operators.DOMAIN_PATH}{domain}/start"
+        assert (await system.call("POST", system.operators, path))[0] == 400
+        assert not system.controller.state.documents.domains_out
+        path = f"{operators.DOMAIN_PATH}kelet-%C3%A9szak%201/start"
+        assert (await system.call("POST", system.operators, path))[0] == 200
+        assert system.controller.state.documents.domains_out == {"kelet-észak 1"}
+
+    paths.run_scenario(tmp_path, scenario)
+
+
+def test_rejected_configurations_are_logged_in_short(tmp_path):
+    async def scenario(system) -> None:
+        routes = [builders.build_route(Name="r" * 100_000, Service="none")]
+        odd = builders.build_configuration(2, routes)
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(20):
+                assert (await put_configuration(system, odd))[0] == 400
+        assert [line["event"] for line in lines] == ["configuration rejected"]
+        assert len(lines[0]["reason"]) < 1_000
+
+    paths.run_scenario(tmp_path, scenario)
+
+
 def test_unreadable_document_leaves_the_former_routes_in_force(tmp_path):
     async def scenario(system) -> None:
         await serve_job(system)
