Settings: an odd number or port is a fault with its key, not a trace

What operators would see: a settings file with GraceS=1e400, or with bytes that aren't UTF-8, ended a process with a trace; the same in a changed file left a trace on SIGHUP instead of 'settings reload failed'. A port out of range was taken, and the process ended later, where it listened.

Cause: OverflowError and UnicodeDecodeError weren't expected, and a port was any number.

Evidence: test_settings_with_odd_number_or_port_are_a_fault failed before in 7 of 7 cases (OverflowError once, DID NOT RAISE in 5, and a second fault for a missing key in one), test_settings_that_are_not_utf8_are_a_fault with UnicodeDecodeError.

Why it holds: each such value is a fault like any other, one line with key and value.

--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from amaranthspar import errors
+from amaranthspar import addresses, errors
 
 VARIABLE = "AMARANTHSPAR_SETTINGS"
 """Environment variable with the path of the settings file."""
@@ -85,7 +85,7 @@
         raise errors.SettingsError([f"{VARIABLE} is not set"])
     try:
         text = pathlib.Path(path).read_text()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError([f"{path}: {error}"]) from error
     return parse_settings(text)
 
@@ -127,12 +127,10 @@
             host=self._require("Node"),
             ip=self._require("Ip"),
             failure_domain=self._require("Zone"),
-            callers=self._find("Listen.Front"),
-            readiness=self._find("Listen.ReadinessAddr"),
-            control=self._find("Listen.Control"),
-            first_port=self._read_integer(
-                "InternalPorts", self._require("InternalPorts").partition(",")[0]
-            ),
+            callers=self._find_address("Listen.Front"),
+            readiness=self._find_address("Listen.ReadinessAddr"),
+            control=self._find_address("Listen.Control"),
+            first_port=self._read_port("InternalPorts"),
             # These are the addresses of the operators' interface; links use the same
             # IP addresses.
             seeds=[
@@ -143,7 +141,7 @@
             is_first_start=self._find("Bootstrap").lower() == _TRUE,
             data=self._find("DataDir"),
             service=self._find("Service"),
-            upstream=self._find("app"),
+            upstream=self._find_address("app"),
             grace_ms=1000 * self._read_integer("Bounds.GraceS"),
             max_lease_ms=self._read_integer("Bounds.MaxHoldMs"),
         )
@@ -160,10 +158,32 @@
             self._faults.append(f"{key}: missing")
         return value
 
-    def _read_integer(self, key: str, text: str | None = None) -> int:
-        found = self._require(key) if text is None else text
+    def _read_integer(self, key: str) -> int:
+        found = self._require(key)
         try:
             return int(float(found))
-        except ValueError:
+        except (ValueError, OverflowError):
             self._faults.append(f"{key} = {found}: not a number")
             return 0
+
+    def _read_port(self, key: str) -> int:
+        """Return the first port of a range of internal ports."""
+        found = self._require(key).partition(",")[0].strip()
+        if not found:
+            return 0
+        try:
+            port = addresses.parse_port(found)
+            addresses.parse_port(str(port + max(_ROLE_PORTS.values())))
+        except errors.SchemaError:
+            self._faults.append(f"{key} = {found}: no port with room for the links")
+            return 0
+        return port
+
+    def _find_address(self, key: str) -> str:
+        """Return an address with a port; empty if the role has none."""
+        found = self._find(key)
+        try:
+            addresses.parse_port(found.rpartition(":")[2] if found else "1")
+        except errors.SchemaError:
+            self._faults.append(f"{key} = {found}: no address with a port")
+        return found
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -29,6 +29,41 @@
     assert caught.value.faults == ["Ip: missing", "Bounds.GraceS = x: not a number"]
 
 
+@pytest.mark.parametrize(
+    "old, new, fault",
+    [
+        ("GraceS=6", "GraceS=1e400", "Bounds.GraceS = 1e400: not a number"),
+        ("7720,", "99999,", "InternalPorts = 99999: no port with room for the links"),
+        ("7720,", "65534,", "InternalPorts = 65534: no port with room for the links"),
+        ("7720,", "7_720,", "InternalPorts = 7_720: no port with room for the links"),
+        ("InternalPorts=7720,7735\n", "", "InternalPorts: missing"),
+        (
+            "Front=127.0.0.1:8161",
+            "Front=127.0.0.1:81610",
+            "Listen.Front = 127.0.0.1:81610: no address with a port",
+        ),
+        (
+            "Addr=127.0.0.1:8167",
+            "Addr=127.0.0.1",
+            "Listen.ReadinessAddr = 127.0.0.1: no address with a port",
+        ),
+    ],
+)
+def test_settings_with_odd_number_or_port_are_a_fault(old, new, fault):
+    text = builders.SETTINGS.replace(old, new)
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse_settings(text)
+    assert caught.value.faults == [fault]
+
+
+def test_settings_that_are_not_utf8_are_a_fault(tmp_path, monkeypatch):
+    path = tmp_path / "settings"
+    path.write_bytes(builders.SETTINGS.encode() + b"Other=\xff\n")
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    with pytest.raises(errors.SettingsError):
+        settings.load_settings()
+
+
 def test_job_body_is_decoded_to_request():
     job = wire.decode_job(builders.build_job(3), "00ff00ff00ff00ff", QUEUE)
     assert not job.unsupported
