--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,6 +11,7 @@
 import structlog
 
 from amaranthspar.platform import operators, registrations
+from amaranthspar.schema import codec, viewmessages
 from tests import builders_platform as builders, test_platform_path as paths
 
 SETTLE_S = 0.3
@@ -237,6 +238,28 @@
     paths.run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(
+    "address", ["", "no address", "127.0.0.1:99999", "127.0.0.1:-1", "fe80::1%x:80"]
+)
+def test_odd_process_in_the_list_leaves_the_others_in_use(tmp_path, address):
+    async def scenario(system) -> None:
+        await serve_job(system)
+        peers = len(system.gateway._dispatcher.fleet.sidecars)
+        odd = viewmessages.Announce(
+            *("odd", "sidecar", 2**64 - 1, address, "quotes", "east", False),
+            *(2**63, 2**63, True, True, 2**63),
+        )
+        frame = codec.Frame("odd", 2**64 - 1, address, [odd], 2**64 - 1, 2**64 - 1)
+        system.controller._links._accept(codec.encode_frame(frame), None)
+        async with asyncio.timeout(paths.WAIT_S):
+            while len(system.gateway._dispatcher.fleet.sidecars) == peers:
+                await asyncio.sleep(0.02)
+        for _ in range(3):
+            await serve_job(system)
+
+    paths.run_scenario(tmp_path, scenario)
+
+
 async def put_configuration(system, body: bytes) -> tuple[int, bytes]:
     """Return the status and the body of the response to a configuration."""
     return await system.call("POST", system.operators, operators.PUT_PATH, body)
