Known: a heartbeat with an odd sequence number hides the later ones

A heartbeat with the id and born of the upstream and a Seq far ahead is valid in itself; from then on the upstream's own heartbeats count as late for good, and that it drains isn't noticed. A Seq beyond 2**53-1 is refused already.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 
 SETTLE_S = 0.3
 SERVE_S = 5
+HEARTBEAT_S = 1.5
 
 
 async def send_heartbeat(system, body: bytes, upstream: str = "i-1") -> int:
@@ -263,3 +264,19 @@
 async def put_configuration(system, body: bytes) -> tuple[int, bytes]:
     """Return the status and the body of the response to a configuration."""
     return await system.call("POST", system.operators, operators.PUT_PATH, body)
+
+
+def test_odd_sequence_number_hides_no_later_heartbeat_for_long(tmp_path):
+    """The upstream goes on to count from its own number, at its own interval."""
+
+    async def scenario(system) -> None:
+        await serve_job(system)
+        odd = builders.build_heartbeat(2**53 - 1)
+        await send_heartbeat(system, odd)
+        for sequence in range(2, 7):
+            body = builders.build_heartbeat(sequence, State="draining")
+            assert await send_heartbeat(system, body) == 200
+            await asyncio.sleep(HEARTBEAT_S)
+        assert system.sidecar._registration.status.is_leaving
+
+    paths.run_scenario(tmp_path, scenario)
