--- a/amaranthspar/network/links.py
+++ b/amaranthspar/network/links.py
@@ -127,7 +127,8 @@
         try:
             part = codec.encode_part(message)
         except errors.SchemaError as error:
-            self._reject("links.messages.unencodable", "message not sent", str(error))
+            self.counts["links.messages.unencodable"] += 1
+            self._rejections.record("message not sent", reason=str(error))
             return
         size = memoryview(part).nbytes
         if size > MAX_MESSAGE_BYTES:
@@ -179,7 +180,8 @@
         try:
             connection = self._dial(address)
         except errors.LinkError as error:
-            self._reject("links.addresses.invalid", "address not dialled", str(error))
+            self.counts["links.addresses.invalid"] += 1
+            self._rejections.record("address not dialled", reason=str(error))
             return None
         now_ms = self._clock.read_monotonic()
         if peer is not None:
@@ -251,11 +253,13 @@
         try:
             frame = codec.decode_frame(data)
         except errors.SchemaError as error:
-            self._reject("links.frames.rejected", "frame rejected", str(error))
+            self.counts["links.frames.rejected"] += 1
+            self._rejections.record("frame rejected", reason=str(error))
             return
         if peer_name is not None and peer_name != frame.sender:
             reason = f"{frame.sender} has the certificate of {peer_name}"
-            self._reject("links.senders.rejected", "sender rejected", reason)
+            self.counts["links.senders.rejected"] += 1
+            self._rejections.record("sender rejected", reason=reason)
             return
         peer = self._ensure_peer(frame.address)
         if peer is not None:
@@ -263,10 +267,6 @@
         if frame.messages:
             self._receive(frame)
 
-    def _reject(self, counter: str, event: str, reason: str) -> None:
-        self.counts[counter] += 1
-        self._rejections.record(event, reason=reason)
-
     def _update_health(self, peer: _Peer, frame: codec.Frame) -> None:
         now_ms = self._clock.read_monotonic()
         received = (frame.incarnation, frame.number, frame.heard)
