--- a/amaranthspar/network/links.py
+++ b/amaranthspar/network/links.py
@@ -14,7 +14,7 @@
 import attrs
 import msgspec
 
-from amaranthspar import clock, errors
+from amaranthspar import clock, errors, rejections
 from amaranthspar.network import connections, encryption, heartbeats
 from amaranthspar.schema import codec, linkmessages, options
 
@@ -80,6 +80,7 @@
         self._encryption = encryption.Encryption(options)
         self._peers: dict[str, _Peer] = {}
         self._clock = clock.Clock()
+        self._rejections = rejections.RejectionLog()
         self._listener: connections.Listener | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
 
@@ -110,8 +111,9 @@
     def send(self, address: str, message: codec.Message) -> None:
         """Queue a message; those queued in one turn of the event loop share a frame.
 
-        A message that is too large, or that does not fit into the queue, is dropped
-        and counted; every protocol on links tolerates the loss of any message.
+        A message that cannot be encoded, is too large or does not fit into the queue
+        is dropped and counted; every protocol on links tolerates the loss of any
+        message.
 
         Args:
             address: Address at which the peer listens.
@@ -122,7 +124,12 @@
         peer = self._ensure_peer(address)
         if peer is None:
             return
-        part = codec.encode_part(message)
+        try:
+            part = codec.encode_part(message)
+        except errors.SchemaError as error:
+            self.counts["links.messages.unencodable"] += 1
+            self._rejections.record("message not sent", reason=str(error))
+            return
         size = memoryview(part).nbytes
         if size > MAX_MESSAGE_BYTES:
             self.counts["links.messages.oversized"] += 1
@@ -172,8 +179,9 @@
             return peer
         try:
             connection = self._dial(address)
-        except errors.LinkError:
+        except errors.LinkError as error:
             self.counts["links.addresses.invalid"] += 1
+            self._rejections.record("address not dialled", reason=str(error))
             return None
         now_ms = self._clock.read_monotonic()
         if peer is not None:
@@ -244,11 +252,14 @@
         self.counts["links.frames.received"] += 1
         try:
             frame = codec.decode_frame(data)
-        except errors.SchemaError:
+        except errors.SchemaError as error:
             self.counts["links.frames.rejected"] += 1
+            self._rejections.record("frame rejected", reason=str(error))
             return
         if peer_name is not None and peer_name != frame.sender:
+            reason = f"{frame.sender} has the certificate of {peer_name}"
             self.counts["links.senders.rejected"] += 1
+            self._rejections.record("sender rejected", reason=reason)
             return
         peer = self._ensure_peer(frame.address)
         if peer is not None:
--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -7,34 +7,50 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Any
+
 import msgspec
 
-from amaranthspar import errors
+from amaranthspar import addresses, errors
 from amaranthspar.scheduling import jobs, routes, runevents
 from amaranthspar.schema import runmessages
 
 MAX_TASKS = 100_000
 """Largest number of tasks of one job; the largest known job has 1,200."""
+MAX_NUMBER = 2**53 - 1
+"""Largest number in a body. Every JSON reader represents it exactly, and the sum of many
+such numbers still fits into the 64 bits of an encoded message."""
+MAX_NESTING = 64
+"""Deepest nesting of arrays and objects in a configuration."""
+MAX_LABELS = 64
+"""Largest number of labels of an upstream; each report to a gateway carries them."""
+MAX_LABEL_LENGTH = 256
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 JOB_ID_LENGTH = 16
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_SignedNumber = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Measure = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Label = Annotated[str, msgspec.Meta(max_length=MAX_LABEL_LENGTH)]
+
+
 class BodyError(errors.AmaranthsparError):
     """A body is malformed or violates a rule of its format."""
 
 
 class _Step(msgspec.Struct, rename="pascal"):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = []
+    count: _Number
+    cpu: _Number = 0
+    mem_mb: _Number = 0
+    gpu: _Number = 0
+    estimate_ms: _Number = 0
+    after: list[_Number] = []
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: _Number = 0
     checkpoints: bool = False
     speculative: bool = False
 
@@ -44,7 +60,7 @@
     spec: str = ""
     best_effort: bool = False
     persistent: bool = False
-    repeat_count: int = 0
+    repeat_count: _Number = 0
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -52,11 +68,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
+    timeout_ms: _Number
+    priority: _SignedNumber = 0
+    max_attempts: _Number = 1
+    stretch: _Measure = 1.0
+    target_latency_ms: _Number = 0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -64,15 +80,15 @@
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Number
     routes: list[_Route]
     services: list[_Service]
 
 
 class _Amounts(msgspec.Struct, rename="pascal"):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Number
+    mem_mb: _Number
+    gpu: _Number = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="pascal"):
@@ -80,23 +96,44 @@
     address: str
     zone: str
     state: str
-    seq: int
+    seq: _Number
     capacity: _Amounts
-    labels: list[str] = []
+    labels: Annotated[list[_Label], msgspec.Meta(max_length=MAX_LABELS)] = []
     # Wall-clock time of the start in ms; the only field that distinguishes two
     # incarnations with the same id.
-    born: int = msgspec.field(name="born", default=0)
+    born: _Number = msgspec.field(name="born", default=0)
+    # The rest has no use here; a wrong type shows that another program wrote the body.
+    version: str = ""
+    slots: _Measure = 0
+    cold_remaining_ms: _Measure = 0
+    remaining_ms: _Measure = 0
+    clock_ms: _Measure = 0
+
+
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: _Number
+    saved: str
+    percent: _Measure
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: _Number
+    task: str
+    run: _Number
+    how: str
+    saved: str
 
 
 class _Listing(msgspec.Struct, rename="pascal"):
-    clock_ms: int
-    running: list[list[str | int | float]] = []
-    ended: list[list[str | int]] = []
-    born: int = msgspec.field(name="born", default=0)
+    clock_ms: _Number
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
+    born: _Number = msgspec.field(name="born", default=0)
 
 
 class _Answer(msgspec.Struct, rename="pascal"):
-    clock_ms: int = 0
+    clock_ms: _Number = 0
     reason: str = ""
 
 
@@ -178,10 +215,8 @@
     except (msgspec.MsgspecError, RecursionError) as error:
         raise BodyError(f"invalid job: {error}") from error
     for number, step in enumerate(body.steps):
-        if step.count < 1 or any(not 0 <= item < number for item in step.after):
+        if step.count < 1 or any(item >= number for item in step.after):
             raise BodyError(f"step {number}: no tasks, or after a step not before it")
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms) < 0:
-            raise BodyError(f"step {number}: negative resources or duration")
     if not body.steps or sum(step.count for step in body.steps) > MAX_TASKS:
         raise BodyError(f"no steps, or more than {MAX_TASKS} tasks")
     steps = tuple(
@@ -223,6 +258,8 @@
     """
     try:
         body = _configuration_decoder.decode(data)
+        # Fields without a meaning here are otherwise skipped without being read.
+        _check_nesting(msgspec.json.decode(data))
     except (msgspec.MsgspecError, RecursionError) as error:
         raise BodyError(f"invalid configuration: {error}") from error
     services = {service.name for service in body.services}
@@ -236,8 +273,6 @@
         if prefix in prefixes:
             raise BodyError(f"route {route.name}: duplicate host and path prefix")
         prefixes.add(prefix)
-    if body.version < 0:
-        raise BodyError("negative version")
     found = [
         routes.Route(
             route.host,
@@ -256,6 +291,30 @@
     return routes.Table(body.version, found)
 
 
+def _check_nesting(value: Any) -> None:
+    """Raise an error if arrays and objects are nested too deeply.
+
+    The decoder's own limit depends on the functions that are being called, so that a
+    process could accept a configuration that another one cannot read.
+
+    Args:
+        value: Decoded array or object.
+
+    Raises:
+        BodyError: The limit is exceeded.
+    """
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [
+            inner
+            for outer in level
+            for inner in (outer.values() if isinstance(outer, dict) else outer)
+            if isinstance(inner, (dict, list))
+        ]
+    if level:
+        raise BodyError(f"nested more than {MAX_NESTING} levels deep")
+
+
 def decode_heartbeat(data: bytes) -> Heartbeat:
     """Return the heartbeat of an upstream.
 
@@ -263,11 +322,15 @@
         data: Body of the call.
 
     Raises:
-        BodyError: A field is missing or has a wrong type, or the state is unknown.
+        BodyError: The body cannot be read in full, a field is missing, has a wrong type
+            or is out of bounds, or the state is unknown.
     """
     try:
+        # Fields without a meaning here are otherwise skipped without being read.
+        msgspec.json.decode(data)
         body = _heartbeat_decoder.decode(data)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        addresses.parse_address(body.address)
+    except (msgspec.MsgspecError, RecursionError, errors.SchemaError) as error:
         raise BodyError(f"invalid heartbeat: {error}") from error
     if body.state not in ("ready", "draining"):
         raise BodyError(f"unknown state {body.state!r}")
@@ -293,21 +356,19 @@
     """
     try:
         body = _listing_decoder.decode(data)
-        running = tuple(
-            runevents.ListedRun(
-                runmessages.RunName(str(row[0]), int(row[1])), str(row[2]), int(row[3])
-            )
-            for row in body.running
-        )
-        ends = tuple(
-            runevents.EndedRun(
-                runmessages.RunName(str(row[1]), int(row[2])), str(row[3]), str(row[4])
-            )
-            for row in body.ended
-        )
-        last = max((int(row[0]) for row in body.ended), default=0)
-    except (msgspec.MsgspecError, RecursionError, IndexError, ValueError) as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BodyError(f"invalid list of runs: {error}") from error
+    running = tuple(
+        runevents.ListedRun(
+            runmessages.RunName(row.task, row.run), row.saved, int(row.percent)
+        )
+        for row in body.running
+    )
+    ends = tuple(
+        runevents.EndedRun(runmessages.RunName(row.task, row.run), row.how, row.saved)
+        for row in body.ended
+    )
+    last = max((row.number for row in body.ended), default=0)
     return Listing(body.clock_ms, body.born, last, running, ends)
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -6,9 +6,10 @@
 import struct
 
 import pytest
+import structlog
 
 from amaranthspar import errors
-from amaranthspar.network import heartbeats, links
+from amaranthspar.network import connections, heartbeats, links
 from amaranthspar.schema import messages, options
 from tests import builders_links
 
@@ -172,12 +173,90 @@
     asyncio.run(run())
 
 
-def test_malformed_address_is_counted():
+def test_malformed_address_is_counted_and_logged():
     async def run() -> None:
         here = builders_links.Peer("here")
         async with open_links(here):
-            here.send("no address", 1)
+            with structlog.testing.capture_logs() as lines:
+                for _ in range(100):
+                    here.send("no address", 1)
+            assert here.links.counts["links.addresses.invalid"] == 100
+            assert [line["event"] for line in lines] == ["address not dialled"]
+            assert "no address" in lines[0]["reason"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.LeaseDenied(2**64, "no_quorum"),
+        messages.LeaseDenied(-(2**70), "no_quorum"),
+        messages.TaskResult("\ud800", 1, "done"),
+    ],
+)
+def test_message_that_cannot_be_encoded_is_dropped_and_later_ones_arrive(message):
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            here.send(there.address, 1)
+            with structlog.testing.capture_logs() as lines:
+                here.links.send(there.address, message)
+            here.send(there.address, 2)
+            await there.wait_for(2)
+            assert there.received == [1, 2]
+            assert here.links.counts["links.messages.unencodable"] == 1
+            assert [line["event"] for line in lines] == ["message not sent"]
+            assert type(message).__name__ in lines[0]["reason"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff" * 10, b"\x91" * 100_000, b"GET / HTTP/1.1", b"\x97\xa1\xff"]
+)
+def test_odd_frames_are_logged_once_and_the_connection_stays(data):
+    async def run() -> None:
+        here, there = builders_links.Peer("here"), builders_links.Peer("there")
+        async with open_links(here, there):
+            here.send(there.address, 1)
+            await there.wait_for(1)
+            with structlog.testing.capture_logs() as lines:
+                connection = here.links._peers[there.address].connection
+                for _ in range(20):
+                    connection.send(data)
+                here.send(there.address, 2)
+                await there.wait_for(2)
+            assert there.links.counts["links.frames.rejected"] == 20
+            assert [line["event"] for line in lines] == ["frame rejected"]
+            assert lines[0]["reason"]
+            assert here.links._peers[there.address].connection is connection
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "port",
+    ["", "0", "65536", "99999", "-1", "8_0", " 80", "\u0663", "1e3", "9" * 5_000],
+)
+def test_address_with_odd_port_is_not_dialled(port):
+    async def run() -> None:
+        here = builders_links.Peer("here")
+        async with open_links(here):
+            here.send(f"127.0.0.1:{port}", 1)
             assert here.links.counts["links.addresses.invalid"] == 1
+            assert not here.links._peers
+
+    asyncio.run(run())
+
+
+def test_connection_is_retried_after_the_host_could_not_be_encoded():
+    async def run() -> None:
+        address = f"fe80::1%{'x' * 100}:80"
+        connection = connections.OutgoingConnection(address, None)
+        await asyncio.sleep(0.1)
+        assert not connection._connect_task.done()
+        connection.close()
 
     asyncio.run(run())
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -29,6 +29,41 @@
     assert caught.value.faults == ["Ip: missing", "Bounds.GraceS = x: not a number"]
 
 
+@pytest.mark.parametrize(
+    "old, new, fault",
+    [
+        ("GraceS=6", "GraceS=1e400", "Bounds.GraceS = 1e400: not a number"),
+        ("7720,", "99999,", "InternalPorts = 99999: no port with room for the links"),
+        ("7720,", "65534,", "InternalPorts = 65534: no port with room for the links"),
+        ("7720,", "7_720,", "InternalPorts = 7_720: no port with room for the links"),
+        ("InternalPorts=7720,7735\n", "", "InternalPorts: missing"),
+        (
+            "Front=127.0.0.1:8161",
+            "Front=127.0.0.1:81610",
+            "Listen.Front = 127.0.0.1:81610: no address with a port",
+        ),
+        (
+            "Addr=127.0.0.1:8167",
+            "Addr=127.0.0.1",
+            "Listen.ReadinessAddr = 127.0.0.1: no address with a port",
+        ),
+    ],
+)
+def test_settings_with_odd_number_or_port_are_a_fault(old, new, fault):
+    text = builders.SETTINGS.replace(old, new)
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse_settings(text)
+    assert caught.value.faults == [fault]
+
+
+def test_settings_that_are_not_utf8_are_a_fault(tmp_path, monkeypatch):
+    path = tmp_path / "settings"
+    path.write_bytes(builders.SETTINGS.encode() + b"Other=\xff\n")
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    with pytest.raises(errors.SettingsError):
+        settings.load_settings()
+
+
 def test_job_body_is_decoded_to_request():
     job = wire.decode_job(builders.build_job(3), "00ff00ff00ff00ff", QUEUE)
     assert not job.unsupported
@@ -50,6 +85,14 @@
         b'{"Steps":[{"Count":1,"After":[-1]}]}',
         b'{"Steps":[{"Count":1,"Cpu":-1}]}',
         b'{"Steps":[{"Count":1000000}]}',
+        b'{"Steps":[{"Count":18446744073709551616}]}',
+        b'{"Steps":[{"Count":1,"Cpu":9007199254740992}]}',
+        b'{"Steps":[{"Count":1,"MemMb":-1}]}',
+        b'{"Steps":[{"Count":1,"Gpu":1e400}]}',
+        b'{"Steps":[{"Count":1,"EstimateMs":9007199254740992}]}',
+        b'{"Steps":[{"Count":1,"MaxPerServer":-1}]}',
+        b'{"Steps":[{"Count":1}],"RepeatCount":-1}',
+        b'{"Steps":[{"Count":1,"DataRack":"\xff"}]}',
         b"[" * 100_000,
     ],
 )
@@ -102,6 +145,27 @@
         ),
         builders.build_configuration("one"),
         builders.build_configuration(-2),
+        builders.build_configuration(2**53),
+        builders.build_configuration(2**64),
+        builders.build_configuration(10**400),
+        builders.build_configuration(1.5),
+        builders.build_configuration(routes=[builders.build_route(TimeoutMs=2**64)]),
+        builders.build_configuration(routes=[builders.build_route(TimeoutMs=-1)]),
+        builders.build_configuration(routes=[builders.build_route(Stretch=1e308)]),
+        builders.build_configuration(routes=[builders.build_route(Stretch=-1)]),
+        builders.build_configuration(routes=[builders.build_route(Priority=2**63)]),
+        builders.build_configuration(routes=[builders.build_route(MaxAttempts=2**63)]),
+        builders.build_configuration(
+            routes=[builders.build_route(TargetLatencyMs=10**400)]
+        ),
+        builders.build_configuration().replace(b"1.6", b"1e400"),
+        builders.build_configuration(Limits="x").replace(b'"x"', b'"\xff"'),
+        builders.build_configuration(Limits="x").replace(b'"x"', b"1e400"),
+        builders.build_configuration(Limits="x").replace(b'"x"', b"[" * 64 + b"]" * 64),
+        builders.build_configuration(Limits="x").replace(b'"x"', b"[" * 100_000),
+        b"[" * 100_000,
+        b"[]",
+        b"",
     ],
 )
 def test_invalid_configuration_is_rejected(body):
@@ -109,6 +173,16 @@
         wire.decode_configuration(body)
 
 
+def test_configuration_within_bounds_is_decoded():
+    route = builders.build_route(
+        Priority=-1, MaxAttempts=0, Stretch=2, TargetLatencyMs=2**53 - 1
+    )
+    limits = {"text": "[" * 100 + '"' + "{" * 100}
+    body = builders.build_configuration(2**53 - 1, [route], Limits=limits, Other="x")
+    body = body.replace(b'"x"', b"[" * 63 + b"]" * 63)
+    assert wire.decode_configuration(body).version == 2**53 - 1
+
+
 def test_heartbeat_is_decoded():
     heartbeat = wire.decode_heartbeat(builders.build_heartbeat(4, 9, State="draining"))
     assert (heartbeat.sequence, heartbeat.born_ms, heartbeat.is_leaving) == (4, 9, True)
@@ -123,6 +197,33 @@
         {"Capacity": None},
         {"Capacity": {"Cpu": "many"}},
         {"born": 1.5},
+        {"born": -1},
+        {"born": 2**53},
+        {"Seq": 2**64},
+        {"Seq": -1},
+        {"Seq": float("nan")},
+        {"Capacity": {"Cpu": -1, "MemMb": 1}},
+        {"Capacity": {"Cpu": 1, "MemMb": 1, "Gpu": 2**53}},
+        {"Labels": [1]},
+        {"Labels": "a"},
+        {"Labels": ["a"] * 65},
+        {"Labels": ["a" * 257]},
+        {"Version": 1},
+        {"Slots": "many"},
+        {"ClockMs": -1},
+        {"ColdRemainingMs": []},
+        {"RemainingMs": 2**64},
+        {"Address": None},
+        {"Address": ""},
+        {"Address": "127.0.0.1"},
+        {"Address": "127.0.0.1:"},
+        {"Address": "127.0.0.1:0"},
+        {"Address": "127.0.0.1:65536"},
+        {"Address": "127.0.0.1:99999"},
+        {"Address": "127.0.0.1:-1"},
+        {"Address": "127.0.0.1:8_0"},
+        {"Address": "127.0.0.1:\u0663"},
+        {"Address": "::1:80"},
     ],
 )
 def test_invalid_heartbeat_is_rejected(changes):
@@ -130,6 +231,32 @@
         wire.decode_heartbeat(builders.build_heartbeat(**changes))
 
 
+@pytest.mark.parametrize(
+    "value",
+    [b'"\xff"', b"1e400", b"[" * 100_000, b"[" * 100_000 + b"]" * 100_000, b"01"],
+)
+def test_heartbeat_that_cannot_be_read_in_full_is_rejected(value):
+    body = builders.build_heartbeat(Other="x").replace(b'"x"', value)
+    with pytest.raises(wire.BodyError):
+        wire.decode_heartbeat(body)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": 0},
+        {"born": 1_900_000_000_000},
+        {"Seq": 2**53 - 1},
+        {"Labels": []},
+        {"Address": "127.0.0.1:1"},
+        {"Address": "127.0.0.1:65535"},
+        {"Address": "[::1]:8080"},
+    ],
+)
+def test_heartbeat_within_bounds_is_decoded(changes):
+    wire.decode_heartbeat(builders.build_heartbeat(**changes))
+
+
 def test_list_of_runs_is_decoded():
     body = (
         b'{"ClockMs":5,"born":3,"Running":[["t.0.0.1",2,"s",41,0]],'
@@ -142,8 +269,45 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b"", b"{}", b'{"ClockMs":5,"Running":[["t"]]}', b'{"ClockMs":5,"Ended":1}']
+    "body",
+    [
+        b"",
+        b"{}",
+        b'{"ClockMs":5,"Running":[["t"]]}',
+        b'{"ClockMs":5,"Ended":1}',
+        b'{"ClockMs":-1}',
+        b'{"ClockMs":9007199254740992}',
+        b'{"ClockMs":5.5}',
+        b'{"ClockMs":5,"born":-1}',
+        b'{"ClockMs":5,"born":9007199254740992}',
+        b'{"ClockMs":5,"Running":[["t",2,"s"]]}',
+        b'{"ClockMs":5,"Running":[["t","2","s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",2.5,"s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",-1,"s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",1e308,"s",41]]}',
+        b'{"ClockMs":5,"Running":[["t",2,"s",1e308]]}',
+        b'{"ClockMs":5,"Running":[["t",2,"s",1e400]]}',
+        b'{"ClockMs":5,"Running":[["t",2,"s",18446744073709551616]]}',
+        b'{"ClockMs":5,"Ended":[[58,"t",1,"done"]]}',
+        b'{"ClockMs":5,"Ended":[[9007199254740992,"t",1,"done",""]]}',
+        b'{"ClockMs":5,"Ended":[[58,"t",18446744073709551616,"done",""]]}',
+        b'{"ClockMs":5,"Running":[["\xff",2,"s",41]]}',
+        b'{"ClockMs":5,"Running":' + b"[" * 100_000,
+    ],
 )
 def test_invalid_list_of_runs_is_rejected(body):
     with pytest.raises(wire.BodyError):
         wire.decode_listing(body)
+
+
+def test_rough_figure_and_later_fields_of_a_listed_run_are_accepted():
+    body = b'{"ClockMs":5,"Running":[["t",2,"",41.5,1500.5,"new"]]}'
+    (run,) = wire.decode_listing(body).running
+    assert run.percent == 41
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"\xff", b'{"ClockMs":1e400}', b'{"ClockMs":-1}', b"[" * 100_000]
+)
+def test_malformed_answer_counts_as_one_without_fields(body):
+    assert wire.decode_answer(body) == (0, "")
