A write that ended in an unexpected error is never confirmed

Operators would have seen a replica that states entries which it doesn't hold, and that can't be started again: 'CorruptError: log: gap before index 4'.

Cause: locking, listing, renaming and removing passed on a plain OSError, and a done callback of the controller expected a DiskError only. On any other error the callback itself failed, the batch was forgotten, and the confirmation of the next write covered it. A failed rename also lost a descriptor, and a lock that failed for another reason than a holder was reported as held.

Evidence: test_write_that_ends_in_an_unexpected_error_is_never_confirmed failed before with 'disk.CorruptError: .../log: gap before index 4', and test_every_error_of_the_system_is_converted in 12 of 30 cases (lock, list_names, rename, remove). Both pass now.

Ruled out: ENOSPC on a write, an extension or a sync took the right path already.

Every call of the file layer now converts errors in one place, and any exception of a write stops the replica before another write is confirmed.

--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -434,11 +434,15 @@
         self._writing = False
         if self.stopped.is_set():
             return
-        try:
-            done.result()
-        except errors.DiskError as error:
-            _log.error("data folder failed", name=self.name, error=str(error))
-            self.failure = error
+        error = done.exception()
+        if error is not None:
+            # A later write must not be confirmed after one that is missing, whatever
+            # the error is.
+            _log.error("data folder failed", name=self.name, error=repr(error))
+            self.failure = errors.DiskError(f"{self._options.data}: {error!r}")
+            if isinstance(error, errors.DiskError):
+                self.failure = error
+            self.failure.__cause__ = error
             self.abort()
             return
         self._step(transitions.Persisted(number))
--- a/amaranthspar/storage/files.py
+++ b/amaranthspar/storage/files.py
@@ -1,9 +1,11 @@
 """Files of one folder; the package reads and writes them only through this module."""
 
+import contextlib
 import errno
 import fcntl
 import os
 import pathlib
+from collections.abc import Iterator
 
 from amaranthspar import errors
 
@@ -19,6 +21,9 @@
 class Files:
     """Files of one folder, which stay open until they are closed or replaced.
 
+    Each method raises `FilesError`, or `SpaceError` on a full disk, and no other error
+    of the system.
+
     Args:
         folder: Path of the folder; it is created if it does not exist.
 
@@ -31,10 +36,8 @@
         self._path = pathlib.Path(folder)
         self._descriptors: dict[str, int] = {}
         self._lock: int | None = None
-        try:
+        with _convert_errors():
             self._path.mkdir(parents=True, exist_ok=True)
-        except OSError as error:
-            raise _convert_error(error) from error
 
     def lock(self, name: str) -> bool:
         """Lock the folder and return whether this succeeded.
@@ -42,18 +45,23 @@
         Args:
             name: Name of the lock file; it is created if it does not exist.
         """
-        self._lock = os.open(self._path / name, os.O_CREAT | os.O_RDWR, 0o600)
-        try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            os.close(self._lock)
-            self._lock = None
-            return False
+        with _convert_errors():
+            lock = os.open(self._path / name, os.O_CREAT | os.O_RDWR, 0o600)
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                os.close(lock)
+                return False
+            except OSError:
+                os.close(lock)
+                raise
+        self._lock = lock
         return True
 
     def list_names(self) -> list[str]:
         """Return the names of all files."""
-        return sorted(item.name for item in self._path.iterdir())
+        with _convert_errors():
+            return sorted(item.name for item in self._path.iterdir())
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or nothing if it does not exist.
@@ -61,12 +69,11 @@
         Args:
             name: File name.
         """
-        try:
-            return (self._path / name).read_bytes()
-        except FileNotFoundError:
-            return None
-        except OSError as error:
-            raise _convert_error(error) from error
+        with _convert_errors():
+            try:
+                return (self._path / name).read_bytes()
+            except FileNotFoundError:
+                return None
 
     def read_inode(self, name: str) -> int:
         """Return the inode number of a file, which is created if it does not exist.
@@ -74,10 +81,8 @@
         Args:
             name: File name.
         """
-        try:
+        with _convert_errors():
             return os.fstat(self._open(name)).st_ino
-        except OSError as error:
-            raise _convert_error(error) from error
 
     def append(self, name: str, data: bytes) -> None:
         """Append to a file, which is created if it does not exist.
@@ -86,13 +91,11 @@
             name: File name.
             data: Bytes to append.
         """
-        try:
+        with _convert_errors():
             descriptor = self._open(name)
             remaining = memoryview(data)
             while remaining:
                 remaining = remaining[os.write(descriptor, remaining) :]
-        except OSError as error:
-            raise _convert_error(error) from error
 
     def truncate(self, name: str, size: int) -> None:
         """Shorten a file.
@@ -101,10 +104,8 @@
             name: File name.
             size: New size in bytes.
         """
-        try:
+        with _convert_errors():
             os.ftruncate(self._open(name), size)
-        except OSError as error:
-            raise _convert_error(error) from error
 
     def sync(self, name: str) -> None:
         """Sync the content of a file to disk.
@@ -112,10 +113,8 @@
         Args:
             name: File name.
         """
-        try:
+        with _convert_errors():
             os.fsync(self._open(name))
-        except OSError as error:
-            raise _convert_error(error) from error
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file; an existing file of the new name is replaced.
@@ -124,12 +123,10 @@
             old: Present name.
             new: New name.
         """
-        self._close(new)
-        descriptor = self._descriptors.pop(old, None)
-        try:
+        with _convert_errors():
             os.rename(self._path / old, self._path / new)
-        except OSError as error:
-            raise _convert_error(error) from error
+            self._close(new)
+        descriptor = self._descriptors.pop(old, None)
         if descriptor is not None:
             self._descriptors[new] = descriptor
 
@@ -139,27 +136,27 @@
         Args:
             name: File name.
         """
-        self._close(name)
-        (self._path / name).unlink(missing_ok=True)
+        with _convert_errors():
+            self._close(name)
+            (self._path / name).unlink(missing_ok=True)
 
     def sync_folder(self) -> None:
         """Sync the file names in the folder to disk."""
-        try:
+        with _convert_errors():
             descriptor = os.open(self._path, os.O_RDONLY)
             try:
                 os.fsync(descriptor)
             finally:
                 os.close(descriptor)
-        except OSError as error:
-            raise _convert_error(error) from error
 
     def close(self) -> None:
         """Close all files and release the lock."""
-        for name in list(self._descriptors):
-            self._close(name)
-        if self._lock is not None:
-            os.close(self._lock)
-            self._lock = None
+        with _convert_errors():
+            for name in list(self._descriptors):
+                self._close(name)
+            if self._lock is not None:
+                os.close(self._lock)
+                self._lock = None
 
     def _open(self, name: str) -> int:
         descriptor = self._descriptors.get(name)
@@ -175,6 +172,14 @@
             os.close(descriptor)
 
 
+@contextlib.contextmanager
+def _convert_errors() -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        raise _convert_error(error) from error
+
+
 def _convert_error(error: OSError) -> FilesError:
     if error.errno in (errno.ENOSPC, errno.EDQUOT):
         return SpaceError(str(error))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,6 +1,7 @@
 """Tests of controllers in one process, over real links and data folders."""
 
 import asyncio
+import errno
 import time
 
 import pytest
@@ -10,7 +11,7 @@
 from amaranthspar.consensus import transitions
 from amaranthspar.roles import controller
 from amaranthspar.schema import messages
-from amaranthspar.storage import disk, recovery
+from amaranthspar.storage import disk, files, recovery
 from tests import builders_control
 
 SLOW_WRITE_S = 0.03
@@ -314,6 +315,39 @@
     run(scenario, tmp_path)
 
 
+def test_write_that_ends_in_an_unexpected_error_is_never_confirmed(
+    tmp_path, monkeypatch
+):
+    async def scenario(cluster, client):
+        leader = await cluster.find_leader()
+        name = next(item for item in cluster.running if item != leader)
+        failing = cluster.running[name]
+        original = disk.Folder.write
+        is_failing = [True]
+
+        def write(folder, changes):
+            if folder is failing._folder and is_failing.pop():
+                is_failing.append(False)
+                raise OSError(errno.EIO, "input/output error")
+            original(folder, changes)
+
+        monkeypatch.setattr(disk.Folder, "write", write)
+        kind = messages.ConfigurationDecided
+        for version in (1, 2):
+            proposal = build_proposal(f"c{version}", version)
+            await client.ask([cluster.addresses[leader]], proposal, kind)
+            await asyncio.sleep(0.1)
+        stated = failing.machine.journal.durable_index
+        cluster.kill(name)
+        stored = disk.open_folder(files.Files(str(tmp_path / name)), name, 1)
+        last = stored.stored.entries[-1].index
+        stored.close()
+        assert stated <= last, "entries counted that are not on disk"
+        assert isinstance(failing.failure, errors.DiskError)
+
+    run(scenario, tmp_path)
+
+
 def test_slow_snapshot_writes_do_not_change_leader(tmp_path, monkeypatch):
     monkeypatch.setattr(controller, "SNAPSHOT_ENTRIES", 5)
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,5 +1,7 @@
 """Tests of the data folder: crashes, full disks, corruption and foreign folders."""
 
+import errno
+import os
 import shutil
 
 import pytest
@@ -74,6 +76,42 @@
         folder.write(CHANGES[:1])
 
 
+CALLS = {
+    "lock": ("os.open", [disk.LOCK]),
+    "list_names": ("pathlib.Path.iterdir", []),
+    "read": ("pathlib.Path.read_bytes", [disk.LOG]),
+    "read_inode": ("os.fstat", [disk.LOG]),
+    "append": ("os.write", [disk.LOG, b"data"]),
+    "truncate": ("os.ftruncate", [disk.LOG, 0]),
+    "sync": ("os.fsync", [disk.LOG]),
+    "rename": ("os.rename", [disk.LOG, disk.SNAPSHOT]),
+    "remove": ("pathlib.Path.unlink", [disk.LOG]),
+    "sync_folder": ("os.fsync", []),
+}
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS])
+@pytest.mark.parametrize("call", CALLS)
+def test_every_error_of_the_system_is_converted(tmp_path, monkeypatch, call, number):
+    directory = files.Files(str(tmp_path))
+    directory.append(disk.LOG, b"first")
+    used = set(os.listdir("/proc/self/fd"))
+
+    def fail(*_arguments, **_options):
+        raise OSError(number, "refused")
+
+    function, arguments = CALLS[call]
+    with monkeypatch.context() as context:
+        context.setattr(function, fail)
+        with pytest.raises(files.FilesError) as caught:
+            getattr(directory, call)(*arguments)
+    assert isinstance(caught.value, files.SpaceError) == (number == errno.ENOSPC)
+    assert directory.read(disk.LOG) == b"first"
+    assert set(os.listdir("/proc/self/fd")) <= used
+    directory.close()
+    assert len(os.listdir("/proc/self/fd")) == len(used) - 1
+
+
 @pytest.mark.parametrize("name", [disk.LOG, disk.SNAPSHOT, disk.IDENTITY])
 def test_any_corrupt_byte_is_detected(name):
     directory = builders_disk.MemoryFiles()
