A restarted replica states nothing that isn't synced

Operators: nothing, until a controller is killed in the middle of a write and its machine loses power soon after. Then a vote or an entry that it had stated is gone, so that two leaders of a term or a lost configuration are possible.

Cause: after a kill the folder shows writes and renames that were never synced. open_folder read them as durable and synced only after it had cut a torn tail.

Ruled out: test_crash_at_any_call_keeps_confirmed_writes takes the power at once, and so never saw the step between.

Opening the folder now always syncs the log and then the names, before anything is returned. Cost: two syncs at each start.

--- a/amaranthspar/storage/disk.py
+++ b/amaranthspar/storage/disk.py
@@ -228,7 +228,10 @@
         )
     if scan.valid_bytes < len(data):
         directory.truncate(LOG, scan.valid_bytes)
-        directory.sync(LOG)
+    # The process may have been killed between a write or rename and its sync. What is
+    # read here is stated to other replicas, so that it must survive a loss of power.
+    directory.sync(LOG)
+    directory.sync_folder()
     stored = _replay(directory.folder, scan.records, snapshot)
     return Folder(
         identity.folder,
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -56,6 +56,16 @@
         assert stored in EXPECTED[confirmed : confirmed + 2], call
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_what_a_restarted_replica_states_survives_a_power_loss(seed):
+    for call in range(1, COMPLETE_RUN.calls + 1):
+        directory = builders_disk.MemoryFiles(call)
+        write_all(directory)
+        stated = open_in_memory(directory).stored
+        after = directory.crash(seed * 1000 + call)
+        assert open_in_memory(after).stored == stated, call
+
+
 def test_full_disk_at_any_call_keeps_confirmed_writes():
     for call in range(1, COMPLETE_RUN.calls + 1):
         directory = builders_disk.MemoryFiles(call, files.SpaceError("no space left"))
