A controller goes on while its disk is full and repeats the write

Cause: a write or opening that failed once was final by design.

The opening waits for room likewise, until a stop is requested. Any other exception of a write stops the replica, as before.

Ruled out: a leader with a full disk needn't hand over. Its own copy doesn't count either way, and the others commit.

--- a/amaranthspar/commands/role.py
+++ b/amaranthspar/commands/role.py
@@ -39,7 +39,8 @@
     stop = stopping.watch_signals()
     role = _build_role(loaded)
     try:
-        await role.start()
+        if not await stopping.run_unless_stopped(role.start(), stop):
+            return exits.DONE
     except errors.SettingsError as error:
         faults = [f"{path}: {fault}" for fault in error.faults]
         raise errors.SettingsError(faults) from error
--- a/amaranthspar/platform/controller.py
+++ b/amaranthspar/platform/controller.py
@@ -64,7 +64,8 @@
     )
     handler = operators.Operators(role.document_requests)
     server = servers.Server(handler.handle)
-    await role.start()
+    if not await stopping.run_unless_stopped(role.start(), stop):
+        return
     await server.open(process_settings.control)
     await metrics.serve_metrics(process_settings, metering.Meters())
     waits = [
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -1,7 +1,6 @@
 """Controller role: one replica of the configuration, membership and claims."""
 
 import asyncio
-import concurrent.futures
 import pathlib
 import random
 import secrets
@@ -21,6 +20,7 @@
     requests,
     snapshots,
 )
+from amaranthspar.roles import diskwriter
 from amaranthspar.schema import codec, messages, options, viewmessages
 from amaranthspar.storage import disk, files
 
@@ -90,9 +90,8 @@
             self._receive,
             link,
         )
-        self._executor = concurrent.futures.ThreadPoolExecutor(1)
-        self._pending_writes: list[transitions.Persist | transitions.SaveSnapshot] = []
-        self._writing = False
+        self._outage = diskwriter.Outage(process.name)
+        self._writer: diskwriter.DiskWriter | None = None
         self._flushing = False
         self._metrics = metrics.StatsdReporter(process.name, process.statsd)
         self._counts = {"elections": 0, "commits": 0, "torn_bytes": 0}
@@ -125,6 +124,9 @@
     async def start(self) -> None:
         """Open the data folder and the links and join the consensus.
 
+        While the disk is full or its device fails, this waits until it works: a replica
+        of the first set that ended here could not form the cluster at its next start.
+
         Raises:
             errors.SettingsError: The first configuration or a replica is invalid.
             errors.DiskError: The data folder cannot be used.
@@ -132,12 +134,11 @@
         """
         first = parse_replicas(self._options.replicas)
         self._bootstrap = _read_bootstrap(self._options.bootstrap)
-        content = files.Files(self._options.data)
-        number = secrets.randbits(FOLDER_NUMBER_BITS) | 1
-        folder = disk.open_folder(
-            content, self._options.replica, number, self._options.detects_copies
-        )
+        folder = await self._open_folder()
         self._folder = folder
+        self._writer = diskwriter.DiskWriter(
+            folder, self._outage, self._confirm_write, self._stop_after_failure
+        )
         self._counts["torn_bytes"] = folder.torn_bytes
         if folder.torn_bytes:
             _log.warning("torn tail cut", name=self.name, bytes=folder.torn_bytes)
@@ -164,6 +165,22 @@
         ticking = loops.repeat(interval_ms, self._tick)
         self._ticking = asyncio.get_running_loop().create_task(ticking)
 
+    async def _open_folder(self) -> disk.Folder:
+        number = secrets.randbits(FOLDER_NUMBER_BITS) | 1
+        replica = self._options.replica
+        while True:
+            content = files.Files(self._options.data)
+            try:
+                folder = disk.open_folder(
+                    content, replica, number, self._options.detects_copies
+                )
+            except (disk.FullError, disk.DeviceError) as error:
+                self._outage.record_failure(error)
+                await asyncio.sleep(diskwriter.RETRY_MS / 1000)
+                continue
+            self._outage.record_success()
+            return folder
+
     async def stop(self) -> None:
         """Transfer leadership if this replica has it, then stop.
 
@@ -194,7 +211,8 @@
         if self._ticking is not None:
             self._ticking.cancel()
         self._links.close()
-        self._executor.shutdown(wait=True)
+        if self._writer is not None:
+            self._writer.close()
         if self._folder is not None:
             self._folder.close()
 
@@ -258,6 +276,7 @@
         self._counts["leases_granted"] = self.requests.granted
         self._counts["leases_denied"] = self.requests.denied
         self._counts["commits"] = self._machine.commit_index
+        self._counts["disk_failures"] = self._outage.failures
         self._metrics.report(self._counts)
         self._metrics.report(self._links.counts)
 
@@ -351,8 +370,8 @@
             case effects.Send():
                 self._links.send(effect.peer, effect.message)
             case transitions.Persist() | transitions.SaveSnapshot():
-                self._pending_writes.append(effect)
-                self._start_write()
+                if self._writer is not None:
+                    self._writer.add(effect)
             case transitions.Apply(entries=entries):
                 self._apply(entries)
             case transitions.Restore(state=state):
@@ -419,34 +438,13 @@
         for send in sends:
             self._links.send(send.peer, send.message)
 
-    def _start_write(self) -> None:
-        if self._writing or not self._pending_writes or self._folder is None:
-            return
-        self._writing = True
-        batch = self._pending_writes
-        self._pending_writes = []
-        loop = asyncio.get_running_loop()
-        future = loop.run_in_executor(self._executor, self._folder.write, batch)
-        number = batch[-1].number
-        future.add_done_callback(lambda done: self._finish_write(done, number))
-
-    def _finish_write(self, done: "asyncio.Future[None]", number: int) -> None:
-        self._writing = False
-        if self.stopped.is_set():
-            return
-        error = done.exception()
-        if error is not None:
-            # A later write must not be confirmed after one that is missing, whatever
-            # the error is.
-            _log.error("data folder failed", name=self.name, error=repr(error))
-            self.failure = errors.DiskError(f"{self._options.data}: {error!r}")
-            if isinstance(error, errors.DiskError):
-                self.failure = error
-            self.failure.__cause__ = error
-            self.abort()
-            return
+    def _confirm_write(self, number: int) -> None:
         self._step(transitions.Persisted(number))
-        self._start_write()
+
+    def _stop_after_failure(self, error: errors.DiskError) -> None:
+        _log.error("data folder failed for good", name=self.name, error=str(error))
+        self.failure = error
+        self.abort()
 
 
 def parse_replicas(texts: list[str]) -> messages.ChangeReplicas:
--- a/amaranthspar/stopping.py
+++ b/amaranthspar/stopping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections.abc import Coroutine
 from types import FrameType
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -26,3 +27,26 @@
     for number in STOP_SIGNALS:
         signal.signal(number, request_stop)
     return stop_requested
+
+
+async def run_unless_stopped(
+    work: Coroutine[None, None, None], stop: asyncio.Event
+) -> bool:
+    """Run work to its end, or cancel it when a shutdown is requested.
+
+    Args:
+        work: Work that may wait for long.
+        stop: Event of `watch_signals`.
+
+    Returns:
+        Whether the work has ended.
+    """
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(stop.wait())
+    await asyncio.wait([working, waiting], return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if not working.done():
+        working.cancel()
+        return False
+    await working
+    return True
--- a/amaranthspar/storage/disk.py
+++ b/amaranthspar/storage/disk.py
@@ -55,6 +55,10 @@
     """The file system is full."""
 
 
+class DeviceError(errors.DiskError):
+    """The device of the file system failed; it may work again."""
+
+
 @attrs.define(slots=True)
 class Folder:
     """Data folder of one replica; open it with `open_folder`.
@@ -71,82 +75,118 @@
     torn_bytes: int
     _files: files.Files
     _log_bytes: int
-    _synced_bytes: int
     _state: messages.ReplicaState
-    _failed: bool = False
+    _written: int = 0
+    _is_log_torn: bool = False
+    _are_names_synced: bool = True
 
     def write(
         self, changes: list[transitions.Persist | transitions.SaveSnapshot]
     ) -> None:
         """Write changes in order and sync them; may run in another thread.
 
-        After an error, every further write fails until the folder is reopened.
+        After an error, none of the changes may be taken as written. The same changes,
+        with later ones after them or not, can be written again: what is incomplete is
+        removed first, and what is already on disk is skipped by its number.
 
         Args:
             changes: Writes that consensus has issued.
 
         Raises:
             FullError: The file system is full; synced data is not lost.
+            DeviceError: The device failed; synced data is not lost.
             errors.DiskError: The folder cannot be written.
         """
-        if self._failed:
-            raise errors.DiskError(f"{self._files.folder}: an earlier write failed")
         try:
-            self._write(changes)
-        except files.SpaceError as error:
-            self._failed = True
-            raise FullError(f"{self._files.folder}: {error}") from error
+            self._repair()
+            self._write([item for item in changes if item.number > self._written])
         except files.FilesError as error:
-            self._failed = True
-            raise errors.DiskError(f"{self._files.folder}: {error}") from error
+            raise _convert_error(self._files.folder, error) from error
 
     def close(self) -> None:
         """Close the files and release the lock."""
         self._files.close()
 
+    def _repair(self) -> None:
+        """Remove what a failed write left, and complete what it left unsynced."""
+        if self._is_log_torn:
+            self._files.truncate(LOG, self._log_bytes)
+            self._is_log_torn = False
+        if not self._are_names_synced:
+            self._files.sync_folder()
+            self._are_names_synced = True
+
     def _write(
         self, changes: list[transitions.Persist | transitions.SaveSnapshot]
     ) -> None:
-        pending = b""
+        pending: list[transitions.Persist] = []
         for change in changes:
             match change:
                 case transitions.Persist():
-                    pending += self._encode_change(change)
+                    pending.append(change)
                 case transitions.SaveSnapshot():
                     self._append(pending)
-                    pending = b""
+                    pending = []
                     self._save_snapshot(change)
         self._append(pending)
-        if self._log_bytes > self._synced_bytes:
-            self._files.sync(LOG)
-            self._synced_bytes = self._log_bytes
 
-    def _append(self, data: bytes) -> None:
-        if data:
-            self._files.append(LOG, data)
-            self._log_bytes += len(data)
-
-    def _encode_change(self, change: transitions.Persist) -> bytes:
+    def _append(self, changes: list[transitions.Persist]) -> None:
+        if not changes:
+            return
+        data = b""
+        state = self._state
+        for change in changes:
+            data += self._encode_change(change, state)
+            state = change.state
+        self._append_synced(data)
+        self._state = state
+        self._written = changes[-1].number
+
+    def _append_synced(self, data: bytes) -> None:
+        if not data:
+            return
+        # After a failed sync, the data must be written again: the system may have
+        # dropped it, and another sync would succeed without it.
+        self._is_log_torn = True
+        self._files.append(LOG, data)
+        self._files.sync(LOG)
+        self._is_log_torn = False
+        self._log_bytes += len(data)
+
+    def _encode_change(
+        self, change: transitions.Persist, state: messages.ReplicaState
+    ) -> bytes:
         parts = []
-        if change.state != self._state:
+        if change.state != state:
             parts.append(self._encode(change.state))
-            self._state = change.state
         if change.truncate_from:
             parts.append(self._encode(messages.LogTruncation(change.truncate_from)))
         parts += [self._encode(entry) for entry in change.entries]
         return b"".join(parts)
 
     def _encode(self, message: codec.Message) -> bytes:
-        return _encode_message(message, self._synced_bytes)
+        return _encode_message(message, self._log_bytes)
 
     def _save_snapshot(self, change: transitions.SaveSnapshot) -> None:
-        _replace_file(self._files, SNAPSHOT, _encode_message(change.snapshot, 0))
+        if change.state != self._state:
+            # A crash between the two renames must not leave an older term than that
+            # of the snapshot.
+            self._append_synced(self._encode(change.state))
+            self._state = change.state
+        _prepare_file(self._files, SNAPSHOT, _encode_message(change.snapshot, 0))
+        self._files.rename(SNAPSHOT + NEW_SUFFIX, SNAPSHOT)
+        self._files.sync_folder()
         parts = [_encode_message(change.state, 0)]
         parts += [_encode_message(entry, 0) for entry in change.entries]
         data = b"".join(parts)
-        _replace_file(self._files, LOG, data)
-        self._state = change.state
-        self._log_bytes = self._synced_bytes = len(data)
+        _prepare_file(self._files, LOG, data)
+        self._files.rename(LOG + NEW_SUFFIX, LOG)
+        # The log is the new file from here on, even if its name cannot be synced.
+        self._log_bytes = len(data)
+        self._written = change.number
+        self._are_names_synced = False
+        self._files.sync_folder()
+        self._are_names_synced = True
 
 
 def open_folder(
@@ -175,18 +215,16 @@
         FormatError: It has an unknown format or format version.
         CorruptError: Synced data is corrupt or missing.
         FullError: The file system is full.
+        DeviceError: The device failed.
         errors.DiskError: It cannot be read or written.
     """
-    if not directory.lock(LOCK):
-        raise LockedError(f"{directory.folder} is in use by another process")
     try:
+        if not directory.lock(LOCK):
+            raise LockedError(f"{directory.folder} is in use by another process")
         return _open_locked(directory, replica, new_folder_id, detects_copies)
-    except files.SpaceError as error:
-        directory.close()
-        raise FullError(f"{directory.folder}: {error}") from error
     except files.FilesError as error:
         directory.close()
-        raise errors.DiskError(f"{directory.folder}: {error}") from error
+        raise _convert_error(directory.folder, error) from error
     except errors.DiskError:
         directory.close()
         raise
@@ -201,9 +239,12 @@
     Raises:
         errors.DiskError: The folder cannot be read.
     """
-    if directory.read(IDENTITY) is None:
-        return ""
-    identity = _read_single_record(directory, IDENTITY)
+    try:
+        if directory.read(IDENTITY) is None:
+            return ""
+        identity = _read_single_record(directory, IDENTITY)
+    except files.FilesError as error:
+        raise _convert_error(directory.folder, error) from error
     if not isinstance(identity, messages.FolderIdentity):
         raise FormatError(f"{directory.folder}/{IDENTITY} has an unknown format")
     return identity.replica
@@ -239,7 +280,6 @@
         len(data) - scan.valid_bytes,
         directory,
         scan.valid_bytes,
-        scan.valid_bytes,
         stored.state,
     )
 
@@ -358,12 +398,21 @@
     return entries[last + 1 :]
 
 
-def _replace_file(directory: files.Files, name: str, data: bytes) -> None:
+def _convert_error(folder_path: str, error: files.FilesError) -> errors.DiskError:
+    match error:
+        case files.SpaceError():
+            return FullError(f"{folder_path}: {error}")
+        case files.DeviceError():
+            return DeviceError(f"{folder_path}: {error}")
+        case _:
+            return errors.DiskError(f"{folder_path}: {error}")
+
+
+def _prepare_file(directory: files.Files, name: str, data: bytes) -> None:
+    """Write a file completely under its temporary name."""
     directory.remove(name + NEW_SUFFIX)
     directory.append(name + NEW_SUFFIX, data)
     directory.sync(name + NEW_SUFFIX)
-    directory.rename(name + NEW_SUFFIX, name)
-    directory.sync_folder()
 
 
 def _encode_message(message: codec.Message, synced_bytes: int) -> bytes:
--- a/amaranthspar/storage/files.py
+++ b/amaranthspar/storage/files.py
@@ -18,17 +18,17 @@
     """The file system is full."""
 
 
+class DeviceError(FilesError):
+    """The device of the file system failed; it may work again."""
+
+
 class Files:
     """Files of one folder, which stay open until they are closed or replaced.
 
-    Each method raises `FilesError`, or `SpaceError` on a full disk, and no other error
-    of the system.
+    Each method raises `FilesError` or a subclass of it, and no error of the system.
 
     Args:
-        folder: Path of the folder; it is created if it does not exist.
-
-    Raises:
-        FilesError: The folder cannot be created.
+        folder: Path of the folder; `lock` creates it if it does not exist.
     """
 
     def __init__(self, folder: str) -> None:
@@ -36,8 +36,6 @@
         self._path = pathlib.Path(folder)
         self._descriptors: dict[str, int] = {}
         self._lock: int | None = None
-        with _convert_errors():
-            self._path.mkdir(parents=True, exist_ok=True)
 
     def lock(self, name: str) -> bool:
         """Lock the folder and return whether this succeeded.
@@ -46,6 +44,7 @@
             name: Name of the lock file; it is created if it does not exist.
         """
         with _convert_errors():
+            self._path.mkdir(parents=True, exist_ok=True)
             lock = os.open(self._path / name, os.O_CREAT | os.O_RDWR, 0o600)
             try:
                 fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -183,4 +182,6 @@
 def _convert_error(error: OSError) -> FilesError:
     if error.errno in (errno.ENOSPC, errno.EDQUOT):
         return SpaceError(str(error))
+    if error.errno == errno.EIO:
+        return DeviceError(str(error))
     return FilesError(str(error))
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -11,7 +11,7 @@
 import attrs
 import pytest
 
-from amaranthspar import ports
+from amaranthspar import errors, ports, stopping
 from amaranthspar.clients import client
 from amaranthspar.roles import cluster
 from amaranthspar.upstreams import standin
@@ -259,3 +259,33 @@
     replies = asyncio.run(run())
     assert {reply.status for reply in replies} == {200}
     assert served.process.wait(builders_shell.START_TIMEOUT_S) == 0
+
+
+def test_work_that_waits_is_cancelled_by_a_requested_stop():
+    async def scenario():
+        stop = asyncio.Event()
+        cancelled = asyncio.Event()
+
+        async def wait_for_room():
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        asyncio.get_running_loop().call_later(0.05, stop.set)
+        assert not await stopping.run_unless_stopped(wait_for_room(), stop)
+        await asyncio.wait_for(cancelled.wait(), 1)
+
+        async def start():
+            await asyncio.sleep(0)
+
+        assert await stopping.run_unless_stopped(start(), asyncio.Event())
+
+        async def fail():
+            raise errors.DiskError("broken")
+
+        with pytest.raises(errors.DiskError, match="broken"):
+            await stopping.run_unless_stopped(fail(), asyncio.Event())
+
+    asyncio.run(scenario())
