--- a/amaranthspar/storage/disk.py
+++ b/amaranthspar/storage/disk.py
@@ -273,17 +273,32 @@
     # read here is stated to other replicas, so that it must survive a loss of power.
     directory.sync(LOG)
     directory.sync_folder()
-    stored = _replay(directory.folder, scan.records, snapshot)
+    stored, is_log_unused = _replay(directory.folder, scan.records, snapshot)
+    log_bytes = scan.valid_bytes
+    if is_log_unused:
+        log_bytes = _replace_log(directory, stored.state)
     return Folder(
         identity.folder,
         stored,
         len(data) - scan.valid_bytes,
         directory,
-        scan.valid_bytes,
+        log_bytes,
         stored.state,
     )
 
 
+def _replace_log(directory: files.Files, state: messages.ReplicaState) -> int:
+    """Replace a log of which no entry is used, and return its size in bytes.
+
+    What is appended to the old one would follow other entries and be unreadable.
+    """
+    data = _encode_message(state, 0)
+    _prepare_file(directory, LOG, data)
+    directory.rename(LOG + NEW_SUFFIX, LOG)
+    directory.sync_folder()
+    return len(data)
+
+
 def _create_folder(directory: files.Files, replica: str, new_folder_id: int) -> None:
     foreign = [name for name in directory.list_names() if name not in FILE_NAMES]
     leftover = [name for name in (SNAPSHOT, LOG) if directory.read(name)]
@@ -346,7 +361,8 @@
     folder_path: str,
     log_records: list[records.Record],
     snapshot: messages.LogSnapshot | None,
-) -> transitions.Stored:
+) -> tuple[transitions.Stored, bool]:
+    """Return what the records hold, and whether entries of the log are unused."""
     state = messages.ReplicaState(0, "")
     entries: list[messages.LogEntry] = []
     for record in log_records:
@@ -364,17 +380,16 @@
                 entries.append(message)
             case _:
                 raise CorruptError(f"{folder_path}/{LOG}: unexpected record kind")
-    return transitions.Stored(
-        state, snapshot, _select_entries_after(folder_path, entries, snapshot)
-    )
+    used = _select_entries_after(folder_path, entries, snapshot)
+    return transitions.Stored(state, snapshot, used or []), used is None
 
 
 def _select_entries_after(
     folder_path: str,
     entries: list[messages.LogEntry],
     snapshot: messages.LogSnapshot | None,
-) -> list[messages.LogEntry]:
-    """Return the log entries that follow the snapshot.
+) -> list[messages.LogEntry] | None:
+    """Return the log entries that follow the snapshot; nothing for another log.
 
     A crash after the new snapshot is renamed and before the new log is renamed
     leaves the new snapshot with the log of the previous one. That log may lack
@@ -394,7 +409,7 @@
         return entries
     last = covered - first
     if last >= len(entries) or snapshot is None or entries[last].term != snapshot.term:
-        return []
+        return None
     return entries[last + 1 :]
 
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -57,6 +57,19 @@
         assert stored in EXPECTED[confirmed : confirmed + 2], call
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_replica_that_writes_on_after_a_crash_can_be_opened_again(seed):
+    for call in range(1, COMPLETE_RUN.calls + 1):
+        directory = builders_disk.MemoryFiles(call)
+        confirmed = write_all(directory)
+        after = directory.crash(seed * 1000 + call)
+        folder = open_in_memory(after)
+        done = EXPECTED.index(folder.stored, confirmed)
+        for position in range(done, len(CHANGES)):
+            folder.write([CHANGES[position]])
+            assert read_stored(after) == EXPECTED[position + 1], (call, position)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_what_a_restarted_replica_states_survives_a_power_loss(seed):
     for call in range(1, COMPLETE_RUN.calls + 1):
