Messages that wait for a disk are bounded

Operators would see the memory of a controller grow for as long as its disk hangs, or now is full: each heartbeat leaves an answer that waits for the disk, 12 a second, and all are sent at once in the end.

The oldest are dropped: every message may be lost on a link too, and the newer ones state the same or more.

--- a/amaranthspar/consensus/journal.py
+++ b/amaranthspar/consensus/journal.py
@@ -7,6 +7,8 @@
 from amaranthspar.schema import codec, messages
 
 REPLICAS_KIND = "ChangeReplicas"
+MAX_PENDING_SENDS = 1_024
+"""Most messages that wait for the disk; beyond it the oldest are dropped."""
 
 
 @attrs.define(slots=True)
@@ -250,6 +252,8 @@
             self._pending_sends += [
                 (self.last_write, send) for send in step.sends_after_sync
             ]
+            # Any message may be lost, and a later one of its kind states more.
+            del self._pending_sends[:-MAX_PENDING_SENDS]
         else:
             result += step.sends_after_sync
         return result
