Test: operators are answered while disks fail in turn

The path of the report: configuration and failure domains through the platform's HTTP interface, one controller after the other with a full or hanging disk, each call within 4 s, read back at once and in force on all in the end.

--- a/tests/test_diskwriter.py
+++ b/tests/test_diskwriter.py
@@ -1,20 +1,24 @@
 """Tests of controllers whose disks are full, fail or hang for a while, in turn."""
 
 import asyncio
+import contextlib
 import errno
+import json
 import pathlib
 
+import aiohttp
 import pytest
 import structlog
 import uvloop
 
-from amaranthspar import errors
+from amaranthspar import errors, ports
 from amaranthspar.consensus import transitions
+from amaranthspar.platform import operators, servers
 from amaranthspar.registry import documentrequests
 from amaranthspar.roles import controller, diskwriter
 from amaranthspar.schema import messages
 from amaranthspar.storage import disk, files
-from tests import builders_control, builders_disk
+from tests import builders_control, builders_disk, builders_platform
 
 ACK_S = 4
 """Time within which a change of an operator must be acknowledged."""
@@ -170,6 +174,58 @@
     run(scenario, tmp_path, monkeypatch)
 
 
+async def call(session, method, addresses, path, body=None):
+    """Call one controller after the other, 1 s each, as an operator's tool does."""
+    async with asyncio.timeout(ACK_S):
+        while True:
+            for address in addresses:
+                url = f"http://{address}{path}"
+                timeout = aiohttp.ClientTimeout(total=1)
+                with contextlib.suppress(TimeoutError, aiohttp.ClientError):
+                    async with session.request(
+                        method, url, data=body, timeout=timeout
+                    ) as response:
+                        if response.status == 200:
+                            return json.loads(await response.read())
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, HANG])
+def test_operators_are_answered_while_disks_fail_in_turn(tmp_path, monkeypatch, error):
+    """The platform's own interface: configuration, and domains out of service."""
+
+    async def scenario(cluster, disks):
+        leader = await cluster.find_leader()
+        opened = []
+        addresses = ports.find_addresses(len(cluster.running))
+        for role, address in zip(cluster.running.values(), addresses, strict=True):
+            handler = operators.Operators(role.document_requests)
+            opened.append(servers.Server(handler.handle))
+            await opened[-1].open(address)
+        version = 0
+        async with aiohttp.ClientSession() as session:
+            for name in sorted(cluster.running, key=lambda item: item != leader):
+                disks.disturb(name, error)
+                for first in addresses:
+                    asked = sorted(addresses, key=lambda item: item != first)
+                    version += 1
+                    body = builders_platform.build_configuration(version)
+                    await call(session, "POST", asked, operators.PUT_PATH, body)
+                    found = await call(session, "GET", asked, operators.GET_PATH)
+                    assert found == json.loads(body)
+                    for action in (operators.START, operators.FINISH):
+                        path = f"{operators.DOMAIN_PATH}east/{action}"
+                        await call(session, "POST", asked, path)
+                await asyncio.sleep(OUTAGE_S)
+                disks.by_name[name].release()
+        async with asyncio.timeout(ACK_S):
+            while not all(is_settled(i, version) for i in cluster.running.values()):
+                await asyncio.sleep(0.01)
+        for server in opened:
+            await server.close()
+
+    run(scenario, tmp_path, monkeypatch)
+
+
 @pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
 def test_first_start_with_a_full_disk_forms_the_cluster_later(
     tmp_path, monkeypatch, error
