A failed batch is repeated by its first change alone

While a disk is full, all that waits was encoded and written again ten times a second, whatever its size, in a process with little processor time; and a disk with room for a part would have logged begin and end of an outage over and over.

Evidence: test_failed_batch_is_repeated_in_small_parts_within_one_outage failed before with 'assert [1, 7, 7, 7, 7] == [1, 7, 1, 6, 1, 5, ...]'.

The first change alone is repeated; once it is written, the rest follows in one batch, and the outage has ended when that is written.

--- a/amaranthspar/roles/diskwriter.py
+++ b/amaranthspar/roles/diskwriter.py
@@ -104,6 +104,7 @@
         self._executor = concurrent.futures.ThreadPoolExecutor(1)
         self._pending: list[Change] = []
         self._is_busy = False
+        self._is_repeating = False
         self._is_closed = False
         self._retry: asyncio.TimerHandle | None = None
 
@@ -127,9 +128,11 @@
     def _start(self) -> None:
         self._is_busy = True
         self._retry = None
-        if self._outage.is_active:
-            self._pending = drop_superseded(self._pending)
         batch = list(self._pending)
+        if self._is_repeating:
+            # One change alone tells whether the disk works, however much waits.
+            self._pending = drop_superseded(self._pending)
+            batch = self._pending[:1]
         loop = asyncio.get_running_loop()
         future = loop.run_in_executor(self._executor, self._folder.write, batch)
         future.add_done_callback(lambda done: self._finish(done, batch))
@@ -140,6 +143,7 @@
         error = done.exception()
         if isinstance(error, errors.DiskError):
             self._outage.record_failure(error)
+            self._is_repeating = True
             loop = asyncio.get_running_loop()
             self._retry = loop.call_later(RETRY_MS / 1000, self._start)
             return
@@ -149,8 +153,10 @@
             failure.__cause__ = error
             self._fail(failure)
             return
-        self._outage.record_success()
         del self._pending[: len(batch)]
+        if not self._pending or not self._is_repeating:
+            self._outage.record_success()
+        self._is_repeating = False
         self._is_busy = False
         self._confirm(batch[-1].number)
         if self._pending and not self._is_busy and not self._is_closed:
--- a/tests/test_diskwriter.py
+++ b/tests/test_diskwriter.py
@@ -327,6 +327,50 @@
     run(scenario, tmp_path, monkeypatch)
 
 
+class SmallFolder:
+    """Data folder that has room for single changes only, a given number of times."""
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+        self.sizes = []
+        self.written = []
+
+    def write(self, changes):
+        self.sizes.append(len(changes))
+        if len(changes) > 1 and self.refusals:
+            self.refusals -= 1
+            raise disk.FullError("no space left")
+        self.written += [item.number for item in changes]
+
+
+def test_failed_batch_is_repeated_in_small_parts_within_one_outage(monkeypatch):
+    monkeypatch.setattr(diskwriter, "RETRY_MS", 1)
+    changes = builders_disk.build_changes()[:8]
+    folder = SmallFolder(3)
+    confirmed = []
+
+    async def main():
+        writer = diskwriter.DiskWriter(
+            folder, diskwriter.Outage("a"), confirmed.append, pytest.fail
+        )
+        for change in changes:
+            writer.add(change)
+        async with asyncio.timeout(ACK_S):
+            while confirmed[-1:] != [8]:
+                await asyncio.sleep(0.001)
+        writer.close()
+
+    with structlog.testing.capture_logs() as lines:
+        asyncio.run(main())
+    assert folder.written == [1, 2, 3, 4, 5, 6, 7, 8]
+    assert folder.sizes == [1, 7, 1, 6, 1, 5, 1, 4]
+    assert confirmed == [1, 2, 3, 4, 8]
+    assert [item["event"] for item in lines] == [
+        "data folder failed",
+        "data folder works again",
+    ]
+
+
 def test_long_outage_is_logged_at_intervals(monkeypatch):
     monkeypatch.setattr(diskwriter, "REPORT_MS", 0)
     outage = diskwriter.Outage("a")
