--- a/tests/test_consensus_disks.py
+++ b/tests/test_consensus_disks.py
@@ -6,6 +6,7 @@
 
 from amaranthspar import errors
 from amaranthspar.consensus import journal
+from amaranthspar.roles import diskwriter
 from amaranthspar.storage import disk, files
 from tests import builders_disk
 from tools import simulation
@@ -21,29 +22,36 @@
 class FolderDisk(simulation.Disk):
     """Disk of a simulated replica that also writes to a data folder.
 
-    While the data folder refuses, nothing is synced. What it stores is compared with
+    While the data folder refuses, nothing is synced, and writes are repeated as
+    `diskwriter.DiskWriter` does. What it stores is compared with
     what the simulation holds for stored.
     """
 
-    __slots__ = ("_folder", "directory", "refusal", "rng")
+    __slots__ = ("_folder", "directory", "is_repeating", "refusal", "rng")
 
     def __init__(self, name, number, rng):
         super().__init__(number)
         self.rng = rng
         self.refusal = None
+        self.is_repeating = False
         self.directory = builders_disk.MemoryFiles()
         self._folder = disk.open_folder(self.directory, name, number)
 
     def sync(self, count):
+        if self.is_repeating:
+            self.pending = diskwriter.drop_superseded(self.pending)
+            count = 1
         if self.refusal is not None:
             self.directory.failure = self.refusal
             self.directory.fail_at = self.directory.calls + self.rng.randint(1, 6)
         try:
             self._folder.write(self.pending[:count])
         except errors.DiskError:
+            self.is_repeating = True
             return 0
         finally:
             self.directory.fail_at = 0
+        self.is_repeating = False
         return super().sync(count)
 
     def lose_power(self, name):
