--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -2,7 +2,7 @@
 
 A start that the upstream does not answer is unconfirmed: its outcome is not known.
 Unless the upstream lists the run meanwhile, the sidecar stops it by name, which also
-blocks the run from ever starting. Only then is the gateway informed that the run did
+blocks the run from starting on that incarnation of the upstream. Only then is the gateway informed that the run did
 not start, so that the task is not started elsewhere too early.
 """
 
@@ -16,9 +16,9 @@
 stopped and its orders refused. It is below the 1.3 s after which a caller resends.
 Delayed messages acknowledge only old reports, so they do not renew the lease."""
 RUN_LEASE_MS = 1_100
-"""Age of the newest report that a gateway has acknowledged beyond which the upstream holds
-no lease of its runs, whether stops reach the upstream or not; and the time for which runs
-that are to stop are leased. It is below the 1.3 s after which a caller resends, with a
+"""Age of the newest report that a gateway has acknowledged beyond which its runs get no
+lease on the upstream, whether stops reach the upstream or not; and the time for which runs
+that are to stop get one. A lease granted before a run began may be longer. It is below the 1.3 s after which a caller resends, with a
 margin for an upstream whose clock is 2% slow."""
 MAX_REPORT_TIMES = 256
 """Send times of reports kept per gateway: more than the reports of one second."""
@@ -212,16 +212,15 @@
         Args:
             now_ms: Monotonic time in ms.
         """
-        ends_ms: list[int] = []
-        for run in self.runs.values():
-            owner = self.gateways.get(run.gateway)
-            if owner is None:
-                return 0
-            ends_ms.append(owner.acknowledged_ms + RUN_LEASE_MS)
-            if run.stopping_ms >= 0:
-                ends_ms.append(run.stopping_ms + RUN_LEASE_MS)
+        ends_ms = [self._find_lease_end_ms(run, now_ms) for run in self.runs.values()]
         return max(min(ends_ms) - now_ms, 0) if ends_ms else None
 
+    def _find_lease_end_ms(self, run: runevents.Run, now_ms: int) -> int:
+        if run.lease_limit_ms >= 0:
+            return run.lease_limit_ms
+        owner = self.gateways.get(run.gateway)
+        return now_ms if owner is None else owner.acknowledged_ms + RUN_LEASE_MS
+
     @property
     def refusal_reason(self) -> str:
         """Why every start is refused; empty if runs may start."""
@@ -680,7 +679,9 @@
         if run.state is runevents.RunState.STOPPING:
             return
         run.stop_reason = reason
-        run.stopping_ms = now_ms
+        # Neither its gateway nor a restarted one of that name extends the lease now.
+        limit_ms = min(self._find_lease_end_ms(run, now_ms), now_ms + RUN_LEASE_MS)
+        run.lease_limit_ms = max(limit_ms, 0)
         run.state = runevents.RunState.STOPPING
         self._effects.append(runevents.CallStop(run.name, reason))
         self._effects.append(
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -120,8 +120,8 @@
     async def close(self) -> None:
         await self._runner.cleanup()
 
-    def reborn(self) -> None:
-        """Begin another life under the same id, at a listener that stays open."""
+    def restart(self) -> None:
+        """Begin another incarnation under the same id, at a listener that stays open."""
         self.born += 1
         self.fence = 0
         self.runs.clear()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -470,11 +470,11 @@
     run_scenario(tmp_path, scenario)
 
 
-def test_reborn_upstream_runs_no_task_twice_at_once(tmp_path):
+def test_restarted_upstream_runs_no_task_twice_at_once(tmp_path):
     """An upstream returns under its id; its first heartbeat comes after the starts."""
 
     async def scenario(system) -> None:
-        system.upstream.reborn()
+        system.upstream.restart()
         caller = await system.start_long_runs(JOB, count=2)
         body = builders.build_heartbeat(1, born=2)
         path = f"{registrations.PATH}i-1/heartbeat"
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -21,7 +21,7 @@
 )
 
 MAX_LEASE_MS = 1_000
-REBORN = attrs.evolve(builders.KNOWN, incarnation="u@2")
+RESTARTED = attrs.evolve(builders.KNOWN, incarnation="u@2")
 T1 = runmessages.RunName("t", 1)
 
 
@@ -31,7 +31,7 @@
 ):
     """The upstream held a full lease before the run began; then the sidecar froze."""
     for seed in range(20):
-        simulation = fuzz.RebirthSimulation(seed)
+        simulation = fuzz.RestartSimulation(seed)
         simulation.advance(300)
         simulation.extra_delay_ms = lag_ms
         simulation.submit(1)
@@ -63,7 +63,7 @@
     sidecar.answer(runevents.Answer.UNKNOWN)
     sidecar.ask(runmessages.StopRuns([T1]))
     sidecar.step(runevents.StopAnswered(T1, runevents.Answer.ACCEPTED))
-    sidecar.step(REBORN)
+    sidecar.step(RESTARTED)
     calls = sidecar.list(("t", 1, 10))
     sidecar.step(runevents.Tick(), runmanager.STOP_COMPLETION_MS + 1)
     assert sidecar.read_states()[-1:] in ([], [("t", 1, "started")])
@@ -156,7 +156,7 @@
 
 def simulate_start_in_transit(seed, wait_ms, restarts) -> None:
     """Run a simulation in which upstreams restart while starts are under way."""
-    simulation = fuzz.RebirthSimulation(seed)
+    simulation = fuzz.RestartSimulation(seed)
     simulation.advance(300)
     for host in simulation.hosts.values():
         host.timeout_rate = 0.5
@@ -172,13 +172,13 @@
     simulation.advance(3_000)
 
 
-def test_start_of_a_previous_process_does_not_run_on_a_reborn_upstream_beside_another():
+def test_start_of_a_previous_process_does_not_run_on_a_restarted_upstream_beside_another():
     """Heartbeats come each 1.5 s, later than the 1.1 s for predecessors' runs."""
     for seed in range(30):
         simulate_start_in_transit(seed, 70, restarts=True)
 
 
-def test_stopped_start_does_not_run_on_a_reborn_upstream_beside_another():
+def test_stopped_start_does_not_run_on_a_restarted_upstream_beside_another():
     simulate_start_in_transit(295, 200, restarts=False)
 
 
@@ -260,3 +260,34 @@
         assert system.upstream.starts == starts
 
     platform_path.run_scenario(tmp_path, scenario)
+
+
+def test_unconfirmed_start_is_not_sent_again_right_after_a_pause():
+    gateway = gateway_dispatch.build_gateway()
+    (start,) = gateway.submit(builders_scheduling.build_request())
+    gateway.now_ms += dispatcher.PAUSE_MS + 1
+    gateway.receive("one", builders_scheduling.build_room(2))
+    gateway.wait(dispatcher.RESUME_MS - builders_scheduling.STEP_MS)
+    assert builders_scheduling.list_starts(gateway.sent) == [start]
+
+
+def test_restart_of_a_gateway_does_not_extend_the_lease_of_its_former_runs():
+    """Its callers resend 1.3 s after its end, though it is back after 0.6 s."""
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    sidecar.ask(runmessages.KeepRuns(1, 1, False, [T1], sidecar.newest_report))
+    lost_ms = sidecar.now_ms
+    again = runevents.Sender("gate", 2, "gate:1")
+    heard = 0
+    sidecar.step(runevents.Tick(), 500)
+    for number in range(1, 8):
+        keep = runmessages.KeepRuns(number, 0, False, [], heard)
+        sidecar.step(runevents.Asked(again, keep), 100)
+        sidecar.step(runevents.StopAnswered(T1, runevents.Answer.UNKNOWN))
+        heard = sidecar.newest_report
+        lease_ms = sidecar.manager.find_lease_ms(sidecar.now_ms)
+        assert lease_ms is not None
+        if lease_ms:
+            lease_end_ms = sidecar.now_ms + min(lease_ms, MAX_LEASE_MS)
+            assert lease_end_ms <= lost_ms + runmanager.RUN_LEASE_MS
--- a/tests/test_runmanager.py
+++ b/tests/test_runmanager.py
@@ -513,7 +513,7 @@
     assert sidecar.read_states() == [("t", 1, "refused")]
 
 
-def test_run_carried_out_by_a_reborn_upstream_is_not_lost_while_it_runs():
+def test_run_carried_out_by_a_restarted_upstream_is_not_lost_while_it_runs():
     """The start was meant for the former incarnation, and the next one confirmed it."""
     sidecar = builders.Sidecar()
     sidecar.start()
--- a/tests/test_scheduling_fuzz.py
+++ b/tests/test_scheduling_fuzz.py
@@ -403,7 +403,7 @@
     sequence: int = 0
 
 
-class RebirthSimulation(Simulation):
+class RestartSimulation(Simulation):
     """A simulation in which sidecars learn of their upstreams by what these say.
 
     Upstreams restart under the same name, with a listener that stays open, or under
@@ -621,7 +621,7 @@
         self.claims[host.name].known = incarnations.Incarnations(host.fence)
 
 
-REBIRTH_ACTIONS = strategies.one_of(
+RESTART_ACTIONS = strategies.one_of(
     ACTIONS,
     strategies.tuples(strategies.just("odd"), strategies.sampled_from("xyz")),
     strategies.tuples(strategies.just("kill"), strategies.none()),
@@ -636,7 +636,7 @@
 )
 @hypothesis.given(
     strategies.integers(0, 2**32),
-    strategies.lists(REBIRTH_ACTIONS, min_size=5, max_size=25),
+    strategies.lists(RESTART_ACTIONS, min_size=5, max_size=25),
 )
 # A sidecar froze after its gateway was killed, so that no stop ended the runs in time.
 @hypothesis.example(
@@ -663,7 +663,7 @@
     ],
 )
 def test_no_task_runs_twice_while_upstreams_restart_under_their_names(seed, actions):
-    simulation = RebirthSimulation(seed)
+    simulation = RestartSimulation(seed)
     simulation.advance(300)
     for action, value in actions:
         match action:
