--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -2,8 +2,9 @@
 
 A start that the upstream does not answer is unconfirmed: its outcome is not known.
 Unless the upstream lists the run meanwhile, the sidecar stops it by name, which also
-blocks the run from starting on that incarnation of the upstream. Only then is the gateway informed that the run did
-not start, so that the task is not started elsewhere too early.
+blocks the run from starting on that incarnation of the upstream. Only then is the
+gateway informed that the run did not start, so that the task is not started elsewhere
+too early.
 """
 
 import itertools
