--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -19,8 +19,9 @@
 MAX_DEADLINE_MS = 3_600_000
 """Longest deadline of a caller; a longer one is ignored."""
 DISCONNECT_TURNS = 3
-"""Turns of the event loop before a job is submitted. After a pause of the process, a request
-may have waited so long that its caller has left; the end of its connection is read then."""
+"""Turns of the event loop before a job is submitted. After a pause of the process, a
+request may have waited so long that its caller has left; the end of its connection is
+read in these turns."""
 
 _log = structlog.get_logger()
 
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -40,10 +40,12 @@
 """Time after which an unconfirmed start is sent again; above the 200 ms for which a
 sidecar holds back the report that confirms it."""
 PAUSE_MS = 1_000
-"""Time without a report from which the process counts as paused or cut off. It is below the
-1.3 s after which callers whose connections have ended send their jobs to another gateway."""
+"""Time without a report from which the process counts as paused or cut off. It is below
+the 1.3 s after which callers whose connections have ended send their jobs to another
+gateway."""
 RESUME_MS = 50
-"""Time after a pause in which no start is sent, so that ended connections are noticed."""
+"""Time after a pause in which no start is sent, so that ended connections are
+noticed."""
 MAX_SCANNED_JOBS = 64
 """Maximum number of waiting jobs examined per pass, which bounds its processor time."""
 MAX_RESERVED_SIDECARS = 8
@@ -571,8 +573,8 @@
         """Send unconfirmed starts again, as a broken connection may have lost them.
 
         Another incarnation of the sidecar or of its upstream may not suit the task, and
-        the start may have been carried out before. Such a start is withdrawn: the task is
-        placed anew once the sidecar reports that the run has not and will not start.
+        the start may have been carried out before. Such a start is withdrawn: the task
+        is placed anew once the sidecar reports that the run has not and will not start.
         """
         room = sidecar.room
         if room is None or self._is_resuming(now_ms):
--- a/amaranthspar/scheduling/incarnations.py
+++ b/amaranthspar/scheduling/incarnations.py
@@ -3,7 +3,8 @@
 A heartbeat only claims that an incarnation exists: it may be late, or sent by another
 process. The claim holds once the upstream's own list of runs confirms it. That list is
 requested with a fencing token above those of all starts for the incarnation before, so
-it is complete for this incarnation: a start that was sent earlier is in it, or is refused.
+it is complete for this incarnation: a start that was sent earlier is in it, or is
+refused.
 """
 
 from __future__ import annotations
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -50,8 +50,8 @@
         percent: Percentage of the work that was done according to the last list.
         listed_ms: Time at which that list arrived in ms; -1 before the first.
         stop_reason: Why it is being stopped; empty while it is not.
-        lease_limit_ms: Time in ms beyond which the upstream must not lease it, once it is
-            to stop; -1 before.
+        lease_limit_ms: Time in ms beyond which the upstream must not lease it, once it
+            is to stop; -1 before.
         start_confirmed_ms: Time at which the upstream confirmed its start in ms; -1
             before.
         stop_confirmed_ms: Time at which the upstream confirmed its stop in ms; -1
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -18,9 +18,10 @@
 Delayed messages acknowledge only old reports, so they do not renew the lease."""
 RUN_LEASE_MS = 1_100
 """Age of the newest report that a gateway has acknowledged beyond which its runs get no
-lease on the upstream, whether stops reach the upstream or not; and the time for which runs
-that are to stop get one. A lease granted before a run began may be longer. It is below the 1.3 s after which a caller resends, with a
-margin for an upstream whose clock is 2% slow."""
+lease on the upstream, whether stops reach the upstream or not; and the time for which
+runs that are to stop get one. A lease granted before a run began may be longer. It is
+below the 1.3 s after which a caller resends, with a margin for an upstream whose clock
+is 2% slow."""
 MAX_REPORT_TIMES = 256
 """Send times of reports kept per gateway: more than the reports of one second."""
 LOWER_INCARNATION_SILENCE_MS = 500
@@ -65,11 +66,11 @@
 """Reason of a refusal for lack of free capacity."""
 UNKNOWN_UPSTREAM_MS = 3_000
 """Time after which runs on an upstream of which nothing is known have ended: its longest
-lease of 1 s is over, and two of its heartbeats are missing, so that it is not a restarted
-one either, which may have carried out a start in transit."""
+lease of 1 s is over, and two of its heartbeats are missing, so that it is not a
+restarted one either, which may have carried out a start in transit."""
 MIN_START_LEASE_MS = 120
-"""Shortest lease that a start may give. A start leases all runs of the upstream, so none is
-sent while less is left for one of them."""
+"""Shortest lease that a start may give. A start leases all runs of the upstream, so none
+is sent while less is left for one of them."""
 UNHEALTHY_PAUSE_MS = 500
 """Time without starts after the upstream refused one as unhealthy."""
 MAX_TICK_INTERVAL_MS = 1_000
@@ -322,7 +323,7 @@
         current = self.runs.get(name.task)
         if current is not None and current.name == name:
             if current.gateway != gateway.name:
-                self._leave_open(name, "gateway has no right to the run")
+                self._leave_open(name, "run of another gateway")
             elif current.state is runevents.RunState.RUNNING:
                 gateway.reports.append(runmessages.RunReport(name, "started"))
             return
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -129,7 +129,7 @@
         """
         before = self.room
         if before is not None and room is not None and before.upstream != room.upstream:
-            # Orders for another incarnation of the upstream take up none of its capacity.
+            # Orders for another incarnation take up none of its capacity.
             self.reservations.clear()
         self.room = room
         self.reported_ms = now_ms if room is not None else -1
