--- a/amaranthspar/platform/wire.py
+++ b/amaranthspar/platform/wire.py
@@ -18,8 +18,8 @@
 MAX_TASKS = 100_000
 """Largest number of tasks of one job; the largest known job has 1,200."""
 MAX_NUMBER = 2**53 - 1
-"""Largest number in a body. Every JSON reader represents it exactly, and the sum of many
-such numbers still fits into the 64 bits of an encoded message."""
+"""Largest number in a body. Every JSON reader represents it exactly, and the sum of
+many such numbers still fits into the 64 bits of an encoded message."""
 MAX_NESTING = 64
 """Deepest nesting of arrays and objects in a configuration."""
 MAX_LABELS = 64
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -65,12 +65,12 @@
 NO_ROOM = "no room"
 """Reason of a refusal for lack of free capacity."""
 UNKNOWN_UPSTREAM_MS = 3_000
-"""Time after which runs on an upstream of which nothing is known have ended: its longest
-lease of 1 s is over, and two of its heartbeats are missing, so that it is not a
+"""Time after which runs on an upstream of which nothing is known have ended: its
+longest lease of 1 s is over, and two of its heartbeats are missing, so that it is not a
 restarted one either, which may have carried out a start in transit."""
 MIN_START_LEASE_MS = 120
-"""Shortest lease that a start may give. A start leases all runs of the upstream, so none
-is sent while less is left for one of them."""
+"""Shortest lease that a start may give. A start leases all runs of the upstream, so
+none is sent while less is left for one of them."""
 UNHEALTHY_PAUSE_MS = 500
 """Time without starts after the upstream refused one as unhealthy."""
 MAX_TICK_INTERVAL_MS = 1_000
--- a/amaranthspar/upstreams/exchange.py
+++ b/amaranthspar/upstreams/exchange.py
@@ -51,8 +51,8 @@
     """Connector to an IP address that may be cancelled at any moment.
 
     A call of `create_connection` with a connected socket must not be cancelled on
-    uvloop: both the transport and the socket object then close the descriptor, which may
-    belong to another connection by the second time.
+    uvloop: both the transport and the socket object then close the descriptor, which
+    may belong to another connection by the second time.
 
     Args:
         address: Address of the server.
