The log event after a silence of all sidecars says what it measures

'process resumed' with 'paused_ms' also came after a cut, in which the process was not paused. It is 'reports resumed' with 'silent_ms' now, and the constant MAX_SILENCE_MS.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -39,12 +39,12 @@
 RESEND_MS = 300
 """Time after which an unconfirmed start is sent again; above the 200 ms for which a
 sidecar holds back the report that confirms it."""
-PAUSE_MS = 1_000
+MAX_SILENCE_MS = 1_000
 """Time without a report from which the process counts as paused or cut off. It is below
 the 1.3 s after which callers whose connections have ended send their jobs to another
 gateway."""
 RESUME_MS = 50
-"""Time after a pause in which no start is sent, so that ended connections are
+"""Time after such a silence in which no start is sent, so that ended connections are
 noticed."""
 MAX_SCANNED_JOBS = 64
 """Maximum number of waiting jobs examined per pass, which bounds its processor time."""
@@ -149,7 +149,7 @@
                 if job is not None:
                     self._end_job(job, outcome, reason)
             case jobevents.Heard():
-                self._check_pause(now_ms)
+                self._check_silence(now_ms)
                 self._handle_reports(event, now_ms)
             case jobevents.Found():
                 self._update_peers(event, now_ms)
@@ -159,14 +159,14 @@
             case jobevents.Tick():
                 self._tick(now_ms)
 
-    def _check_pause(self, now_ms: int) -> None:
+    def _check_silence(self, now_ms: int) -> None:
         """Hold back starts if no sidecar has reported for a while.
 
         Callers may have left meanwhile, and sent their jobs to another gateway.
         """
-        if self._heard_ms is not None and now_ms - self._heard_ms > PAUSE_MS:
+        if self._heard_ms is not None and now_ms - self._heard_ms > MAX_SILENCE_MS:
             self._resumed_ms = now_ms
-            self._log("process resumed", paused_ms=now_ms - self._heard_ms)
+            self._log("reports resumed", silent_ms=now_ms - self._heard_ms)
         self._heard_ms = now_ms
 
     def _is_resuming(self, now_ms: int) -> bool:
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -198,7 +198,7 @@
     (start,) = gateway.submit(builders.build_request())
     (sent,) = [item for item in gateway.sent if item.message is start]
     name = sent.peer.partition(":")[0]
-    gateway.now_ms += dispatcher.PAUSE_MS + 1
+    gateway.now_ms += dispatcher.MAX_SILENCE_MS + 1
     stopped = report(start.orders[0], "stopped", "gateway heard nothing for 801 ms")
     other = "two" if name == "one" else "one"
     assert gateway.receive(other, builders.build_room(2)) == []
@@ -211,7 +211,7 @@
 
 def test_starts_go_on_soon_after_a_pause():
     gateway = build_gateway()
-    gateway.now_ms += dispatcher.PAUSE_MS + 1
+    gateway.now_ms += dispatcher.MAX_SILENCE_MS + 1
     gateway.receive("one", builders.build_room(2))
     assert gateway.submit(builders.build_request()) == []
     gateway.wait(dispatcher.RESUME_MS + dispatcher.CHECK_INTERVAL_MS)
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -188,7 +188,7 @@
     (start,) = gateway.submit(builders_scheduling.build_request())
     (sent,) = [item for item in gateway.sent if item.message is start]
     name = sent.peer.partition(":")[0]
-    gateway.wait(dispatcher.PAUSE_MS + 500)
+    gateway.wait(dispatcher.MAX_SILENCE_MS + 500)
     reason = "gateway heard nothing for 801 ms"
     stopped = gateway_dispatch.report(start.orders[0], "stopped", reason)
     other = "two" if name == "one" else "one"
@@ -265,7 +265,7 @@
 def test_unconfirmed_start_is_not_sent_again_right_after_a_pause():
     gateway = gateway_dispatch.build_gateway()
     (start,) = gateway.submit(builders_scheduling.build_request())
-    gateway.now_ms += dispatcher.PAUSE_MS + 1
+    gateway.now_ms += dispatcher.MAX_SILENCE_MS + 1
     gateway.receive("one", builders_scheduling.build_room(2))
     gateway.wait(dispatcher.RESUME_MS - builders_scheduling.STEP_MS)
     assert builders_scheduling.list_starts(gateway.sent) == [start]
