A silent replica that was removed joins again; a replaced one leaves the set

Cause: with the new machine in the set, four replicas vote, and the leader removes a voter that was silent for 3 s: the frozen one. It is not told, its own log says that it is in the set, and a retired id was refused. The machine that ended stayed a voter, as three is odd. Of three voters one was left.

Change: a replica that hears no leader for 1.5 s asks for admission, and one that was removed while it was silent is added again under its id, with the folder, term and vote that it had; the request is dropped while another replica has its address, as it may be older. On SIGTERM a replica leaves a set of even number before it ends; its request names the entry of the set that it knows. A silent voter is removed only once its successor votes.

Ruled out: a lost configuration (the new machine has it on its disk). Open: a machine removed without SIGTERM and another disk lost within the 3 s until its removal.

--- a/amaranthspar/consensus/consensus.py
+++ b/amaranthspar/consensus/consensus.py
@@ -51,6 +51,17 @@
         leader = replicas.find_replica(self.journal.members, self.leader)
         return leader.address if leader else self.follower.leader_address
 
+    def read_leader_silence(self, now_ms: int) -> int:
+        """Return the time since this replica led or last heard a leader.
+
+        Args:
+            now_ms: Current monotonic time in ms.
+
+        Returns:
+            Time in ms, at most the time since the start and an election timeout.
+        """
+        return 0 if self.leading is not None else now_ms - self._leader_contact_ms
+
     def read_view_age(self, now_ms: int) -> int:
         """Return the age of the newest view that a quorum has confirmed.
 
@@ -257,7 +268,7 @@
         members = self.journal.members
         try:
             change = replacement.plan_replacement(
-                members, event.removed, event.added, event.address
+                members, event.removed, event.added, event.address, event.returns
             )
         except replacement.RefusedError as error:
             self.journal.emit(transitions.Refuse(str(error)))
--- a/amaranthspar/consensus/replacement.py
+++ b/amaranthspar/consensus/replacement.py
@@ -11,7 +11,11 @@
 
 
 def plan_replacement(
-    members: messages.ChangeReplicas, removed: str, added: str, address: str
+    members: messages.ChangeReplicas,
+    removed: str,
+    added: str,
+    address: str,
+    returns: bool = False,
 ) -> messages.ChangeReplicas:
     """Return the set after removing a replica and adding another as a learner.
 
@@ -22,6 +26,8 @@
         removed: Replica id to remove; empty for none.
         added: Replica id to add; empty for none.
         address: Address of the added replica.
+        returns: Whether the added replica asks for it itself, so that it has the data
+            folder that it had under this id before.
 
     Raises:
         RefusedError: The id to remove is unknown, the id to add was used before or
@@ -30,7 +36,9 @@
     updated = [item for item in members.replicas if item.id != removed]
     if removed and len(updated) == len(members.replicas):
         raise RefusedError(f"replica {removed} is not in the set")
-    used = [item.id for item in members.replicas] + members.retired
+    used = [item.id for item in members.replicas]
+    if not returns:
+        used += members.retired
     if added in used:
         raise RefusedError(f"replica id {added} was used before; choose a new one")
     if added and not address:
@@ -39,7 +47,9 @@
         raise RefusedError("no voter would be left")
     if added:
         updated.append(messages.Replica(added, address, False))
-    retired = [*members.retired, removed] if removed else members.retired
+    retired = [item for item in members.retired if item != added]
+    if removed:
+        retired.append(removed)
     reason = f"removed {removed or 'none'}, added {added or 'none'}"
     return messages.ChangeReplicas(updated, retired, reason)
 
@@ -52,7 +62,11 @@
     """Return the replica that a joining one replaces; empty for none.
 
     A new replica at the address of a member has lost the data folder of that member and
-    replaces it. Any other replaces an unresponsive member, if there is one.
+    replaces it. Any other replaces an unresponsive learner, if there is one; an
+    unresponsive voter is removed by `plan_removal` once the new one votes, because it
+    may still hold its folder. A replica that was removed while it was silent, and kept
+    its folder, is added again; its request may have been delayed until another replica
+    has its address.
 
     Args:
         members: Current set.
@@ -60,15 +74,16 @@
         unresponsive: Ids of replicas that have not answered the leader recently.
 
     Returns:
-        Replica id to remove, or nothing if the new one is already in the set.
+        Replica id to remove, or nothing if the joining one is already in the set or
+        its request is older than the replica at its address.
     """
     if any(item.id == joining.replica for item in members.replicas):
         return None
     for item in members.replicas:
         if item.address == joining.address:
-            return item.id
-    unresponsive_ids = [item.id for item in members.replicas if item.id in unresponsive]
-    return unresponsive_ids[0] if unresponsive_ids else ""
+            return None if joining.replica in members.retired else item.id
+    learners = [item.id for item in members.replicas if not item.voter]
+    return next((learner for learner in learners if learner in unresponsive), "")
 
 
 def plan_removal(members: messages.ChangeReplicas, unresponsive: frozenset[str]) -> str:
@@ -89,6 +104,32 @@
     return unresponsive_voters[0]
 
 
+def check_leave(
+    members: messages.ChangeReplicas, leaving: str, unresponsive: frozenset[str]
+) -> None:
+    """Check that the set can spare a voter that is about to stop.
+
+    Without it, an odd number of voters must remain of which a majority responds.
+
+    Args:
+        members: Current set.
+        leaving: Replica id of the voter.
+        unresponsive: Ids of replicas that have not answered the leader recently.
+
+    Raises:
+        RefusedError: The replica is no voter, or the set cannot spare it.
+    """
+    voters = [item.id for item in members.replicas if item.voter]
+    if leaving not in voters:
+        raise RefusedError(f"replica {leaving} is no voter")
+    remaining = [voter for voter in voters if voter != leaving]
+    responsive = [voter for voter in remaining if voter not in unresponsive]
+    if len(remaining) % 2 == 0:
+        raise RefusedError(f"an even number of {len(remaining)} voters would remain")
+    if 2 * len(responsive) <= len(remaining):
+        raise RefusedError("no majority of the remaining voters responds")
+
+
 def plan_promotion(
     members: messages.ChangeReplicas, learner: str, folder: int
 ) -> messages.ChangeReplicas:
--- a/amaranthspar/consensus/transitions.py
+++ b/amaranthspar/consensus/transitions.py
@@ -86,11 +86,14 @@
         removed: Replica id to remove; empty for none.
         added: Replica id to add as a learner; empty for none.
         address: Address of the added replica.
+        returns: Whether the added replica asks for it itself, so that it has the data
+            folder that it had under this id before.
     """
 
     removed: str
     added: str
     address: str
+    returns: bool = False
 
 
 Event = (
--- a/amaranthspar/registry/administration.py
+++ b/amaranthspar/registry/administration.py
@@ -16,6 +16,8 @@
 REPLICA_TIMEOUT_MS = 3_000
 """Time without messages after which a replica may be replaced; a restart takes about
 1 s."""
+LEADER_TIMEOUT_MS = 1_500
+"""Time without a leader after which a replica asks whether it is still in the set."""
 
 
 @attrs.frozen(slots=True)
@@ -25,7 +27,7 @@
     address: str
     index: int
     term: int
-    request: messages.ReplaceReplica
+    request: messages.ReplaceReplica | messages.LeaveReplicas
 
 
 class ReplicaAdministration:
@@ -33,12 +35,36 @@
 
     Args:
         machine: Consensus of this replica.
+        replica_timeout_ms: Time in ms without messages after which a replica may be
+            replaced.
+        leader_timeout_ms: Time in ms without a leader after which a replica asks to
+            join again.
     """
 
-    def __init__(self, machine: consensus.Consensus) -> None:
+    def __init__(
+        self,
+        machine: consensus.Consensus,
+        replica_timeout_ms: int = REPLICA_TIMEOUT_MS,
+        leader_timeout_ms: int = LEADER_TIMEOUT_MS,
+    ) -> None:
         self._machine = machine
+        self._replica_timeout_ms = replica_timeout_ms
+        self._leader_timeout_ms = leader_timeout_ms
         self._pending: list[_PendingReplacement] = []
 
+    def is_join_due(self, now_ms: int) -> bool:
+        """Return whether this replica is not in the set, or may have been removed.
+
+        A replica is not told of its removal, since the leader stops sending to it.
+
+        Args:
+            now_ms: Monotonic clock in ms.
+        """
+        machine = self._machine
+        if replicas.find_replica(machine.journal.members, machine.replica) is None:
+            return True
+        return machine.read_leader_silence(now_ms) >= self._leader_timeout_ms
+
     def replace(
         self, address: str, request: messages.ReplaceReplica, now_ms: int
     ) -> list[transitions.Effect]:
@@ -55,6 +81,15 @@
         if self._is_done(request):
             return [effects.Send(address, self._build_answer(request, "accepted", ""))]
         event = transitions.Replace(request.removed, request.added, request.address)
+        return self._change(address, request, event, now_ms)
+
+    def _change(
+        self,
+        address: str,
+        request: messages.ReplaceReplica | messages.LeaveReplicas,
+        event: transitions.Replace,
+        now_ms: int,
+    ) -> list[transitions.Effect]:
         result = self._machine.step(event, now_ms)
         refusals = [item for item in result if isinstance(item, transitions.Refuse)]
         if refusals:
@@ -71,7 +106,7 @@
     ) -> list[transitions.Effect]:
         """Add a joining replica to the set.
 
-        A replica repeats its request until it is in the set.
+        A replica repeats its request until it hears a leader and is in the set.
 
         Args:
             joining: Request of the new replica.
@@ -83,14 +118,51 @@
         leading = self._machine.leading
         if leading is None:
             return []
-        unresponsive = leading.list_unresponsive(now_ms, REPLICA_TIMEOUT_MS)
+        unresponsive = leading.list_unresponsive(now_ms, self._replica_timeout_ms)
         members = self._machine.journal.members
         removed = replacement.plan_join(members, joining, unresponsive)
         if removed is None:
             return []
-        event = transitions.Replace(removed, joining.replica, joining.address)
+        event = transitions.Replace(removed, joining.replica, joining.address, True)
         return self._machine.step(event, now_ms)
 
+    def leave(
+        self, address: str, leaving: messages.LeaveReplicas, now_ms: int
+    ) -> list[transitions.Effect]:
+        """Remove a stopping replica from the set, if the set can spare it.
+
+        Args:
+            address: Address for the answer.
+            leaving: Request of the replica.
+            now_ms: Monotonic clock in ms.
+
+        Returns:
+            Effects to carry out in order.
+        """
+        machine = self._machine
+        leading = machine.leading
+        if leading is None:
+            return []
+        members = machine.journal.members
+        if self._is_removed(leaving.replica):
+            answer = self._build_answer(leaving, "accepted", "")
+            return [effects.Send(address, answer)]
+        try:
+            if leaving.members_index != machine.journal.members_index:
+                reason = f"the set has changed at {machine.journal.members_index}"
+                raise replacement.RefusedError(reason)
+            replacement.check_leave(
+                members,
+                leaving.replica,
+                leading.list_unresponsive(now_ms, self._replica_timeout_ms),
+            )
+        except replacement.RefusedError as error:
+            answer = self._build_answer(leaving, "refused", str(error))
+            return [effects.Send(address, answer)]
+        return self._change(
+            address, leaving, transitions.Replace(leaving.replica, "", ""), now_ms
+        )
+
     def remove_unresponsive(self, now_ms: int) -> list[transitions.Effect]:
         """Remove an unresponsive voter if the number of voters is even.
 
@@ -103,7 +175,7 @@
         leading = self._machine.leading
         if leading is None:
             return []
-        unresponsive = leading.list_unresponsive(now_ms, REPLICA_TIMEOUT_MS)
+        unresponsive = leading.list_unresponsive(now_ms, self._replica_timeout_ms)
         removed = replacement.plan_removal(self._machine.journal.members, unresponsive)
         if not removed:
             return []
@@ -124,15 +196,23 @@
         if self._machine.commit_index < self._machine.journal.members_index:
             return False
         members = self._machine.journal.members
-        removed = replicas.find_replica(members, request.removed) is None
         added = replicas.find_replica(members, request.added) is not None
-        is_removed = not request.removed or (
-            removed and request.removed in members.retired
-        )
+        is_removed = not request.removed or self._is_removed(request.removed)
         return is_removed and (added or not request.added)
 
+    def _is_removed(self, replica: str) -> bool:
+        """Return whether the committed set is one from which a replica was removed."""
+        if self._machine.commit_index < self._machine.journal.members_index:
+            return False
+        members = self._machine.journal.members
+        is_member = replicas.find_replica(members, replica) is not None
+        return not is_member and replica in members.retired
+
     def _build_answer(
-        self, request: messages.ReplaceReplica, outcome: str, reason: str
+        self,
+        request: messages.ReplaceReplica | messages.LeaveReplicas,
+        outcome: str,
+        reason: str,
     ) -> messages.ReplicasChanged:
         return messages.ReplicasChanged(
             request.request,
--- a/amaranthspar/registry/requests.py
+++ b/amaranthspar/registry/requests.py
@@ -175,7 +175,11 @@
                 if not status.leading:
                     return _forward(request, status)
                 self._releases.append(message)
-            case messages.ReplaceReplica() | messages.JoinReplicas():
+            case (
+                messages.ReplaceReplica()
+                | messages.JoinReplicas()
+                | messages.LeaveReplicas()
+            ):
                 return _forward(request, status)
             case messages.LeaveMembership() as message:
                 if not status.leading:
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -1,6 +1,7 @@
 """Controller role: one replica of the configuration, membership and claims."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import secrets
@@ -41,6 +42,10 @@
 BOOTSTRAP = "bootstrap"
 JOIN_INTERVAL_MS = 500
 """Interval at which a replica outside the replica set requests to join it."""
+LEAVE_TIMEOUT_MS = 3_000
+"""Longest wait of a stopping replica until the set has changed to spare it."""
+LEAVE_INTERVAL_MS = 100
+"""Interval at which a stopping replica repeats its request to leave the set."""
 
 _log = structlog.get_logger()
 _REPLICA_MESSAGES = (
@@ -100,6 +105,8 @@
         self._snapshot_bytes = 0
         self._next_expiry_ms = 0
         self._next_join_ms = 0
+        self._is_leaving = False
+        self._left = asyncio.Event()
         self.directory = directory.Directory()
         self.document_requests = documentrequests.DocumentRequests(
             self._handle_own_request
@@ -182,7 +189,7 @@
             return folder
 
     async def stop(self) -> None:
-        """Transfer leadership if this replica has it, then stop.
+        """Transfer leadership if this replica has it, leave the set, then stop.
 
         The replica stops once it has received a message of the new leader, which may
         need its vote, or after a timeout. If the first target does not become leader, it
@@ -190,10 +197,44 @@
         """
         if self.stopped.is_set():
             return
+        self._is_leaving = True
         if self.leading:
             await self._transfer_leadership()
+        if self._options.join:
+            await self._leave_replicas()
         self.abort()
 
+    async def _leave_replicas(self) -> None:
+        """Leave a set whose number of voters is even, which tolerates no more failures.
+
+        A successor has joined it. A replica that stops only to start again joins again.
+        """
+        for attempt in range(LEAVE_TIMEOUT_MS // LEAVE_INTERVAL_MS):
+            journal = self._machine.journal
+            if self.stopped.is_set() or len(replicas.list_voters(journal.members)) % 2:
+                return
+            self._handle_own_request(
+                messages.LeaveReplicas(
+                    attempt, self._options.replica, journal.members_index
+                )
+            )
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._left.wait(), LEAVE_INTERVAL_MS / 1000)
+                return
+        _log.warning("replica stops without leaving the set", name=self.name)
+
+    def _handle_replicas_changed(self, message: messages.ReplicasChanged) -> None:
+        if not self._is_leaving:
+            return
+        _log.info(
+            "leaving the set",
+            name=self.name,
+            outcome=message.outcome,
+            reason=message.reason,
+        )
+        if message.outcome == "accepted":
+            self._left.set()
+
     async def _transfer_leadership(self) -> None:
         for _ in range(TRANSFER_TIMEOUT_MS // TRANSFER_POLL_MS):
             if self._machine.accepts_proposals:
@@ -236,16 +277,17 @@
                 self._carry_out(effect)
 
     def _request_join(self, now_ms: int) -> None:
-        """Request to join the replica set if this replica is not in it."""
-        members = self._machine.journal.members
-        is_member = replicas.find_replica(members, self._options.replica) is not None
-        if is_member or not self._options.join or now_ms < self._next_join_ms:
+        """Request to join the replica set if this replica may not be in it."""
+        if not self._options.join or self._is_leaving or now_ms < self._next_join_ms:
+            return
+        if not self._administration.is_join_due(now_ms):
             return
         self._next_join_ms = now_ms + JOIN_INTERVAL_MS
         joining = messages.JoinReplicas(self._options.replica, self._links.address)
-        for address in self._options.join:
-            if address != self._links.address:
-                self._links.send(address, joining)
+        members = self._machine.journal.members.replicas
+        addresses = {*self._options.join, *(item.address for item in members)}
+        for address in sorted(addresses - {self._links.address}):
+            self._links.send(address, joining)
 
     def _handle_own_request(self, message: codec.Message) -> None:
         """Handle a request of this process itself like one received over a link."""
@@ -301,20 +343,29 @@
         if isinstance(message, viewmessages.Announce):
             self._answer_announcement(request.address, message, status.now_ms)
             return
-        if isinstance(message, messages.JoinReplicas) and status.leading:
-            for effect in self._administration.join(message, status.now_ms):
-                self._carry_out(effect)
+        if isinstance(message, messages.ReplicasChanged):
+            self._handle_replicas_changed(message)
             return
-        if isinstance(message, messages.ReplaceReplica) and status.leading:
-            found = self._administration.replace(
-                request.address, message, status.now_ms
-            )
-            for effect in found:
-                self._carry_out(effect)
+        if status.leading and self._change_replicas(request, status.now_ms):
             return
         self._send(self.requests.handle(request, status))
         self._plan_flush()
 
+    def _change_replicas(self, request: requests.Request, now_ms: int) -> bool:
+        """Handle a request on the set of replicas, and return whether it was one."""
+        match request.message:
+            case messages.JoinReplicas() as message:
+                found = self._administration.join(message, now_ms)
+            case messages.LeaveReplicas() as message:
+                found = self._administration.leave(request.address, message, now_ms)
+            case messages.ReplaceReplica() as message:
+                found = self._administration.replace(request.address, message, now_ms)
+            case _:
+                return False
+        for effect in found:
+            self._carry_out(effect)
+        return True
+
     def _answer_announcement(
         self, address: str, message: viewmessages.Announce, now_ms: int
     ) -> None:
--- a/amaranthspar/schema/messages.py
+++ b/amaranthspar/schema/messages.py
@@ -701,7 +701,7 @@
     """One replica of the replicated log.
 
     Attributes:
-        id: Replica id, which is never reused after removal.
+        id: Replica id; after a removal only the same data folder uses it again.
         address: Address at which the replica listens for links.
         voter: Whether the replica counts in a majority.
         folder: Random number that identifies its data folder; 0 if not known yet.
@@ -719,7 +719,7 @@
 
     Attributes:
         replicas: All replicas after the change.
-        retired: Ids of removed replicas, which may not be reused.
+        retired: Ids of removed replicas; only a removed replica itself may join under one.
         reason: Who made the change, and why.
     """
 
@@ -895,7 +895,7 @@
 
 @attrs.frozen(slots=True)
 class JoinReplicas:
-    """Asks the leader to add a replica with an empty data folder to the set of replicas.
+    """Asks the leader to add a replica to the set: one with an empty data folder, or one that was removed while it was silent.
 
     Attributes:
         replica: Replica id.
@@ -906,6 +906,21 @@
     address: str
 
 
+@attrs.frozen(slots=True)
+class LeaveReplicas:
+    """Asks the leader to remove a stopping replica that the set can spare. Answered by `ReplicasChanged`.
+
+    Attributes:
+        request: Request number, which the reply repeats.
+        replica: Replica id.
+        members_index: Index of the entry with the set that the replica knows; the request holds for no other set.
+    """
+
+    request: int
+    replica: str
+    members_index: int
+
+
 @attrs.frozen(slots=True)
 class Section:
     """One section of the configuration in its INI form.
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -8,7 +8,7 @@
 import uvloop
 
 from amaranthspar import errors
-from amaranthspar.consensus import transitions
+from amaranthspar.consensus import replicas, transitions
 from amaranthspar.roles import controller
 from amaranthspar.schema import messages
 from amaranthspar.storage import disk, files, recovery
@@ -257,6 +257,29 @@
     run(scenario, tmp_path)
 
 
+def test_stopping_controller_leaves_the_set_that_its_successor_has_joined(tmp_path):
+    """Else the next lost disk leaves two of four voters, and never a leader again."""
+
+    async def scenario(cluster, client):
+        await cluster.find_leader()
+        cluster.close()
+        cluster.changes["join"] = cluster.targets
+        await cluster.start()
+        leader = await cluster.find_leader()
+        cluster.addresses["d"] = builders_control.find_address()
+        await cluster.start("d")
+        machine = cluster.running["d"].machine
+        while len(replicas.list_voters(machine.journal.members)) < 4:
+            await asyncio.sleep(0.01)
+        await cluster.running.pop(leader).stop()
+        while leader in replicas.list_voters(machine.journal.members):
+            await asyncio.sleep(0.01)
+        cluster.kill(next(name for name in cluster.running if name != "d"))
+        await cluster.find_leader()
+
+    run(scenario, tmp_path)
+
+
 def test_recovery_after_loss_of_the_majority_is_confirmed_and_recorded(tmp_path):
     async def scenario(cluster, client):
         kind = messages.ConfigurationDecided
--- /dev/null
+++ b/tests/test_replica_orders.py
@@ -0,0 +1,86 @@
+"""Every order of one replacement, one freeze and one lost disk keeps a leader."""
+
+import itertools
+import os
+
+import pytest
+
+from tests import builders_replacement
+
+FREEZE_MS = builders_replacement.FREEZE_MS
+DOWN_MS = builders_replacement.DOWN_MS
+CALM_MS = builders_replacement.CALM_MS
+NEW_HOST = builders_replacement.NEW_HOST
+OLD_HOST = "a"
+EVENTS = ("add", "end", "freeze", "lose")
+ORDERS = list(itertools.permutations(EVENTS))
+CHOICES = list(itertools.product(("leader", "follower", "newest"), repeat=2))
+STRIDE = 1 if "FUZZ_EXAMPLES" in os.environ else 3
+"""CI plays a third of the choices of hosts with each order; `make fuzz` plays all."""
+SETS = {3: ("a", "b", "c"), 5: ("a", "b", "c", "d", "e")}
+
+
+def play(hosts, event, how, targets):
+    """Play one event, after which all hosts that remain are up."""
+    match event:
+        case "add":
+            hosts.add_host(NEW_HOST)
+        case "end" if how == "stop":
+            hosts.stop(OLD_HOST)
+        case "end":
+            hosts.kill(OLD_HOST)
+        case "freeze":
+            frozen = builders_replacement.choose_host(hosts, targets[0], OLD_HOST)
+            hosts.freeze(frozen)
+            hosts.wait(FREEZE_MS)
+            hosts.thaw(frozen)
+        case "lose":
+            lost = builders_replacement.choose_host(hosts, targets[1], OLD_HOST)
+            hosts.lose_disk(lost)
+            hosts.wait(DOWN_MS)
+            hosts.restart(lost)
+    hosts.wait(CALM_MS)
+
+
+@pytest.mark.parametrize("how", ["stop", "kill"])
+@pytest.mark.parametrize("order", ORDERS, ids="-".join)
+def test_any_order_of_replacement_freeze_and_lost_disk_keeps_a_leader(order, how):
+    if order.index("end") < order.index("add"):
+        # Until the new host has caught up, the ended one is the loss that is borne.
+        events = [event for event in order if event != "end"]
+        events.insert(events.index("add"), "end")
+    else:
+        events = list(order)
+    first = ORDERS.index(order) % STRIDE
+    for seed, targets in list(enumerate(CHOICES))[first::STRIDE]:
+        size = 5 if seed % 2 else 3
+        hosts = builders_replacement.ReplicaHosts(seed, SETS[size])
+        for event in events:
+            play(hosts, event, how, targets)
+        assert hosts.commits(), (seed, targets)
+        members = hosts.find_committed_members().replicas
+        assert [item.voter for item in members] == [True] * size, (seed, targets)
+
+
+@pytest.mark.parametrize("size", SETS)
+@pytest.mark.parametrize("loss", ["freeze", "lose"])
+@pytest.mark.parametrize("target", ["leader", "follower", "newest"])
+def test_host_that_stops_beside_the_one_lost_host_leaves_a_leader(target, loss, size):
+    """The set is changed to spare the one that stops, although another is down."""
+    for seed in range(3):
+        hosts = builders_replacement.ReplicaHosts(seed, SETS[size])
+        play(hosts, "add", "", ())
+        lost = builders_replacement.choose_host(hosts, target, OLD_HOST)
+        if loss == "freeze":
+            hosts.freeze(lost)
+        else:
+            hosts.lose_disk(lost)
+        hosts.stop(OLD_HOST)
+        hosts.wait(DOWN_MS)
+        if loss == "freeze":
+            hosts.thaw(lost)
+        else:
+            hosts.restart(lost)
+        hosts.wait(CALM_MS)
+        assert hosts.commits(), seed
+        assert len(hosts.find_committed_members().replicas) == size, seed
--- a/tools/simulation.py
+++ b/tools/simulation.py
@@ -393,9 +393,19 @@
             node: Replica.
             event: Event to process.
         """
+        if node.machine is not None:
+            self.carry_out(node, node.machine.step(event, self.read_clock(node)))
+
+    def carry_out(self, node: Node, found: list[transitions.Effect]) -> None:
+        """Carry out the effects of a replica.
+
+        Args:
+            node: Replica.
+            found: Effects to carry out in order.
+        """
         if node.machine is None:
             return
-        for effect in node.machine.step(event, self.read_clock(node)):
+        for effect in found:
             match effect:
                 case transitions.Persist() | transitions.SaveSnapshot():
                     node.disk.pending.append(effect)
