An order on a failure domain that was delayed undoes no newer one

Cause: an order on a domain carried no version. Class: an order without a version, delayed in a process or link.

Change: the receiver gives it the number of the newest order that it knows at its arrival, and the log drops it after any other, also after one that changed nothing; a repeated one gets its first answer. 'process resumed' and the reasons of refused orders are logged.

Ruled out: stale views of sidecars, which only grow.

--- a/amaranthspar/membership/documents.py
+++ b/amaranthspar/membership/documents.py
@@ -6,6 +6,8 @@
 
 NO_VERSION = -1
 """Version before the first document."""
+ANY_ORDER = -1
+"""Base of an order on domains that holds after any other."""
 
 
 @attrs.define(slots=True)
@@ -17,12 +19,16 @@
         content: Content of the document, which is opaque here.
         domains_revision: Number that grows with each change of the domains.
         domains_out: Failure domains in which no run may start.
+        newest_order: Number of the order on domains that was taken last.
+        newest_order_name: Its request name.
     """
 
     version: int = NO_VERSION
     content: bytes = b""
     domains_revision: int = 0
     domains_out: set[str] = attrs.field(factory=set)
+    newest_order: int = 0
+    newest_order_name: str = ""
 
     def put(self, command: viewmessages.PutDocument) -> None:
         """Store a document if its version is higher than the stored one.
@@ -34,27 +40,47 @@
             self.version = command.version
             self.content = command.content
 
-    def set_domain(self, command: viewmessages.SetDomain) -> None:
+    def set_domain(self, command: viewmessages.SetDomain) -> bool:
         """Take a failure domain out of service or put it back into service.
 
+        An order is dropped if another one was taken after its receiver got it: it was
+        delayed on the way, and its sender may have replaced it. An order that changes
+        nothing counts, too, as a delayed one must not undo it either.
+
         Args:
             command: Committed entry.
+
+        Returns:
+            Whether the order holds; repeated, the newest one holds again.
         """
+        if command.base_order not in (ANY_ORDER, self.newest_order):
+            return command.request == self.newest_order_name
+        self.newest_order += 1
+        self.newest_order_name = command.request
         if command.is_out is (command.domain in self.domains_out):
-            return
+            return True
         self.domains_revision += 1
         if command.is_out:
             self.domains_out.add(command.domain)
         else:
             self.domains_out.discard(command.domain)
+        return True
 
-    def answer(self, request: str) -> viewmessages.DocumentState:
-        """Return the answer to a change that was applied.
+    def answer(
+        self, request: str, is_outdated: bool = False
+    ) -> viewmessages.DocumentState:
+        """Return the answer to a change that was applied or dropped.
 
         Args:
             request: Unique name of the request.
+            is_outdated: Whether the change was dropped.
         """
-        return viewmessages.DocumentState(request, self.version)
+        return viewmessages.DocumentState(
+            request,
+            self.version,
+            newest_order=self.newest_order,
+            is_outdated=is_outdated,
+        )
 
     def fetch(self, request: str) -> viewmessages.DocumentState:
         """Return the answer to a fetch, with the document.
--- a/amaranthspar/platform/operators.py
+++ b/amaranthspar/platform/operators.py
@@ -47,7 +47,10 @@
                     return await self._set_domain(path.removeprefix(DOMAIN_PATH))
                 case _:
                     return servers.answer_json(404)
-        except documentrequests.UnavailableError as error:
+        except (
+            documentrequests.UnavailableError,
+            documentrequests.DelayedError,
+        ) as error:
             _log.info("operator request failed", path=request.path, reason=str(error))
             return servers.answer_json(503)
 
@@ -78,7 +81,7 @@
             "failure domain set",
             failure_domain=domain,
             is_out=action == START,
-            version=state.version,
+            order=state.newest_order,
         )
         return servers.answer_json(200)
 
--- a/amaranthspar/registry/registry.py
+++ b/amaranthspar/registry/registry.py
@@ -116,8 +116,9 @@
                 self.documents.put(command)
                 return [DocumentApplied(self.documents.answer(command.request))]
             case viewmessages.SetDomain() as command:
-                self.documents.set_domain(command)
-                return [DocumentApplied(self.documents.answer(command.request))]
+                holds = self.documents.set_domain(command)
+                answer = self.documents.answer(command.request, not holds)
+                return [DocumentApplied(answer)]
             case _:
                 raise errors.DecisionError(f"unknown entry kind {entry.kind!r}")
 
@@ -396,6 +397,8 @@
             saved.document,
             saved.domains_revision,
             set(saved.domains_out),
+            saved.newest_order,
+            saved.newest_order_name,
         )
 
 
--- a/amaranthspar/registry/snapshots.py
+++ b/amaranthspar/registry/snapshots.py
@@ -50,6 +50,8 @@
                 "document": state.documents.content,
                 "domains_revision": state.documents.domains_revision,
                 "domains_out": sorted(state.documents.domains_out),
+                "newest_order": state.documents.newest_order,
+                "newest_order_name": state.documents.newest_order_name,
             },
         )
 
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -109,7 +109,8 @@
         self._left = asyncio.Event()
         self.directory = directory.Directory()
         self.document_requests = documentrequests.DocumentRequests(
-            self._handle_own_request
+            self._handle_own_request,
+            lambda: self._registry.documents.newest_order,
         )
         self._snapshot_encoder: snapshots.SnapshotEncoder | None = None
 
@@ -258,6 +259,7 @@
             self._folder.close()
 
     def _tick(self) -> None:
+        self._record_progress()
         self._step(transitions.Tick())
         status = self._read_status()
         if status.now_ms >= self._next_expiry_ms:
@@ -271,6 +273,12 @@
         self._request_join(status.now_ms)
         self._remove_unresponsive(status.now_ms)
 
+    def _record_progress(self) -> None:
+        now_ms = self._clock.read_monotonic()
+        pause_ms = self.document_requests.pauses.record_progress(now_ms)
+        if pause_ms:
+            _log.warning("process resumed", name=self.name, pause_ms=pause_ms)
+
     def _remove_unresponsive(self, now_ms: int) -> None:
         if self._options.join and self.leading:
             for effect in self._administration.remove_unresponsive(now_ms):
--- a/amaranthspar/schema/messages.py
+++ b/amaranthspar/schema/messages.py
@@ -1062,6 +1062,8 @@
         document: Content of the routing document.
         domains_revision: Revision of the list of failure domains that are out of service.
         domains_out: Failure domains that are out of service.
+        newest_order: Number of the newest order on domains.
+        newest_order_name: Request name of the newest order on domains.
     """
 
     sections: list[Section]
@@ -1077,3 +1079,5 @@
     document: bytes = b""
     domains_revision: int = 0
     domains_out: list[str] = attrs.field(factory=list)
+    newest_order: int = 0
+    newest_order_name: str = ""
--- a/amaranthspar/schema/viewmessages.py
+++ b/amaranthspar/schema/viewmessages.py
@@ -115,11 +115,13 @@
         request: Unique id of the request.
         domain: Name of the failure domain.
         is_out: Whether no new runs may start in the failure domain.
+        base_order: Number of the newest order on domains that the receiver of this one knew; it is dropped after any other. -1 for none of these.
     """
 
     request: str
     domain: str
     is_out: bool
+    base_order: int = -1
 
 
 @attrs.frozen(slots=True)
@@ -141,8 +143,12 @@
         request: Copied from the request.
         version: Newest document version; -1 for none.
         content: Content of the document, in the answer to `FetchDocument`.
+        newest_order: Number of the newest order on domains.
+        is_outdated: Whether `SetDomain` was dropped, as its base is not the newest order.
     """
 
     request: str
     version: int
     content: bytes = b""
+    newest_order: int = 0
+    is_outdated: bool = False
