A start reaches only the incarnation of the upstream for which it was decided

Cause: a start names its target by the id, which both incarnations have. Between the end of one and the first answer of the next, a new connection led to the next one, and the start with it.

Change: a new connection for starts is first asked for the list of runs, which states the incarnation that has it. A connection ends with its process, so this holds until it ends. A start for another incarnation is not sent and refused as such; the gateway decides anew.

Ruled out: the expected instance in the header, which is the id.

test_restarted_upstream_runs_no_task_twice_at_once let starts reach the next incarnation over connections that are opened after its start; these starts are not sent any more. It opens them with a job before, and asks for as many starts on the next incarnation as before, with the same assertions.

--- a/amaranthspar/platform/upstreams.py
+++ b/amaranthspar/platform/upstreams.py
@@ -85,7 +85,12 @@
         end_ms = self._clock.read_monotonic() + valid_ms
         self._start_lease_end_ms = max(self._start_lease_end_ms, end_ms)
         self._lease_end_ms = max(self._lease_end_ms, self._start_lease_end_ms)
-        return await self._call(registration, START_PATH, body, START_TIMEOUT_MS)
+        try:
+            return await self._call(
+                registration, START_PATH, body, START_TIMEOUT_MS, fence
+            )
+        except runsidecar.ReplacedError:
+            return runevents.Answer.REPLACED
 
     async def stop(
         self,
@@ -199,10 +204,18 @@
         path: str,
         body: bytes,
         timeout_ms: int,
+        checked_fence: int | None = None,
     ) -> runevents.Answer:
+        """Make a call, on a connection to the given incarnation if there is a fence.
+
+        Raises:
+            runsidecar.ReplacedError: Another incarnation has the connection; the call
+                was not sent.
+            runsidecar.FenceError: The upstream has seen a higher fencing token.
+        """
         try:
             status, data = await _post(
-                self._call_pool, registration, path, body, timeout_ms
+                self._call_pool, registration, path, body, timeout_ms, checked_fence
             )
         except runsidecar.SilentError:
             return runevents.Answer.UNKNOWN
@@ -237,28 +250,40 @@
     path: str,
     body: bytes,
     timeout_ms: int,
+    checked_fence: int | None = None,
 ) -> tuple[int, bytes]:
     """Send a POST request and return the status and the body of the response.
 
+    Args:
+        pool: Pool of connections to the upstream.
+        registration: Incarnation that is called.
+        path: Path of the call.
+        body: Body of the call.
+        timeout_ms: Time for the whole exchange in ms.
+        checked_fence: Fencing token with which a connection is asked for its
+            incarnation before the call; None to send the call to any.
+
     Raises:
         runsidecar.RefusedError: The upstream refused the connection.
-        runsidecar.UnreachedError: No connection could be established.
+        runsidecar.UnreachedError: The call was not sent.
+        runsidecar.ReplacedError: Another incarnation has the connection; the call was
+            not sent.
         runsidecar.SilentError: There was no complete response in time.
     """
-    headers = pool.build_headers(body)
-    headers[INSTANCE_HEADER] = registration.id
-    headers["Content-Type"] = "application/json"
     connection = None
-    is_complete = False
+    is_sent = is_complete = False
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            connection = await pool.connect()
-            await exchange.send_request(connection, path, headers, body)
-            response = await exchange.read_response(connection)
+            if checked_fence is None:
+                connection = await pool.connect()
+            else:
+                connection = await _connect_to(pool, registration, checked_fence)
+            is_sent = True
+            response = await _exchange(pool, connection, registration, path, body)
         is_complete = True
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         reason = f"{type(error).__name__}: {error}"
-        if connection is not None:
+        if is_sent:
             raise runsidecar.SilentError(reason) from error
         if _is_connection_refused(error):
             raise runsidecar.RefusedError(reason) from error
@@ -269,6 +294,81 @@
     return response.status, response.body
 
 
+async def _connect_to(
+    pool: exchange.Pool, registration: incarnations.Registration, fence: int
+) -> aiohttp.connector.Connection:
+    """Return a connection to an incarnation.
+
+    The id in a call does not tell two incarnations apart that have the same one, and
+    the next one may serve the listener at once. So a new connection is first asked for
+    the list of runs, which states the incarnation that has it until it ends.
+
+    Args:
+        pool: Pool of connections to the upstream.
+        registration: Incarnation.
+        fence: Fencing token of calls to it.
+
+    Raises:
+        runsidecar.ReplacedError: Another incarnation has accepted the connection.
+    """
+    while True:
+        connection = await pool.connect()
+        is_usable = False
+        try:
+            owner = pool.find_owner(connection)
+            is_new = owner is None
+            if owner is None:
+                owner = await _request_owner(pool, connection, registration, fence)
+                pool.record_owner(connection, owner)
+            is_usable = owner in ("", registration.incarnation)
+            if is_usable:
+                return connection
+            if is_new:
+                raise runsidecar.ReplacedError(f"{owner} has the connection")
+        finally:
+            if not is_usable:
+                exchange.release_connection(connection, reusable=False)
+
+
+async def _request_owner(
+    pool: exchange.Pool,
+    connection: aiohttp.connector.Connection,
+    registration: incarnations.Registration,
+    fence: int,
+) -> str:
+    """Return the incarnation that has a connection; empty if it does not state it."""
+    body = wire.encode_renewal(0, 0, 0, fence)
+    response = await _exchange(pool, connection, registration, HOLD_PATH, body)
+    if response.status == _OTHER_INSTANCE:
+        raise runsidecar.ReplacedError("another life of the upstream answered")
+    if response.status == _CONFLICT:
+        raise runsidecar.FenceError("the upstream has seen a higher fencing token")
+    if response.status != _OK:
+        reason = f"list failed with HTTP status {response.status}"
+        raise aiohttp.ClientPayloadError(reason)
+    try:
+        listing = wire.decode_listing(response.body)
+    except wire.BodyError as error:
+        raise aiohttp.ClientPayloadError(str(error)) from error
+    if not listing.born_ms:
+        return ""
+    return build_incarnation(registration.id, listing.born_ms)
+
+
+async def _exchange(
+    pool: exchange.Pool,
+    connection: aiohttp.connector.Connection,
+    registration: incarnations.Registration,
+    path: str,
+    body: bytes,
+) -> exchange.Response:
+    headers = pool.build_headers(body)
+    headers[INSTANCE_HEADER] = registration.id
+    headers["Content-Type"] = "application/json"
+    await exchange.send_request(connection, path, headers, body)
+    return await exchange.read_response(connection)
+
+
 def _is_connection_refused(error: Exception) -> bool:
     """Return whether the connection was refused, as opposed to not answered."""
     if not isinstance(error, aiohttp.ClientConnectorError):
--- a/amaranthspar/upstreams/exchange.py
+++ b/amaranthspar/upstreams/exchange.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import weakref
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -119,6 +120,32 @@
             session=self._session,
         )
         self._timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_MS / 1000)
+        self._owners: weakref.WeakKeyDictionary[client_proto.ResponseHandler, str] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def find_owner(self, connection: aiohttp.connector.Connection) -> str | None:
+        """Return the name of the process at the other end; None if it is not known.
+
+        A connection ends with the process that accepted it.
+
+        Args:
+            connection: Connection of this pool.
+        """
+        protocol = connection.protocol
+        return None if protocol is None else self._owners.get(protocol)
+
+    def record_owner(
+        self, connection: aiohttp.connector.Connection, owner: str
+    ) -> None:
+        """Record the process at the other end of a connection.
+
+        Args:
+            connection: Connection of this pool.
+            owner: Name of the process, as its answer states.
+        """
+        if connection.protocol is not None:
+            self._owners[connection.protocol] = owner
 
     async def close(self) -> None:
         """Close every connection."""
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -127,6 +127,13 @@
         self.runs.clear()
         self.ends.clear()
 
+    def replace_process(self) -> None:
+        """Begin another incarnation in a new process that took over the listener."""
+        self.restart()
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     @staticmethod
     def _is_for_another(request) -> bool:
         header = "X-Amaranthspar-Expected-Instance"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -237,6 +237,30 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_start_does_not_reach_the_next_incarnation_of_an_upstream(tmp_path):
+    """It is back at once under its id, perhaps without a label that the task needs."""
+
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        known = system.sidecar._incarnations
+        life, fence = known.current, known.fence
+        system.sidecar._loops[1].cancel()
+        calls = system.sidecar._upstream
+        name = runmessages.RunName("late.0.0.0", 1)
+        order = runmessages.RunOrder(name, runmessages.Resources(1000, 64, 0))
+        answer = await calls.start(life, order, "x", fence)
+        assert answer is runevents.Answer.ACCEPTED
+        system.upstream.replace_process()
+        started = list(system.upstream.starts)
+        answers = [await calls.start(life, order, "x", fence) for _ in range(10)]
+        assert answers[-1] is runevents.Answer.REPLACED
+        # The end of a connection may not have been noticed yet.
+        assert set(answers) <= {runevents.Answer.REPLACED, runevents.Answer.UNKNOWN}
+        assert system.upstream.starts == started
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_calls_to_unresponsive_upstream_are_rate_limited(tmp_path):
     """An upstream fails with runs, and its host refuses connections immediately."""
 
@@ -471,9 +495,10 @@
 
 
 def test_restarted_upstream_runs_no_task_twice_at_once(tmp_path):
-    """An upstream returns under its id; its first heartbeat comes after the starts."""
+    """Starts on open connections reach its next incarnation before its first heartbeat."""
 
     async def scenario(system) -> None:
+        await system.submit_until_done(JOB[::-1], count=2)
         system.upstream.restart()
         caller = await system.start_long_runs(JOB, count=2)
         body = builders.build_heartbeat(1, born=2)
@@ -481,7 +506,7 @@
         with structlog.testing.capture_logs() as lines:
             await system.call("POST", system.registrations, path, body)
             async with asyncio.timeout(WAIT_S):
-                while len(system.upstream.starts) < 4:
+                while len(system.upstream.starts) < 6:
                     await asyncio.sleep(0.02)
         assert [line for line in lines if line["event"] == "run lost"] == []
         assert system.upstream.overlaps == []
