--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -9,7 +9,7 @@
 import structlog
 
 from amaranthspar import clock, configuration, effects, errors, loop as loops
-from amaranthspar.consensus import consensus, replicas, transitions
+from amaranthspar.consensus import consensus, journal, replicas, transitions
 from amaranthspar.membership import directory
 from amaranthspar.network import links
 from amaranthspar.observation import metrics
@@ -211,12 +211,12 @@
         A successor has joined it. A replica that stops only to start again joins again.
         """
         for attempt in range(LEAVE_TIMEOUT_MS // LEAVE_INTERVAL_MS):
-            journal = self._machine.journal
-            if self.stopped.is_set() or len(replicas.list_voters(journal.members)) % 2:
+            known = self._machine.journal
+            if self.stopped.is_set() or len(replicas.list_voters(known.members)) % 2:
                 return
             self._handle_own_request(
                 messages.LeaveReplicas(
-                    attempt, self._options.replica, journal.members_index
+                    attempt, self._options.replica, known.members_index
                 )
             )
             with contextlib.suppress(TimeoutError):
@@ -448,11 +448,24 @@
         status = self._read_status()
         for entry in entries:
             self._applied_bytes += len(entry.payload)
+            if entry.kind == journal.REPLICAS_KIND:
+                self._log_replicas(entry)
             outcomes = self._registry.apply(entry)
             self._send(self.requests.answer_outcomes(outcomes, status))
         self._send(self._administration.answer_committed())
         asyncio.get_running_loop().call_soon(self._run_due_work)
 
+    def _log_replicas(self, entry: messages.LogEntry) -> None:
+        change = codec.decode_message(entry.kind, entry.payload)
+        if isinstance(change, messages.ChangeReplicas):
+            _log.info(
+                "replicas changed",
+                name=self.name,
+                index=entry.index,
+                reason=change.reason,
+                voters=replicas.list_voters(change),
+            )
+
     def _run_due_work(self) -> None:
         """Start a snapshot and propose the first configuration when they are due."""
         if self.stopped.is_set():
--- a/tests/test_replica_orders.py
+++ b/tests/test_replica_orders.py
@@ -84,3 +84,17 @@
         hosts.wait(CALM_MS)
         assert hosts.commits(), seed
         assert len(hosts.find_committed_members().replicas) == size, seed
+
+
+@pytest.mark.parametrize("target", ["leader", "follower", "newest"])
+def test_host_that_is_removed_unannounced_beside_a_lost_disk_leaves_a_leader(target):
+    """Its successor has joined, so that only the lost disk is a loss to be borne."""
+    hosts = builders_replacement.ReplicaHosts(1, SETS[3])
+    play(hosts, "add", "", ())
+    lost = builders_replacement.choose_host(hosts, target, OLD_HOST)
+    hosts.kill(OLD_HOST)
+    hosts.lose_disk(lost)
+    hosts.wait(DOWN_MS)
+    hosts.restart(lost)
+    hosts.wait(2 * CALM_MS)
+    assert hosts.commits()
