A stopping replica leaves no set of two voters

What could have been lost: of two voters, as while a host with an empty disk joins in place of its former replica, one could leave on SIGTERM, and the other would confirm changes alone, which are lost with its disk.

Cause: the check asked for an odd number of voters that remain, also for one. Change: a voter leaves a set of four or more only. test_stopping_voter_stays_in_a_set_without_a_spare_one fails for two voters without it. 116 tests of the set, the controllers and announcements pass.

--- a/amaranthspar/consensus/replacement.py
+++ b/amaranthspar/consensus/replacement.py
@@ -5,6 +5,9 @@
 from amaranthspar import errors
 from amaranthspar.schema import messages
 
+MIN_SPARING_VOTERS = 4
+"""Smallest number of voters of which one may leave."""
+
 
 class RefusedError(errors.DecisionError):
     """The requested change of the set of replicas is not allowed."""
@@ -104,12 +107,24 @@
     return unresponsive_voters[0]
 
 
+def has_spare_voter(members: messages.ChangeReplicas) -> bool:
+    """Return whether the set tolerates as many failures without one of its voters.
+
+    Two voters need each other: what one of them confirmed alone would be lost with it.
+
+    Args:
+        members: Set of replicas.
+    """
+    count = sum(item.voter for item in members.replicas)
+    return count >= MIN_SPARING_VOTERS and count % 2 == 0
+
+
 def check_leave(
     members: messages.ChangeReplicas, leaving: str, unresponsive: frozenset[str]
 ) -> None:
     """Check that the set can spare a voter that is about to stop.
 
-    Without it, an odd number of voters must remain of which a majority responds.
+    A majority of the remaining voters must respond.
 
     Args:
         members: Current set.
@@ -124,8 +139,8 @@
         raise RefusedError(f"replica {leaving} is no voter")
     remaining = [voter for voter in voters if voter != leaving]
     responsive = [voter for voter in remaining if voter not in unresponsive]
-    if len(remaining) % 2 == 0:
-        raise RefusedError(f"an even number of {len(remaining)} voters would remain")
+    if not has_spare_voter(members):
+        raise RefusedError(f"a set of {len(voters)} voters can spare none")
     if 2 * len(responsive) <= len(remaining):
         raise RefusedError("no majority of the remaining voters responds")
 
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -9,7 +9,13 @@
 import structlog
 
 from amaranthspar import clock, configuration, effects, errors, loop as loops
-from amaranthspar.consensus import consensus, journal, replicas, transitions
+from amaranthspar.consensus import (
+    consensus,
+    journal,
+    replacement,
+    replicas,
+    transitions,
+)
 from amaranthspar.membership import directory
 from amaranthspar.network import links
 from amaranthspar.observation import metrics
@@ -206,13 +212,15 @@
         self.abort()
 
     async def _leave_replicas(self) -> None:
-        """Leave a set whose number of voters is even, which tolerates no more failures.
+        """Leave a set that has a voter to spare.
 
         A successor has joined it. A replica that stops only to start again joins again.
         """
         for attempt in range(LEAVE_TIMEOUT_MS // LEAVE_INTERVAL_MS):
             known = self._machine.journal
-            if self.stopped.is_set() or len(replicas.list_voters(known.members)) % 2:
+            if self.stopped.is_set():
+                return
+            if not replacement.has_spare_voter(known.members):
                 return
             self._handle_own_request(
                 messages.LeaveReplicas(
--- a/tests/builders_replacement.py
+++ b/tests/builders_replacement.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from amaranthspar.consensus import replicas, transitions
+from amaranthspar.consensus import replacement, transitions
 from amaranthspar.registry import administration
 from amaranthspar.schema import messages
 from tools import simulation
@@ -82,8 +82,8 @@
         for _ in range(LEAVE_TIMEOUT_MS // STEP_MS):
             machine = self.nodes[replica].machine
             assert machine is not None
-            members = machine.journal.members
-            if len(replicas.list_voters(members)) % 2 or self._leave(host):
+            spares = replacement.has_spare_voter(machine.journal.members)
+            if not spares or self._leave(host):
                 break
             self.wait(STEP_MS)
         self.kill(host)
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -246,9 +246,15 @@
         replacement.check_leave(members, leaving, frozenset(silent))
 
 
-def test_stopping_voter_stays_in_a_set_of_three():
+@pytest.mark.parametrize("count", [1, 2, 3, 5])
+def test_stopping_voter_stays_in_a_set_without_a_spare_one(count):
+    """Of two, the other one would confirm alone what is lost with it."""
+    voters = [
+        messages.Replica(f"h{at}", f"h{at}:1", True) for at in range(1, count + 1)
+    ]
+    members = messages.ChangeReplicas(voters, [])
     with pytest.raises(replacement.RefusedError):
-        replacement.check_leave(build_members(), "h1", frozenset())
+        replacement.check_leave(members, "h1", frozenset())
 
 
 def test_unresponsive_voter_is_removed_from_an_even_number_of_voters():
