--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -40,7 +40,7 @@
 
 
 class UnreachedError(SilentError):
-    """No connection to the upstream could be established, so it received nothing."""
+    """No connection to the incarnation was established, so the call was not sent."""
 
 
 class RefusedError(UnreachedError):
