Log which controllers a process asks while none answers, and measure the silence

The lines of lost and regained contact name the addresses that are asked, the newest version known and the time without an answer, and the line of a lost contact is repeated every 10 s. Two gauges hold the version of the document and the silence. No decision is changed.

--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -116,6 +116,11 @@
         self._next_position = 0
         self._merged_addresses: frozenset[str] = frozenset()
 
+    @property
+    def addresses(self) -> list[str]:
+        """Addresses of the controllers that the process announces itself to."""
+        return list(self._controllers)
+
     def has_recent_answer(self, now_ms: int) -> bool:
         """Return whether any controller answered within the time-out.
 
--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -9,6 +9,9 @@
 from amaranthspar.membership import announcer, documents
 from amaranthspar.schema import codec, viewmessages
 
+SILENCE_LOG_INTERVAL_MS = 10_000
+"""Interval at which a process without an answer of any controller logs this again."""
+
 _log = structlog.get_logger()
 
 
@@ -50,6 +53,8 @@
         self._announcer = announcer.Announcer(announcement, process.controllers)
         self._send = send
         self._had_contact = False
+        self._started_ms: int | None = None
+        self._logged_ms = 0
 
     @property
     def version(self) -> int:
@@ -66,6 +71,8 @@
         Args:
             now_ms: Monotonic time in ms.
         """
+        if self._started_ms is None:
+            self._started_ms = self._logged_ms = now_ms
         for send in self._announcer.tick(now_ms):
             match send.message:
                 case viewmessages.Announce(wants_document=True):
@@ -77,11 +84,34 @@
                         age_ms=self._announcer.find_document_age_ms(now_ms),
                     )
             self._send(send.peer, send.message)
+        self._log_contact(now_ms)
+
+    def find_silence_ms(self, now_ms: int) -> int:
+        """Return the time since the last answer of any controller, in ms.
+
+        Args:
+            now_ms: Monotonic time in ms.
+
+        Returns:
+            The time, at most that since the first tick.
+        """
+        started_ms = now_ms if self._started_ms is None else self._started_ms
+        return now_ms - max(self._announcer.answered_ms, started_ms)
+
+    def _log_contact(self, now_ms: int) -> None:
         has_contact = self._announcer.has_recent_answer(now_ms)
-        if has_contact is not self._had_contact:
-            self._had_contact = has_contact
-            event = "controllers heard" if has_contact else "controllers silent"
-            _log.info(event, version=self.version)
+        is_repeated = now_ms - self._logged_ms >= SILENCE_LOG_INTERVAL_MS
+        if has_contact is self._had_contact and (has_contact or not is_repeated):
+            return
+        self._had_contact = has_contact
+        self._logged_ms = now_ms
+        _log.info(
+            "controllers heard" if has_contact else "controllers silent",
+            version=self.version,
+            newest=self._announcer.newest,
+            silent_ms=self.find_silence_ms(now_ms),
+            asked=self._announcer.addresses,
+        )
 
     def apply_view(
         self, address: str, view: viewmessages.View, now_ms: int
--- a/amaranthspar/observation/metering.py
+++ b/amaranthspar/observation/metering.py
@@ -69,6 +69,8 @@
         lateness: Delay of periodic work after its due time.
         document_age: Time from the first notice of a newer routing document until
             the process has received it.
+        document_version: Version of the routing document held; -1 for none.
+        silence_ms: Time since the last answer of any controller in ms.
     """
 
     def __init__(self) -> None:
@@ -80,6 +82,8 @@
         self.starts = Histogram()
         self.lateness = Histogram()
         self.document_age = Histogram()
+        self.document_version = -1
+        self.silence_ms = 0
 
     def count_answer(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count an answered job and its duration.
@@ -124,6 +128,16 @@
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_runs", "Runs on the upstream", self.running
         )
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_document_version",
+            "Version of the routing document held",
+            self.document_version,
+        )
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_controllers_silent_seconds",
+            "Time since the last answer of any controller",
+            self.silence_ms / 1000,
+        )
         histograms = (
             ("start", "Time of calls that start a run", self.starts),
             ("loop_late", "Lateness of repeated work", self.lateness),
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -216,7 +216,10 @@
         if not self._routable.is_set():
             self._check_routable()
         self.meters.waiting = len(self._dispatcher.waiting)
-        self._contact.tick(self._clock.read_monotonic())
+        now_ms = self._clock.read_monotonic()
+        self._contact.tick(now_ms)
+        self.meters.document_version = self.version
+        self.meters.silence_ms = self._contact.find_silence_ms(now_ms)
 
     def _receive(self, frame: codec.Frame) -> None:
         for message in frame.messages:
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -282,7 +282,9 @@
 
     def _tick_contact(self) -> None:
         self._meters.running = len(self._manager.runs)
-        self._contact.tick(self._clock.read_monotonic())
+        now_ms = self._clock.read_monotonic()
+        self._contact.tick(now_ms)
+        self._meters.silence_ms = self._contact.find_silence_ms(now_ms)
 
     def _schedule_tick(self, now_ms: int) -> None:
         """Schedule the next tick of the run manager for when it is due."""
