A process that hears no controller learns of the current ones from others

Callers of a gateway got answers by an old version for good, once all controllers had been replaced while it heard none of them.

Cause: a process asked the addresses of its first settings and those that controllers had told it; nothing else ever corrected these.

Change: controllers state their committed set with a revision, and the age of their view. The newer set replaces the older one, so that replaced controllers take no turn. A process without contact asks two or three of the processes heard last every 300 ms (gateways also another gateway) for the set, the failure domains and the document, and tries all addresses it knows. A controller outside the set, or without a leader, asks processes that it heard too.

--- a/amaranthspar/consensus/journal.py
+++ b/amaranthspar/consensus/journal.py
@@ -126,8 +126,18 @@
         Args:
             index: Index in the log, not before the snapshot's.
         """
-        found = [change for start, change in self._member_changes if start <= index]
-        return found[-1]
+        return self._find_member_change(index)[1]
+
+    def find_members_index(self, index: int) -> int:
+        """Return the index of the entry that holds the set in effect at an index.
+
+        Args:
+            index: Index in the log, not before the snapshot's.
+        """
+        return self._find_member_change(index)[0]
+
+    def _find_member_change(self, index: int) -> tuple[int, messages.ChangeReplicas]:
+        return [item for item in self._member_changes if item[0] <= index][-1]
 
     def save_vote(self, term: int, vote: str) -> int:
         """Set term and vote, to be written at the end of the step.
--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -4,12 +4,18 @@
 messages does not grow with the number of controllers. It uses the newest version that
 any of them reports. A view is never replaced by an older one, and it stays in force
 while no controller answers: an outage of the controllers does not stop any work.
+
+While no controller answers, the process also asks others for what they have heard since.
+The controllers may have been replaced at other addresses, and what one process knows of
+them then reaches all that it talks to.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from amaranthspar import effects
-from amaranthspar.membership import documents
+from amaranthspar.membership import controllers, documents, peers
 from amaranthspar.schema import viewmessages
 
 ANNOUNCE_INTERVAL_MS = 300
@@ -26,6 +32,9 @@
 answers are then missing."""
 CONTROLLER_TIMEOUT_MS = 1_500
 """Time without an answer of any controller after which a process has lost contact."""
+MAX_VIEW_AGE_MS = 3_000
+"""Age of a controller's own view from which its answers are no contact: a controller that
+was cut off or removed goes on answering, and an election takes about 1 s."""
 FETCH_RETRY_MS = 400
 """Time after which a missing document is requested again, from another controller."""
 
@@ -36,12 +45,14 @@
 
     Attributes:
         answered_ms: Monotonic time of its last answer in ms.
+        current_ms: Monotonic time in ms of its last answer from a recent view.
         version: Version of the document that it holds.
         digest: Digest of its list of processes as held here.
         peers: Its list of processes by name.
     """
 
     answered_ms: int = -PEER_LIST_TIMEOUT_MS
+    current_ms: int = -PEER_LIST_TIMEOUT_MS
     version: int = documents.NO_VERSION
     digest: int = 0
     peers: dict[str, viewmessages.Peer] = attrs.field(factory=dict)
@@ -89,7 +100,7 @@
     Args:
         announcement: Announcement of the process; the versions and digests of the view
             are filled in before it is sent.
-        seeds: Addresses of the first controllers.
+        seeds: Addresses of the controllers in the settings.
 
     Attributes:
         version: Version of the document held.
@@ -97,7 +108,10 @@
         domains_revision: Revision of `domains_out`; -1 for none.
         domains_out: Failure domains out of service.
         peers: Processes that any controller lists.
-        answered_ms: Monotonic time of the last answer of any controller in ms.
+        answered_ms: Monotonic time in ms of the last answer of any controller from a
+            recent view.
+        controllers: Addresses of the controllers.
+        recent_peers: Processes from which messages were received.
     """
 
     def __init__(self, announcement: viewmessages.Announce, seeds: list[str]) -> None:
@@ -106,20 +120,57 @@
         self.domains_out: frozenset[str] = frozenset()
         self.peers: tuple[viewmessages.Peer, ...] = ()
         self.answered_ms = -CONTROLLER_TIMEOUT_MS
+        self.controllers = controllers.Controllers(seeds)
+        self.recent_peers = peers.RecentPeers()
         self._announcement = announcement
-        self._controllers = {address: _Controller() for address in seeds}
+        self._controllers: dict[str, _Controller] = {}
+        self._update_addresses()
         self._sent_ms = -ANNOUNCE_INTERVAL_MS
         self._started_ms: int | None = None
         self._fetched_ms = -FETCH_RETRY_MS
         self.newest = documents.NO_VERSION
         self._newest_ms = 0
         self._next_position = 0
+        self._next_gateway = 0
+        self._asked_peer_ms = -ANNOUNCE_INTERVAL_MS
+        self._fetched_from_peer_ms = -FETCH_RETRY_MS
         self._merged_addresses: frozenset[str] = frozenset()
 
-    @property
-    def addresses(self) -> list[str]:
-        """Addresses of the controllers that the process announces itself to."""
-        return list(self._controllers)
+    def list_asked(self, now_ms: int) -> list[str]:
+        """Return the addresses of the controllers to announce the process to, in turn.
+
+        Without contact these are all known ones. In contact, those that the settings
+        name beside the stated set take no turn, unless they answer from a recent view.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        if not self.has_recent_answer(now_ms):
+            return list(self._controllers)
+        current = set(self.controllers.list_current())
+        return [
+            address
+            for address, item in self._controllers.items()
+            if address in current or now_ms - item.current_ms <= PEER_LIST_TIMEOUT_MS
+        ]
+
+    def apply_settings(self, seeds: Iterable[str]) -> bool:
+        """Replace the addresses from the settings and return whether they have changed.
+
+        Args:
+            seeds: Addresses of the controllers in the settings.
+        """
+        if not self.controllers.apply_settings(seeds):
+            return False
+        self._update_addresses()
+        return True
+
+    def _update_addresses(self) -> None:
+        """Drop what is known of former controllers, and add the new ones."""
+        self._controllers = {
+            address: self._controllers.get(address, _Controller())
+            for address in self.controllers.list_known()
+        }
 
     def has_recent_answer(self, now_ms: int) -> bool:
         """Return whether any controller answered within the time-out.
@@ -157,34 +208,38 @@
             STARTUP_INTERVAL_MS if is_starting else ANNOUNCE_INTERVAL_MS
         ):
             self._sent_ms = now_ms
-            due |= set(self._controllers) if is_starting else {self._choose_next()}
-        return [
-            effects.Send(
-                address, self._build_announcement(controller, address == source)
+            due |= (
+                set(self._controllers) if is_starting else {self._choose_next(now_ms)}
             )
-            for address, controller in self._controllers.items()
-            if address in due
+        return [
+            *(
+                effects.Send(
+                    address, self._build_announcement(controller, address == source)
+                )
+                for address, controller in self._controllers.items()
+                if address in due
+            ),
+            *self._ask_peers(now_ms),
         ]
 
     def apply_view(
         self, address: str, view: viewmessages.View, now_ms: int
     ) -> ViewUpdate | None:
-        """Merge the view that a controller answered with.
+        """Merge the view that a controller or another process answered with.
 
         Args:
-            address: Address of the controller.
-            view: View of the controller.
+            address: Address of the sender.
+            view: View of the sender.
             now_ms: Monotonic time in ms.
 
         Returns:
             The change of the view; None if nothing has changed.
         """
-        controller = self._controllers.setdefault(address, _Controller())
-        controller.answered_ms = now_ms
-        controller.version = view.document_version
-        self.answered_ms = now_ms
-        for listed in view.controllers:
-            self._controllers.setdefault(listed, _Controller())
+        if self.controllers.apply_set(view.controllers_revision, view.controllers):
+            self._update_addresses()
+        controller = self._controllers.get(address)
+        if controller is not None:
+            self._record_answer(controller, view, now_ms)
         if view.document_version > self.newest:
             self.newest = view.document_version
             self._newest_ms = now_ms
@@ -199,12 +254,113 @@
             self.domains_revision = view.domains_revision
             self.domains_out = frozenset(view.domains_out)
             has_changed = True
-        if self._announcement.wants_peers:
+        if self._announcement.wants_peers and controller is not None:
             has_changed = self._update_peers(controller, view, now_ms) or has_changed
         if not has_changed:
             return None
         return ViewUpdate(document, self.domains_out, self.peers, document_age_ms)
 
+    @staticmethod
+    def _is_current(view: viewmessages.View) -> bool:
+        return 0 <= view.view_age_ms <= MAX_VIEW_AGE_MS
+
+    def _record_answer(
+        self, controller: _Controller, view: viewmessages.View, now_ms: int
+    ) -> None:
+        controller.answered_ms = now_ms
+        controller.version = view.document_version
+        if self._is_current(view):
+            controller.current_ms = self.answered_ms = now_ms
+
+    def answer_peer(
+        self, request: viewmessages.FetchView, document: bytes
+    ) -> viewmessages.View | None:
+        """Return what is newer here than at another process; None for nothing.
+
+        Args:
+            request: Request of a process that hears no controller.
+            document: Content of the document held; empty where none is held.
+        """
+        sends_document = (
+            request.wants_document
+            and bool(document)
+            and self.version > request.document_version
+        )
+        if not (
+            sends_document
+            or self.controllers.revision > request.controllers_revision
+            or self.newest > request.newest_version
+            or self.domains_revision > request.domains_revision
+        ):
+            return None
+        return viewmessages.View(
+            self.version if sends_document else self.newest,
+            self.domains_revision,
+            sorted(self.domains_out),
+            list(self.controllers.stated),
+            [],
+            [],
+            0,
+            0,
+            document if sends_document else b"",
+            self.controllers.revision,
+            documents.NO_VIEW_AGE_MS,
+        )
+
+    def _ask_peers(self, now_ms: int) -> list[effects.Send]:
+        """Ask other processes for newer parts of the view, if no controller answers.
+
+        A process that was heard recently is asked in turn; gateways, which hold the
+        document, also ask another gateway.
+        """
+        started_ms = now_ms if self._started_ms is None else self._started_ms
+        if (
+            self.has_recent_answer(now_ms)
+            or now_ms - started_ms <= CONTROLLER_TIMEOUT_MS
+            or now_ms - self._asked_peer_ms < ANNOUNCE_INTERVAL_MS
+        ):
+            return []
+        self._asked_peer_ms = now_ms
+        addresses = {self.recent_peers.choose_next(), self._choose_gateway()} - {""}
+        source = self._choose_document_source(now_ms)
+        if source:
+            addresses.add(source)
+        return [
+            effects.Send(
+                address,
+                viewmessages.FetchView(
+                    self.controllers.revision,
+                    self.version,
+                    self.newest,
+                    self.domains_revision,
+                    address == source,
+                ),
+            )
+            for address in sorted(addresses)
+        ]
+
+    def _choose_document_source(self, now_ms: int) -> str:
+        """Return the gateway to fetch a missing document from; empty for none."""
+        if not self._announcement.wants_peers or self.version >= self.newest:
+            return ""
+        if now_ms - self._fetched_from_peer_ms < FETCH_RETRY_MS:
+            return ""
+        self._fetched_from_peer_ms = now_ms
+        return self._choose_gateway()
+
+    def _choose_gateway(self) -> str:
+        """Return the address of another gateway, each in turn; empty for none."""
+        own = self._announcement.process
+        gateways = [
+            peer.address
+            for peer in self.peers
+            if peer.role == "gateway" and peer.process != own
+        ]
+        if not gateways:
+            return ""
+        self._next_gateway += 1
+        return gateways[self._next_gateway % len(gateways)]
+
     def _update_peers(
         self, controller: _Controller, view: viewmessages.View, now_ms: int
     ) -> bool:
@@ -231,10 +387,10 @@
         )
         return self._announcement.wants_peers or 2 * answered <= len(self._controllers)
 
-    def _choose_next(self) -> str:
+    def _choose_next(self, now_ms: int) -> str:
         """Return the address of the controller for the next announcement."""
         self._next_position += 1
-        addresses = list(self._controllers)
+        addresses = self.list_asked(now_ms)
         return addresses[self._next_position % len(addresses)] if addresses else ""
 
     def _choose_source(self, now_ms: int) -> str:
--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -65,6 +65,47 @@
         """State in the announcements from now on that the process is stopping."""
         self._announcer.announce_leaving()
 
+    def note_peer(self, address: str) -> None:
+        """Note that a message of another process was received.
+
+        Args:
+            address: Address at which the process listens.
+        """
+        self._announcer.recent_peers.note(address)
+
+    def apply_settings(self, controllers: list[str]) -> None:
+        """Replace the addresses of the controllers from the settings.
+
+        Args:
+            controllers: Addresses in the settings.
+        """
+        if self._announcer.apply_settings(controllers):
+            self._log_controllers("settings")
+
+    def answer_peer(
+        self, address: str, request: viewmessages.FetchView, document: bytes = b""
+    ) -> None:
+        """Send a process that hears no controller what is newer here.
+
+        Args:
+            address: Address of the process.
+            request: What it holds.
+            document: Content of the document held; empty where none is held.
+        """
+        answer = self._announcer.answer_peer(request, document)
+        if answer is not None:
+            self._send(address, answer)
+
+    def _log_controllers(self, source: str) -> None:
+        known = self._announcer.controllers
+        _log.info(
+            "controllers changed",
+            source=source,
+            revision=known.revision,
+            stated=list(known.stated),
+            known=known.list_known(),
+        )
+
     def tick(self, now_ms: int) -> None:
         """Send the announcements that are due.
 
@@ -110,23 +151,26 @@
             version=self.version,
             newest=self._announcer.newest,
             silent_ms=self.find_silence_ms(now_ms),
-            asked=self._announcer.addresses,
+            asked=self._announcer.list_asked(now_ms),
         )
 
     def apply_view(
         self, address: str, view: viewmessages.View, now_ms: int
     ) -> announcer.ViewUpdate | None:
-        """Merge the view that a controller answered with.
+        """Merge the view that a controller or another process answered with.
 
         Args:
-            address: Address of the controller.
-            view: View of the controller.
+            address: Address of the sender.
+            view: View of the sender.
             now_ms: Monotonic time in ms.
 
         Returns:
             The change of the view; None if nothing has changed.
         """
+        stated = set(self._announcer.controllers.stated)
         update = self._announcer.apply_view(address, view, now_ms)
+        if set(self._announcer.controllers.stated) != stated:
+            self._log_controllers(address)
         if update is not None:
             _log.info(
                 "view changed",
--- a/amaranthspar/membership/directory.py
+++ b/amaranthspar/membership/directory.py
@@ -22,6 +22,21 @@
 the largest site."""
 
 
+@attrs.frozen(slots=True)
+class ControllerState:
+    """What a controller states of itself and the others in its answers.
+
+    Attributes:
+        addresses: Addresses of all controllers.
+        revision: Revision of this set; 0 for an unknown one.
+        view_age_ms: Age in ms of its view that a majority has confirmed; -1 for none.
+    """
+
+    addresses: list[str]
+    revision: int
+    view_age_ms: int
+
+
 @attrs.frozen(slots=True)
 class _ListedProcess:
     """A listed process and the time of its last announcement."""
@@ -53,7 +68,7 @@
         self,
         message: viewmessages.Announce,
         state: documents.Documents,
-        controllers: list[str],
+        controllers: ControllerState,
         now_ms: int,
     ) -> viewmessages.View:
         """Record an announcement and return the answer.
@@ -61,7 +76,7 @@
         Args:
             message: Announcement of a process.
             state: Committed document and domains.
-            controllers: Addresses of all controllers.
+            controllers: State of the controllers.
             now_ms: Monotonic time in ms.
 
         Returns:
@@ -79,7 +94,7 @@
             state.version,
             state.domains_revision,
             sorted(state.domains_out),
-            controllers,
+            controllers.addresses,
             [
                 self._processes[name].peer
                 for name in sorted(names)
@@ -89,6 +104,8 @@
             base,
             self._digest,
             state.content if sends_document else b"",
+            controllers.revision,
+            controllers.view_age_ms,
         )
 
     def expire(self, now_ms: int) -> list[str]:
--- a/amaranthspar/membership/documents.py
+++ b/amaranthspar/membership/documents.py
@@ -6,6 +6,8 @@
 
 NO_VERSION = -1
 """Version before the first document."""
+NO_VIEW_AGE_MS = -1
+"""Age of the view of a process without a view that a majority has confirmed."""
 ANY_ORDER = -1
 """Base of an order on domains that holds after any other."""
 
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -16,7 +16,7 @@
     replicas,
     transitions,
 )
-from amaranthspar.membership import directory
+from amaranthspar.membership import controllers, directory, peers
 from amaranthspar.network import links
 from amaranthspar.observation import metrics
 from amaranthspar.registry import (
@@ -114,6 +114,8 @@
         self._is_leaving = False
         self._left = asyncio.Event()
         self.directory = directory.Directory()
+        self._controllers = controllers.Controllers(controller.join)
+        self._peers = peers.RecentPeers()
         self.document_requests = documentrequests.DocumentRequests(
             self._handle_own_request,
             lambda: self._registry.documents.newest_order,
@@ -301,9 +303,52 @@
         self._next_join_ms = now_ms + JOIN_INTERVAL_MS
         joining = messages.JoinReplicas(self._options.replica, self._links.address)
         members = self._machine.journal.members.replicas
-        addresses = {*self._options.join, *(item.address for item in members)}
+        known = self._controllers.list_known()
+        addresses = {*known, *(item.address for item in members)}
         for address in sorted(addresses - {self._links.address}):
             self._links.send(address, joining)
+        self._ask_peer()
+
+    def _ask_peer(self) -> None:
+        """Ask a process for the set of controllers, which may have been replaced."""
+        address = self._peers.choose_next()
+        if not address:
+            return
+        state = self._registry.documents
+        request = viewmessages.FetchView(
+            max(self._controllers.revision, self._machine.journal.members_index),
+            state.version,
+            state.version,
+            state.domains_revision,
+            wants_document=False,
+        )
+        self._links.send(address, request)
+
+    def apply_settings(self, addresses: list[str]) -> None:
+        """Replace the addresses of the controllers to ask for admission.
+
+        Args:
+            addresses: Addresses of controllers in the settings.
+        """
+        if self._options.join and self._controllers.apply_settings(addresses):
+            self._log_controllers("settings")
+
+    def _apply_view(self, address: str, view: viewmessages.View) -> None:
+        """Apply the set of controllers that another process has heard of.
+
+        The document and the failure domains come only from the log.
+        """
+        if self._controllers.apply_set(view.controllers_revision, view.controllers):
+            self._log_controllers(address)
+
+    def _log_controllers(self, source: str) -> None:
+        _log.info(
+            "controllers changed",
+            name=self.name,
+            source=source,
+            revision=self._controllers.revision,
+            known=self._controllers.list_known(),
+        )
 
     def _handle_own_request(self, message: codec.Message) -> None:
         """Handle a request of this process itself like one received over a link."""
@@ -359,6 +404,9 @@
         if isinstance(message, viewmessages.Announce):
             self._answer_announcement(request.address, message, status.now_ms)
             return
+        if isinstance(message, viewmessages.View):
+            self._apply_view(request.address, message)
+            return
         if isinstance(message, messages.ReplicasChanged):
             self._handle_replicas_changed(message)
             return
@@ -385,15 +433,23 @@
     def _answer_announcement(
         self, address: str, message: viewmessages.Announce, now_ms: int
     ) -> None:
-        members = self._machine.journal.members.replicas
+        self._peers.note(address)
         view = self.directory.handle_announcement(
-            message,
-            self._registry.documents,
-            [item.address for item in members],
-            now_ms,
+            message, self._registry.documents, self._read_state(now_ms), now_ms
         )
         self._links.send(address, view)
 
+    def _read_state(self, now_ms: int) -> directory.ControllerState:
+        """Return what this controller states of the set that is committed."""
+        machine = self._machine
+        index = machine.commit_index
+        replica_set = machine.journal.find_members(index).replicas
+        return directory.ControllerState(
+            [item.address for item in replica_set],
+            machine.journal.find_members_index(index),
+            machine.read_view_age(now_ms),
+        )
+
     def _forward_renewals(self) -> None:
         if not self.leading:
             self._machine.follower.seen |= self.requests.renewed
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -135,6 +135,14 @@
             )
             self._step(jobevents.Cancel(name, outcome, reason))
 
+    def apply_settings(self, controllers: list[str]) -> None:
+        """Replace the addresses of the controllers from the settings.
+
+        Args:
+            controllers: Addresses in the settings.
+        """
+        self._contact.apply_settings(controllers)
+
     def close(self) -> None:
         """Close the links."""
         if self._ticking is not None:
@@ -225,12 +233,15 @@
         for message in frame.messages:
             match message:
                 case runmessages.RunReports():
+                    self._contact.note_peer(frame.address)
                     event = jobevents.Heard(
                         frame.sender, frame.incarnation, frame.address, message
                     )
                     self._queue_reports(event)
                 case viewmessages.View():
                     self._apply_view(frame.address, message)
+                case viewmessages.FetchView():
+                    self._contact.answer_peer(frame.address, message, self.document)
                 case _:
                     _log.warning("unexpected message", kind=type(message).__name__)
 
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -216,6 +216,14 @@
             loop.create_task(self._renew_forever()),
         ]
 
+    def apply_settings(self, controllers: list[str]) -> None:
+        """Replace the addresses of the controllers from the settings.
+
+        Args:
+            controllers: Addresses in the settings.
+        """
+        self._contact.apply_settings(controllers)
+
     def drain(self) -> None:
         """Accept no new runs and keep renewing the lease of those under way."""
         self._contact.announce_leaving()
@@ -309,12 +317,15 @@
                     | runmessages.StopRuns()
                     | runmessages.KeepRuns()
                 ):
+                    self._contact.note_peer(frame.address)
                     sender = runevents.Sender(
                         frame.sender, frame.incarnation, frame.address
                     )
                     self._step(runevents.Asked(sender, message))
                 case viewmessages.View():
                     self._apply_view(frame.address, message)
+                case viewmessages.FetchView():
+                    self._contact.answer_peer(frame.address, message)
                 case _:
                     _log.warning("unexpected message", kind=type(message).__name__)
 
--- a/amaranthspar/schema/viewmessages.py
+++ b/amaranthspar/schema/viewmessages.py
@@ -79,6 +79,8 @@
         peers_base: Digest of the list to which the changes apply; 0 if `peers` is the complete list.
         peers_digest: Digest of the list after the changes.
         document: Document, if it is newer than the version held and was requested.
+        controllers_revision: Revision of `controllers`; 0 for an unknown one.
+        view_age_ms: Age in ms of the sender's quorum-confirmed view; -1 for none, as from a process that is no controller.
     """
 
     document_version: int
@@ -90,6 +92,27 @@
     peers_base: int
     peers_digest: int
     document: bytes = b""
+    controllers_revision: int = 0
+    view_age_ms: int = 0
+
+
+@attrs.frozen(slots=True)
+class FetchView:
+    """Requests newer parts of the view of another process, while no controller answers.
+
+    Attributes:
+        controllers_revision: Revision of the set of controllers that the sender holds; 0 for none.
+        document_version: Version of the document that the sender holds; -1 for none.
+        newest_version: Newest document version that the sender knows of; -1 for none.
+        domains_revision: Revision of `domains_out` that the sender holds; -1 for none.
+        wants_document: Whether the receiver should send a newer document.
+    """
+
+    controllers_revision: int
+    document_version: int
+    newest_version: int
+    domains_revision: int
+    wants_document: bool
 
 
 @attrs.frozen(slots=True)
--- a/tests/builders_contact.py
+++ b/tests/builders_contact.py
@@ -55,12 +55,34 @@
                 continue
             if frame.sender not in self.ignored:
                 now_ms = clock.Clock().read_monotonic()
+                state = directory.ControllerState(self.listed, self.revision, 0)
                 view = self.directory.handle_announcement(
-                    message, self.documents, self.listed, now_ms
+                    message, self.documents, state, now_ms
                 )
                 self._links.send(frame.address, view)
 
 
+def build_announcement(role: str = "gateway") -> viewmessages.Announce:
+    return viewmessages.Announce(
+        process="own",
+        role=role,
+        incarnation=1,
+        address="own:1",
+        service="",
+        failure_domain="east",
+        is_leaving=False,
+        document_version=documents.NO_VERSION,
+        domains_revision=0,
+        wants_document=False,
+        wants_peers=role == "gateway",
+        peers_digest=0,
+    )
+
+
+def build_peer(process: str, role: str) -> viewmessages.Peer:
+    return viewmessages.Peer(process, role, 1, f"{process}:1", "", "east", False)
+
+
 async def wait_until(condition, wait_s: float = WAIT_S) -> None:
     """Wait until a condition is true.
 
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -23,6 +23,7 @@
     wants_peers=True,
     peers_digest=0,
 )
+ALONE = directory.ControllerState([], 1, 0)
 
 
 class Controllers:
@@ -42,10 +43,10 @@
             self.states[name].put(command)
 
     def ask(self, name: str, message: viewmessages.Announce) -> viewmessages.View:
-        listed = list(self.directories)
+        state = directory.ControllerState(list(self.directories), 1, 0)
         process_list = self.directories[name]
         return process_list.handle_announcement(
-            message, self.states[name], listed, self.now_ms
+            message, self.states[name], state, self.now_ms
         )
 
     def advance(
@@ -126,18 +127,20 @@
 
 def test_directory_removes_a_process_without_announcements():
     process_list = directory.Directory()
-    process_list.handle_announcement(ANNOUNCEMENT, documents.Documents(), [], 0)
+    process_list.handle_announcement(ANNOUNCEMENT, documents.Documents(), ALONE, 0)
     assert process_list.expire(directory.EXPIRY_MS) == []
     assert process_list.expire(directory.EXPIRY_MS + 1) == ["gate"]
 
 
 def test_list_of_processes_is_sent_only_if_it_has_changed():
     process_list = directory.Directory()
-    first = process_list.handle_announcement(ANNOUNCEMENT, documents.Documents(), [], 0)
+    first = process_list.handle_announcement(
+        ANNOUNCEMENT, documents.Documents(), ALONE, 0
+    )
     assert len(first.peers) == 1
     again = attrs.evolve(ANNOUNCEMENT, peers_digest=first.peers_digest)
     assert (
-        process_list.handle_announcement(again, documents.Documents(), [], 1).peers
+        process_list.handle_announcement(again, documents.Documents(), ALONE, 1).peers
         == []
     )
 
@@ -353,7 +356,7 @@
     view = process_list.handle_announcement(
         send.message,
         controllers.states["a"],
-        ["a"],
+        directory.ControllerState(["a"], 1, 0),
         controllers.now_ms + announcer.ANNOUNCE_INTERVAL_MS,
     )
     assert sorted(peer.process for peer in view.peers) == ["new", "s7"]
@@ -399,10 +402,10 @@
         changed = attrs.evolve(
             ANNOUNCEMENT, process=f"s{number % 5}", incarnation=number
         )
-        process_list.handle_announcement(changed, state, [], now_ms)
+        process_list.handle_announcement(changed, state, ALONE, now_ms)
         process_list.expire(now_ms)
         asked = attrs.evolve(ANNOUNCEMENT, process="reader", peers_digest=digest)
-        view = process_list.handle_announcement(asked, state, [], now_ms)
+        view = process_list.handle_announcement(asked, state, ALONE, now_ms)
         if view.peers_base == 0:
             held = {}
         for name in view.peers_gone:
@@ -410,7 +413,7 @@
         held |= {peer.process: peer for peer in view.peers}
         digest = view.peers_digest
         whole = process_list.handle_announcement(
-            attrs.evolve(asked, peers_digest=0), state, [], now_ms
+            attrs.evolve(asked, peers_digest=0), state, ALONE, now_ms
         )
         assert held == {peer.process: peer for peer in whole.peers}
 
