A changed settings file is applied, with or without a signal

Cause: the addresses of controllers were meant to come from controllers only. Change: each role reads its settings file every second and after SIGHUP; a file that cannot be read or has faults changes nothing. Changed addresses are asked while no controller of the stated set answers.

It reads the file about 1 kB once a second; parsing only if the text differs.

--- a/amaranthspar/platform/controller.py
+++ b/amaranthspar/platform/controller.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from amaranthspar import stopping
+from amaranthspar import reloading, stopping
 from amaranthspar.consensus import joining
 from amaranthspar.observation import metering
 from amaranthspar.platform import metrics, operators, servers, settings
@@ -20,11 +20,15 @@
 _log = structlog.get_logger()
 
 
-async def serve(process_settings: settings.Settings) -> None:
+async def serve(
+    process_settings: settings.Settings,
+    reloader: reloading.Reloader[settings.Settings],
+) -> None:
     """Serve operators and other processes until the platform stops this process.
 
     Args:
         process_settings: Settings of the process.
+        reloader: Source of changed settings.
 
     Raises:
         errors.DiskError: The data folder cannot be read or written.
@@ -62,6 +66,7 @@
             join=plan.join,
         ),
     )
+    reloader.subscribe(lambda changed: role.apply_settings(changed.list_controllers()))
     handler = operators.Operators(role.document_requests)
     server = servers.Server(handler.handle)
     if not await stopping.run_unless_stopped(role.start(), stop):
--- a/amaranthspar/platform/gateway.py
+++ b/amaranthspar/platform/gateway.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from amaranthspar import processes, stopping
+from amaranthspar import processes, reloading, stopping
 from amaranthspar.observation import metering
 from amaranthspar.platform import callers, metrics, servers, settings
 from amaranthspar.roles import jobgateway
@@ -18,11 +18,15 @@
 _log = structlog.get_logger()
 
 
-async def serve(process_settings: settings.Settings) -> None:
+async def serve(
+    process_settings: settings.Settings,
+    reloader: reloading.Reloader[settings.Settings],
+) -> None:
     """Serve callers until the platform stops the process.
 
     Args:
         process_settings: Settings of the process.
+        reloader: Source of changed settings.
     """
     stop = stopping.watch_signals()
     process = processes.ProcessSettings(
@@ -39,6 +43,9 @@
         handler.handle, time_ms - BALANCER_DELAY_MS + FINAL_ANSWERS_MS
     )
     readiness_server = servers.Server(handler.check_readiness)
+    reloader.subscribe(
+        lambda changed: gateway.apply_settings(changed.list_controllers())
+    )
     await gateway.start()
     await caller_server.open(process_settings.callers)
     await readiness_server.open(process_settings.readiness)
--- a/amaranthspar/platform/program.py
+++ b/amaranthspar/platform/program.py
@@ -3,12 +3,12 @@
 import asyncio
 import gc
 import importlib
-import signal
+import pathlib
 import sys
 
 import structlog
 
-from amaranthspar import errors, exits, loop as loops
+from amaranthspar import exits, loop as loops, reloading
 from amaranthspar.observation import logs
 from amaranthspar.platform import settings
 
@@ -24,15 +24,20 @@
     Raises:
         errors.SettingsError: The settings are missing or invalid.
     """
-    loops.run_loop(_serve(settings.load_settings(), role))
+    path = settings.find_path()
+    loops.run_loop(_serve(path, settings.load_settings(path), role))
     return exits.DONE
 
 
-async def _serve(process_settings: settings.Settings, role: str) -> None:
+async def _serve(
+    path: pathlib.Path, process_settings: settings.Settings, role: str
+) -> None:
     buffer = logs.set_up_buffered_logs(process_settings.host, sys.stdout.fileno())
     loop = asyncio.get_running_loop()
     flushing = loop.create_task(logs.flush_forever(buffer))
-    loop.add_signal_handler(signal.SIGHUP, _log_reloaded_settings)
+    reloader = reloading.Reloader(path, settings.parse_settings, process_settings)
+    reloader.subscribe(_log_reloaded_settings)
+    reloader.start()
     # Only the modules of this role are imported, so that a process restarts faster.
     module = importlib.import_module(f"amaranthspar.platform.{role}")
     # Modules live as long as the process, so the garbage collector can skip them.
@@ -46,21 +51,13 @@
         is_first_start=process_settings.is_first_start,
     )
     try:
-        await module.serve(process_settings)
+        await module.serve(process_settings, reloader)
         _log.info("process stopped", role=role, host=process_settings.host)
     finally:
+        reloader.close()
         flushing.cancel()
         buffer.flush()
 
 
-def _log_reloaded_settings() -> None:
-    """Log the changed settings.
-
-    The addresses of controllers come from the controllers, not from these settings.
-    """
-    try:
-        process_settings = settings.load_settings()
-    except errors.SettingsError as error:
-        _log.warning("settings reload failed", faults=error.faults)
-        return
-    _log.info("settings reloaded", controllers=process_settings.seeds)
+def _log_reloaded_settings(process_settings: settings.Settings) -> None:
+    _log.info("seeds read", controllers=process_settings.seeds)
--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -74,17 +74,29 @@
         return [self.find_link_address("controller", ip) for ip in self.seeds]
 
 
-def load_settings() -> Settings:
-    """Return the settings of this process.
+def find_path() -> pathlib.Path:
+    """Return the path of the settings file of this process.
 
     Raises:
-        errors.SettingsError: The file cannot be read, or a key is missing or invalid.
+        errors.SettingsError: The environment does not name it.
     """
     path = os.environ.get(VARIABLE, "")
     if not path:
         raise errors.SettingsError([f"{VARIABLE} is not set"])
+    return pathlib.Path(path)
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Return the settings in a file.
+
+    Args:
+        path: Settings file.
+
+    Raises:
+        errors.SettingsError: The file cannot be read, or a key is missing or invalid.
+    """
     try:
-        text = pathlib.Path(path).read_text()
+        text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError([f"{path}: {error}"]) from error
     return parse_settings(text)
--- a/amaranthspar/platform/sidecar.py
+++ b/amaranthspar/platform/sidecar.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from amaranthspar import processes, stopping
+from amaranthspar import processes, reloading, stopping
 from amaranthspar.observation import metering
 from amaranthspar.platform import metrics, registrations, servers, settings, upstreams
 from amaranthspar.roles import runsidecar
@@ -19,11 +19,15 @@
 _log = structlog.get_logger()
 
 
-async def serve(process_settings: settings.Settings) -> None:
+async def serve(
+    process_settings: settings.Settings,
+    reloader: reloading.Reloader[settings.Settings],
+) -> None:
     """Serve the upstream of this host until the platform stops the process.
 
     Args:
         process_settings: Settings of the process.
+        reloader: Source of changed settings.
     """
     stop = stopping.watch_signals()
     process = processes.ProcessSettings(
@@ -42,6 +46,9 @@
     server = servers.Server(
         registrations.Registrations(sidecar, process_settings.service).handle
     )
+    reloader.subscribe(
+        lambda changed: sidecar.apply_settings(changed.list_controllers())
+    )
     await sidecar.start()
     await server.open(process_settings.control)
     await metrics.serve_metrics(process_settings, meters)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -56,12 +56,11 @@
     assert caught.value.faults == [fault]
 
 
-def test_settings_that_are_not_utf8_are_a_fault(tmp_path, monkeypatch):
+def test_settings_that_are_not_utf8_are_a_fault(tmp_path):
     path = tmp_path / "settings"
     path.write_bytes(builders.SETTINGS.encode() + b"Other=\xff\n")
-    monkeypatch.setenv(settings.VARIABLE, str(path))
     with pytest.raises(errors.SettingsError):
-        settings.load_settings()
+        settings.load_settings(path)
 
 
 def test_job_body_is_decoded_to_request():
