Members of the project's own interface follow the set of controllers

A gateway or sidecar renewed its lease, claimed keys and left with the controllers of its first settings only; a new host had to be put into all settings 'at their next restart'. Once all were replaced, its lease lapsed for good.

Change: a grant names the committed set of controllers with its revision, if the holder's is older; a member without a lease asks other members for it, and applies its changed settings file as the platform's roles do. The client of the controllers and the notices of leaving use the same addresses. Until it has a lease, a member starts and admits nothing, as before.

--- a/amaranthspar/clients/control.py
+++ b/amaranthspar/clients/control.py
@@ -5,6 +5,7 @@
 from collections.abc import Hashable
 
 from amaranthspar import errors
+from amaranthspar.membership import controllers
 from amaranthspar.network import links
 from amaranthspar.schema import bodies, codec, messages
 
@@ -23,16 +24,22 @@
 
     Args:
         link: Links of this process to its peers.
-        controllers: Addresses of the controllers.
+        known: Addresses of the controllers, which change while the process runs.
     """
 
-    def __init__(self, link: links.Links, controllers: list[str]) -> None:
+    def __init__(self, link: links.Links, known: controllers.Controllers) -> None:
         self._links = link
-        self._controllers = itertools.cycle(controllers)
-        self._target = next(self._controllers)
+        self._controllers = known
+        self._position = 0
         self._request_numbers = itertools.count(1)
         self._pending: dict[Hashable, asyncio.Future[codec.Message]] = {}
 
+    @property
+    def _target(self) -> str:
+        """Address of the controller to ask; the settings' ones follow the stated set."""
+        addresses = self._controllers.list_known()
+        return addresses[self._position % len(addresses)]
+
     async def propose(
         self, proposal: messages.ProposeConfiguration
     ) -> messages.ConfigurationDecided:
@@ -149,7 +156,7 @@
                 )
                 if done:
                     return future.result()
-                self._target = next(self._controllers)
+                self._position += 1
             error = ControlUnavailableError("no controller answered")
             raise error
         finally:
--- a/amaranthspar/commands/role.py
+++ b/amaranthspar/commands/role.py
@@ -2,10 +2,11 @@
 
 import argparse
 import asyncio
+import functools
 import pathlib
 from typing import Any
 
-from amaranthspar import errors, exits, loop, stopping
+from amaranthspar import errors, exits, loop, reloading, stopping
 from amaranthspar.roles import settings
 
 EXAMPLES = """\
@@ -38,6 +39,10 @@
 async def _serve_role(loaded: settings.Settings, path: pathlib.Path) -> int:
     stop = stopping.watch_signals()
     role = _build_role(loaded)
+    parse = functools.partial(settings.parse_settings, source=str(path))
+    reloader = reloading.Reloader(path, parse, loaded)
+    reloader.subscribe(lambda changed: role.apply_settings(_list_controllers(changed)))
+    reloader.start()
     try:
         if not await stopping.run_unless_stopped(role.start(), stop):
             return exits.DONE
@@ -50,12 +55,20 @@
         ) from error
     await _wait_for_stop(role, stop)
     await role.stop()
+    reloader.close()
     failure = getattr(role, "failure", None)
     if failure is not None:
         raise failure
     return exits.DONE
 
 
+def _list_controllers(loaded: settings.Settings) -> list[str]:
+    """Return the controllers that a role asks: for a controller, those to join."""
+    if loaded.controller is not None:
+        return loaded.controller.join
+    return loaded.process.controllers
+
+
 def _describe_error(loaded: settings.Settings, error: errors.InputOutputError) -> str:
     """Return the text of an error, with the section and key that caused it."""
     match error:
--- a/amaranthspar/ini/inifiles.py
+++ b/amaranthspar/ini/inifiles.py
@@ -25,14 +25,34 @@
     Raises:
         errors.SettingsError: The file cannot be read or is not valid INI text.
     """
-    parser = build_parser()
     try:
-        with path.open(encoding="utf-8") as file:
-            parser.read_file(file)
+        text = path.read_text(encoding="utf-8")
     except OSError as error:
         fault = f"{path}: {error.strerror or error}"
         raise errors.SettingsError([fault]) from error
-    except (UnicodeDecodeError, configparser.Error) as error:
-        line = " ".join(str(error).split())
-        raise errors.SettingsError([f"{path}: {line}"]) from error
+    except UnicodeDecodeError as error:
+        raise _build_error(str(path), error) from error
+    return parse_text(text, str(path))
+
+
+def parse_text(text: str, source: str) -> configparser.ConfigParser:
+    """Parse INI text.
+
+    Args:
+        text: INI text.
+        source: File name, which begins each fault.
+
+    Raises:
+        errors.SettingsError: The text is not valid INI text.
+    """
+    parser = build_parser()
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        raise _build_error(source, error) from error
     return parser
+
+
+def _build_error(source: str, error: Exception) -> errors.SettingsError:
+    line = " ".join(str(error).split())
+    return errors.SettingsError([f"{source}: {line}"])
--- a/amaranthspar/membership/leaseholder.py
+++ b/amaranthspar/membership/leaseholder.py
@@ -11,8 +11,8 @@
 import attrs
 
 from amaranthspar import effects, errors
-from amaranthspar.membership import view
-from amaranthspar.schema import messages
+from amaranthspar.membership import controllers, documents, view
+from amaranthspar.schema import messages, viewmessages
 
 RENEWAL_INTERVAL_MS = 1000
 RETRY_INTERVAL_MS = 300
@@ -44,7 +44,20 @@
     """Effect: a new process raised its incarnation above the one from its clock."""
 
 
-Effect = effects.Send | ViewChanged | LeaseLost | IncarnationChanged
+@attrs.frozen(slots=True)
+class ControllersChanged:
+    """Effect: the known addresses of the controllers have changed.
+
+    Attributes:
+        source: Where the change comes from.
+    """
+
+    source: str
+
+
+Effect = (
+    effects.Send | ViewChanged | LeaseLost | IncarnationChanged | ControllersChanged
+)
 
 
 class LeaseHolder:
@@ -52,23 +65,29 @@
 
     Args:
         member: Member that describes this process.
-        controllers: Addresses of the controllers.
+        configured: Addresses of the controllers in the settings.
         started_ms: Monotonic time in ms at which the process started.
         chance: Random source of the jitter and of the first controller.
+
+    Attributes:
+        member: Member that describes this process.
+        view: Configuration and membership that the grants have carried.
+        controllers: Addresses of the controllers.
     """
 
     def __init__(
         self,
         member: messages.Member,
-        controllers: list[str],
+        configured: list[str],
         started_ms: int,
         chance: random.Random,
     ) -> None:
         self.member = member
         self.view = view.View()
-        self._controllers = controllers
+        self.controllers = controllers.Controllers(configured)
         self._chance = chance
-        self._target = chance.randrange(len(controllers))
+        self._target = configured[chance.randrange(len(configured))]
+        self._next_member = 0
         self._started_ms = started_ms
         self._expires_ms = started_ms
         self._next_renewal_ms = started_ms
@@ -107,8 +126,7 @@
         """
         if self._is_stopped or now_ms < self._next_renewal_ms:
             return []
-        if self._unanswered:
-            self._target = (self._target + 1) % len(self._controllers)
+        self._choose_target(now_ms)
         self._unanswered += 1
         self._next_renewal_ms = now_ms + self._choose_retry_delay(now_ms)
         renewal = messages.RenewLease(
@@ -116,8 +134,85 @@
             now_ms,
             self.view.configuration_version,
             self.view.membership_revision,
+            self.controllers.revision,
+        )
+        return [effects.Send(self._target, renewal), *self._ask_member(now_ms)]
+
+    def _choose_target(self, now_ms: int) -> None:
+        """Choose the controller for the next renewal.
+
+        It stays the same while it answers. Without a lease, the addresses in the
+        settings are tried beside the stated set.
+        """
+        addresses = (
+            self.controllers.list_current()
+            if self.is_valid(now_ms)
+            else self.controllers.list_known()
+        )
+        if self._target not in addresses:
+            self._target = self._chance.choice(addresses)
+        elif self._unanswered:
+            position = addresses.index(self._target) + 1
+            self._target = addresses[position % len(addresses)]
+
+    def _ask_member(self, now_ms: int) -> list[effects.Send]:
+        """Ask a member for the controllers, if this process has lost its lease.
+
+        The controllers may have been replaced while it heard none of them.
+        """
+        own = self.member.process
+        others = [
+            item.address for item in self.view.members.values() if item.process != own
+        ]
+        if self.is_valid(now_ms) or not others:
+            return []
+        self._next_member += 1
+        request = viewmessages.FetchView(
+            self.controllers.revision,
+            documents.NO_VERSION,
+            documents.NO_VERSION,
+            0,
+            wants_document=False,
         )
-        return [effects.Send(self._controllers[self._target], renewal)]
+        return [effects.Send(others[self._next_member % len(others)], request)]
+
+    def apply_settings(self, configured: list[str]) -> list[Effect]:
+        """Replace the addresses of the controllers from the settings.
+
+        Args:
+            configured: Addresses in the settings.
+        """
+        if not self.controllers.apply_settings(configured):
+            return []
+        return [ControllersChanged("settings")]
+
+    def _apply_controllers(
+        self, source: str, revision: int, addresses: list[str]
+    ) -> list[Effect]:
+        if not self.controllers.apply_set(revision, addresses):
+            return []
+        return [ControllersChanged(source)]
+
+    def _answer_member(
+        self, address: str, request: viewmessages.FetchView
+    ) -> list[Effect]:
+        """Send a member the set of controllers, if its own is older."""
+        if request.controllers_revision >= self.controllers.revision:
+            return []
+        answer = viewmessages.View(
+            documents.NO_VERSION,
+            0,
+            [],
+            list(self.controllers.stated),
+            [],
+            [],
+            0,
+            0,
+            b"",
+            self.controllers.revision,
+            documents.NO_VIEW_AGE_MS,
+        )
+        return [effects.Send(address, answer)]
 
     def _choose_retry_delay(self, now_ms: int) -> int:
         """Return the delay until a retry in ms.
@@ -142,17 +237,30 @@
         self._next_renewal_ms = now_ms
         return self.tick(now_ms)
 
-    def handle(self, message: object, now_ms: int) -> list[Effect]:
-        """Handle a message of a controller.
+    def handle(self, message: object, now_ms: int, address: str = "") -> list[Effect]:
+        """Handle a message of a controller, or of a member about the controllers.
 
         Args:
-            message: `messages.LeaseGranted`, `messages.LeaseDenied` or
-                `messages.AnnounceVersion`.
+            message: `messages.LeaseGranted`, `messages.LeaseDenied`,
+                `messages.AnnounceVersion`, `viewmessages.FetchView` or
+                `viewmessages.View`.
             now_ms: Monotonic time in ms.
+            address: Address of the sender.
         """
         match message:
+            case viewmessages.FetchView():
+                return self._answer_member(address, message)
+            case viewmessages.View():
+                return self._apply_controllers(
+                    address, message.controllers_revision, message.controllers
+                )
             case messages.LeaseGranted():
-                return self._apply_grant(message, now_ms)
+                return [
+                    *self._apply_controllers(
+                        address, message.controllers_revision, message.controllers
+                    ),
+                    *self._apply_grant(message, now_ms),
+                ]
             case messages.LeaseDenied(reason="superseded"):
                 return self._handle_superseded(message, now_ms)
             case messages.AnnounceVersion():
--- a/amaranthspar/registry/requests.py
+++ b/amaranthspar/registry/requests.py
@@ -37,6 +37,8 @@
         view_age_ms: Age of the quorum-confirmed view in ms; -1 for none.
         now_ms: Monotonic clock in ms.
         wall_ms: Wall clock in ms.
+        controllers: Addresses in the committed set of replicas.
+        controllers_revision: Revision of this set.
     """
 
     leading: bool
@@ -44,6 +46,8 @@
     view_age_ms: int
     now_ms: int
     wall_ms: int
+    controllers: tuple[str, ...] = ()
+    controllers_revision: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -346,7 +350,7 @@
     def _renew(
         self, request: Request, message: messages.RenewLease, status: ReplicaStatus
     ) -> list[effects.Send]:
-        decision = self._issuer.decide(self._state, message, status.view_age_ms)
+        decision = self._decide(message, status)
         process = message.member.process
         if decision is None:
             if not status.leading:
@@ -371,10 +375,26 @@
         waiter = self._renewal_waiters.pop(process, None)
         if waiter is None or waiter.received_ms <= status.now_ms - REQUEST_TIMEOUT_MS:
             return []
-        renewal = waiter.message
-        decision = self._issuer.decide(self._state, renewal, status.view_age_ms)
+        decision = self._decide(waiter.message, status)
         return [] if decision is None else [effects.Send(waiter.address, decision)]
 
+    def _decide(
+        self, renewal: messages.RenewLease, status: ReplicaStatus
+    ) -> messages.LeaseGranted | messages.LeaseDenied | None:
+        """Decide on a renewal, and add the set of replicas if the holder lacks it."""
+        decision = self._issuer.decide(self._state, renewal, status.view_age_ms)
+        match decision:
+            case messages.LeaseGranted() if (
+                renewal.controllers_revision < status.controllers_revision
+            ):
+                return attrs.evolve(
+                    decision,
+                    controllers=list(status.controllers),
+                    controllers_revision=status.controllers_revision,
+                )
+            case _:
+                return decision
+
     def _propose(
         self,
         request: Request,
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -457,12 +457,15 @@
 
     def _read_status(self) -> requests.ReplicaStatus:
         now_ms = self._clock.read_monotonic()
+        state = self._read_state(now_ms)
         return requests.ReplicaStatus(
             self._machine.accepts_proposals,
             self._machine.leader_address,
-            self._machine.read_view_age(now_ms),
+            state.view_age_ms,
             now_ms,
             self._clock.read_wall(),
+            tuple(state.addresses),
+            state.revision,
         )
 
     def _plan_flush(self) -> None:
--- a/amaranthspar/roles/gateway.py
+++ b/amaranthspar/roles/gateway.py
@@ -9,7 +9,7 @@
 from amaranthspar.membership import leaseholder
 from amaranthspar.observation import gatewayspans, logs, metrics, traces
 from amaranthspar.roles import membership
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, messages, options, viewmessages
 from amaranthspar.web import answers, deduplication, parsing, remoteanswers, server
 
 TICK_MS = 50
@@ -46,7 +46,7 @@
         self.dispatcher = dispatcher.Dispatcher(self.holder, process.failure_domain)
         self._links = membership.build_links(process, self.holder, self._receive, link)
         self._links.end_burst = self._handle_burst
-        self.control = control.ControllerClient(self._links, process.controllers)
+        self.control = control.ControllerClient(self._links, self.holder.controllers)
         self._tracer = traces.build_tracer(process)
         self._spans = (
             None if self._tracer is None else gatewayspans.GatewaySpans(self._tracer)
@@ -98,6 +98,14 @@
         await self.close()
         self._log.info("stopped")
 
+    def apply_settings(self, controllers: list[str]) -> None:
+        """Replace the addresses of the controllers from the settings.
+
+        Args:
+            controllers: Addresses in the settings.
+        """
+        self._carry_out(self.holder.apply_settings(controllers))
+
     async def close(self) -> None:
         """Close everything immediately, as in a crash."""
         if self._ticking is not None:
@@ -238,8 +246,10 @@
                     messages.LeaseGranted()
                     | messages.LeaseDenied()
                     | messages.AnnounceVersion()
+                    | viewmessages.FetchView()
+                    | viewmessages.View()
                 ):
-                    self._carry_out(self.holder.handle(message, now_ms))
+                    self._carry_out(self.holder.handle(message, now_ms, frame.address))
                 case (
                     messages.ReportResults()
                     | messages.GrantCredits()
@@ -286,6 +296,10 @@
                         version = self.holder.view.configuration_version
                         self._log.info("configuration changed", configuration=version)
                     self.handle(dispatcher.ViewChanged())
+                case leaseholder.ControllersChanged():
+                    membership.apply_controllers(
+                        self.holder, self._links, effect, self._log
+                    )
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
--- a/amaranthspar/roles/membership.py
+++ b/amaranthspar/roles/membership.py
@@ -2,6 +2,8 @@
 
 import random
 
+import structlog
+
 from amaranthspar import clock
 from amaranthspar.membership import leaseholder
 from amaranthspar.network import links
@@ -51,10 +53,34 @@
     """
     incarnation = holder.member.incarnation
     built = links.Links(process.name, incarnation, process.listen, receive, link)
-    built.controllers = frozenset(process.controllers)
+    built.controllers = frozenset(holder.controllers.list_known())
     return built
 
 
+def apply_controllers(
+    holder: leaseholder.LeaseHolder,
+    link: links.Links,
+    changed: leaseholder.ControllersChanged,
+    log: structlog.stdlib.BoundLogger,
+) -> None:
+    """Count messages to the changed controllers as such, and log the change.
+
+    Args:
+        holder: Lease holder of the process.
+        link: Links of the process.
+        changed: Effect of the lease holder.
+        log: Logger of the process.
+    """
+    known = holder.controllers.list_known()
+    link.controllers = frozenset(known)
+    log.info(
+        "controllers changed",
+        source=changed.source,
+        revision=holder.controllers.revision,
+        known=known,
+    )
+
+
 def announce_leaving(
     process: options.ProcessOptions,
     holder: leaseholder.LeaseHolder,
@@ -73,5 +99,5 @@
         holder.stop_renewing()
     incarnation = holder.member.incarnation
     message = messages.LeaveMembership(process.name, incarnation, stopped)
-    for address in process.controllers:
+    for address in holder.controllers.list_known():
         link.send(address, message)
--- a/amaranthspar/roles/settings.py
+++ b/amaranthspar/roles/settings.py
@@ -57,6 +57,19 @@
     return build_settings(inifiles.load_file(path), str(path))
 
 
+def parse_settings(text: str, source: str) -> Settings:
+    """Check the text of a settings file.
+
+    Args:
+        text: INI text.
+        source: File name, which begins each fault.
+
+    Raises:
+        errors.SettingsError: The text has faults; all are listed.
+    """
+    return build_settings(inifiles.parse_text(text, source), source)
+
+
 def build_settings(parser: configparser.ConfigParser, source: str) -> Settings:
     """Check the sections of a settings file.
 
--- a/amaranthspar/roles/sidecar.py
+++ b/amaranthspar/roles/sidecar.py
@@ -9,7 +9,7 @@
 from amaranthspar.membership import leaseholder
 from amaranthspar.observation import logs, metrics, traces
 from amaranthspar.roles import membership
-from amaranthspar.schema import codec, messages, options
+from amaranthspar.schema import codec, messages, options, viewmessages
 from amaranthspar.upstreams import upstream, worker
 
 TICK_MS = 50
@@ -95,6 +95,14 @@
         is_late = self._clock.read_monotonic() >= until_ms
         return self.executor.is_idle if is_late else self.executor.is_drained
 
+    def apply_settings(self, controllers: list[str]) -> None:
+        """Replace the addresses of the controllers from the settings.
+
+        Args:
+            controllers: Addresses in the settings.
+        """
+        self._carry_out(self.holder.apply_settings(controllers))
+
     async def close(self) -> None:
         """Close everything immediately, as in a crash."""
         self._is_closed = True
@@ -139,8 +147,10 @@
                     messages.LeaseGranted()
                     | messages.LeaseDenied()
                     | messages.AnnounceVersion()
+                    | viewmessages.FetchView()
+                    | viewmessages.View()
                 ):
-                    self._carry_out(self.holder.handle(message, now_ms))
+                    self._carry_out(self.holder.handle(message, now_ms, frame.address))
                 case _:
                     event = executor.Received(
                         frame.sender, frame.incarnation, frame.address, message
@@ -163,6 +173,10 @@
                         version = self.holder.view.configuration_version
                         self._log.info("configuration changed", configuration=version)
                     self._carry_out(self.executor.tick(self._clock.read_monotonic()))
+                case leaseholder.ControllersChanged():
+                    membership.apply_controllers(
+                        self.holder, self._links, effect, self._log
+                    )
                 case leaseholder.IncarnationChanged():
                     self._links.incarnation = self.holder.member.incarnation
                 case leaseholder.LeaseLost():
--- a/amaranthspar/schema/messages.py
+++ b/amaranthspar/schema/messages.py
@@ -89,12 +89,14 @@
         sent_ms: Monotonic clock of the sender in ms.
         configuration_version: Configuration version that the sender holds; 0 for none.
         membership_revision: Membership revision that the sender holds; 0 for none.
+        controllers_revision: Revision of the set of controllers that the sender holds; 0 for none.
     """
 
     member: Member
     sent_ms: int
     configuration_version: int
     membership_revision: int
+    controllers_revision: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -1033,6 +1035,8 @@
         membership_revision: Newest committed membership revision.
         configuration: Changes since the configuration version of the holder; null for none.
         membership: Changes since the membership revision of the holder; null for none.
+        controllers: Addresses of all controllers; empty if the holder has the newest set.
+        controllers_revision: Revision of `controllers`.
     """
 
     sent_ms: int
@@ -1042,6 +1046,8 @@
     membership_revision: int
     configuration: ConfigurationChange | None = None
     membership: MembershipChange | None = None
+    controllers: list[str] = attrs.field(factory=list)
+    controllers_revision: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/tests/test_lost_controllers.py
+++ b/tests/test_lost_controllers.py
@@ -111,7 +111,8 @@
 def test_process_finds_the_controllers_of_its_changed_settings(
     tmp_path: pathlib.Path, role: str, has_signal: bool
 ):
-    port = ports.find_ports(1)[0]
+    # Each role listens for links at one of the ports that follow the first.
+    port = ports.find_ports(4)[0]
     path = tmp_path / builders_contact.SETTINGS_NAME
     first, second = (
         builders_contact.build_platform_settings(role, seed, port, tmp_path / "data")
@@ -193,10 +194,8 @@
                 cluster.addresses[added] = builders_control.find_address()
                 await cluster.start(added)
                 await replace(cluster, client, removed, added)
-            renewed_ms = member.holder._expires_ms
-            await builders_contact.wait_until(
-                lambda: member.holder._expires_ms > renewed_ms + 2_000
-            )
+                await wait_for_renewal(member.holder)
+            await wait_for_renewal(member.holder)
         finally:
             await member.close()
             cluster.close()
@@ -205,6 +204,12 @@
     asyncio.run(run())
 
 
+async def wait_for_renewal(holder) -> None:
+    """Wait until a lease is granted, as it is about every second."""
+    renewed_ms = holder._expires_ms
+    await builders_contact.wait_until(lambda: holder._expires_ms > renewed_ms)
+
+
 async def replace(cluster, client, removed: str, added: str) -> None:
     """Replace one controller by another, and end it once that one votes."""
     targets = [cluster.addresses[name] for name in cluster.running]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -160,7 +160,9 @@
             ):
                 await asyncio.sleep(0.05)
             member = next(iter(gateway.dispatcher.routes.values())).member
-            newer = NewerIncarnation(gateway.links, gateway.holder._controllers[0])
+            newer = NewerIncarnation(
+                gateway.links, gateway.holder.controllers.list_known()[0]
+            )
             return await newer.supersede(member, place.process)
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
