--- a/tests/test_lost_controllers.py
+++ b/tests/test_lost_controllers.py
@@ -9,7 +9,7 @@
 from amaranthspar import ports, processes
 from amaranthspar.observation import metering
 from amaranthspar.platform import registrations, upstreams
-from amaranthspar.roles import jobgateway, runsidecar, sidecar
+from amaranthspar.roles import controller, jobgateway, runsidecar, sidecar
 from amaranthspar.schema import messages, options
 from tests import (
     builders_contact,
@@ -106,6 +106,36 @@
     run_scenario(scenario)
 
 
+def test_controller_that_knows_no_other_asks_to_join_the_ones_that_a_gateway_knows(
+    tmp_path: pathlib.Path,
+):
+    own, lost, current, gate = ports.find_addresses(4)
+
+    async def run() -> None:
+        found = builders_contact.FakeController(current)
+        cut_off = controller.Controller(
+            options.ProcessOptions("core", own, [lost], "east"),
+            options.LinkOptions(),
+            options.ControllerOptions("c9", [], str(tmp_path), join=[lost]),
+        )
+        gateway = jobgateway.JobGateway(
+            processes.ProcessSettings("gate", gate, [own, current]), metering.Meters()
+        )
+        await found.open()
+        await cut_off.start()
+        await gateway.start()
+        try:
+            await builders_contact.wait_until(
+                lambda: ("JoinReplicas", "core") in found.received
+            )
+        finally:
+            gateway.close()
+            cut_off.abort()
+            found.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("has_signal", [False, True])
 @pytest.mark.parametrize("role", sorted(SOUGHT))
 def test_process_finds_the_controllers_of_its_changed_settings(
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -325,6 +325,10 @@
             runmessages.KeepRuns(10**15, 10**15, True, [name], -5),
             runmessages.StartRuns(-1, "", "", [], 10**15),
             viewmessages.View(10**6, -1, [""], ["no address"], [], ["x"], 7, 9, b"{"),
+            viewmessages.View(
+                -1, -1, [], ["no address"], [], [], 0, 0, b"", 10**15, 10**15
+            ),
+            viewmessages.FetchView(-5, -5, -5, -5, wants_document=True),
             runmessages.RunReports([stale], build_room()),
         ]
         for message in bad:
