An operator's command reads its access again after all gateways have failed

A command that repeats a request for up to 15 s used the gateways that it had read at its start, also once they had been replaced and its access file named others: exit code 3. A file that cannot be read meanwhile changes nothing; the reason is printed if the command fails.

--- a/amaranthspar/clients/operators.py
+++ b/amaranthspar/clients/operators.py
@@ -28,15 +28,39 @@
     """Client of several gateways, for requests that are safe to repeat.
 
     Args:
-        target: Gateways and token.
+        find_access: Function that returns the gateways and the token. It is called
+            again after all gateways have failed, as they may have been replaced.
         timeout_ms: Time in ms for which a request is retried.
+
+    Raises:
+        errors.SettingsError: No gateway or no token is given.
     """
 
-    def __init__(self, target: access.Access, timeout_ms: int) -> None:
-        self._clients = [
-            client.Client(url, target.token, timeout_ms) for url in target.gateways
-        ]
+    def __init__(
+        self, find_access: Callable[[], access.Access], timeout_ms: int
+    ) -> None:
+        self._find_access = find_access
         self._timeout_ms = timeout_ms
+        self._target = find_access()
+        self._clients = self._build_clients()
+
+    def _build_clients(self) -> list[client.Client]:
+        return [
+            client.Client(url, self._target.token, self._timeout_ms)
+            for url in self._target.gateways
+        ]
+
+    async def _update_access(self) -> str:
+        """Use changed gateways, and return why they could not be read, if so."""
+        try:
+            found = self._find_access()
+        except errors.SettingsError as error:
+            return str(error)
+        if found != self._target:
+            await self.close()
+            self._target = found
+            self._clients = self._build_clients()
+        return ""
 
     async def close(self) -> None:
         """Close all connections."""
@@ -56,6 +80,7 @@
         """
         deadline_s = time.monotonic() + self._timeout_ms / 1000
         attempts = 0
+        reason = ""
         while True:
             item = self._clients[attempts % len(self._clients)]
             attempts += 1
@@ -71,9 +96,13 @@
             except TimeoutError as error:
                 raise client.ClientError("no gateway answered in time") from error
             if time.monotonic() + RETRY_INTERVAL_MS / 1000 >= deadline_s:
+                if reason:
+                    failure.add_note(f"access not read again: {reason}")
                 raise failure
             if attempts % len(self._clients) == 0:
                 await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
+                reason = await self._update_access()
+                attempts = 0
 
     async def fetch_configuration(
         self, version: int = 0
--- a/amaranthspar/commands/remote.py
+++ b/amaranthspar/commands/remote.py
@@ -1,6 +1,7 @@
 """Helpers of the commands that send requests to a gateway: access and exit codes."""
 
 import argparse
+import functools
 import os
 import sys
 from collections.abc import Awaitable, Callable
@@ -69,10 +70,10 @@
     Raises:
         errors.SettingsError: No gateway or no token is given.
     """
-    credentials = access.find_access(arguments, os.environ)
+    find_access = functools.partial(access.find_access, arguments, os.environ)
 
     async def run() -> int:
-        operator = operators.OperatorClient(credentials, arguments.timeout_ms)
+        operator = operators.OperatorClient(find_access, arguments.timeout_ms)
         try:
             return await command(operator)
         finally:
@@ -85,6 +86,8 @@
         return find_exit_code(error.problem.status, error.problem.outcome)
     except client.ClientError as error:
         shared.print_error(f"{error}; the outcome is unknown")
+        for note in getattr(error, "__notes__", []):
+            shared.print_error(note)
         return exits.UNKNOWN
 
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import time
 
 import pytest
 
@@ -148,6 +149,19 @@
     assert unanswered.returncode == 3
 
 
+def test_operator_finds_the_gateways_of_its_changed_access_file(served, tmp_path):
+    path = tmp_path / "access.ini"
+    text = "[access]\ngateways = {}\ntoken = {}\n"
+    unreachable = f"http://127.0.0.1:{builders_shell.find_port_pair()}"
+    path.write_text(text.format(unreachable, builders_shell.TOKEN))
+    process = builders_shell.start_program("status", "--json", "--access", str(path))
+    time.sleep(1.5)
+    path.write_text("[access]\n")
+    time.sleep(0.5)
+    path.write_text(text.format(served.urls[0], builders_shell.TOKEN))
+    assert process.wait(builders_shell.RESPONSE_TIMEOUT_S) == 0
+
+
 @pytest.mark.parametrize(
     "words",
     [
