A role gets settings that changed while it was being set up

Found on reading the change: the file is watched before the role has been built, as SIGHUP would otherwise end the process.

--- a/amaranthspar/membership/leaseholder.py
+++ b/amaranthspar/membership/leaseholder.py
@@ -160,11 +160,13 @@
 
         The controllers may have been replaced while it heard none of them.
         """
+        if self.is_valid(now_ms):
+            return []
         own = self.member.process
         others = [
             item.address for item in self.view.members.values() if item.process != own
         ]
-        if self.is_valid(now_ms) or not others:
+        if not others:
             return []
         self._next_member += 1
         request = viewmessages.FetchView(
--- a/amaranthspar/platform/program.py
+++ b/amaranthspar/platform/program.py
@@ -36,7 +36,6 @@
     loop = asyncio.get_running_loop()
     flushing = loop.create_task(logs.flush_forever(buffer))
     reloader = reloading.Reloader(path, settings.parse_settings, process_settings)
-    reloader.subscribe(_log_reloaded_settings)
     reloader.start()
     # Only the modules of this role are imported, so that a process restarts faster.
     module = importlib.import_module(f"amaranthspar.platform.{role}")
@@ -57,7 +56,3 @@
         reloader.close()
         flushing.cancel()
         buffer.flush()
-
-
-def _log_reloaded_settings(process_settings: settings.Settings) -> None:
-    _log.info("seeds read", controllers=process_settings.seeds)
--- a/amaranthspar/reloading.py
+++ b/amaranthspar/reloading.py
@@ -42,12 +42,15 @@
         self._watching: asyncio.Task[None] | None = None
 
     def subscribe(self, apply: Callable[[Settings], None]) -> None:
-        """Call a function with the settings whenever they have changed.
+        """Call a function with the settings, now and whenever they have changed.
+
+        They may have changed already while the subscriber was being set up.
 
         Args:
-            apply: Function to call.
+            apply: Function to call; settings that it knows must change nothing.
         """
         self._subscribers.append(apply)
+        apply(self._current)
 
     def start(self) -> None:
         """Start to watch the file; call it in the event loop."""
--- a/tests/test_leaseholder.py
+++ b/tests/test_leaseholder.py
@@ -5,7 +5,7 @@
 
 from amaranthspar import effects
 from amaranthspar.membership import leaseholder
-from amaranthspar.schema import messages
+from amaranthspar.schema import messages, viewmessages
 
 CONTROLLERS = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]
 DURATION_MS = 3000
@@ -116,3 +116,53 @@
     assert holder.handle(denied, 1_501) == []
     assert holder.is_valid(1_501)
     assert holder.tick(2_600) == []
+
+
+def test_member_without_a_lease_learns_of_the_controllers_from_another_member() -> None:
+    """All controllers may have been replaced while it heard none of them."""
+    replaced = ["127.0.0.1:4", "127.0.0.1:5"]
+    cut_off, other = build_holder(), build_holder(2)
+    members = [messages.Member("g1", "gateway", 5, "127.0.0.1:8", 0)]
+    first = messages.LeaseGranted(
+        0,
+        DURATION_MS,
+        0,
+        0,
+        1,
+        membership=messages.MembershipChange(0, 1, members, []),
+        controllers=CONTROLLERS,
+        controllers_revision=3,
+    )
+    cut_off.tick(0)
+    assert not find_requests(cut_off.handle(first, 10))
+    newer = messages.LeaseGranted(0, DURATION_MS, 0, 0, 0, None, None, replaced, 9)
+    other.tick(0)
+    other.handle(newer, 10)
+    late_ms = 2 * DURATION_MS
+    (request,) = find_requests(cut_off.tick(late_ms))
+    assert request.peer == "127.0.0.1:8"
+    (answer,) = other.handle(request.message, late_ms, "127.0.0.1:9")
+    assert isinstance(answer, effects.Send)
+    assert answer.peer == "127.0.0.1:9"
+    changed = cut_off.handle(answer.message, late_ms, "127.0.0.1:8")
+    assert changed == [leaseholder.ControllersChanged("127.0.0.1:8")]
+    targets = {
+        item.peer
+        for number in range(1, 30)
+        for item in cut_off.tick(late_ms + 1_000 * number)
+        if isinstance(item, effects.Send)
+        and isinstance(item.message, messages.RenewLease)
+    }
+    assert targets == {*replaced, *CONTROLLERS}
+    assert not other.handle(
+        viewmessages.FetchView(9, -1, -1, 0, False), late_ms, "127.0.0.1:9"
+    )
+
+
+def find_requests(performed: list[leaseholder.Effect]) -> list[effects.Send]:
+    return [
+        item
+        for item in performed
+        if isinstance(item, effects.Send)
+        and isinstance(item.message, viewmessages.FetchView)
+    ]
