A controller outside the set asks others by its committed set only

Found on reading the change: a leader that was cut off may have appended a change of the set without a majority, at an index above that of the set that the others have committed since. It then asked gateways and sidecars for sets newer than its own index, and none answered. It now states the revision of its committed set, as its answers to announcements do.

test_controller_that_knows_no_other_asks_to_join_the_ones_that_a_gateway_knows with an uncommitted set: failed before by its time limit (22 s), passes now.

--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -315,8 +315,9 @@
         if not address:
             return
         state = self._registry.documents
+        committed = self._read_state(self._clock.read_monotonic())
         request = viewmessages.FetchView(
-            max(self._controllers.revision, self._machine.journal.members_index),
+            max(self._controllers.revision, committed.revision),
             state.version,
             state.version,
             state.domains_revision,
--- a/tests/builders_contact.py
+++ b/tests/builders_contact.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from amaranthspar import clock, ports
+from amaranthspar.consensus import journal
 from amaranthspar.membership import directory, documents
 from amaranthspar.network import links
 from amaranthspar.schema import codec, messages, options, viewmessages
@@ -129,3 +130,10 @@
     removed: str, added: str, address: str
 ) -> messages.ReplaceReplica:
     return messages.ReplaceReplica(1, removed, added, address, "ops")
+
+
+def build_set_entry(index: int, address: str) -> messages.LogEntry:
+    """Return a log entry that sets another controller as the only one."""
+    change = messages.ChangeReplicas([messages.Replica("c8", address, True)], [])
+    command = journal.encode_change(change)
+    return messages.LogEntry(index, 1, command.kind, command.payload)
--- a/tests/test_lost_controllers.py
+++ b/tests/test_lost_controllers.py
@@ -106,9 +106,11 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("has_uncommitted_set", [False, True])
 def test_controller_that_knows_no_other_asks_to_join_the_ones_that_a_gateway_knows(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, has_uncommitted_set: bool
 ):
+    """A leader that was cut off may have changed the set without a majority."""
     own, lost, current, gate = ports.find_addresses(4)
 
     async def run() -> None:
@@ -123,6 +125,14 @@
         )
         await found.open()
         await cut_off.start()
+        if has_uncommitted_set:
+            last_index = found.revision + 1
+            cut_off.machine.journal.append(
+                [
+                    builders_contact.build_set_entry(index, lost)
+                    for index in range(1, last_index + 1)
+                ]
+            )
         await gateway.start()
         try:
             await builders_contact.wait_until(
