A test waits for the process before it sends SIGHUP

Found on reading: with a start slower than 1.5 s, as beside other load, the signal would come before its handler and end the process.

--- a/tests/test_lost_controllers.py
+++ b/tests/test_lost_controllers.py
@@ -199,7 +199,9 @@
         await found.open()
         process = builders_shell.start_program(role, "--settings", str(path))
         try:
-            await asyncio.sleep(1.5)
+            await builders_contact.wait_until(
+                lambda: "started" in builders_shell.read_output(process)
+            )
             text = builders_contact.build_settings(role, listen, added, http)
             path.write_text(text)
             if has_signal:
