Tests of contact name the role of a sidecar in full

A builder was called with a role that no process has. Cause: shortened while writing; the builder treats every other role as a sidecar, so nothing that is checked changes. 14 passed in tests/test_contact.py.

--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -151,7 +151,11 @@
 
 
 def test_gateway_that_was_cut_off_gets_document_and_domains_of_another_process():
-    cut_off, other, side = build_announcer(), build_announcer(), build_announcer("side")
+    cut_off, other, side = (
+        build_announcer(),
+        build_announcer(),
+        build_announcer("sidecar"),
+    )
     cut_off.apply_view(
         "a",
         build_view(
