Contact is logged with the answer that restores it

Cause: the line was written at the next tick, up to 20 ms after the answer. Since only an answer from a quorum-confirmed view is contact; a sidecar that starts beside its controller therefore gets it at the moment at which the document reaches the gateway, and not seconds before. In the log of the failed run the sidecar's `controllers changed` and the gateway's `routing table loaded` stand next to each other; the test began between that answer and the tick. Not load alone: the order of the two was open.

The line is now written with the answer, before what the answer brought, and `silent_ms` of `controllers heard` is the silence that has ended (it was the time since the answer, 0 to 20 ms). The tests on the whole path wait until gateway and sidecar have contact, so none begins before that line; the check stays as it was.

Ruled out: a lost contact during the test (there is no `controllers silent`).

--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -25,6 +25,9 @@
         failure_domain: Failure domain of the process.
         incarnation: Incarnation of the process.
         send: Function that sends a message to an address.
+
+    Attributes:
+        has_contact: Whether a controller had answered recently at the last event.
     """
 
     def __init__(
@@ -52,7 +55,7 @@
         )
         self._announcer = announcer.Announcer(announcement, process.controllers)
         self._send = send
-        self._had_contact = False
+        self.has_contact = False
         self._started_ms: int | None = None
         self._logged_ms = 0
 
@@ -125,7 +128,7 @@
                         age_ms=self._announcer.find_document_age_ms(now_ms),
                     )
             self._send(send.peer, send.message)
-        self._log_contact(now_ms)
+        self._log_contact(now_ms, self.find_silence_ms(now_ms))
 
     def find_silence_ms(self, now_ms: int) -> int:
         """Return the time since the last answer of any controller, in ms.
@@ -139,18 +142,18 @@
         started_ms = now_ms if self._started_ms is None else self._started_ms
         return now_ms - max(self._announcer.answered_ms, started_ms)
 
-    def _log_contact(self, now_ms: int) -> None:
+    def _log_contact(self, now_ms: int, silence_ms: int) -> None:
         has_contact = self._announcer.has_recent_answer(now_ms)
         is_repeated = now_ms - self._logged_ms >= SILENCE_LOG_INTERVAL_MS
-        if has_contact is self._had_contact and (has_contact or not is_repeated):
+        if has_contact is self.has_contact and (has_contact or not is_repeated):
             return
-        self._had_contact = has_contact
+        self.has_contact = has_contact
         self._logged_ms = now_ms
         _log.info(
             "controllers heard" if has_contact else "controllers silent",
             version=self.version,
             newest=self._announcer.newest,
-            silent_ms=self.find_silence_ms(now_ms),
+            silent_ms=silence_ms,
             asked=self._announcer.list_asked(now_ms),
         )
 
@@ -168,9 +171,11 @@
             The change of the view; None if nothing has changed.
         """
         stated = set(self._announcer.controllers.stated)
+        silence_ms = self.find_silence_ms(now_ms)
         update = self._announcer.apply_view(address, view, now_ms)
         if set(self._announcer.controllers.stated) != stated:
             self._log_controllers(address)
+        self._log_contact(now_ms, silence_ms)
         if update is not None:
             _log.info(
                 "view changed",
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -2,8 +2,10 @@
 
 import attrs
 import pytest
+import structlog
 
-from amaranthspar.membership import announcer, controllers, documents, peers
+from amaranthspar import processes
+from amaranthspar.membership import announcer, contact, controllers, documents, peers
 from amaranthspar.schema import viewmessages
 from tests import builders_contact
 
@@ -200,3 +202,18 @@
     assert built.apply_view("side:1", older, LATE_MS) is None
     assert (built.version, built.domains_out) == (7, {"east"})
     assert built.controllers.stated == ("a", "b", "c")
+
+
+def test_contact_is_logged_before_what_the_answer_brought():
+    """A line of contact that waits for the next tick misses what reads the log before."""
+    settings = processes.ProcessSettings("own", "own:1", ["a", "b", "c"])
+    built = contact.Contact(
+        settings, "gateway", "", "east", 1, lambda address, message: None
+    )
+    built.tick(1)
+    with structlog.testing.capture_logs() as lines:
+        built.apply_view("a", build_view(), LATE_MS)
+    events = [item["event"] for item in lines]
+    assert events == ["controllers changed", "controllers heard", "view changed"]
+    assert lines[1]["silent_ms"] == LATE_MS - 1
+    assert built.has_contact
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -102,6 +102,11 @@
         body = builders.build_heartbeat()
         await self.wait_for(200, "POST", self.registrations, path, body)
         await self.wait_for(200, "GET", self.callers, "/quotes/")
+        async with asyncio.timeout(WAIT_S):
+            while not (
+                self.gateway._contact.has_contact and self.sidecar._contact.has_contact
+            ):
+                await asyncio.sleep(0.02)
 
     async def submit(self, job=JOB, **changes):
         body = builders.build_job(**changes)
