A document is fetched in parts, one request at a time

Cause: the document came as one frame. A controller replaces a connection on which no frame is acknowledged for 480 ms, and what was on it is lost. So a document above some size never arrived, however long a gateway waited. The same holds for 900 kB on the 12.5 Mbit/s of the full site.

Change: a request names the version that the gateway has begun, how much of it has arrived and the largest part that it takes (32 KiB). The next part is requested with the one before, from the same source. A part that is late is requested of another process, which continues at the offset; the wait follows the last part's time and doubles with each request in vain, up to 3.2 s. Controllers keep three previous documents, or changes in quick succession would make a slow gateway begin anew each time. Gateways that hear no controller fetch from another gateway in the same way. A peer that knows no parts gets and sends whole documents. `document asked` has `offset` and `tries`, `view changed` has `document_bytes`.

Ruled out: lost requests (the controllers answered).

--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -15,7 +15,7 @@
 import attrs
 
 from amaranthspar import effects
-from amaranthspar.membership import controllers, documents, peers
+from amaranthspar.membership import controllers, documents, parts, peers
 from amaranthspar.schema import viewmessages
 
 ANNOUNCE_INTERVAL_MS = 300
@@ -35,8 +35,6 @@
 MAX_VIEW_AGE_MS = 3_000
 """Age of a controller's own view from which its answers are no contact: a controller that
 was cut off or removed goes on answering, and an election takes about 1 s."""
-FETCH_RETRY_MS = 400
-"""Time after which a missing document is requested again, from another controller."""
 
 
 @attrs.define(slots=True)
@@ -112,6 +110,7 @@
             recent view.
         controllers: Addresses of the controllers.
         recent_peers: Processes from which messages were received.
+        transfer: Document on its way to this process.
     """
 
     def __init__(self, announcement: viewmessages.Announce, seeds: list[str]) -> None:
@@ -127,13 +126,12 @@
         self._update_addresses()
         self._sent_ms = -ANNOUNCE_INTERVAL_MS
         self._started_ms: int | None = None
-        self._fetched_ms = -FETCH_RETRY_MS
+        self.transfer = parts.Transfer()
         self.newest = documents.NO_VERSION
         self._newest_ms = 0
         self._next_position = 0
         self._next_gateway = 0
         self._asked_peer_ms = -ANNOUNCE_INTERVAL_MS
-        self._fetched_from_peer_ms = -FETCH_RETRY_MS
         self._merged_addresses: frozenset[str] = frozenset()
 
     def list_asked(self, now_ms: int) -> list[str]:
@@ -201,8 +199,8 @@
         """
         if self._started_ms is None:
             self._started_ms = now_ms
-        source = self._choose_source(now_ms)
-        due = {source} if source else set()
+        fetches = self.list_fetches(now_ms)
+        due: set[str] = set()
         is_starting = self._is_starting(now_ms)
         if now_ms - self._sent_ms >= (
             STARTUP_INTERVAL_MS if is_starting else ANNOUNCE_INTERVAL_MS
@@ -211,16 +209,37 @@
             due |= (
                 set(self._controllers) if is_starting else {self._choose_next(now_ms)}
             )
-        return [
-            *(
-                effects.Send(
-                    address, self._build_announcement(controller, address == source)
-                )
-                for address, controller in self._controllers.items()
-                if address in due
-            ),
-            *self._ask_peers(now_ms),
+        requests = [
+            effects.Send(address, self._build_announcement(controller))
+            for address, controller in self._controllers.items()
+            if address in due
         ]
+        requests += self._ask_peers(now_ms)
+        fetched = {item.peer for item in fetches}
+        return [*fetches, *(item for item in requests if item.peer not in fetched)]
+
+    def list_fetches(self, now_ms: int) -> list[effects.Send]:
+        """Return the request for a missing document that is due, if there is one.
+
+        Args:
+            now_ms: Monotonic time in ms.
+        """
+        source = self._choose_source(now_ms)
+        if not source:
+            return []
+        request = (
+            self._build_announcement(self._controllers[source])
+            if source in self._controllers
+            else self._build_request()
+        )
+        wanted = attrs.evolve(
+            request,
+            wants_document=True,
+            part_version=self.transfer.version,
+            part_offset=self.transfer.offset,
+            max_part_bytes=parts.PART_BYTES,
+        )
+        return [effects.Send(source, wanted)]
 
     def apply_view(
         self, address: str, view: viewmessages.View, now_ms: int
@@ -245,10 +264,12 @@
             self._newest_ms = now_ms
         document = None
         document_age_ms = 0
-        if view.document and view.document_version > self.version:
-            document_age_ms = self.find_document_age_ms(now_ms)
-            self.version = view.document_version
-            document = view.document
+        part = parts.read_part(view)
+        if part is not None and part.version > self.version:
+            document = self.transfer.receive(part, now_ms)
+            if document is not None:
+                document_age_ms = self.find_document_age_ms(now_ms)
+                self.version = part.version
         has_changed = document is not None
         if view.domains_revision > self.domains_revision:
             self.domains_revision = view.domains_revision
@@ -270,6 +291,8 @@
         controller.answered_ms = now_ms
         controller.version = view.document_version
         if self._is_current(view):
+            if not self.has_recent_answer(now_ms):
+                self.transfer.restart_timeout()
             controller.current_ms = self.answered_ms = now_ms
 
     def answer_peer(
@@ -281,20 +304,17 @@
             request: Request of a process that hears no controller.
             document: Content of the document held; empty where none is held.
         """
-        sends_document = (
-            request.wants_document
-            and bool(document)
-            and self.version > request.document_version
-        )
+        held = {self.version: document} if document else {}
+        part = parts.cut_part(held, request)
         if not (
-            sends_document
+            part
             or self.controllers.revision > request.controllers_revision
             or self.newest > request.newest_version
             or self.domains_revision > request.domains_revision
         ):
             return None
-        return viewmessages.View(
-            self.version if sends_document else self.newest,
+        view = viewmessages.View(
+            self.newest if part is None else self.version,
             self.domains_revision,
             sorted(self.domains_out),
             list(self.controllers.stated),
@@ -302,10 +322,11 @@
             [],
             0,
             0,
-            document if sends_document else b"",
+            b"",
             self.controllers.revision,
             documents.NO_VIEW_AGE_MS,
         )
+        return parts.add_part(view, part)
 
     def _ask_peers(self, now_ms: int) -> list[effects.Send]:
         """Ask other processes for newer parts of the view, if no controller answers.
@@ -322,31 +343,19 @@
             return []
         self._asked_peer_ms = now_ms
         addresses = {self.recent_peers.choose_next(), self._choose_gateway()} - {""}
-        source = self._choose_document_source(now_ms)
-        if source:
-            addresses.add(source)
         return [
-            effects.Send(
-                address,
-                viewmessages.FetchView(
-                    self.controllers.revision,
-                    self.version,
-                    self.newest,
-                    self.domains_revision,
-                    address == source,
-                ),
-            )
+            effects.Send(address, self._build_request())
             for address in sorted(addresses)
         ]
 
-    def _choose_document_source(self, now_ms: int) -> str:
-        """Return the gateway to fetch a missing document from; empty for none."""
-        if not self._announcement.wants_peers or self.version >= self.newest:
-            return ""
-        if now_ms - self._fetched_from_peer_ms < FETCH_RETRY_MS:
-            return ""
-        self._fetched_from_peer_ms = now_ms
-        return self._choose_gateway()
+    def _build_request(self) -> viewmessages.FetchView:
+        return viewmessages.FetchView(
+            self.controllers.revision,
+            self.version,
+            self.newest,
+            self.domains_revision,
+            wants_document=False,
+        )
 
     def _choose_gateway(self) -> str:
         """Return the address of another gateway, each in turn; empty for none."""
@@ -394,30 +403,46 @@
         return addresses[self._next_position % len(addresses)] if addresses else ""
 
     def _choose_source(self, now_ms: int) -> str:
-        """Return the controller to fetch a missing document from; empty for none.
+        """Return the process to fetch a missing document from; empty for none.
 
         Only processes that route requests, and therefore want peers, need the document.
         """
         if not self._announcement.wants_peers or self.version >= self.newest:
             return ""
-        if now_ms - self._fetched_ms < FETCH_RETRY_MS:
+        if not self.transfer.is_due(now_ms):
+            return ""
+        sources = self._list_sources(now_ms)
+        if not sources:
+            self.transfer.restart_timeout()
             return ""
-        self._fetched_ms = now_ms
+        previous = self.transfer.source
+        if self.transfer.tries:
+            sources = [address for address in sources if address != previous] or sources
+        elif self.transfer.offset and previous in sources:
+            sources = [previous]
+        self.transfer.note_request(sources[0], now_ms)
+        return sources[0]
+
+    def _list_sources(self, now_ms: int) -> list[str]:
+        """Return the processes that hold the newest document, the last heard first.
+
+        Without contact, another gateway that may hold it comes after the controllers.
+        """
         answers = {
-            address: controller.answered_ms
-            for address, controller in self._controllers.items()
-            if controller.version >= self.newest
+            address: item.answered_ms
+            for address, item in self._controllers.items()
+            if item.version >= self.newest
+            and now_ms - item.answered_ms <= PEER_LIST_TIMEOUT_MS
         }
-        return max(answers, key=lambda address: answers[address], default="")
+        sources = sorted(answers, key=lambda address: answers[address], reverse=True)
+        gateway = "" if self.has_recent_answer(now_ms) else self._choose_gateway()
+        return [*sources, gateway] if gateway else sources
 
-    def _build_announcement(
-        self, controller: _Controller, is_source: bool
-    ) -> viewmessages.Announce:
+    def _build_announcement(self, controller: _Controller) -> viewmessages.Announce:
         return attrs.evolve(
             self._announcement,
             document_version=self.version,
             domains_revision=max(self.domains_revision, 0),
-            wants_document=is_source,
             peers_digest=controller.digest,
         )
 
--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from amaranthspar import processes
+from amaranthspar import effects, processes
 from amaranthspar.membership import announcer, documents
 from amaranthspar.schema import codec, viewmessages
 
@@ -118,18 +118,28 @@
         if self._started_ms is None:
             self._started_ms = self._logged_ms = now_ms
         for send in self._announcer.tick(now_ms):
-            match send.message:
-                case viewmessages.Announce(wants_document=True):
-                    _log.info(
-                        "document asked",
-                        source=send.peer,
-                        held=self.version,
-                        newest=self._announcer.newest,
-                        age_ms=self._announcer.find_document_age_ms(now_ms),
-                    )
+            self._log_fetch(send, now_ms)
             self._send(send.peer, send.message)
         self._log_contact(now_ms, self.find_silence_ms(now_ms))
 
+    def _log_fetch(self, send: effects.Send, now_ms: int) -> None:
+        """Log the first request for a document, and each one that is repeated."""
+        transfer = self._announcer.transfer
+        match send.message:
+            case (
+                viewmessages.Announce(wants_document=True)
+                | viewmessages.FetchView(wants_document=True)
+            ) if transfer.tries > 1 or not transfer.offset:
+                _log.info(
+                    "document asked",
+                    source=send.peer,
+                    held=self.version,
+                    newest=self._announcer.newest,
+                    offset=transfer.offset,
+                    tries=transfer.tries,
+                    age_ms=self._announcer.find_document_age_ms(now_ms),
+                )
+
     def find_silence_ms(self, now_ms: int) -> int:
         """Return the time since the last answer of any controller, in ms.
 
@@ -182,7 +192,11 @@
                 source=address,
                 version=self.version,
                 document_age_ms=update.document_age_ms,
+                document_bytes=len(update.document or b""),
                 domains_out=sorted(update.domains_out),
                 peers=len(update.peers),
             )
+        for send in self._announcer.list_fetches(now_ms):
+            self._log_fetch(send, now_ms)
+            self._send(send.peer, send.message)
         return update
--- a/amaranthspar/membership/directory.py
+++ b/amaranthspar/membership/directory.py
@@ -11,7 +11,7 @@
 import attrs
 import xxhash
 
-from amaranthspar.membership import documents
+from amaranthspar.membership import documents, parts
 from amaranthspar.schema import codec, viewmessages
 
 EXPIRY_MS = 6_000
@@ -80,17 +80,17 @@
             now_ms: Monotonic time in ms.
 
         Returns:
-            The answer; it holds the document and the peers only where the process
-            requests them and does not hold them yet.
+            The answer; it holds a part of the document and the peers only where the
+            process requests them and does not hold them yet.
         """
         self._record(message, now_ms)
-        sends_document = (
-            message.wants_document and state.version > message.document_version
-        )
+        part = None
+        if message.wants_document:
+            part = parts.cut_part(state.list_held(), message)
         base, names = message.peers_digest, set[str]()
         if message.wants_peers and message.peers_digest != self._digest:
             base, names = self._find_changes(message.peers_digest)
-        return viewmessages.View(
+        view = viewmessages.View(
             state.version,
             state.domains_revision,
             sorted(state.domains_out),
@@ -103,10 +103,11 @@
             sorted(name for name in names if name not in self._processes),
             base,
             self._digest,
-            state.content if sends_document else b"",
+            b"",
             controllers.revision,
             controllers.view_age_ms,
         )
+        return parts.add_part(view, part)
 
     def expire(self, now_ms: int) -> list[str]:
         """Remove processes without a recent announcement and return their names.
--- a/amaranthspar/membership/documents.py
+++ b/amaranthspar/membership/documents.py
@@ -10,6 +10,8 @@
 """Age of the view of a process without a view that a majority has confirmed."""
 ANY_ORDER = -1
 """Base of an order on domains that holds after any other."""
+MAX_PREVIOUS = 3
+"""Number of previous documents kept for processes that are receiving one of them."""
 
 
 @attrs.define(slots=True)
@@ -23,6 +25,8 @@
         domains_out: Failure domains in which no run may start.
         newest_order: Number of the order on domains that was taken last.
         newest_order_name: Its request name.
+        previous: Previous documents with their versions, the newest first. They are not
+            part of the replicated state.
     """
 
     version: int = NO_VERSION
@@ -31,6 +35,14 @@
     domains_out: set[str] = attrs.field(factory=set)
     newest_order: int = 0
     newest_order_name: str = ""
+    previous: tuple[tuple[int, bytes], ...] = ()
+
+    def list_held(self) -> dict[int, bytes]:
+        """Return the contents of the documents held, by version."""
+        held = dict(self.previous)
+        if self.version != NO_VERSION:
+            held[self.version] = self.content
+        return held
 
     def put(self, command: viewmessages.PutDocument) -> None:
         """Store a document if its version is higher than the stored one.
@@ -39,6 +51,9 @@
             command: Committed entry.
         """
         if command.version > self.version:
+            if self.version != NO_VERSION:
+                kept = self.previous[: MAX_PREVIOUS - 1]
+                self.previous = ((self.version, self.content), *kept)
             self.version = command.version
             self.content = command.content
 
--- a/amaranthspar/schema/viewmessages.py
+++ b/amaranthspar/schema/viewmessages.py
@@ -26,6 +26,9 @@
         wants_document: Whether the controller should send a newer document.
         wants_peers: Whether the controller should send a changed list of processes.
         peers_digest: Digest of the list that this controller sent last; 0 for none.
+        part_version: Version of which the process holds the first bytes; -1 for none.
+        part_offset: Number of these bytes.
+        max_part_bytes: Largest part of a document that one answer may hold; 0 for whole documents.
     """
 
     process: str
@@ -40,6 +43,9 @@
     wants_document: bool
     wants_peers: bool
     peers_digest: int
+    part_version: int = -1
+    part_offset: int = 0
+    max_part_bytes: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -78,9 +84,12 @@
         peers_gone: Names of the processes in `peers_base` that are no longer in the list.
         peers_base: Digest of the list to which the changes apply; 0 if `peers` is the complete list.
         peers_digest: Digest of the list after the changes.
-        document: Document, if it is newer than the version held and was requested.
+        document: Document, or a part of it, if it is newer than the version held and was requested.
         controllers_revision: Revision of `controllers`; 0 for an unknown one.
         view_age_ms: Age in ms of the sender's quorum-confirmed view; -1 for none, as from a process that is no controller.
+        part_version: Version of `document`; -1 for `document_version`.
+        part_offset: Offset of `document` in the whole one.
+        document_size: Size of the whole document; 0 if `document` is the whole one.
     """
 
     document_version: int
@@ -94,6 +103,9 @@
     document: bytes = b""
     controllers_revision: int = 0
     view_age_ms: int = 0
+    part_version: int = -1
+    part_offset: int = 0
+    document_size: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -106,6 +118,9 @@
         newest_version: Newest document version that the sender knows of; -1 for none.
         domains_revision: Revision of `domains_out` that the sender holds; -1 for none.
         wants_document: Whether the receiver should send a newer document.
+        part_version: Version of which the process holds the first bytes; -1 for none.
+        part_offset: Number of these bytes.
+        max_part_bytes: Largest part of a document that one answer may hold; 0 for whole documents.
     """
 
     controllers_revision: int
@@ -113,6 +128,9 @@
     newest_version: int
     domains_revision: int
     wants_document: bool
+    part_version: int = -1
+    part_offset: int = 0
+    max_part_bytes: int = 0
 
 
 @attrs.frozen(slots=True)
