A cancel that reaches another gateway takes effect

Cause: a gateway looked for the job among its own and stated "not here" as "nowhere". GET of a job's state did the same.

Change: the gateway asks all others (FindJob, JobFound), again every 250 ms without an answer. The holder ends the job before it answers; 410 takes an answer of each gateway in an up-to-date list, and after 1.2 s without it the caller gets 503 with Retry-After. Log lines `job searched` and `job not searched`.

--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -357,14 +357,18 @@
             wants_document=False,
         )
 
-    def _choose_gateway(self) -> str:
-        """Return the address of another gateway, each in turn; empty for none."""
+    def list_gateways(self) -> dict[str, str]:
+        """Return the addresses of the other gateways by name."""
         own = self._announcement.process
-        gateways = [
-            peer.address
+        return {
+            peer.process: peer.address
             for peer in self.peers
             if peer.role == "gateway" and peer.process != own
-        ]
+        }
+
+    def _choose_gateway(self) -> str:
+        """Return the address of another gateway, each in turn; empty for none."""
+        gateways = list(self.list_gateways().values())
         if not gateways:
             return ""
         self._next_gateway += 1
--- a/amaranthspar/membership/contact.py
+++ b/amaranthspar/membership/contact.py
@@ -64,6 +64,10 @@
         """Version of the routing document held."""
         return self._announcer.version
 
+    def list_gateways(self) -> dict[str, str]:
+        """Return the addresses of the other gateways by name."""
+        return self._announcer.list_gateways()
+
     def announce_leaving(self) -> None:
         """State in the announcements from now on that the process is stopping."""
         self._announcer.announce_leaving()
--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -10,7 +10,7 @@
 from amaranthspar import clock
 from amaranthspar.platform import servers, wire
 from amaranthspar.roles import jobgateway
-from amaranthspar.scheduling import jobevents, jobs, routes
+from amaranthspar.scheduling import jobevents, jobs, jobsearches, routes
 
 DEADLINE_HEADER = "X-Amaranthspar-Deadline-Ms"
 OUTCOME_HEADER = "Amaranthspar-Outcome"
@@ -78,9 +78,9 @@
                 count = self._gateway.count_waiting(route.queue.name)
                 return _answer({"Pending": count})
             case "GET" if wire.is_job_id(name):
-                return self._show(name)
+                return await self._show(name)
             case "DELETE" if wire.is_job_id(name):
-                return self._cancel(name)
+                return await self._cancel(name)
             case "POST" | "GET" | "DELETE":
                 return servers.answer_json(404)
             case _:
@@ -153,13 +153,33 @@
             case _:
                 return _answer_unknown(502)
 
-    def _show(self, name: str) -> web.Response:
-        state = self._gateway.find_state(name)
-        return _answer({"State": state}) if state else servers.answer_json(410)
+    async def _show(self, name: str) -> web.Response:
+        state: str = self._gateway.find_state(name)
+        if not state:
+            result, state = await self._gateway.find_elsewhere(name)
+            if result is not jobsearches.Result.FOUND:
+                return _answer_absent(result)
+        return _answer({"State": state})
 
-    def _cancel(self, name: str) -> web.Response:
-        is_here = self._gateway.cancel(name, "caller cancelled it")
-        return servers.answer_json(200 if is_here else 410)
+    async def _cancel(self, name: str) -> web.Response:
+        if self._gateway.cancel(name, "caller cancelled it"):
+            return servers.answer_json(200)
+        result, _ = await self._gateway.find_elsewhere(name, cancels=True)
+        if result is jobsearches.Result.FOUND:
+            return servers.answer_json(200)
+        return _answer_absent(result)
+
+
+def _answer_absent(result: jobsearches.Result) -> web.Response:
+    """Return a response for a job that was not found.
+
+    If a gateway has not answered, it may hold the job, and the caller is to ask again.
+    """
+    if result is jobsearches.Result.ABSENT:
+        return servers.answer_json(410)
+    response = servers.answer_json(503)
+    response.headers["Retry-After"] = str(RETRY_MIN_S)
+    return response
 
 
 def _answer(body: dict[str, str | int], outcome: str = "") -> web.Response:
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -8,14 +8,16 @@
 import contextlib
 import random
 import secrets
+from typing import Literal
 
+import attrs
 import structlog
 
 from amaranthspar import clock, effects, loop as loops, processes
 from amaranthspar.membership import contact
 from amaranthspar.network import links
 from amaranthspar.observation import metering
-from amaranthspar.scheduling import dispatcher, jobevents, jobs
+from amaranthspar.scheduling import dispatcher, jobevents, jobs, jobsearches
 from amaranthspar.schema import codec, options, runmessages, viewmessages
 
 TICK_MS = 20
@@ -26,10 +28,20 @@
 """Time after its start for which a gateway lets requests wait for routes and capacity:
 at most an election of the controllers and one round of reports."""
 SEED_BITS = 64
+MAX_LOGGED_NAMES = 10
+"""Maximum number of names in a line of the log."""
 
 _log = structlog.get_logger()
 
 
+@attrs.frozen(slots=True)
+class _Search:
+    """A search for a job, and the future of its result."""
+
+    search: jobsearches.JobSearch
+    future: asyncio.Future[jobsearches.Result]
+
+
 class JobGateway:
     """A gateway process, without its HTTP server.
 
@@ -62,6 +74,8 @@
         self._reports: list[jobevents.Heard] = []
         self._caller_counts: collections.Counter[str] = collections.Counter()
         self._results: dict[str, asyncio.Future[jobevents.JobEnded]] = {}
+        self._searches: dict[int, _Search] = {}
+        self._last_search = self._incarnation
         self._ticking: asyncio.Task[None] | None = None
         self._started_ms = 0
         self._routable = asyncio.Event()
@@ -184,7 +198,7 @@
         _log.info("caller left", request=job)
         self._step(jobevents.Cancel(job, outcome, "caller left"))
 
-    def find_state(self, job: str) -> str:
+    def find_state(self, job: str) -> Literal["", "queued", "running"]:
         """Return ``queued`` or ``running``; empty if the job is not at this gateway.
 
         Args:
@@ -210,6 +224,86 @@
         self._step(jobevents.Cancel(job, jobevents.Outcome.CANCELLED, reason))
         return True
 
+    async def find_elsewhere(
+        self, job: str, cancels: bool = False
+    ) -> tuple[jobsearches.Result, str]:
+        """Look for a job at the other gateways.
+
+        Args:
+            job: Id of the job.
+            cancels: Whether the job is to be cancelled there.
+
+        Returns:
+            The result, and the state of a job that was found.
+        """
+        if len(self._searches) >= jobsearches.MAX_SEARCHES:
+            _log.info("job not searched", request=job, searches=len(self._searches))
+            return jobsearches.Result.UNKNOWN, ""
+        self._last_search += 1
+        number = self._last_search
+        now_ms = self._clock.read_monotonic()
+        search = jobsearches.JobSearch(number, job, cancels, now_ms)
+        future = asyncio.get_running_loop().create_future()
+        self._searches[number] = _Search(search, future)
+        try:
+            self._advance_searches()
+            result = await future
+        finally:
+            del self._searches[number]
+        gateways = self._contact.list_gateways()
+        _log.info(
+            "job searched",
+            request=job,
+            cancels=cancels,
+            result=result.name.lower(),
+            holder=search.holder,
+            state=search.state,
+            asked=len(gateways),
+            missing=search.list_missing(gateways)[:MAX_LOGGED_NAMES],
+            has_contact=self._contact.has_contact,
+            took_ms=self._clock.read_monotonic() - now_ms,
+        )
+        return result, search.state
+
+    def _advance_searches(self) -> None:
+        """Send the requests that are due and end the searches with a result."""
+        if not self._searches:
+            return
+        now_ms = self._clock.read_monotonic()
+        gateways = self._contact.list_gateways()
+        for item in self._searches.values():
+            if item.future.done():
+                continue
+            result = item.search.find_result(
+                gateways, self._contact.has_contact, now_ms
+            )
+            if result is not None:
+                item.future.set_result(result)
+                continue
+            for send in item.search.list_due(gateways, now_ms):
+                self._links.send(send.peer, send.message)
+
+    def _answer_search(
+        self, name: str, address: str, request: runmessages.FindJob
+    ) -> None:
+        """Answer another gateway that looks for a job, and cancel it if it says so."""
+        state: Literal["", "queued", "running", "cancelled"] = self.find_state(
+            request.job
+        )
+        if state and request.cancels:
+            self.cancel(request.job, f"caller cancelled it at {name}")
+            state = "cancelled"
+        self._links.send(address, runmessages.JobFound(request.search, state))
+
+    def _take_answer(self, name: str, answer: runmessages.JobFound) -> None:
+        found = self._searches.get(answer.search)
+        if found is None:
+            if answer.state == "cancelled":
+                _log.info("late answer to a search", holder=name, state=answer.state)
+            return
+        found.search.apply_answer(name, answer)
+        self._advance_searches()
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of jobs of a queue for which no start order has been sent.
 
@@ -224,6 +318,7 @@
         if not self._routable.is_set():
             self._check_routable()
         self.meters.waiting = len(self._dispatcher.waiting)
+        self._advance_searches()
         now_ms = self._clock.read_monotonic()
         self._contact.tick(now_ms)
         self.meters.document_version = self.version
@@ -242,6 +337,10 @@
                     self._apply_view(frame.address, message)
                 case viewmessages.FetchView():
                     self._contact.answer_peer(frame.address, message, self.document)
+                case runmessages.FindJob():
+                    self._answer_search(frame.sender, frame.address, message)
+                case runmessages.JobFound():
+                    self._take_answer(frame.sender, message)
                 case _:
                     _log.warning("unexpected message", kind=type(message).__name__)
 
--- a/amaranthspar/schema/runmessages.py
+++ b/amaranthspar/schema/runmessages.py
@@ -164,3 +164,31 @@
 
     reports: list[RunReport]
     room: Room
+
+
+@attrs.frozen(slots=True)
+class FindJob:
+    """Asks another gateway for a job that the sender does not hold.
+
+    Attributes:
+        search: Number of the search, which the answer copies.
+        job: Id of the job.
+        cancels: Whether the job is to be cancelled.
+    """
+
+    search: int
+    job: str
+    cancels: bool
+
+
+@attrs.frozen(slots=True)
+class JobFound:
+    """Answers `FindJob`.
+
+    Attributes:
+        search: Copied from the request.
+        state: State of the job; empty if the sender does not hold it.
+    """
+
+    search: int
+    state: Literal["", "queued", "running", "cancelled"]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -334,6 +334,8 @@
                 -1, -1, [], ["no address"], [], [], 0, 0, b"", 10**15, 10**15
             ),
             viewmessages.FetchView(-5, -5, -5, -5, wants_document=True),
+            runmessages.FindJob(-1, "", cancels=True),
+            runmessages.JobFound(-1, "cancelled"),
             runmessages.RunReports([stale], build_room()),
         ]
         for message in bad:
