No lease outlasts the limit of a gateway whose order is under way

Cause: one lease covers all runs of an upstream and can't be shortened. Its limit was taken from the gateways with runs there, so an idle upstream got the full second, and a busy one up to 1.1 s after what the others had acknowledged. A run that began on older evidence inherited that lease.

Change: each gateway whose order would still be accepted limits the lease, by the oldest report on which such an order may be based, or the newest one that it has acknowledged. That is never below 300 ms, as orders on reports older than 800 ms are refused, and about 800 ms where idle gateways renew every 280 ms.

--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -125,6 +125,23 @@
             self.acknowledged_ms, self.report_times_ms.get(number, -1)
         )
 
+    def find_evidence_ms(self, oldest_ms: int) -> int:
+        """Return until when an order that arrives now shows at least that it was alive.
+
+        Args:
+            oldest_ms: Time in ms of the oldest report on which an order may be based.
+
+        Returns:
+            Time in ms of the oldest such report, or of the newest one that the gateway has
+            acknowledged; -1 if no order of it is accepted.
+        """
+        evidence_ms = -1
+        for reported_ms in reversed(self.report_times_ms.values()):
+            if reported_ms < oldest_ms:
+                break
+            evidence_ms = max(self.acknowledged_ms, reported_ms)
+        return evidence_ms
+
 
 @attrs.frozen(slots=True)
 class Sender:
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -19,9 +19,8 @@
 RUN_LEASE_MS = 1_100
 """Age of the newest report that a gateway has acknowledged beyond which its runs get no
 lease on the upstream, whether stops reach the upstream or not; and the time for which
-runs that are to stop get one. A lease granted before a run began may be longer. It is
-below the 1.3 s after which a caller resends, with a margin for an upstream whose clock
-is 2% slow."""
+runs that are to stop get one. It is below the 1.3 s after which a caller resends, with a
+margin for an upstream whose clock is 2% slow."""
 MAX_REPORT_TIMES = 256
 """Send times of reports kept per gateway: more than the reports of one second."""
 LOWER_INCARNATION_SILENCE_MS = 500
@@ -209,12 +208,18 @@
         """Return for how long the upstream may lease its runs; None without a limit.
 
         One lease covers all runs of an upstream, so the gateway that was silent longest
-        limits it. Nobody leases runs that this process did not start.
+        limits it. Nobody leases runs that this process did not start. A lease can't be
+        shortened, so a gateway whose order may be under way counts as well.
 
         Args:
             now_ms: Monotonic time in ms.
         """
+        oldest_ms = now_ms - GATEWAY_LEASE_MS
         ends_ms = [self._find_lease_end_ms(run, now_ms) for run in self.runs.values()]
+        for gateway in self.gateways.values():
+            alive_ms = gateway.find_evidence_ms(oldest_ms)
+            if alive_ms >= 0:
+                ends_ms.append(alive_ms + RUN_LEASE_MS)
         return max(min(ends_ms) - now_ms, 0) if ends_ms else None
 
     def _find_lease_end_ms(self, run: runevents.Run, now_ms: int) -> int:
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -56,6 +56,31 @@
         assert lease_end_ms <= reported_ms + runmanager.RUN_LEASE_MS
 
 
+def test_lease_of_other_runs_does_not_outlast_the_limit_of_a_gateway_whose_order_was_slow():
+    """One lease covers all runs of the upstream, and can't be shortened."""
+    sidecar = builders.Sidecar()
+    sidecar.start()
+    sidecar.answer(runevents.Answer.ACCEPTED)
+    second = runevents.Sender("second", 1, "second:1")
+    keep = runmessages.KeepRuns(1, 0, False, [], 0)
+    sidecar.step(runevents.Asked(second, keep))
+    heard = sidecar.newest_report
+    sidecar.ask(runmessages.KeepRuns(1, 1, False, [T1], 0))
+    reported_ms = sidecar.now_ms
+    for number in range(2, 9):
+        keep = runmessages.KeepRuns(number, 1, False, [T1], sidecar.newest_report)
+        sidecar.ask(keep, 100)
+    assert "t" in sidecar.manager.runs
+    lease_ms = sidecar.manager.find_lease_ms(sidecar.now_ms) or 0
+    lease_end_ms = sidecar.now_ms + min(lease_ms, MAX_LEASE_MS)
+    name = runmessages.RunName("s", 1)
+    order = runmessages.RunOrder(name, runmessages.Resources(100, 1, 0))
+    message = runmessages.StartRuns(1, "u@1", "spec", [order], heard)
+    calls = sidecar.step(runevents.Asked(second, message))
+    if any(isinstance(call, runevents.CallStart) for call in calls):
+        assert lease_end_ms <= reported_ms + runmanager.RUN_LEASE_MS
+
+
 def test_stop_confirmed_by_a_former_incarnation_does_not_end_a_run_of_the_next():
     """The next incarnation carried out the start, and knows nothing of the stop."""
     sidecar = builders.Sidecar()
