Reading the change: a name that misled, and a reason that was gone

Cause: `Transfer.restart_timeout` started no time-out; it forgets the request under way, while the method of that name in `network.heartbeats` does what it says.

No behaviour, message, setting, metric or log event changes.

--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -292,7 +292,7 @@
         controller.version = view.document_version
         if self._is_current(view):
             if not self.has_recent_answer(now_ms):
-                self.transfer.restart_timeout()
+                self.transfer.forget_request()
             controller.current_ms = self.answered_ms = now_ms
 
     def answer_peer(
@@ -417,7 +417,7 @@
             return ""
         sources = self._list_sources(now_ms)
         if not sources:
-            self.transfer.restart_timeout()
+            self.transfer.forget_request()
             return ""
         previous = self.transfer.source
         if self.transfer.tries:
--- a/amaranthspar/membership/parts.py
+++ b/amaranthspar/membership/parts.py
@@ -152,8 +152,8 @@
         self.source = source
         self._asked_ms = now_ms
 
-    def restart_timeout(self) -> None:
-        """Request the next part at once, as after a time without any source."""
+    def forget_request(self) -> None:
+        """Forget the request under way, so that the next one is due at once."""
         self.tries = 0
         self._retry_ms = RETRY_MS
 
