A controller that returns at another address is reached there

What operators would see: a controller that starts again with its data folder at another address takes no part for good; with two of three moved there is no leader, and no change is acknowledged, although all processes run.

The leader sends to that one, and ignored the replica's requests to join, as its id is in the set.

Change: the address at which a replica was last heard (votes, answers, requests to join, from the data folder that its id is bound to) goes before the set's, and the leader writes it into the set once the replica answers from there; its own address too. Log event `replica moved`. `JoinReplicas` states the data folder.

A request of another data folder moves nothing.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 fuzz: $(VENV)/.ready
 	$(BIN)/python -m tools.explore --timeouts 2 --proposals 0 --crashes 0 --states 250000
-	FUZZ_EXAMPLES=500 $(BIN)/python -m pytest -q tests/test_replica_orders.py
+	FUZZ_EXAMPLES=500 $(BIN)/python -m pytest -q tests/test_replica_orders.py tests/test_moved_controllers.py
 	FUZZ_EXAMPLES=500 $(BIN)/python -m pytest -q tests/test_consensus_fuzz.py -k ReplicaMachine --hypothesis-seed=$(or $(SEED),random)
 	$(BIN)/python -m tools.fuzz --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 	$(BIN)/python -m tools.fuzz_dispatch --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
--- a/amaranthspar/consensus/consensus.py
+++ b/amaranthspar/consensus/consensus.py
@@ -49,7 +49,9 @@
         if self.leader in ("", self.replica):
             return ""
         leader = replicas.find_replica(self.journal.members, self.leader)
-        return leader.address if leader else self.follower.leader_address
+        if leader is None:
+            return self.follower.leader_address
+        return self._addresses.find(leader)
 
     def read_leader_silence(self, now_ms: int) -> int:
         """Return the time since this replica led or last heard a leader.
@@ -114,6 +116,8 @@
                 self._start_pre_vote(now_ms)
             return
         self._confirm_view(now_ms)
+        if self.address:
+            self._record_move(self.replica, self.address, now_ms)
         if now_ms >= self.leading.transfer_deadline_ms:
             self.leading.transfer_target = ""
         confirmed_ms = max(
@@ -128,21 +132,24 @@
     def _receive(self, event: transitions.Received, now_ms: int) -> None:
         match event.message:
             case messages.RequestVote() as message:
-                if self._check_sender(message.candidate, message.folder):
+                if self._check_sender(message.candidate, message.folder, event.address):
                     self._handle_vote_request(event.address, message, now_ms)
             case messages.Vote() as message:
-                if self._check_sender(message.voter, message.folder):
+                if self._check_sender(message.voter, message.folder, event.address):
                     self._handle_vote(message, now_ms)
             case messages.AppendEntries() as message:
                 self._handle_append(event.address, message, now_ms)
             case messages.Appended() as message:
-                if self._check_sender(message.follower, message.folder):
-                    self._handle_append_response(message, now_ms)
+                if self._check_sender(message.follower, message.folder, event.address):
+                    self._handle_append_response(event.address, message, now_ms)
             case messages.InstallSnapshot() as message:
                 self._handle_snapshot_chunk(event.address, message, now_ms)
             case messages.SnapshotReceived() as message:
-                if self._check_sender(message.follower, message.folder):
+                if self._check_sender(message.follower, message.folder, event.address):
                     self._handle_snapshot_response(message, now_ms)
+            case messages.JoinReplicas() as message:
+                # A replica of the set that hears no leader: it may have moved.
+                self._check_sender(message.replica, message.folder, event.address)
             case messages.TransferLeadership() as message:
                 if message.term == self.term and message.leader == self.leader:
                     self._campaign(True, now_ms)
@@ -179,15 +186,18 @@
         progress = self.leading.find_progress(peer.id, log.last_index)
         age_ms = self.read_view_age(now_ms)
         append = self.leading.build_append(progress, log, self.commit_index, age_ms)
-        self.journal.emit(effects.Send(peer.address, append))
+        address = self._addresses.find(peer)
+        self.journal.emit(effects.Send(address, append))
         snapshot = self.journal.snapshot
         if progress.next <= log.base_index and snapshot is not None:
             chunk = self.leading.build_chunk(
                 progress, snapshot, self._settings.chunk_bytes
             )
-            self.journal.emit(effects.Send(peer.address, chunk))
+            self.journal.emit(effects.Send(address, chunk))
 
-    def _handle_append_response(self, message: messages.Appended, now_ms: int) -> None:
+    def _handle_append_response(
+        self, address: str, message: messages.Appended, now_ms: int
+    ) -> None:
         if message.term > self.term:
             self._become_follower(message.term, "", now_ms)
         peer = replicas.find_replica(self.journal.members, message.follower)
@@ -203,6 +213,7 @@
         if self.leading is not None:
             self._complete_transfer(peer, progress)
             self._promote(peer, progress, now_ms)
+            self._record_move(peer.id, address, now_ms)
             if has_more and self.journal.log.base_index < progress.next <= last_index:
                 self._replicate(peer, now_ms)
 
@@ -258,7 +269,7 @@
             return
         if progress.match == self.journal.log.last_index:
             transfer = messages.TransferLeadership(self.term, self.replica)
-            self.journal.emit(effects.Send(peer.address, transfer))
+            self.journal.emit(effects.Send(self._addresses.find(peer), transfer))
 
     def _replace(self, event: transitions.Replace, now_ms: int) -> None:
         if not self._may_change_members():
@@ -294,6 +305,12 @@
         )
         self._propose([journal.encode_change(change)], now_ms)
 
+    def _record_move(self, replica: str, address: str, now_ms: int) -> None:
+        """Change the address of a replica in the set to the one it answers from."""
+        change = replacement.plan_move(self.journal.members, replica, address)
+        if change is not None and self._may_change_members():
+            self._propose([journal.encode_change(change)], now_ms)
+
     # Follower.
 
     def _accept_leader(self, term: int, leader: str, now_ms: int) -> bool:
@@ -311,6 +328,7 @@
         matched = None
         if self._accept_leader(message.term, message.leader, now_ms):
             self.follower.leader_address = address
+            self._note_address(message.leader, address)
             matched = following.merge_entries(self.journal, self.commit_index, message)
             if matched is not None:
                 self._commit(min(message.commit_index, matched))
--- a/amaranthspar/consensus/elections.py
+++ b/amaranthspar/consensus/elections.py
@@ -3,7 +3,14 @@
 import abc
 import random
 
-from amaranthspar.consensus import following, journal, leadership, replicas, transitions
+from amaranthspar.consensus import (
+    addresses,
+    following,
+    journal,
+    leadership,
+    replicas,
+    transitions,
+)
 from amaranthspar.schema import messages
 
 FIRST_TIMEOUT_DIVISORS = (16, 1)
@@ -29,6 +36,7 @@
     Attributes:
         replica: Replica id.
         folder: Random number of the data folder.
+        address: Address at which this replica listens; empty if it is not known.
         journal: Term, vote, log and snapshot, with their writes to disk.
         commit_index: Last index that is known to be committed.
         role: ``follower``, ``pre_candidate``, ``candidate`` or ``leader``.
@@ -50,12 +58,14 @@
     ) -> None:
         self.replica = identity.replica
         self.folder = identity.folder
+        self.address = identity.address
         self.journal = journal.Journal(initial, stored, settings.trailing_entries)
         self.commit_index = self.journal.log.base_index
         self.role = "follower"
         self.leader = ""
         self.leading: leadership.Leadership | None = None
         self.rejected_folders = 0
+        self._addresses = addresses.AddressBook()
         self.follower = following.Follower(self.replica, self.folder, rng)
         self._view_ms = -1
         self._settings = settings
@@ -72,12 +82,18 @@
         """Current term."""
         return self.journal.term
 
-    def _check_sender(self, replica: str, folder: int) -> bool:
+    def _check_sender(self, replica: str, folder: int, address: str) -> bool:
+        """Return whether a message counts, and note where its sender is reached."""
         if replicas.check_folder(self.journal.members, replica, folder):
+            self._note_address(replica, address)
             return True
         self.rejected_folders += 1
         return False
 
+    def _note_address(self, replica: str, address: str) -> None:
+        if self._addresses.note(self.journal.members, replica, address):
+            self.journal.emit(transitions.ReplicaMoved(replica, address))
+
     def _reset_election_timer(self, now_ms: int) -> None:
         election_ms = self._settings.election_ms
         self._election_deadline_ms = now_ms + self._rng.randint(
@@ -137,7 +153,8 @@
         )
         for peer in self.journal.members.replicas:
             if peer.voter and peer.id != self.replica:
-                self.journal.send_when_synced(peer.address, request)
+                address = self._addresses.find(peer)
+                self.journal.send_when_synced(address, request)
 
     def _handle_vote_request(
         self, address: str, message: messages.RequestVote, now_ms: int
--- a/amaranthspar/consensus/replacement.py
+++ b/amaranthspar/consensus/replacement.py
@@ -3,6 +3,7 @@
 import attrs
 
 from amaranthspar import errors
+from amaranthspar.consensus import replicas
 from amaranthspar.schema import messages
 
 MIN_SPARING_VOTERS = 4
@@ -89,6 +90,30 @@
     return next((learner for learner in learners if learner in unresponsive), "")
 
 
+def plan_move(
+    members: messages.ChangeReplicas, replica: str, address: str
+) -> messages.ChangeReplicas | None:
+    """Return the set with a replica at another address; none if nothing changes.
+
+    While another member has that address, the set stays: of two replicas at one address,
+    the one that has left it can't be told by a replica that joins from there.
+
+    Args:
+        members: Current set.
+        replica: Replica id.
+        address: Address from which it answers.
+    """
+    member = replicas.find_replica(members, replica)
+    if member is None or any(item.address == address for item in members.replicas):
+        return None
+    changed = [
+        attrs.evolve(item, address=address) if item.id == replica else item
+        for item in members.replicas
+    ]
+    reason = f"moved {replica} from {member.address} to {address}"
+    return messages.ChangeReplicas(changed, members.retired, reason)
+
+
 def plan_removal(members: messages.ChangeReplicas, unresponsive: frozenset[str]) -> str:
     """Return an unresponsive voter that should be removed; empty for none.
 
--- a/amaranthspar/consensus/transitions.py
+++ b/amaranthspar/consensus/transitions.py
@@ -176,6 +176,19 @@
     term: int
 
 
+@attrs.frozen(slots=True)
+class ReplicaMoved:
+    """Reports that a replica of the set is now reached at another address.
+
+    Attributes:
+        replica: Replica id.
+        address: Address at which it was heard.
+    """
+
+    replica: str
+    address: str
+
+
 @attrs.frozen(slots=True)
 class Refuse:
     """Reports that a `Replace` was refused.
@@ -194,6 +207,7 @@
     | Restore
     | RenewLeases
     | ChangeLeader
+    | ReplicaMoved
     | Refuse
     | effects.Send
 )
@@ -221,10 +235,12 @@
     Attributes:
         replica: Replica id.
         folder: Random number that identifies its data folder.
+        address: Address at which the replica listens; empty if it is not known.
     """
 
     replica: str
     folder: int
+    address: str = ""
 
 
 @attrs.frozen(slots=True)
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -161,7 +161,9 @@
         if folder.stored.snapshot is not None:
             self._registry.restore(folder.stored.snapshot.state)
         self._machine = consensus.Consensus(
-            transitions.Identity(self._options.replica, folder.folder_id),
+            transitions.Identity(
+                self._options.replica, folder.folder_id, self._links.address
+            ),
             first,
             transitions.Settings(self._options.election_ms, self._options.heartbeat_ms),
             random.Random(secrets.randbits(64)),
@@ -301,7 +303,9 @@
         if not self._administration.is_join_due(now_ms):
             return
         self._next_join_ms = now_ms + JOIN_INTERVAL_MS
-        joining = messages.JoinReplicas(self._options.replica, self._links.address)
+        joining = messages.JoinReplicas(
+            self._options.replica, self._links.address, self._machine.folder
+        )
         members = self._machine.journal.members.replicas
         known = self._controllers.list_known()
         addresses = {*known, *(item.address for item in members)}
@@ -411,6 +415,8 @@
         if isinstance(message, messages.ReplicasChanged):
             self._handle_replicas_changed(message)
             return
+        if isinstance(message, messages.JoinReplicas):
+            self._step(transitions.Received(message.address, message))
         if status.leading and self._change_replicas(request, status.now_ms):
             return
         self._send(self.requests.handle(request, status))
@@ -506,6 +512,10 @@
             case transitions.RenewLeases(processes=processes):
                 now_ms = self._clock.read_monotonic()
                 self.requests.record_renewals(processes, now_ms)
+            case transitions.ReplicaMoved(replica=replica, address=address):
+                _log.info(
+                    "replica moved", name=self.name, replica=replica, address=address
+                )
             case transitions.ChangeLeader(leader=leader, term=term):
                 _log.info("leader changed", name=self.name, leader=leader, term=term)
                 if self.leading:
--- a/amaranthspar/schema/messages.py
+++ b/amaranthspar/schema/messages.py
@@ -897,15 +897,17 @@
 
 @attrs.frozen(slots=True)
 class JoinReplicas:
-    """Asks the leader to add a replica to the set: one with an empty data folder, or one that was removed while it was silent.
+    """Asks the leader to add a replica to the set: one with an empty data folder, or one that was removed while it was silent. One of the set that has moved states its address so.
 
     Attributes:
         replica: Replica id.
         address: Address of the replica.
+        folder: Random number that identifies the data folder of the sender.
     """
 
     replica: str
     address: str
+    folder: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/tests/builders_control.py
+++ b/tests/builders_control.py
@@ -154,6 +154,7 @@
             self.running[name] = self.build(name)
             await self.running[name].start()
             self.running[name]._links.address = self.addresses[name]
+            self.running[name].machine.address = self.addresses[name]
 
     async def find_leader(self) -> str:
         for _ in range(WAIT_S * 100):
--- a/tests/builders_replacement.py
+++ b/tests/builders_replacement.py
@@ -42,8 +42,8 @@
 class ReplicaHosts(simulation.Simulation):
     """Simulated replicas that change their set as the controllers do.
 
-    A host's name is its address, also of the replica with an empty data folder that
-    follows the loss of a disk.
+    A host's name is its address until it moves, also of the replica with an empty data
+    folder that follows the loss of a disk.
 
     Args:
         seed: Seed of all random choices.
@@ -52,8 +52,11 @@
 
     def __init__(self, seed: int, names: tuple[str, ...]) -> None:
         self.hosts: dict[str, Host] = {}
+        # Addresses of the replicas, and the hosts that are reached at each.
         self._addresses = {name: name for name in (*names, NEW_HOST)}
+        self._located = {name: name for name in (*names, NEW_HOST)}
         self._losses = 0
+        self._moves = 0
         super().__init__(seed, names)
         self.wait(4 * CALM_MS)
 
@@ -65,6 +68,7 @@
     def _administer(self, host: str) -> None:
         machine = self.nodes[self.hosts[host].replica].machine
         assert machine is not None
+        machine.address = self.find_address(host)
         self.hosts[host].administration = administration.ReplicaAdministration(
             machine, REPLICA_TIMEOUT_MS, LEADER_TIMEOUT_MS
         )
@@ -107,8 +111,20 @@
         self.kill(host)
         self._losses += 1
         replica = f"{host}-{self._losses}"
+        self._addresses[replica] = self.find_address(host)
         self.hosts[host].replica = replica
-        self._addresses[replica] = host
+
+    def find_address(self, host: str) -> str:
+        """Return the address of a host."""
+        return self._addresses[self.hosts[host].replica]
+
+    def move(self, host: str) -> None:
+        """Give a host whose process has ended another address."""
+        del self._located[self.find_address(host)]
+        self._moves += 1
+        address = f"{host}/{self._moves}"
+        self._addresses[self.hosts[host].replica] = address
+        self._located[address] = host
 
     def restart(self, host: str) -> None:
         """Start the process of a host again."""
@@ -136,9 +152,10 @@
         self.now_ms += STEP_MS
         packets, self.packets = self.packets, []
         for packet in packets:
-            host = self.hosts[packet.receiver]
-            if isinstance(packet.message, messages.ReplicasChanged):
+            name = self._located.get(packet.receiver)
+            if name is None or isinstance(packet.message, messages.ReplicasChanged):
                 continue
+            host = self.hosts[name]
             if host.frozen:
                 self.packets.append(packet)
             elif host.administration is not None:
@@ -164,7 +181,13 @@
         if not is_due or self.now_ms < host.next_join_ms:
             return
         host.next_join_ms = self.now_ms + JOIN_INTERVAL_MS
-        request = messages.JoinReplicas(host.replica, name)
+        request = messages.JoinReplicas(
+            host.replica, self.find_address(name), node.disk.folder
+        )
+        for other in self.hosts.values():
+            if other.administration is not None and not other.frozen:
+                event = transitions.Received(request.address, request)
+                self.step(self.nodes[other.replica], event)
         for leader in self._list_leading_hosts():
             found = leader.administration
             assert found is not None
