An address last heard of a controller does not outlast a newer set

Change: an address heard holds only while the set names the address that it did when the replica was heard. test_address_last_heard_does_not_outlast_a_newer_set fails without this.

--- a/amaranthspar/consensus/addresses.py
+++ b/amaranthspar/consensus/addresses.py
@@ -6,16 +6,24 @@
 from amaranthspar.schema import messages
 
 
+@attrs.frozen(slots=True)
+class _Move:
+    """Address at which a replica was heard, and the one that the set had then."""
+
+    heard: str
+    listed: str
+
+
 @attrs.define(slots=True)
 class AddressBook:
     """Addresses of replicas that answer elsewhere than the set in the log says.
 
     The set is changed by a leader, and a leader may be elected only once replicas that
     have moved reach one another. So the address at which a replica was last heard
-    goes before the one in the set.
+    goes before the one in the set, until the set names another one.
     """
 
-    _moved: dict[str, str] = attrs.field(factory=dict)
+    _moves: dict[str, _Move] = attrs.field(factory=dict)
 
     def note(
         self, members: messages.ChangeReplicas, replica: str, address: str
@@ -32,13 +40,13 @@
         """
         member = replicas.find_replica(members, replica)
         if member is None:
-            self._moved.pop(replica, None)
+            self._moves.pop(replica, None)
             return False
         has_changed = self.find(member) != address
         if member.address == address:
-            self._moved.pop(replica, None)
-        else:
-            self._moved[replica] = address
+            self._moves.pop(replica, None)
+        elif has_changed:
+            self._moves[replica] = _Move(address, member.address)
         return has_changed
 
     def find(self, member: messages.Replica) -> str:
@@ -47,4 +55,7 @@
         Args:
             member: Replica as the set names it.
         """
-        return self._moved.get(member.id, member.address)
+        move = self._moves.get(member.id)
+        if move is None or move.listed != member.address:
+            return member.address
+        return move.heard
--- a/tests/test_moved_controllers.py
+++ b/tests/test_moved_controllers.py
@@ -7,7 +7,7 @@
 import pytest
 import uvloop
 
-from amaranthspar.consensus import replacement, replicas, transitions
+from amaranthspar.consensus import addresses, replacement, replicas, transitions
 from amaranthspar.schema import messages
 from tests import builders_control, builders_replacement
 
@@ -179,3 +179,17 @@
     found = machine.step(transitions.Received("c/1", request), hosts.now_ms)
     moves = [item for item in found if isinstance(item, transitions.ReplicaMoved)]
     assert len(moves) == (folder == "own")
+
+
+def test_address_last_heard_does_not_outlast_a_newer_set():
+    """A replica that has moved twice may have been heard by others only once."""
+    book = addresses.AddressBook()
+    first, second, third = (messages.Replica("c", f"c/{n}", True) for n in range(3))
+    members = messages.ChangeReplicas([first], [])
+    assert book.note(members, "c", "c/1")
+    assert not book.note(members, "c", "c/1")
+    assert book.find(first) == "c/1"
+    assert book.find(second) == "c/1"
+    assert book.find(third) == "c/2"
+    assert book.note(members, "c", "c/0")
+    assert book.find(first) == "c/0"
