--- a/amaranthspar/schema/messages.py
+++ b/amaranthspar/schema/messages.py
@@ -897,7 +897,7 @@
 
 @attrs.frozen(slots=True)
 class JoinReplicas:
-    """Asks the leader to add a replica to the set: one with an empty data folder, or one that was removed while it was silent. One of the set that has moved states its address so.
+    """Asks the leader to add a replica to the set: one with an empty data folder, or one that was removed while it was silent. A replica of the set that hears no leader sends it too, as it may have moved.
 
     Attributes:
         replica: Replica id.
