--- a/amaranthspar/consensus/replacement.py
+++ b/amaranthspar/consensus/replacement.py
@@ -95,8 +95,8 @@
 ) -> messages.ChangeReplicas | None:
     """Return the set with a replica at another address; none if nothing changes.
 
-    While another member has that address, the set stays: of two replicas at one address,
-    the one that has left it can't be told by a replica that joins from there.
+    While another member has that address, the set stays: a replica that joins replaces
+    the member at its address, which has to be one.
 
     Args:
         members: Current set.
--- a/amaranthspar/membership/parts.py
+++ b/amaranthspar/membership/parts.py
@@ -12,7 +12,7 @@
 without an acknowledgement."""
 RETRY_MS = 400
 """Time after which a part is requested again, from another process; two requests without
-an answer fit into the 2 s within which a document is in force on the smallest site."""
+an answer fit into the 2 s within which every gateway should use a new document."""
 MAX_RETRY_MS = 3_200
 """Maximum of this time, which doubles with each request without an answer: more copies
 on a slow link would delay those on the way."""
