Two private names that misled: a map of controllers, and a check that notes

Cause: the announcer had `controllers`, whom to ask, beside `_controllers`, what each address has answered; and `_check_sender` of the elections also notes where the sender is reached.

Change: `_by_address` and `_accept_sender`. Nothing that leaves the process changes. The test that counts the entries names the map so.

--- a/amaranthspar/consensus/consensus.py
+++ b/amaranthspar/consensus/consensus.py
@@ -132,24 +132,26 @@
     def _receive(self, event: transitions.Received, now_ms: int) -> None:
         match event.message:
             case messages.RequestVote() as message:
-                if self._check_sender(message.candidate, message.folder, event.address):
+                if self._accept_sender(
+                    message.candidate, message.folder, event.address
+                ):
                     self._handle_vote_request(event.address, message, now_ms)
             case messages.Vote() as message:
-                if self._check_sender(message.voter, message.folder, event.address):
+                if self._accept_sender(message.voter, message.folder, event.address):
                     self._handle_vote(message, now_ms)
             case messages.AppendEntries() as message:
                 self._handle_append(event.address, message, now_ms)
             case messages.Appended() as message:
-                if self._check_sender(message.follower, message.folder, event.address):
+                if self._accept_sender(message.follower, message.folder, event.address):
                     self._handle_append_response(event.address, message, now_ms)
             case messages.InstallSnapshot() as message:
                 self._handle_snapshot_chunk(event.address, message, now_ms)
             case messages.SnapshotReceived() as message:
-                if self._check_sender(message.follower, message.folder, event.address):
+                if self._accept_sender(message.follower, message.folder, event.address):
                     self._handle_snapshot_response(message, now_ms)
             case messages.JoinReplicas() as message:
                 # A replica of the set that hears no leader: it may have moved.
-                self._check_sender(message.replica, message.folder, event.address)
+                self._accept_sender(message.replica, message.folder, event.address)
             case messages.TransferLeadership() as message:
                 if message.term == self.term and message.leader == self.leader:
                     self._campaign(True, now_ms)
--- a/amaranthspar/consensus/elections.py
+++ b/amaranthspar/consensus/elections.py
@@ -82,7 +82,7 @@
         """Current term."""
         return self.journal.term
 
-    def _check_sender(self, replica: str, folder: int, address: str) -> bool:
+    def _accept_sender(self, replica: str, folder: int, address: str) -> bool:
         """Return whether a message counts, and note where its sender is reached."""
         if replicas.check_folder(self.journal.members, replica, folder):
             self._note_address(replica, address)
--- a/amaranthspar/membership/announcer.py
+++ b/amaranthspar/membership/announcer.py
@@ -122,7 +122,7 @@
         self.controllers = controllers.Controllers(seeds)
         self.recent_peers = peers.RecentPeers()
         self._announcement = announcement
-        self._controllers: dict[str, _Controller] = {}
+        self._by_address: dict[str, _Controller] = {}
         self._update_addresses()
         self._sent_ms = -ANNOUNCE_INTERVAL_MS
         self._started_ms: int | None = None
@@ -144,11 +144,11 @@
             now_ms: Monotonic time in ms.
         """
         if not self.has_recent_answer(now_ms):
-            return list(self._controllers)
+            return list(self._by_address)
         current = set(self.controllers.list_current())
         return [
             address
-            for address, item in self._controllers.items()
+            for address, item in self._by_address.items()
             if address in current or now_ms - item.current_ms <= PEER_LIST_TIMEOUT_MS
         ]
 
@@ -165,8 +165,8 @@
 
     def _update_addresses(self) -> None:
         """Drop what is known of former controllers, and add the new ones."""
-        self._controllers = {
-            address: self._controllers.get(address, _Controller())
+        self._by_address = {
+            address: self._by_address.get(address, _Controller())
             for address in self.controllers.list_known()
         }
 
@@ -206,12 +206,10 @@
             STARTUP_INTERVAL_MS if is_starting else ANNOUNCE_INTERVAL_MS
         ):
             self._sent_ms = now_ms
-            due |= (
-                set(self._controllers) if is_starting else {self._choose_next(now_ms)}
-            )
+            due |= set(self._by_address) if is_starting else {self._choose_next(now_ms)}
         requests = [
             effects.Send(address, self._build_announcement(controller))
-            for address, controller in self._controllers.items()
+            for address, controller in self._by_address.items()
             if address in due
         ]
         requests += self._ask_peers(now_ms)
@@ -228,8 +226,8 @@
         if not source:
             return []
         request = (
-            self._build_announcement(self._controllers[source])
-            if source in self._controllers
+            self._build_announcement(self._by_address[source])
+            if source in self._by_address
             else self._build_request()
         )
         wanted = attrs.evolve(
@@ -256,7 +254,7 @@
         """
         if self.controllers.apply_set(view.controllers_revision, view.controllers):
             self._update_addresses()
-        controller = self._controllers.get(address)
+        controller = self._by_address.get(address)
         if controller is not None:
             self._record_answer(controller, view, now_ms)
         if view.document_version > self.newest:
@@ -380,7 +378,7 @@
         """Update the merged list of processes and return whether it has changed."""
         answered = frozenset(
             address
-            for address, item in self._controllers.items()
+            for address, item in self._by_address.items()
             if now_ms - item.answered_ms <= PEER_LIST_TIMEOUT_MS
         )
         if not controller.apply_peers(view) and answered == self._merged_addresses:
@@ -396,9 +394,9 @@
         if now_ms - started_ms > STARTUP_PERIOD_MS:
             return False
         answered = sum(
-            item.answered_ms >= started_ms for item in self._controllers.values()
+            item.answered_ms >= started_ms for item in self._by_address.values()
         )
-        return self._announcement.wants_peers or 2 * answered <= len(self._controllers)
+        return self._announcement.wants_peers or 2 * answered <= len(self._by_address)
 
     def _choose_next(self, now_ms: int) -> str:
         """Return the address of the controller for the next announcement."""
@@ -434,7 +432,7 @@
         """
         answers = {
             address: item.answered_ms
-            for address, item in self._controllers.items()
+            for address, item in self._by_address.items()
             if item.version >= self.newest
             and now_ms - item.answered_ms <= PEER_LIST_TIMEOUT_MS
         }
@@ -460,7 +458,7 @@
         """
         merged: dict[str, viewmessages.Peer] = {}
         for address in answered:
-            for peer in self._controllers[address].peers.values():
+            for peer in self._by_address[address].peers.values():
                 latest = merged.get(peer.process)
                 if latest is None or latest.incarnation < peer.incarnation:
                     merged[peer.process] = peer
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -97,7 +97,7 @@
         built.apply_view(addresses[0], view, LATE_MS + number)
         built.recent_peers.note(f"side:{number}")
     assert len(built.list_asked(10 * LATE_MS)) == 3
-    assert len(built._controllers) == 3
+    assert len(built._by_address) == 3
     asked = {built.recent_peers.choose_next() for _ in range(100)}
     assert len(asked) == peers.MAX_PEERS
 
