Messages state expected durations, measured slowness and coming releases

Cause: a sidecar sees the runs of all gateways on its upstream, but is not told how long they should take, so it can measure neither the speed of the upstream nor predict when its runs end; a gateway learns both anew after each restart.

Change: RunOrder.expected_ms, which gateways fill in, and Room.slowness_permille and Room.releases, which nobody fills in yet. All have defaults; decisions are unchanged.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -700,9 +700,7 @@
         if sidecar.room is None:
             return
         sidecar.started += 1
-        orders = [
-            runmessages.RunOrder(task.run_name, task.definition.needs) for task in tasks
-        ]
+        orders = [self._build_order(task) for task in tasks]
         message = runmessages.StartRuns(
             sidecar.started,
             sidecar.room.upstream,
@@ -721,6 +719,13 @@
                 room=sidecar.room.number,
             )
 
+    def _build_order(self, task: jobs.Task) -> runmessages.RunOrder:
+        step = task.definition
+        expected_ms = self.durations.expect_ms(
+            task.job.request.queue.name, task.step, step.estimate_ms
+        )
+        return runmessages.RunOrder(task.run_name, step.needs, expected_ms=expected_ms)
+
     def _send(self, send: effects.Send) -> None:
         self._effects.append(send)
 
--- a/amaranthspar/schema/runmessages.py
+++ b/amaranthspar/schema/runmessages.py
@@ -46,12 +46,14 @@
         needs: Resources that the task occupies while it runs.
         saved: Checkpoint from which the run resumes; empty for none.
         ticket: Ticket by which the policy of the queue permits the start; empty for none.
+        expected_ms: Expected duration in ms on an upstream of ordinary speed, in the rack of the data; 0 if unknown.
     """
 
     name: RunName
     needs: Resources
     saved: str = ""
     ticket: str = ""
+    expected_ms: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -103,6 +105,19 @@
     heard: int
 
 
+@attrs.frozen(slots=True)
+class Release:
+    """Capacity that runs are expected to release.
+
+    Attributes:
+        after_ms: Time after the report in ms.
+        amount: Resources released by then, in total.
+    """
+
+    after_ms: int
+    amount: Resources
+
+
 @attrs.frozen(slots=True)
 class Room:
     """Reports the state and free capacity of the upstream of a sidecar.
@@ -117,6 +132,8 @@
         capacity: Total resources that the upstream offers.
         free: Resources that no run occupies.
         is_leaving: Whether the upstream or the sidecar accepts no new runs.
+        slowness_permille: Measured over expected duration of the runs of all gateways, in thousandths; 0 if unknown.
+        releases: Expected releases of capacity, the soonest first.
     """
 
     number: int
@@ -128,6 +145,8 @@
     capacity: Resources
     free: Resources
     is_leaving: bool
+    slowness_permille: int = 0
+    releases: list[Release] = attrs.field(factory=list)
 
 
 @attrs.frozen(slots=True)
--- a/tests/test_gateway_dispatch.py
+++ b/tests/test_gateway_dispatch.py
@@ -38,6 +38,19 @@
     assert gateway.ended["a1"].outcome is jobevents.Outcome.COMPLETED
 
 
+def test_order_states_the_expected_duration_of_its_run():
+    # Without it a sidecar can neither measure the speed of its upstream nor predict
+    # when its runs end.
+    gateway = build_gateway()
+    steps = [builders.build_step(duration_ms=120)]
+    (start,) = gateway.submit(builders.build_request(steps=steps))
+    assert start.orders[0].expected_ms == 120
+    done = report(start.orders[0], "done", elapsed_ms=240)
+    gateway.receive("one", builders.build_room(2, started=1), done)
+    (start,) = gateway.submit(builders.build_request("a2", steps=steps))
+    assert start.orders[0].expected_ms > 120
+
+
 def test_step_waits_for_preceding_steps():
     gateway = build_gateway()
     steps = [builders.build_step(), builders.build_step(after=(0,))]
