Sidecars report how slow their upstream is

Cause: a gateway learns the speed of an upstream from its own runs only and forgets it at each restart, although the sidecar sees the runs of all gateways.

Change: scheduling/slowness.py keeps the median of elapsed over expected duration (RunOrder.expected_ms) of the latest 64 successful runs of an incarnation, and states it in Room.slowness_permille from 8 runs on. Failed, lost and stopped runs don't count, nor do runs without an expected duration. A loss of contact with the same incarnation keeps the measure, another incarnation starts anew. Gateways don't use it yet.

--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -56,6 +56,7 @@
             before.
         stop_confirmed_ms: Time at which the upstream confirmed its stop in ms; -1
             before.
+        expected_ms: Duration that its gateway expects in ms; 0 if unknown.
     """
 
     name: runmessages.RunName
@@ -70,6 +71,7 @@
     lease_limit_ms: int = -1
     start_confirmed_ms: int = -1
     stop_confirmed_ms: int = -1
+    expected_ms: int = 0
 
     @property
     def is_confirmed(self) -> bool:
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -9,7 +9,7 @@
 
 import itertools
 
-from amaranthspar.scheduling import orderqueue, resources, runevents
+from amaranthspar.scheduling import orderqueue, resources, runevents, slowness
 from amaranthspar.schema import runmessages
 
 GATEWAY_LEASE_MS = 800
@@ -107,6 +107,7 @@
         self._queue = orderqueue.OrderQueue()
         self._capacity_report_ms = 0
         self._unhealthy_until_ms = 0
+        self._slowness = slowness.SlownessMeter()
         self._unanswered_list_ms = -UNANSWERED_WINDOW_MS
         # Whether the upstream's list has shown that no earlier run is left on it.
         self._is_reconciled = False
@@ -384,7 +385,12 @@
     def _start_run(self, waiting: orderqueue.WaitingOrder, now_ms: int) -> None:
         order, message = waiting.order, waiting.message
         self.runs[order.name.task] = runevents.Run(
-            order.name, waiting.gateway, order.needs, message.upstream, now_ms
+            order.name,
+            waiting.gateway,
+            order.needs,
+            message.upstream,
+            now_ms,
+            expected_ms=order.expected_ms,
         )
         self._cached_free = None
         self._effects.append(
@@ -520,6 +526,7 @@
             # The list of this incarnation settles the runs of the previous one.
             self._is_reconciled = False
             self._unhealthy_until_ms = now_ms
+            self._slowness.set_incarnation(statement.incarnation)
         if previous != statement:
             self.upstream = statement
             self._report_to_all()
@@ -734,6 +741,9 @@
             run.name, state, reason, now_ms - run.requested_ms, run.percent, saved
         )
         self._record_final(run.gateway, report, now_ms)
+        if state == "done":
+            elapsed_ms = now_ms - run.requested_ms
+            self._slowness.record_run(run.upstream, elapsed_ms, run.expected_ms)
         if state not in ("done", "failed"):
             effect = runevents.LogDecision(
                 f"run {state}", run.name.task, run.name.run, reason
@@ -855,6 +865,7 @@
             resources.NONE if upstream is None else upstream.capacity,
             self.read_offered(),
             bool(self.refusal_reason),
+            slowness_permille=self._slowness.permille,
         )
 
 
