Steadily slow upstreams run what ends in time there

Cause: an upstream 1.7 times slower than the median counted as sick and got one task in 1.5 s, however short; a quarter of the upstreams at speed 0.55 stood idle, while long tasks that were tried there missed their objective. One task of seven times the length barred a sidecar for seconds, and a restarted gateway knew nothing.

Change, where reports of slowness differ: the slowness that sidecars report (else the gateway's own measure of ended runs), relative to the smoothed median, is the steady slowness of the hardware. Only what exceeds it makes an upstream sick, by the median of three runs; more than four times the median counts as sick. scheduling/expectedends.py chooses: on time there, a slow upstream is used; else the task goes where it ends soonest, or waits for a better sidecar while that ends sooner, at most as long as it saves. A task that waits by choice reserves nothing.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -85,8 +85,8 @@
     def __init__(self, chance: random.Random, failure_domain: str = "") -> None:
         self.jobs: dict[str, jobs.Job] = {}
         self.waiting = jobqueue.JobQueue()
-        self.fleet = fleet.Fleet(chance, failure_domain)
         self.durations = durations.Durations()
+        self.fleet = fleet.Fleet(chance, self.durations, failure_domain)
         self.is_draining = False
         self.gateway_count = 1
         self._chance = chance
@@ -385,6 +385,8 @@
             self._needs_placement = True
             sidecar.slowness = 1.0
             sidecar.failure_rate = 0.0
+            sidecar.recent_ratios.clear()
+            sidecar.meter.set_incarnation(room.upstream)
         if before is None or before.is_leaving != room.is_leaving:
             self._log(
                 "sidecar changed",
@@ -431,9 +433,13 @@
         expected_ms = self.durations.expect_ms(queue, task.step, step.estimate_ms)
         sidecar.record_outcome(False, now_ms)
         sidecar.record_duration(report.elapsed_ms / expected_ms, now_ms)
-        if sidecar.relative_slowness <= sidecars.NORMAL_RATIO:
-            declared_ms = step.estimate_ms
-            self.durations.record_run(queue, task.step, declared_ms, report.elapsed_ms)
+        predicted_ms = self.durations.predict_ms(queue, task.step, step.estimate_ms)
+        sidecar.meter.record_run(task.upstream, report.elapsed_ms, predicted_ms)
+        if sidecar.has_ordinary_speed:
+            # Over the steady slowness, so that the product of the expected duration
+            # and that slowness remains the measured duration.
+            ordinary_ms = round(report.elapsed_ms / sidecar.steady_ratio)
+            self.durations.record_run(queue, task.step, step.estimate_ms, ordinary_ms)
         sidecar.remove_task(task.name)
         task.state = jobs.TaskState.DONE
         job.remaining[task.step] -= 1
@@ -639,6 +645,9 @@
             if not job.waiting:
                 continue
             self._renewals.grow(self.fleet.find_pool(job.request.queue.service), now_ms)
+            if job.waiting[-1].is_held:
+                # It waits by choice; a reservation would bar others from what is free.
+                continue
             if len(current.reserved) >= MAX_RESERVED_SIDECARS:
                 break
             if not current.reserve(job.waiting[-1]):
@@ -672,9 +681,20 @@
         now_ms: int,
     ) -> int:
         placed = 0
+        held: list[jobs.Task] = []
+        self.fleet.ends.begin_pass(current, self.gateway_count)
         while job.waiting:
             task = job.waiting[-1]
-            sidecar = current.choose(task)
+            task.is_held = False
+            if self.fleet.ends.should_hold(task, now_ms):
+                task.is_held = True
+                sidecar = None
+            else:
+                sidecar = current.choose(task)
+            if sidecar is None and task.is_held:
+                held.append(job.waiting.pop())
+                self._note_held(task, now_ms)
+                continue
             if sidecar is None:
                 break
             job.waiting.pop()
@@ -694,8 +714,25 @@
             job.is_dispatched = True
             orders.setdefault((sidecar.name, job.request.id), []).append(task)
             placed += 1
+        job.waiting[:0] = held
         return placed
 
+    def _note_held(self, task: jobs.Task, now_ms: int) -> None:
+        """Log a task that begins to wait for a better sidecar than the free ones."""
+        if task.held_ms >= 0:
+            return
+        task.held_ms = now_ms
+        estimate = self.fleet.ends.estimate(task, now_ms)
+        self._log(
+            "run held",
+            task.job.request.id,
+            task=task.name,
+            run=task.run + 1,
+            rack=task.definition.data_rack,
+            expected_ms=estimate.expected_ms,
+            max_ratio=round(estimate.max_ratio, 2),
+        )
+
     def _send_orders(self, sidecar: sidecars.Sidecar, tasks: list[jobs.Task]) -> None:
         if sidecar.room is None:
             return
@@ -721,7 +758,7 @@
 
     def _build_order(self, task: jobs.Task) -> runmessages.RunOrder:
         step = task.definition
-        expected_ms = self.durations.expect_ms(
+        expected_ms = self.durations.predict_ms(
             task.job.request.queue.name, task.step, step.estimate_ms
         )
         return runmessages.RunOrder(task.run_name, step.needs, expected_ms=expected_ms)
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -6,18 +6,17 @@
 
 from __future__ import annotations
 
+import statistics
 from typing import TYPE_CHECKING
 
-from amaranthspar.scheduling import pool, resources, sidecars
+from amaranthspar.scheduling import expectedends, pool, resources, sidecars
 
 if TYPE_CHECKING:
     import random
 
-    from amaranthspar.scheduling import jobs
+    from amaranthspar.scheduling import durations, jobs
     from amaranthspar.schema import viewmessages
 
-MIN_SLOWNESS = 0.5
-"""Lower bound of the slowness in a comparison of sidecars."""
 LOAD_WEIGHT = 0.5
 """Weight of the used share relative to the slowness in a comparison of sidecars."""
 SAMPLE_SIZE = 8
@@ -29,6 +28,11 @@
 """Ratio of the duration of a task in another rack to that in the rack of its data."""
 
 
+MEDIAN_WEIGHT = 0.1
+"""Weight of the newest median of the steady slowness in its moving average; at an update
+every 200 ms, the last two seconds count."""
+
+
 class Fleet:
     """All sidecars of a gateway, in pools by service.
 
@@ -36,18 +40,31 @@
         sidecars: Sidecars by process name.
         domains_out: Failure domains that are out of service.
         pools: Pools by service.
+        is_uneven: Whether the members report different slowness.
+        ends: Choice by expected end.
 
     Args:
         chance: Random number generator.
+        task_durations: Estimates of task durations.
         failure_domain: Failure domain of the gateway; empty if it has none.
     """
 
-    def __init__(self, chance: random.Random, failure_domain: str = "") -> None:
+    def __init__(
+        self,
+        chance: random.Random,
+        task_durations: durations.Durations,
+        failure_domain: str = "",
+    ) -> None:
         self.sidecars: dict[str, sidecars.Sidecar] = {}
         self.domains_out: frozenset[str] = frozenset()
         self.pools: dict[str, pool.Pool] = {}
+        self.is_uneven = False
+        self.ends = expectedends.ExpectedEnds(
+            chance, task_durations, REMOTE_DATA_FACTOR
+        )
         self._failure_domain = failure_domain
         self._chance = chance
+        self._steady_median = 0.0
 
     @property
     def used_millis(self) -> int:
@@ -149,6 +166,29 @@
         median_slowness = ordered[len(ordered) // 2]
         for sidecar in members:
             sidecar.median_slowness = median_slowness
+        self._update_steady_median(members)
+
+    def _update_steady_median(self, members: list[sidecars.Sidecar]) -> None:
+        """Update the median of the steady slowness, if members report different ones.
+
+        It is smoothed: where half of the upstreams are slow it changes between the two
+        speeds, and the expected durations, which refer to it, follow within some runs.
+        """
+        reported = {
+            item.room.slowness_permille for item in members if item.room is not None
+        }
+        reported.discard(0)
+        self.is_uneven = len(reported) > 1
+        if self.is_uneven:
+            known = [item.steady_permille for item in members]
+            median = statistics.median_low([item for item in known if item])
+            if not self._steady_median:
+                self._steady_median = median
+            self._steady_median += MEDIAN_WEIGHT * (median - self._steady_median)
+        else:
+            self._steady_median = 0.0
+        for sidecar in members:
+            sidecar.set_steady_median(self._steady_median)
 
     def choose(
         self, task: jobs.Task, reserved: set[str], now_ms: int
@@ -165,7 +205,7 @@
             now_ms: Current time in ms.
         """
         candidates = self.list_fitting(task, reserved, now_ms)
-        return self.choose_among(candidates, task, now_ms)
+        return self.choose_among(candidates, task, now_ms, may_hold=False)
 
     def list_fitting(
         self, task: jobs.Task, reserved: set[str], now_ms: int
@@ -185,17 +225,25 @@
         ]
 
     def choose_among(
-        self, candidates: list[sidecars.Sidecar], task: jobs.Task, now_ms: int
+        self,
+        candidates: list[sidecars.Sidecar],
+        task: jobs.Task,
+        now_ms: int,
+        may_hold: bool = True,
     ) -> sidecars.Sidecar | None:
         """Return which of some sidecars should run a task; `None` if it should wait.
 
         Args:
             candidates: Sidecars with enough free capacity.
-            task: Task that waits.
+            task: Task that waits; `Task.is_held` tells whether it waits by choice.
             now_ms: Current time in ms.
+            may_hold: Whether it may wait for a better sidecar than these.
         """
+        task.is_held = False
         if not candidates:
             return None
+        if self.is_uneven:
+            return self._choose_by_end(candidates, task, now_ms, may_hold)
         sampled = self._sample(task, candidates)
         best = self._choose_best(self._list_preferred(task, sampled, now_ms), task)
         if best is not None:
@@ -206,6 +254,29 @@
             [item for item in preferred if item.name in names], task
         )
 
+    def _choose_by_end(
+        self,
+        candidates: list[sidecars.Sidecar],
+        task: jobs.Task,
+        now_ms: int,
+        may_hold: bool,
+    ) -> sidecars.Sidecar | None:
+        """Return where a task is expected to end in time or soonest."""
+        usable = self._list_preferred(task, candidates, now_ms)
+        if not usable:
+            names = {item.name for item in candidates}
+            preferred = self.list_candidates(task, now_ms)
+            usable = [item for item in preferred if item.name in names]
+        if not usable:
+            return None
+
+        def list_candidates() -> list[sidecars.Sidecar]:
+            return self.list_candidates(task, now_ms) if may_hold else []
+
+        choice = self.ends.choose(task, usable, list_candidates, now_ms)
+        task.is_held = choice.is_held
+        return choice.sidecar
+
     def _sample(
         self, task: jobs.Task, candidates: list[sidecars.Sidecar]
     ) -> list[sidecars.Sidecar]:
@@ -262,7 +333,7 @@
 
     def _score(self, task: jobs.Task, sidecar: sidecars.Sidecar) -> float:
         assert sidecar.room is not None
-        duration = max(sidecar.relative_slowness, MIN_SLOWNESS)
+        duration = max(sidecar.relative_slowness, sidecars.MIN_SLOWNESS)
         rack = task.definition.data_rack
         if rack and rack not in sidecar.room.labels:
             duration *= REMOTE_DATA_FACTOR
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -109,6 +109,9 @@
         percent: Progress of its run in percent.
         progressed_ms: Age of its run in ms at which `percent` last grew.
         avoided: Names of sidecars that failed or refused it or were slow.
+        is_held: Whether it waits for a better sidecar although another one has enough
+            free capacity.
+        held_ms: Time at which it was first held in ms; -1 if it was not.
     """
 
     job: Job
@@ -125,6 +128,8 @@
     percent: int = 0
     progressed_ms: int = 0
     avoided: set[str] = attrs.field(factory=set)
+    is_held: bool = False
+    held_ms: int = -1
 
     @property
     def definition(self) -> Step:
@@ -186,6 +191,8 @@
         task.is_running = False
         task.percent = 0
         task.progressed_ms = 0
+        task.is_held = False
+        task.held_ms = -1
         task.sidecar = ""
         self.waiting.append(task)
 
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -9,7 +9,7 @@
 
 import itertools
 
-from amaranthspar.scheduling import orderqueue, resources, runevents, slowness
+from amaranthspar.scheduling import orderqueue, resources, runevents, slownessmeter
 from amaranthspar.schema import runmessages
 
 GATEWAY_LEASE_MS = 800
@@ -107,7 +107,7 @@
         self._queue = orderqueue.OrderQueue()
         self._capacity_report_ms = 0
         self._unhealthy_until_ms = 0
-        self._slowness = slowness.SlownessMeter()
+        self._slowness = slownessmeter.SlownessMeter()
         self._unanswered_list_ms = -UNANSWERED_WINDOW_MS
         # Whether the upstream's list has shown that no earlier run is left on it.
         self._is_reconciled = False
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
+import collections
 import statistics
 from typing import TYPE_CHECKING
 
 import attrs
 
-from amaranthspar.scheduling import resources
+from amaranthspar.scheduling import resources, slownessmeter
 from amaranthspar.schema import runmessages
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
 MIN_PROGRESS_RUNS = 3
 """Minimum number of runs whose median progress reflects the upstream rather than single
 tasks."""
+MIN_SLOWNESS = 0.5
+"""Lower bound of the slowness in a comparison of sidecars."""
 MAX_SLOWNESS = 20.0
 """Upper bound on the ratio of measured to expected duration."""
 SLOW_RATIO = 1.7
@@ -39,6 +42,12 @@
 ordinary hardware."""
 NORMAL_RATIO = 1.4
 """Relative slowness up to which runs are used to estimate task durations."""
+MAX_STEADY_RATIO = 4.0
+"""Steady slowness relative to the median up to which it counts as that of the hardware;
+a higher one is that of a sick upstream."""
+RECENT_RUNS = 3
+"""Number of runs whose median is the newest measure where upstreams differ, so that a
+single long task does not count as a sick upstream."""
 SLOW_RETRY_MS = 1_500
 """Time after which a slow sidecar may get a task again."""
 FAILURE_WEIGHT = 0.3
@@ -64,8 +73,14 @@
         started: Number of the last `StartRuns` message sent.
         reservations: Needs of the start orders that `room` does not cover yet, by the
             number of their message.
-        slowness: Moving average of the ratio of measured to expected duration.
+        slowness: Moving average of the ratio of measured to expected duration, over
+            `steady_ratio`.
         median_slowness: Median slowness of the members of all pools.
+        is_uneven: Whether the sidecars report different slowness.
+        steady_ratio: Steady slowness of its hardware relative to the median; 1 if it is
+            not known or the sidecars report no difference.
+        meter: This gateway's own measure of the steady slowness.
+        recent_ratios: Measures of the latest runs.
         slow_ms: Time in ms at which it was last found to be slow, or got a task while
             slow.
         failure_rate: Moving average of the share of runs that failed.
@@ -94,6 +109,14 @@
     reservations: dict[int, runmessages.Resources] = attrs.field(factory=dict)
     slowness: float = 1.0
     median_slowness: float = 1.0
+    is_uneven: bool = False
+    steady_ratio: float = 1.0
+    meter: slownessmeter.SlownessMeter = attrs.field(
+        factory=slownessmeter.SlownessMeter
+    )
+    recent_ratios: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=RECENT_RUNS)
+    )
     slow_ms: int = -SLOW_RETRY_MS
     failure_rate: float = 0.0
     failed_ms: int = -FAILURE_RETRY_MS
@@ -185,8 +208,50 @@
         """Slowness relative to the median of all members."""
         return self.slowness / self.median_slowness
 
+    @property
+    def steady_permille(self) -> int:
+        """Steady slowness that it reports, else this gateway's own measure.
+
+        It is in thousandths of the expected duration, and 0 if neither is known.
+        """
+        reported = 0 if self.room is None else self.room.slowness_permille
+        return reported or self.meter.permille
+
+    @property
+    def expected_ratio(self) -> float:
+        """Expected duration of a run relative to an upstream of ordinary speed."""
+        if self.is_uneven and self.steady_permille:
+            return self.steady_ratio
+        return max(self.relative_slowness, MIN_SLOWNESS)
+
+    @property
+    def has_ordinary_speed(self) -> bool:
+        """Whether its runs tell how long tasks take on an ordinary upstream.
+
+        Ordinary is the speed of the median member.
+        """
+        if self.relative_slowness > NORMAL_RATIO:
+            return False
+        return 1 / NORMAL_RATIO <= self.steady_ratio <= NORMAL_RATIO
+
+    def set_steady_median(self, median_permille: float) -> None:
+        """Set the median of the steady slowness, to which it is compared.
+
+        Args:
+            median_permille: Median in thousandths; 0 if the sidecars do not differ.
+        """
+        self.is_uneven = median_permille > 0
+        self.steady_ratio = 1.0
+        if not self.is_uneven or not self.steady_permille:
+            return
+        ratio = self.steady_permille / median_permille
+        if ratio <= MAX_STEADY_RATIO:
+            self.steady_ratio = max(ratio, MIN_SLOWNESS)
+
     def is_unhealthy(self, now_ms: int) -> bool:
-        """Return whether it is slow or failing and not yet due for another task.
+        """Return whether it is sick or failing and not yet due for another task.
+
+        It is sick if it is slower than its steady slowness explains.
 
         Args:
             now_ms: Current time in ms.
@@ -216,7 +281,7 @@
             ratio: Projected over expected duration of its run.
             now_ms: Current time in ms.
         """
-        self.duration_ratios[task] = min(ratio, MAX_SLOWNESS)
+        self.duration_ratios[task] = min(ratio / self.steady_ratio, MAX_SLOWNESS)
         if len(self.duration_ratios) < MIN_PROGRESS_RUNS:
             return
         median = statistics.median(self.duration_ratios.values())
@@ -242,7 +307,10 @@
             ratio: Measured over expected duration.
             now_ms: Current time in ms.
         """
-        ratio = min(ratio, MAX_SLOWNESS)
+        ratio = min(ratio / self.steady_ratio, MAX_SLOWNESS)
+        self.recent_ratios.append(ratio)
+        if self.is_uneven:
+            ratio = statistics.median(self.recent_ratios)
         self.slowness += DURATION_WEIGHT * (ratio - self.slowness)
         if self.relative_slowness >= SLOW_RATIO:
             self.slow_ms = now_ms
--- a/tests/test_slowness.py
+++ b/tests/test_slownessmeter.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from amaranthspar.scheduling import runevents, slowness
+from amaranthspar.scheduling import runevents, slownessmeter
 from amaranthspar.schema import runmessages
 from tests import builders_runmanager as builders
 
@@ -79,9 +79,9 @@
 
 def test_nothing_is_reported_after_few_runs_or_runs_of_unknown_duration():
     load = Load()
-    for _ in range(slowness.MIN_RUNS - 1):
+    for _ in range(slownessmeter.MIN_RUNS - 1):
         load.run(2.0)
-    for _ in range(2 * slowness.MIN_RUNS):
+    for _ in range(2 * slownessmeter.MIN_RUNS):
         load.run(2.0, expected_ms=0)
     assert load.reported == 0
     load.run(2.0)
@@ -123,13 +123,13 @@
 def test_measure_follows_a_lasting_change():
     load = Load()
     load.run_many(100, 1.0)
-    load.run_many(slowness.MAX_RUNS, 2.2)
+    load.run_many(slownessmeter.MAX_RUNS, 2.2)
     assert load.reported == pytest.approx(2_200, rel=0.2)
 
 
 def test_runs_of_a_former_incarnation_do_not_count():
-    meter = slowness.SlownessMeter()
+    meter = slownessmeter.SlownessMeter()
     meter.set_incarnation("u@2")
-    for _ in range(slowness.MIN_RUNS):
+    for _ in range(slownessmeter.MIN_RUNS):
         meter.record_run("u@1", 200, 100)
     assert meter.permille == 0
