The cost of another rack follows from Bounds.SpreadFactor

Change: settings.Settings.spread_factor (at least 1, 1.5 if missing; anything else is a fault of the settings) goes through JobGateway and Dispatcher to the fleet in place of REMOTE_DATA_FACTOR.

--- a/amaranthspar/platform/gateway.py
+++ b/amaranthspar/platform/gateway.py
@@ -36,7 +36,7 @@
         process_settings.failure_domain,
     )
     meters = metering.Meters()
-    gateway = jobgateway.JobGateway(process, meters)
+    gateway = jobgateway.JobGateway(process, meters, process_settings.spread_factor)
     handler = callers.Callers(gateway)
     time_ms = process_settings.stopping_ms
     caller_server = servers.Server(
--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -1,12 +1,14 @@
 """Reads the settings file that the platform writes for each process."""
 
 import configparser
+import math
 import os
 import pathlib
 
 import attrs
 
 from amaranthspar import addresses, errors
+from amaranthspar.scheduling import spread
 
 VARIABLE = "AMARANTHSPAR_SETTINGS"
 """Environment variable with the path of the settings file."""
@@ -38,6 +40,8 @@
         upstream: Address of the upstream on this host; empty if there is none.
         grace_ms: Time from the stop signal until the platform kills the process, in ms.
         max_lease_ms: Longest lease of runs in ms.
+        spread_factor: Ratio of the duration of a task in another rack to that in the
+            rack of its data, at least 1.
     """
 
     host: str
@@ -54,6 +58,7 @@
     upstream: str
     grace_ms: int
     max_lease_ms: int
+    spread_factor: float = spread.DEFAULT_FACTOR
 
     @property
     def stopping_ms(self) -> int:
@@ -156,6 +161,9 @@
             upstream=self._find_address("app"),
             grace_ms=1000 * self._read_integer("Bounds.GraceS"),
             max_lease_ms=self._read_integer("Bounds.MaxHoldMs"),
+            spread_factor=self._read_factor(
+                "Bounds.SpreadFactor", spread.DEFAULT_FACTOR
+            ),
         )
         if self._faults:
             raise errors.SettingsError(self._faults)
@@ -178,6 +186,20 @@
             self._faults.append(f"{key} = {found}: not a number")
             return 0
 
+    def _read_factor(self, key: str, default: float) -> float:
+        """Return a factor of at least 1, or the default if the key is missing."""
+        found = self._find(key)
+        if not found:
+            return default
+        try:
+            factor = float(found)
+        except ValueError:
+            factor = math.nan
+        if not 1 <= factor < math.inf:
+            self._faults.append(f"{key} = {found}: not a number of at least 1")
+            return default
+        return factor
+
     def _read_port(self, key: str) -> int:
         """Return the first port of a range of internal ports."""
         found = self._require(key).partition(",")[0].strip()
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -17,7 +17,7 @@
 from amaranthspar.membership import contact
 from amaranthspar.network import links
 from amaranthspar.observation import metering
-from amaranthspar.scheduling import dispatcher, jobevents, jobs, jobsearches
+from amaranthspar.scheduling import dispatcher, jobevents, jobs, jobsearches, spread
 from amaranthspar.schema import codec, options, runmessages, viewmessages
 
 TICK_MS = 20
@@ -48,17 +48,24 @@
     Args:
         process: Name and addresses of the process.
         meters: Counters and histograms.
+        spread_factor: Ratio of the duration of a task in another rack to that in the
+            rack of its data, at least 1.
     """
 
     def __init__(
-        self, process: processes.ProcessSettings, meters: metering.Meters
+        self,
+        process: processes.ProcessSettings,
+        meters: metering.Meters,
+        spread_factor: float = spread.DEFAULT_FACTOR,
     ) -> None:
         self.document: bytes = b""
         self.meters = meters
         self._clock = clock.Clock()
         self._incarnation = self._clock.read_wall()
         chance = random.Random(secrets.randbits(SEED_BITS))
-        self._dispatcher = dispatcher.Dispatcher(chance, process.failure_domain)
+        self._dispatcher = dispatcher.Dispatcher(
+            chance, process.failure_domain, spread_factor
+        )
         section = options.LinkOptions(heartbeat_ms=LINK_HEARTBEAT_MS)
         self._links = links.Links(
             process.name, self._incarnation, process.listen, self._receive, section
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -24,6 +24,7 @@
     renewals,
     resources,
     sidecars,
+    spread,
 )
 from amaranthspar.schema import runmessages
 
@@ -80,13 +81,20 @@
     Args:
         chance: Random number generator.
         failure_domain: Failure domain of the gateway; empty if it has none.
+        spread_factor: Ratio of the duration of a task in another rack to that in the
+            rack of its data, at least 1.
     """
 
-    def __init__(self, chance: random.Random, failure_domain: str = "") -> None:
+    def __init__(
+        self,
+        chance: random.Random,
+        failure_domain: str = "",
+        spread_factor: float = spread.DEFAULT_FACTOR,
+    ) -> None:
         self.jobs: dict[str, jobs.Job] = {}
         self.waiting = jobqueue.JobQueue()
         self.durations = durations.Durations()
-        self.fleet = fleet.Fleet(chance, self.durations, failure_domain)
+        self.fleet = fleet.Fleet(chance, self.durations, failure_domain, spread_factor)
         self.is_draining = False
         self.gateway_count = 1
         self._chance = chance
@@ -431,14 +439,16 @@
         step = task.definition
         queue = job.request.queue.name
         expected_ms = self.durations.expect_ms(queue, task.step, step.estimate_ms)
+        # As it would have been in the rack of the data.
+        elapsed_ms = report.elapsed_ms / self.fleet.ends.find_spread(task, sidecar)
         sidecar.record_outcome(False, now_ms)
-        sidecar.record_duration(report.elapsed_ms / expected_ms, now_ms)
+        sidecar.record_duration(elapsed_ms / expected_ms, now_ms)
         predicted_ms = self.durations.predict_ms(queue, task.step, step.estimate_ms)
-        sidecar.meter.record_run(task.upstream, report.elapsed_ms, predicted_ms)
+        sidecar.meter.record_run(task.upstream, elapsed_ms, predicted_ms)
         if sidecar.has_ordinary_speed:
             # Over the steady slowness, so that the product of the expected duration
             # and that slowness remains the measured duration.
-            ordinary_ms = round(report.elapsed_ms / sidecar.steady_ratio)
+            ordinary_ms = round(elapsed_ms / sidecar.steady_ratio)
             self.durations.record_run(queue, task.step, step.estimate_ms, ordinary_ms)
         sidecar.remove_task(task.name)
         task.state = jobs.TaskState.DONE
@@ -501,6 +511,7 @@
         queue = task.job.request.queue.name
         estimate_ms = task.definition.estimate_ms
         expected_ms = self.durations.expect_ms(queue, task.step, estimate_ms)
+        expected_ms = round(expected_ms * self.fleet.ends.find_spread(task, sidecar))
         if not progress.note_progress(sidecar, task, report, expected_ms, now_ms):
             return
         target = self.fleet.choose(task, {sidecar.name}, now_ms)
@@ -761,6 +772,8 @@
         expected_ms = self.durations.predict_ms(
             task.job.request.queue.name, task.step, step.estimate_ms
         )
+        sidecar = self.fleet.sidecars[task.sidecar]
+        expected_ms = round(expected_ms * self.fleet.ends.find_spread(task, sidecar))
         return runmessages.RunOrder(task.run_name, step.needs, expected_ms=expected_ms)
 
     def _send(self, send: effects.Send) -> None:
--- a/amaranthspar/scheduling/expectedends.py
+++ b/amaranthspar/scheduling/expectedends.py
@@ -141,11 +141,17 @@
             task: Task that waits or runs.
             sidecar: Sidecar for which the duration is expected.
         """
-        ratio = sidecar.expected_ratio
+        return sidecar.expected_ratio * self.find_spread(task, sidecar)
+
+    def find_spread(self, task: jobs.Task, sidecar: sidecars.Sidecar) -> float:
+        """Return how many times as long a task takes for the way to its data.
+
+        Args:
+            task: Task that waits or runs.
+            sidecar: Sidecar of its run.
+        """
         rack = task.definition.data_rack
-        if rack and not sidecar.has_label(rack):
-            ratio *= self._spread_factor
-        return ratio
+        return self._spread_factor if rack and not sidecar.has_label(rack) else 1.0
 
     def estimate(self, task: jobs.Task, now_ms: int) -> Estimate:
         """Return what is expected of a task.
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -24,8 +24,6 @@
 beyond a few, each further choice shortens the longest queue by little."""
 JITTER = 0.15
 """Random part of the score, so that gateways do not all choose the same sidecar."""
-REMOTE_DATA_FACTOR = 1.5
-"""Ratio of the duration of a task in another rack to that in the rack of its data."""
 
 
 MEDIAN_WEIGHT = 0.1
@@ -47,21 +45,23 @@
         chance: Random number generator.
         task_durations: Estimates of task durations.
         failure_domain: Failure domain of the gateway; empty if it has none.
+        spread_factor: Ratio of the duration of a task in another rack to that in the
+            rack of its data, at least 1.
     """
 
     def __init__(
         self,
         chance: random.Random,
         task_durations: durations.Durations,
-        failure_domain: str = "",
+        failure_domain: str,
+        spread_factor: float,
     ) -> None:
         self.sidecars: dict[str, sidecars.Sidecar] = {}
         self.domains_out: frozenset[str] = frozenset()
         self.pools: dict[str, pool.Pool] = {}
         self.is_uneven = False
-        self.ends = expectedends.ExpectedEnds(
-            chance, task_durations, REMOTE_DATA_FACTOR
-        )
+        self.ends = expectedends.ExpectedEnds(chance, task_durations, spread_factor)
+        self._spread_factor = spread_factor
         self._failure_domain = failure_domain
         self._chance = chance
         self._steady_median = 0.0
@@ -336,7 +336,7 @@
         duration = max(sidecar.relative_slowness, sidecars.MIN_SLOWNESS)
         rack = task.definition.data_rack
         if rack and rack not in sidecar.room.labels:
-            duration *= REMOTE_DATA_FACTOR
+            duration *= self._spread_factor
         load = LOAD_WEIGHT * sidecar.used_share
         return duration + load + JITTER * self._chance.random()
 
--- a/amaranthspar/scheduling/slownessmeter.py
+++ b/amaranthspar/scheduling/slownessmeter.py
@@ -50,7 +50,7 @@
         self._ratios.clear()
         self._ordered.clear()
 
-    def record_run(self, incarnation: str, elapsed_ms: int, expected_ms: int) -> None:
+    def record_run(self, incarnation: str, elapsed_ms: float, expected_ms: int) -> None:
         """Add a run that ended with a result.
 
         Args:
--- a/amaranthspar/schema/runmessages.py
+++ b/amaranthspar/schema/runmessages.py
@@ -46,7 +46,7 @@
         needs: Resources that the task occupies while it runs.
         saved: Checkpoint from which the run resumes; empty for none.
         ticket: Ticket by which the policy of the queue permits the start; empty for none.
-        expected_ms: Expected duration in ms on an upstream of ordinary speed, in the rack of the data; 0 if unknown.
+        expected_ms: Expected duration in ms on an upstream of ordinary speed, with the factor for data in another rack; 0 if unknown.
     """
 
     name: RunName
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -20,6 +20,14 @@
     assert found.list_controllers() == ["127.0.0.1:7720", "127.0.0.2:7720"]
 
 
+@pytest.mark.parametrize(
+    ("line", "factor"),
+    [("", 1.5), ("Bounds.SpreadFactor=3\n", 3.0), ("Bounds.SpreadFactor=1\n", 1.0)],
+)
+def test_spread_factor_is_read_from_the_settings(line, factor):
+    assert settings.parse_settings(builders.SETTINGS + line).spread_factor == factor
+
+
 def test_settings_error_lists_every_fault():
     text = builders.SETTINGS.replace("Ip=127.0.0.1\n", "").replace(
         "GraceS=6", "GraceS=x"
@@ -37,6 +45,21 @@
         ("7720,", "65534,", "InternalPorts = 65534: no port with room for the links"),
         ("7720,", "7_720,", "InternalPorts = 7_720: no port with room for the links"),
         ("InternalPorts=7720,7735\n", "", "InternalPorts: missing"),
+        (
+            "StopTimeoutMs=50",
+            "SpreadFactor=0.9",
+            "Bounds.SpreadFactor = 0.9: not a number of at least 1",
+        ),
+        (
+            "StopTimeoutMs=50",
+            "SpreadFactor=nan",
+            "Bounds.SpreadFactor = nan: not a number of at least 1",
+        ),
+        (
+            "StopTimeoutMs=50",
+            "SpreadFactor=three",
+            "Bounds.SpreadFactor = three: not a number of at least 1",
+        ),
         (
             "Front=127.0.0.1:8161",
             "Front=127.0.0.1:81610",
