Tasks wait for the rack of their data together, if they end sooner there

Cause: a task took any sidecar in the rack of its data, else one elsewhere at once, for SpreadFactor times as long; work without data there filled the rack meanwhile.

Change, for jobs with a data rack: choice by expected end, also where no slowness is reported. A task whose rack is full waits while it ends sooner there, counting the tasks of the same pass that wait for that rack and the cores that end there for this gateway; those beyond run elsewhere at once. While a rack is wanted (for 1 s), tasks without data there count it as one task longer.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -693,7 +693,7 @@
     ) -> int:
         placed = 0
         held: list[jobs.Task] = []
-        self.fleet.ends.begin_pass(current, self.gateway_count)
+        self.fleet.ends.begin_pass(current, self.gateway_count, now_ms)
         while job.waiting:
             task = job.waiting[-1]
             task.is_held = False
--- a/amaranthspar/scheduling/expectedends.py
+++ b/amaranthspar/scheduling/expectedends.py
@@ -35,6 +35,11 @@
 MIN_GAIN_MS = 20
 """Time by which a task that waits must be expected to end sooner: a report of free
 capacity and a start take some milliseconds each."""
+WANTED_MS = 1_000
+"""Time for which a rack counts as wanted after a task waited for it or ran elsewhere."""
+WANTED_WEIGHT = 1.0
+"""Part of the score of a sidecar in a wanted rack, for tasks without data there; as much
+as the duration of a task."""
 MIN_RATE_SHARE = 0.7
 """Lower bound of the released cores that this gateway gets, as a share of its equal part
 among the gateways."""
@@ -119,13 +124,15 @@
         self._pass: object = None
         self._groups: dict[tuple[str, str], _Group] = {}
         self._offers: dict[tuple[object, ...], _Offer] = {}
+        self._wanted_ms: dict[str, int] = {}
 
-    def begin_pass(self, current: object, gateway_count: int) -> None:
+    def begin_pass(self, current: object, gateway_count: int, now_ms: int) -> None:
         """Forget what waited in the pass before, unless the pass is the same.
 
         Args:
             current: Placement pass.
             gateway_count: Number of gateways that share the sidecars.
+            now_ms: Current time in ms.
         """
         if current is self._pass:
             return
@@ -133,6 +140,12 @@
         self.gateway_count = gateway_count
         self._groups.clear()
         self._offers.clear()
+        if self._wanted_ms:
+            oldest_ms = now_ms - WANTED_MS
+            for rack in [
+                k for k, at_ms in self._wanted_ms.items() if at_ms < oldest_ms
+            ]:
+                del self._wanted_ms[rack]
 
     def find_ratio(self, task: jobs.Task, sidecar: sidecars.Sidecar) -> float:
         """Return the expected duration of a task on a sidecar over the ordinary one.
@@ -153,6 +166,21 @@
         rack = task.definition.data_rack
         return self._spread_factor if rack and not sidecar.has_label(rack) else 1.0
 
+    def weigh_wanted(self, task: jobs.Task, sidecar: sidecars.Sidecar) -> float:
+        """Return the part of a score that keeps a rack free for tasks with data there.
+
+        Args:
+            task: Task that waits.
+            sidecar: Sidecar with enough free capacity.
+        """
+        if not self._wanted_ms:
+            return 0.0
+        rack = task.definition.data_rack
+        is_wanted = any(
+            item != rack and sidecar.has_label(item) for item in self._wanted_ms
+        )
+        return WANTED_WEIGHT if is_wanted else 0.0
+
     def estimate(self, task: jobs.Task, now_ms: int) -> Estimate:
         """Return what is expected of a task.
 
@@ -219,6 +247,9 @@
         estimate = self.estimate(task, now_ms)
         ratios = {item.name: self.find_ratio(task, item) for item in usable}
         free_ratio = min(ratios.values())
+        rack = task.definition.data_rack
+        if rack and not any(item.has_label(rack) for item in usable):
+            self._wanted_ms[rack] = now_ms
         if self._needs_comparison(task, usable, free_ratio, estimate):
             better = [(self.find_ratio(task, item), item) for item in list_candidates()]
             better = [pair for pair in better if pair[0] * NEAR_RATIO < free_ratio]
@@ -341,6 +372,7 @@
             key=lambda item: (
                 scale * ratios[item.name]
                 + LOAD_WEIGHT * item.used_share
+                + self.weigh_wanted(task, item)
                 + JITTER * self._chance.random()
             ),
         )
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -242,7 +242,7 @@
         task.is_held = False
         if not candidates:
             return None
-        if self.is_uneven:
+        if self.is_uneven or task.definition.data_rack:
             return self._choose_by_end(candidates, task, now_ms, may_hold)
         sampled = self._sample(task, candidates)
         best = self._choose_best(self._list_preferred(task, sampled, now_ms), task)
@@ -338,7 +338,8 @@
         if rack and rack not in sidecar.room.labels:
             duration *= self._spread_factor
         load = LOAD_WEIGHT * sidecar.used_share
-        return duration + load + JITTER * self._chance.random()
+        wanted = self.ends.weigh_wanted(task, sidecar)
+        return duration + load + wanted + JITTER * self._chance.random()
 
 
 def may_run(task: jobs.Task, sidecar: sidecars.Sidecar) -> bool:
