--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -24,6 +24,7 @@
     renewals,
     resources,
     sidecars,
+    spread,
 )
 from amaranthspar.schema import runmessages
 
@@ -80,13 +81,20 @@
     Args:
         chance: Random number generator.
         failure_domain: Failure domain of the gateway; empty if it has none.
+        spread_factor: Ratio of the duration of a task in another rack to that in the
+            rack of its data, at least 1.
     """
 
-    def __init__(self, chance: random.Random, failure_domain: str = "") -> None:
+    def __init__(
+        self,
+        chance: random.Random,
+        failure_domain: str = "",
+        spread_factor: float = spread.DEFAULT_FACTOR,
+    ) -> None:
         self.jobs: dict[str, jobs.Job] = {}
         self.waiting = jobqueue.JobQueue()
-        self.fleet = fleet.Fleet(chance, failure_domain)
         self.durations = durations.Durations()
+        self.fleet = fleet.Fleet(chance, self.durations, failure_domain, spread_factor)
         self.is_draining = False
         self.gateway_count = 1
         self._chance = chance
@@ -385,6 +393,8 @@
             self._needs_placement = True
             sidecar.slowness = 1.0
             sidecar.failure_rate = 0.0
+            sidecar.recent_ratios.clear()
+            sidecar.meter.set_incarnation(room.upstream)
         if before is None or before.is_leaving != room.is_leaving:
             self._log(
                 "sidecar changed",
@@ -429,11 +439,17 @@
         step = task.definition
         queue = job.request.queue.name
         expected_ms = self.durations.expect_ms(queue, task.step, step.estimate_ms)
+        # As it would have been in the rack of the data.
+        elapsed_ms = report.elapsed_ms / self.fleet.ends.find_spread(task, sidecar)
         sidecar.record_outcome(False, now_ms)
-        sidecar.record_duration(report.elapsed_ms / expected_ms, now_ms)
-        if sidecar.relative_slowness <= sidecars.NORMAL_RATIO:
-            declared_ms = step.estimate_ms
-            self.durations.record_run(queue, task.step, declared_ms, report.elapsed_ms)
+        sidecar.record_duration(elapsed_ms / expected_ms, now_ms)
+        predicted_ms = self.durations.predict_ms(queue, task.step, step.estimate_ms)
+        sidecar.meter.record_run(task.upstream, elapsed_ms, predicted_ms)
+        if sidecar.has_ordinary_speed:
+            # Over the steady slowness, so that the product of the expected duration
+            # and that slowness remains the measured duration.
+            ordinary_ms = round(elapsed_ms / sidecar.steady_ratio)
+            self.durations.record_run(queue, task.step, step.estimate_ms, ordinary_ms)
         sidecar.remove_task(task.name)
         task.state = jobs.TaskState.DONE
         job.remaining[task.step] -= 1
@@ -495,6 +511,7 @@
         queue = task.job.request.queue.name
         estimate_ms = task.definition.estimate_ms
         expected_ms = self.durations.expect_ms(queue, task.step, estimate_ms)
+        expected_ms = round(expected_ms * self.fleet.ends.find_spread(task, sidecar))
         if not progress.note_progress(sidecar, task, report, expected_ms, now_ms):
             return
         target = self.fleet.choose(task, {sidecar.name}, now_ms)
@@ -639,6 +656,9 @@
             if not job.waiting:
                 continue
             self._renewals.grow(self.fleet.find_pool(job.request.queue.service), now_ms)
+            if job.waiting[-1].is_held:
+                # It waits by choice; a reservation would bar others from what is free.
+                continue
             if len(current.reserved) >= MAX_RESERVED_SIDECARS:
                 break
             if not current.reserve(job.waiting[-1]):
@@ -672,9 +692,20 @@
         now_ms: int,
     ) -> int:
         placed = 0
+        held: list[jobs.Task] = []
+        self.fleet.ends.begin_pass(current, self.gateway_count, now_ms)
         while job.waiting:
             task = job.waiting[-1]
-            sidecar = current.choose(task)
+            task.is_held = False
+            if self.fleet.ends.should_hold(task, now_ms):
+                task.is_held = True
+                sidecar = None
+            else:
+                sidecar = current.choose(task)
+            if sidecar is None and task.is_held:
+                held.append(job.waiting.pop())
+                self._note_held(task, now_ms)
+                continue
             if sidecar is None:
                 break
             job.waiting.pop()
@@ -694,8 +725,25 @@
             job.is_dispatched = True
             orders.setdefault((sidecar.name, job.request.id), []).append(task)
             placed += 1
+        job.waiting[:0] = held
         return placed
 
+    def _note_held(self, task: jobs.Task, now_ms: int) -> None:
+        """Log a task that begins to wait for a better sidecar than the free ones."""
+        if task.held_ms >= 0:
+            return
+        task.held_ms = now_ms
+        estimate = self.fleet.ends.estimate(task, now_ms)
+        self._log(
+            "run held",
+            task.job.request.id,
+            task=task.name,
+            run=task.run + 1,
+            rack=task.definition.data_rack,
+            expected_ms=estimate.expected_ms,
+            max_ratio=round(estimate.max_ratio, 2),
+        )
+
     def _send_orders(self, sidecar: sidecars.Sidecar, tasks: list[jobs.Task]) -> None:
         if sidecar.room is None:
             return
@@ -721,9 +769,11 @@
 
     def _build_order(self, task: jobs.Task) -> runmessages.RunOrder:
         step = task.definition
-        expected_ms = self.durations.expect_ms(
+        expected_ms = self.durations.predict_ms(
             task.job.request.queue.name, task.step, step.estimate_ms
         )
+        sidecar = self.fleet.sidecars[task.sidecar]
+        expected_ms = round(expected_ms * self.fleet.ends.find_spread(task, sidecar))
         return runmessages.RunOrder(task.run_name, step.needs, expected_ms=expected_ms)
 
     def _send(self, send: effects.Send) -> None:
