A waiting task reserves the sidecar where it starts soonest, and short ones use the gap

Cause: a task that fits nowhere reserved the sidecar with the most free cores, whole, however long the runs there went on. The gap idled, and jobs behind the eighth reservation were not examined at all.

Change: a sidecar reports what its runs are expected to release (releases); a gateway finds from this and from its own later starts when a task fits there (timelines); a pass reserves the soonest start, and places tasks on a reserved sidecar that end before it, with a margin of 1.4, or leave enough at that time. The switch is Room.releases: without it a pass decides as before, which a test compares with the former pass.

Evidence: 32 tests of releases and placement, two of them invariants under Hypothesis; the test of jobs behind the last reservation fails on the code before.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -48,9 +48,6 @@
 noticed."""
 MAX_SCANNED_JOBS = 64
 """Maximum number of waiting jobs examined per pass, which bounds its processor time."""
-MAX_RESERVED_SIDECARS = 8
-"""Maximum number of sidecars reserved per pass for jobs at the head of the queue that
-find no free capacity."""
 UNLISTED_RETENTION_MS = 30_000
 """Time without a message after which a sidecar that is no longer listed is removed."""
 CLEANUP_INTERVAL_MS = 1_000
@@ -626,11 +623,15 @@
         return self.fleet.used_millis / 1000
 
     def _dispatch(self, now_ms: int) -> None:
-        """Place waiting tasks in order; a job that does not fit gets a reservation."""
+        """Place waiting tasks in order; a job that does not fit gets a reservation.
+
+        Jobs behind one without a reservation are placed only if the reservations before
+        it have known starts.
+        """
         if not len(self.waiting):
             return
         orders: dict[tuple[str, str], list[jobs.Task]] = {}
-        current = placement.Pass(self.fleet, now_ms)
+        current = placement.Pass(self.fleet, now_ms, self._expect_task_ms)
         for entry in self.waiting.list_entries()[:MAX_SCANNED_JOBS]:
             job = entry.job
             placed = self._place_tasks(job, current, orders, now_ms)
@@ -638,10 +639,10 @@
                 self._requeue_job(job)
             if not job.waiting:
                 continue
-            self._renewals.grow(self.fleet.find_pool(job.request.queue.service), now_ms)
-            if len(current.reserved) >= MAX_RESERVED_SIDECARS:
-                break
-            if not current.reserve(job.waiting[-1]):
+            service = job.request.queue.service
+            self._renewals.grow(self.fleet.find_pool(service), now_ms)
+            is_reserved = current.reserve(job.waiting[-1])
+            if not is_reserved and not current.has_reserved_start(service):
                 break
         self._needs_placement = False
         for (name, _), tasks in orders.items():
@@ -684,6 +685,7 @@
             task.incarnation = sidecar.incarnation
             task.upstream = sidecar.room.upstream if sidecar.room else ""
             task.placed_ms = now_ms
+            task.start_number = sidecar.started + 1
             task.is_running = False
             sidecar.add_task(task)
             self._last_needs[task.job.request.queue.service] = task.definition.needs
@@ -720,11 +722,13 @@
             )
 
     def _build_order(self, task: jobs.Task) -> runmessages.RunOrder:
-        step = task.definition
-        expected_ms = self.durations.expect_ms(
-            task.job.request.queue.name, task.step, step.estimate_ms
-        )
-        return runmessages.RunOrder(task.run_name, step.needs, expected_ms=expected_ms)
+        needs, expected_ms = task.definition.needs, self._expect_task_ms(task)
+        return runmessages.RunOrder(task.run_name, needs, expected_ms=expected_ms)
+
+    def _expect_task_ms(self, task: jobs.Task) -> int:
+        """Return the expected duration of a task in ms, on an ordinary upstream."""
+        queue = task.job.request.queue.name
+        return self.durations.expect_ms(queue, task.step, task.definition.estimate_ms)
 
     def _send(self, send: effects.Send) -> None:
         self._effects.append(send)
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -105,6 +105,7 @@
         incarnation: Incarnation of that sidecar when the run was placed.
         upstream: Incarnation of its upstream when the run was placed.
         placed_ms: Time at which the start was last sent in ms.
+        start_number: Number of the message that first requested the current run.
         is_running: Whether the sidecar confirmed the start.
         percent: Progress of its run in percent.
         progressed_ms: Age of its run in ms at which `percent` last grew.
@@ -121,6 +122,7 @@
     incarnation: int = 0
     upstream: str = ""
     placed_ms: int = 0
+    start_number: int = 0
     is_running: bool = False
     percent: int = 0
     progressed_ms: int = 0
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -56,6 +56,8 @@
             before.
         stop_confirmed_ms: Time at which the upstream confirmed its stop in ms; -1
             before.
+        expected_ms: Duration in ms that its gateway expects on an upstream of ordinary
+            speed; 0 if unknown.
     """
 
     name: runmessages.RunName
@@ -70,6 +72,7 @@
     lease_limit_ms: int = -1
     start_confirmed_ms: int = -1
     stop_confirmed_ms: int = -1
+    expected_ms: int = 0
 
     @property
     def is_confirmed(self) -> bool:
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -9,7 +9,7 @@
 
 import itertools
 
-from amaranthspar.scheduling import orderqueue, resources, runevents
+from amaranthspar.scheduling import orderqueue, releases, resources, runevents
 from amaranthspar.schema import runmessages
 
 GATEWAY_LEASE_MS = 800
@@ -384,7 +384,12 @@
     def _start_run(self, waiting: orderqueue.WaitingOrder, now_ms: int) -> None:
         order, message = waiting.order, waiting.message
         self.runs[order.name.task] = runevents.Run(
-            order.name, waiting.gateway, order.needs, message.upstream, now_ms
+            order.name,
+            waiting.gateway,
+            order.needs,
+            message.upstream,
+            now_ms,
+            expected_ms=order.expected_ms,
         )
         self._cached_free = None
         self._effects.append(
@@ -803,7 +808,9 @@
             if not is_due and not _has_due_reports(gateway, now_ms):
                 continue
             self._add_progress(gateway, now_ms)
-            reports = runmessages.RunReports(gateway.reports, self._build_room(gateway))
+            reports = runmessages.RunReports(
+                gateway.reports, self._build_room(gateway, now_ms)
+            )
             gateway.report_times_ms[self._report_number] = now_ms
             if len(gateway.report_times_ms) > MAX_REPORT_TIMES:
                 del gateway.report_times_ms[next(iter(gateway.report_times_ms))]
@@ -842,7 +849,7 @@
             return False
         return not resources.fits(self.read_offered(), gateway.expected_free)
 
-    def _build_room(self, gateway: runevents.Gateway) -> runmessages.Room:
+    def _build_room(self, gateway: runevents.Gateway, now_ms: int) -> runmessages.Room:
         self._report_number += 1
         upstream = self.upstream
         return runmessages.Room(
@@ -855,6 +862,7 @@
             resources.NONE if upstream is None else upstream.capacity,
             self.read_offered(),
             bool(self.refusal_reason),
+            releases=releases.predict(self.runs.values(), 0, now_ms),
         )
 
 
--- a/tests/builders_runmanager.py
+++ b/tests/builders_runmanager.py
@@ -42,10 +42,13 @@
     def ask(self, message, advance_ms=0):
         return self.step(runevents.Asked(SENDER, message), advance_ms)
 
-    def start(self, task="t", run=1, cores=1, upstream="u@1", memory_mb=64):
+    def start(
+        self, task="t", run=1, cores=1, upstream="u@1", memory_mb=64, expected_ms=0
+    ):
         self.number += 1
         needs = runmessages.Resources(round(cores * 1000), memory_mb, 0)
-        order = runmessages.RunOrder(runmessages.RunName(task, run), needs)
+        name = runmessages.RunName(task, run)
+        order = runmessages.RunOrder(name, needs, expected_ms=expected_ms)
         return self.ask(
             runmessages.StartRuns(
                 self.number, upstream, "spec", [order], self.newest_report
