--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -51,6 +51,7 @@
     "straggler": Experiment("straggler"),
     "desk": Experiment("desk", "wijesekera"),
     "gateway": Experiment("gateway"),
+    "lookahead": Experiment("lookahead"),
     "placement": Experiment("placement"),
     "sidecar": Experiment("sidecar"),
     "slopes-gateway": Experiment("slopes", function="run_gateway"),
--- a/benchmarks/crowd.py
+++ b/benchmarks/crowd.py
@@ -152,9 +152,10 @@
 
 
 @attrs.define(slots=True, eq=False)
-class _Request:
+class Request:
     """A request that has not been answered yet."""
 
+    name: str
     kind: Kind
     value: float
     arrived_ms: float
@@ -176,7 +177,7 @@
         self._serial = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._durations: dict[str, float] = {}
-        self._requests: dict[str, _Request] = {}
+        self._requests: dict[str, Request] = {}
         self._gateways = [
             dispatcher.Dispatcher(random.Random(scenario.seed * 1_000 + number))
             for number in range(scenario.gateways)
@@ -284,7 +285,7 @@
                 self._durations[f"{name}.0.0.{index}"] = duration_ms
                 longest_ms = max(longest_ms, duration_ms)
             value = kind.value * size
-            self._requests[name] = _Request(kind, value, self.now_ms, longest_ms)
+            self._requests[name] = Request(name, kind, value, self.now_ms, longest_ms)
             self.results.offered_value += value
             self._step_gateway(gateway, jobevents.Submit(request))
 
@@ -298,7 +299,7 @@
 
         return lose_upstream
 
-    def _count_outcome(self, request: _Request, outcome: str) -> None:
+    def _count_outcome(self, request: Request, outcome: str) -> None:
         if outcome == "completed":
             response_ms = self.now_ms - request.arrived_ms
             objective_ms = 1.6 * request.longest_task_ms + 62
