Reservations and used gaps are logged and counted; a pass and a prediction cost less

Cause: an operator could not see why a job waits for one sidecar or why another one was placed there. A pass over 64 jobs of different sizes tried each on all members, and a sidecar predicted releases anew for each report, also for many gateways at one time.

A pass rules out what exceeds the most that any member has free; a prediction is used again for 10 ms while no run starts or ends. The benchmark placement also measures a pass with releases over jobs of 64 sizes.

--- a/amaranthspar/observation/metering.py
+++ b/amaranthspar/observation/metering.py
@@ -64,6 +64,8 @@
         answers: Count of answered jobs, by queue and outcome.
         durations: Time from submission to the answer, by queue.
         waiting: Jobs that wait for capacity.
+        reserved: Sidecars reserved for waiting jobs in the last placement pass.
+        gap_starts: Count of starts sent to sidecars reserved for other jobs.
         running: Runs on the upstream.
         starts: Duration of calls that start a run.
         lateness: Delay of periodic work after its due time.
@@ -78,6 +80,8 @@
         self.durations: collections.defaultdict[str, Histogram]
         self.durations = collections.defaultdict(Histogram)
         self.waiting = 0
+        self.reserved = 0
+        self.gap_starts = 0
         self.running = 0
         self.starts = Histogram()
         self.lateness = Histogram()
@@ -125,6 +129,16 @@
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_jobs_waiting", "Jobs that wait for room", self.waiting
         )
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_sidecars_reserved",
+            "Sidecars reserved for waiting jobs",
+            self.reserved,
+        )
+        yield metrics_core.CounterMetricFamily(
+            "amaranthspar_gap_starts",
+            "Starts sent to sidecars reserved for other jobs",
+            self.gap_starts,
+        )
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_runs", "Runs on the upstream", self.running
         )
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -318,6 +318,8 @@
         if not self._routable.is_set():
             self._check_routable()
         self.meters.waiting = len(self._dispatcher.waiting)
+        self.meters.reserved = len(self._dispatcher.reserved_jobs)
+        self.meters.gap_starts = self._dispatcher.gap_starts
         self._advance_searches()
         now_ms = self._clock.read_monotonic()
         self._contact.tick(now_ms)
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -73,6 +73,8 @@
         durations: Estimates of task durations.
         is_draining: Whether the gateway is shutting down.
         gateway_count: Number of gateways that controllers list, at least 1.
+        reserved_jobs: Names of the sidecars reserved in the last pass, by job.
+        gap_starts: Number of starts sent to sidecars that were reserved for other jobs.
 
     Args:
         chance: Random number generator.
@@ -86,6 +88,8 @@
         self.durations = durations.Durations()
         self.is_draining = False
         self.gateway_count = 1
+        self.reserved_jobs: dict[str, str] = {}
+        self.gap_starts = 0
         self._chance = chance
         self._tasks: dict[str, jobs.Task] = {}
         self._listed: frozenset[str] = frozenset()
@@ -309,6 +313,7 @@
         name = job.request.id
         del self.jobs[name]
         self.waiting.remove(name)
+        self.reserved_jobs.pop(name, None)
         stops: dict[str, list[runmessages.RunName]] = {}
         for task in job.tasks:
             del self._tasks[task.name]
@@ -645,6 +650,7 @@
             if not is_reserved and not current.has_reserved_start(service):
                 break
         self._needs_placement = False
+        self._note_reservations(current, now_ms)
         for (name, _), tasks in orders.items():
             self._send_orders(self.fleet.sidecars[name], tasks)
         for service in {
@@ -652,6 +658,44 @@
         }:
             self._ensure_choices(service, now_ms)
 
+    def _note_reservations(self, current: placement.Pass, now_ms: int) -> None:
+        """Log the jobs whose reserved sidecar has changed since the last pass."""
+        before, self.reserved_jobs = self.reserved_jobs, {}
+        for name, reservation in current.reserved.items():
+            self.reserved_jobs[reservation.job] = name
+            if before.get(reservation.job) == name or reservation.start_ms is None:
+                continue
+            sidecar = self.fleet.sidecars[name]
+            self._log(
+                "sidecar reserved",
+                reservation.job,
+                sidecar=name,
+                start_in_ms=reservation.start_ms - now_ms,
+                room_age_ms=now_ms - sidecar.reported_ms,
+            )
+
+    def _note_gap(
+        self,
+        task: jobs.Task,
+        sidecar: sidecars.Sidecar,
+        reservation: placement.Reservation,
+        now_ms: int,
+    ) -> None:
+        """Count and log a task that is placed on a sidecar reserved for another job."""
+        if reservation.start_ms is None:
+            return
+        self.gap_starts += 1
+        self._log(
+            "gap used",
+            task.job.request.id,
+            task=task.name,
+            sidecar=sidecar.name,
+            reserved_for=reservation.job,
+            start_in_ms=reservation.start_ms - now_ms,
+            expected_ms=self._expect_task_ms(task),
+            room_age_ms=now_ms - sidecar.reported_ms,
+        )
+
     def _ensure_choices(self, service: str, now_ms: int) -> None:
         """Add members once few are left with free capacity for a typical task."""
         service_pool = self.fleet.find_pool(service)
@@ -694,6 +738,9 @@
             if sidecar.relative_slowness >= sidecars.SLOW_RATIO:
                 sidecar.slow_ms = now_ms
             job.is_dispatched = True
+            reservation = current.reserved.get(sidecar.name)
+            if reservation is not None:
+                self._note_gap(task, sidecar, reservation, now_ms)
             orders.setdefault((sidecar.name, job.request.id), []).append(task)
             placed += 1
         return placed
--- a/amaranthspar/scheduling/placement.py
+++ b/amaranthspar/scheduling/placement.py
@@ -34,10 +34,12 @@
     """Sidecar that is reserved for a task until the end of the pass.
 
     Attributes:
+        job: Id of the job of the task.
         start_ms: Expected start of the task in ms; `None` if it is unknown.
         spare: Capacity that is expected to be free beside the task at its start.
     """
 
+    job: str
     start_ms: int | None
     spare: runmessages.Resources
 
@@ -80,6 +82,7 @@
         self._expect_ms = expect_ms
         self._unmet: dict[tuple[str, str], list[Unmet]] = {}
         self._timelines: dict[str, timelines.Timeline] = {}
+        self._most_free: dict[str, runmessages.Resources] = {}
         self._by_cores: dict[str, list[sidecars.Sidecar]] = {}
         self._by_start: dict[
             tuple[str, runmessages.Resources], list[sidecars.Sidecar]
@@ -106,8 +109,11 @@
             task: Task that waits.
         """
         needs = task.definition.needs
+        service = task.job.request.queue.service
+        if self.reserved and not resources.fits(needs, self._find_most_free(service)):
+            return None
         duration_ms = self._expect_ms(task)
-        key = task.job.request.queue.service, task.definition.data_rack
+        key = service, task.definition.data_rack
         unmet = self._unmet.setdefault(key, [])
         for item in unmet:
             if item.duration_ms <= duration_ms and resources.fits(item.needs, needs):
@@ -149,16 +155,29 @@
         chosen = preferred or healthy or able
         if chosen is None:
             return False
-        needs = task.definition.needs
+        needs, job = task.definition.needs, task.job.request.id
         start = self._find_start(chosen, needs)
         if start is None:
-            reservation = Reservation(None, resources.NONE)
+            reservation = Reservation(job, None, resources.NONE)
         else:
             spare = resources.subtract(start.free, needs)
-            reservation = Reservation(start.from_ms, spare)
+            reservation = Reservation(job, start.from_ms, spare)
         self.reserved[chosen.name] = reservation
         return True
 
+    def _find_most_free(self, service: str) -> runmessages.Resources:
+        """Return the most that any member of a service has free in each dimension.
+
+        It is found once, as free capacity only falls in a pass.
+        """
+        most = self._most_free.get(service)
+        if most is None:
+            most = resources.NONE
+            for sidecar in self._fleet.list_accepting(service, self._now_ms):
+                most = resources.find_most(most, sidecar.free)
+            self._most_free[service] = most
+        return most
+
     def _list_fitting(self, task: jobs.Task) -> list[sidecars.Sidecar]:
         """Return the sidecars with free capacity that a task may use.
 
--- a/amaranthspar/scheduling/releases.py
+++ b/amaranthspar/scheduling/releases.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-import itertools
+import operator
 from typing import TYPE_CHECKING
 
 from amaranthspar.scheduling import resources
@@ -26,10 +26,44 @@
 MIN_LEFT_SHARE = 0.2
 """Share of its expected duration that a run without known progress has left at least:
 half the usual error of 40%."""
+REFRESH_MS = 10
+"""Time for which a prediction is used again while no run starts or ends; a sidecar may
+send reports to many gateways within it."""
 ORDINARY_SLOWNESS = 1_000
 """Slowness in thousandths of an upstream whose slowness is unknown."""
 
 
+class Predictor:
+    """Predicts releases for the reports of one sidecar, at a bounded rate."""
+
+    def __init__(self) -> None:
+        self._releases: list[runmessages.Release] = []
+        self._free: runmessages.Resources | None = None
+        self._predicted_ms = 0
+
+    def predict(
+        self,
+        runs: Iterable[runevents.Run],
+        free: runmessages.Resources,
+        slowness_permille: int,
+        now_ms: int,
+    ) -> list[runmessages.Release]:
+        """Return the expected releases of capacity, cumulative and soonest first.
+
+        Args:
+            runs: Runs on the upstream; those without an expected duration are left out.
+            free: Free capacity, another object after each start and end of a run.
+            slowness_permille: Measured over expected duration of the runs on the
+                upstream, in thousandths; 0 if unknown.
+            now_ms: Monotonic time in ms.
+        """
+        is_old = now_ms - self._predicted_ms >= REFRESH_MS
+        if free is not self._free or is_old:
+            self._releases = predict(runs, slowness_permille, now_ms)
+            self._free, self._predicted_ms = free, now_ms
+        return self._releases
+
+
 def predict(
     runs: Iterable[runevents.Run], slowness_permille: int, now_ms: int
 ) -> list[runmessages.Release]:
@@ -50,15 +84,16 @@
             for run in runs
             if run.expected_ms > 0
         ),
-        key=lambda item: item[0],
-    )
-    amounts = list(
-        itertools.accumulate((needs for _, needs in ends), func=resources.add)
+        key=operator.itemgetter(0),
     )
-    return [
-        runmessages.Release(ends[count - 1][0], amounts[count - 1])
-        for count in _list_counts(len(ends))
-    ]
+    releases, amount, first = [], resources.NONE, 0
+    for count in _list_counts(len(ends)):
+        amount = resources.add(
+            amount, resources.total(needs for _, needs in ends[first:count])
+        )
+        releases.append(runmessages.Release(ends[count - 1][0], amount))
+        first = count
+    return releases
 
 
 def _list_counts(count: int) -> list[int]:
--- a/amaranthspar/scheduling/resources.py
+++ b/amaranthspar/scheduling/resources.py
@@ -38,6 +38,17 @@
     )
 
 
+def find_most(
+    first: runmessages.Resources, second: runmessages.Resources
+) -> runmessages.Resources:
+    """Return the larger value of two amounts in each dimension."""
+    return runmessages.Resources(
+        max(first.cpu_millis, second.cpu_millis),
+        max(first.memory_mb, second.memory_mb),
+        max(first.accelerators, second.accelerators),
+    )
+
+
 def total(amounts: Iterable[runmessages.Resources]) -> runmessages.Resources:
     """Return the sum of many amounts."""
     result = NONE
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -104,6 +104,7 @@
         ] = {}
         self._report_number = first_number
         self._cached_free: runmessages.Resources | None = None
+        self._predictor = releases.Predictor()
         self._queue = orderqueue.OrderQueue()
         self._capacity_report_ms = 0
         self._unhealthy_until_ms = 0
@@ -862,7 +863,9 @@
             resources.NONE if upstream is None else upstream.capacity,
             self.read_offered(),
             bool(self.refusal_reason),
-            releases=releases.predict(self.runs.values(), 0, now_ms),
+            releases=self._predictor.predict(
+                self.runs.values(), self.read_free(), 0, now_ms
+            ),
         )
 
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -27,6 +27,8 @@
 TICK_MS = 20
 PASS_TARGET_MS = {160: 2.0, 2_500: 4.0}
 DEADLINE_MS = 600_000
+RELEASES = ((20, 2_000), (90, 9_000), (300, 20_000), (1_500, 60_000))
+"""Releases that a sidecar reports, as time in ms and thousandths of a core."""
 
 
 @attrs.frozen(slots=True)
@@ -39,6 +41,7 @@
         report_us: Time for a report that ends a run in us.
         pass_ms: Time in ms for a pass over a queue of 1,000 jobs for which there is
             no free capacity.
+        mixed_ms: The same with tasks of many sizes, and sidecars that report releases.
         idle_messages: Messages that an idle gateway sends in a second.
     """
 
@@ -46,6 +49,7 @@
     submission_us: float
     report_us: float
     pass_ms: float
+    mixed_ms: float
     idle_messages: int
 
 
@@ -61,6 +65,7 @@
         self.dispatcher = dispatcher.Dispatcher(random.Random(seed))
         self.now_ms = 1_000
         self.free = CAPACITY
+        self.releases: list[runmessages.Release] = []
         self._number = 0
         self._spent_s = 0.0
         peers = tuple(
@@ -95,7 +100,16 @@
         """
         self._number += 1
         room = runmessages.Room(
-            self._number, started, "u@1", SERVICE, "", [], CAPACITY, self.free, False
+            self._number,
+            started,
+            "u@1",
+            SERVICE,
+            "",
+            [],
+            CAPACITY,
+            self.free,
+            False,
+            releases=self.releases,
         )
         body = runmessages.RunReports(list(reports), room)
         return self.step(jobevents.Heard(name, 1, f"{name}:1", body))
@@ -139,6 +153,7 @@
         "submission us",
         "report us",
         "pass at a full queue ms",
+        "pass with releases ms",
         "idle messages/s",
     )
     rows: list[tuple[object, ...]] = [attrs.astuple(item) for item in costs]
@@ -148,14 +163,20 @@
         ("Submission us", [item.submission_us for item in costs]),
         ("Report us", [item.report_us for item in costs]),
         ("Pass ms", [item.pass_ms for item in costs]),
+        ("Pass with releases ms", [item.mixed_ms for item in costs]),
     ):
         fit = fits.fit_line(sizes, values, relative=True)
         outcome.notes.append(f"{label} by sidecars: {fit}.")
     for item in costs:
         target = PASS_TARGET_MS.get(item.sidecars)
-        name = f"pass at a full queue, {item.sidecars} sidecars, ms"
-        if target is not None:
-            outcome.measures.append(outcomes.Measure(name, item.pass_ms, target))
+        if target is None:
+            continue
+        for label, value in (
+            ("at a full queue", item.pass_ms),
+            ("with releases", item.mixed_ms),
+        ):
+            name = f"pass {label}, {item.sidecars} sidecars, ms"
+            outcome.measures.append(outcomes.Measure(name, value, target))
     return outcome
 
 
@@ -169,7 +190,8 @@
         size,
         1_000 * submission_ms / RUNS,
         1_000 * report_ms / RUNS,
-        _measure_passes(gateway),
+        _measure_passes(gateway, is_mixed=False),
+        _measure_passes(Gateway(size, seed), is_mixed=True),
         idle,
     )
 
@@ -197,13 +219,25 @@
     return submission_ms, report_ms
 
 
-def _measure_passes(gateway: Gateway) -> float:
-    """Return the mean time in ms of a pass over waiting jobs without free capacity."""
+def _measure_passes(gateway: Gateway, is_mixed: bool) -> float:
+    """Return the mean time in ms of a pass over waiting jobs without free capacity.
+
+    Args:
+        gateway: Gateway with empty queues.
+        is_mixed: Whether tasks are of many sizes and sidecars report releases.
+    """
     gateway.free = runmessages.Resources(1_000, 1_024, 0)
+    if is_mixed:
+        gateway.releases = [
+            runmessages.Release(after_ms, runmessages.Resources(cpu_millis, 8_192, 0))
+            for after_ms, cpu_millis in RELEASES
+        ]
     gateway.advance(WARM_UP_MS)
     for number in range(QUEUE_JOBS):
         # Inserted directly into the queue, as admission would reject them.
         request = _build_request(f"q{number}", 4)
+        if is_mixed:
+            request = _build_mixed_request(f"q{number}", number)
         job = jobs.build_job(request, gateway.now_ms)
         job.start_by_ms = job.end_by_ms = gateway.now_ms + DEADLINE_MS
         gateway.dispatcher.jobs[request.id] = job
@@ -221,3 +255,15 @@
 def _build_request(name: str, tasks: int) -> jobs.Request:
     queue = jobs.Queue("recalculate", SERVICE, 0, 3, 1.6, 60)
     return jobs.Request(name, queue, "spec", (jobs.Step(tasks, NEEDS, 100),))
+
+
+def _build_mixed_request(name: str, number: int) -> jobs.Request:
+    """Build a job of one of many sizes.
+
+    Needs fall from each job to the next, so that a pass can't rule out one by another.
+    """
+    cpu_millis = max(2_000, 11_000 - 40 * (number % 64) * 3)
+    needs = runmessages.Resources(cpu_millis, 1_024, 0)
+    queue = jobs.Queue("recalculate", SERVICE, 0, 3, 1.6, 60)
+    step = jobs.Step(4, needs, 100 + 7 * (number % 64))
+    return jobs.Request(name, queue, "spec", (step,))
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -40,10 +40,13 @@
 def test_gauges_and_start_durations_are_rendered():
     meters = metering.Meters()
     meters.waiting, meters.running = 3, 4
+    meters.reserved, meters.gap_starts = 2, 5
     meters.starts.observe(2)
 
     lines = render_lines(meters)
 
     assert "amaranthspar_jobs_waiting 3.0" in lines
     assert "amaranthspar_runs 4.0" in lines
+    assert "amaranthspar_sidecars_reserved 2.0" in lines
+    assert "amaranthspar_gap_starts_total 5.0" in lines
     assert 'amaranthspar_start_seconds_bucket{le="0.002"} 1.0' in lines
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,6 +5,7 @@
 
 from amaranthspar.scheduling import (
     fleet,
+    jobevents,
     jobs,
     placement,
     resources,
@@ -244,6 +245,29 @@
     assert submit_all([]) == []
 
 
+def test_reservations_and_used_gaps_are_logged_and_counted():
+    gateway = builders.Gateway()
+    gateway.list_sidecars("one")
+    gateway.receive_room("one", free=2, releases=build_releases((2_000, 6)))
+    wide = builders.build_request("wide", steps=[builders.build_step(1, 8, 400)])
+    queue = builders.build_queue(target_ms=20_000)
+    small = builders.build_request("small", queue, [builders.build_step(1, 1, 50)])
+    found = {}
+    for request in (wide, small):
+        for item in gateway.dispatcher.step(jobevents.Submit(request), gateway.now_ms):
+            if isinstance(item, jobevents.LogRecord):
+                found[item.event] = item
+    reserved, used = found["sidecar reserved"], found["gap used"]
+    assert reserved.job == "wide"
+    assert dict(reserved.details)["start_in_ms"] == 2_000
+    assert used.job == "small"
+    assert dict(used.details)["reserved_for"] == "wide"
+    assert gateway.dispatcher.reserved_jobs == {"wide": "one"}
+    assert gateway.dispatcher.gap_starts == 1
+    gateway.step(jobevents.Cancel("wide", jobevents.Outcome.REFUSED, "test"))
+    assert gateway.dispatcher.reserved_jobs == {}
+
+
 # Without releases, a pass decides as one that considers free capacity only.
 
 
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -130,3 +130,26 @@
     (release,) = sidecar.room.releases
     assert release.after_ms == 300
     assert release.amount == runmessages.Resources(2_000, 64, 0)
+
+
+def test_ended_run_is_not_reported_as_a_coming_release():
+    # Its capacity would count twice, as free and as released.
+    sidecar = builders.Sidecar()
+    sidecar.start("a", cores=2, expected_ms=400)
+    sidecar.answer(runevents.Answer.ACCEPTED, "a")
+    sidecar.ask(runmessages.KeepRuns(1, 1, True, [runmessages.RunName("a", 1)], 0))
+    assert sidecar.room.releases
+    sidecar.list(ends=[("a", 1, "done")])
+    assert sidecar.room.free == builders.CAPACITY
+    assert sidecar.room.releases == []
+
+
+def test_prediction_is_renewed_once_it_is_old():
+    sidecar = builders.Sidecar()
+    sidecar.start("a", cores=2, expected_ms=400)
+    found = []
+    for number, advance_ms in enumerate((0, 1, releases.REFRESH_MS), 1):
+        names = [runmessages.RunName("a", 1)]
+        sidecar.ask(runmessages.KeepRuns(number, 1, True, names, 0), advance_ms)
+        found.append(sidecar.room.releases[0].after_ms)
+    assert found == [400, 400, 400 - 1 - releases.REFRESH_MS]
