--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -49,9 +49,6 @@
 noticed."""
 MAX_SCANNED_JOBS = 64
 """Maximum number of waiting jobs examined per pass, which bounds its processor time."""
-MAX_RESERVED_SIDECARS = 8
-"""Maximum number of sidecars reserved per pass for jobs at the head of the queue that
-find no free capacity."""
 UNLISTED_RETENTION_MS = 30_000
 """Time without a message after which a sidecar that is no longer listed is removed."""
 CLEANUP_INTERVAL_MS = 1_000
@@ -77,6 +74,8 @@
         durations: Estimates of task durations.
         is_draining: Whether the gateway is shutting down.
         gateway_count: Number of gateways that controllers list, at least 1.
+        reserved_jobs: Names of the sidecars reserved in the last pass, by job.
+        gap_starts: Number of starts sent to sidecars that were reserved for other jobs.
 
     Args:
         chance: Random number generator.
@@ -97,6 +96,8 @@
         self.fleet = fleet.Fleet(chance, self.durations, failure_domain, spread_factor)
         self.is_draining = False
         self.gateway_count = 1
+        self.reserved_jobs: dict[str, str] = {}
+        self.gap_starts = 0
         self._chance = chance
         self._tasks: dict[str, jobs.Task] = {}
         self._listed: frozenset[str] = frozenset()
@@ -320,6 +321,7 @@
         name = job.request.id
         del self.jobs[name]
         self.waiting.remove(name)
+        self.reserved_jobs.pop(name, None)
         stops: dict[str, list[runmessages.RunName]] = {}
         for task in job.tasks:
             del self._tasks[task.name]
@@ -643,11 +645,15 @@
         return self.fleet.used_millis / 1000
 
     def _dispatch(self, now_ms: int) -> None:
-        """Place waiting tasks in order; a job that does not fit gets a reservation."""
+        """Place waiting tasks in order; a job that does not fit gets a reservation.
+
+        Jobs behind one without a reservation are placed only if the reservations before
+        it have known starts.
+        """
         if not len(self.waiting):
             return
         orders: dict[tuple[str, str], list[jobs.Task]] = {}
-        current = placement.Pass(self.fleet, now_ms)
+        current = placement.Pass(self.fleet, now_ms, self._expect_task_ms)
         for entry in self.waiting.list_entries()[:MAX_SCANNED_JOBS]:
             job = entry.job
             placed = self._place_tasks(job, current, orders, now_ms)
@@ -655,15 +661,16 @@
                 self._requeue_job(job)
             if not job.waiting:
                 continue
-            self._renewals.grow(self.fleet.find_pool(job.request.queue.service), now_ms)
+            service = job.request.queue.service
+            self._renewals.grow(self.fleet.find_pool(service), now_ms)
             if job.waiting[-1].is_held:
                 # It waits by choice; a reservation would bar others from what is free.
                 continue
-            if len(current.reserved) >= MAX_RESERVED_SIDECARS:
-                break
-            if not current.reserve(job.waiting[-1]):
+            is_reserved = current.reserve(job.waiting[-1])
+            if not is_reserved and not current.has_reserved_start(service):
                 break
         self._needs_placement = False
+        self._note_reservations(current, now_ms)
         for (name, _), tasks in orders.items():
             self._send_orders(self.fleet.sidecars[name], tasks)
         for service in {
@@ -671,6 +678,44 @@
         }:
             self._ensure_choices(service, now_ms)
 
+    def _note_reservations(self, current: placement.Pass, now_ms: int) -> None:
+        """Log the jobs whose reserved sidecar has changed since the last pass."""
+        before, self.reserved_jobs = self.reserved_jobs, {}
+        for name, reservation in current.reserved.items():
+            self.reserved_jobs[reservation.job] = name
+            if before.get(reservation.job) == name or reservation.start_ms is None:
+                continue
+            sidecar = self.fleet.sidecars[name]
+            self._log(
+                "sidecar reserved",
+                reservation.job,
+                sidecar=name,
+                start_in_ms=reservation.start_ms - now_ms,
+                room_age_ms=now_ms - sidecar.reported_ms,
+            )
+
+    def _note_gap(
+        self,
+        task: jobs.Task,
+        sidecar: sidecars.Sidecar,
+        reservation: placement.Reservation,
+        now_ms: int,
+    ) -> None:
+        """Count and log a task that is placed on a sidecar reserved for another job."""
+        if reservation.start_ms is None:
+            return
+        self.gap_starts += 1
+        self._log(
+            "gap used",
+            task.job.request.id,
+            task=task.name,
+            sidecar=sidecar.name,
+            reserved_for=reservation.job,
+            start_in_ms=reservation.start_ms - now_ms,
+            expected_ms=self._expect_task_ms(task),
+            room_age_ms=now_ms - sidecar.reported_ms,
+        )
+
     def _ensure_choices(self, service: str, now_ms: int) -> None:
         """Add members once few are left with free capacity for a typical task."""
         service_pool = self.fleet.find_pool(service)
@@ -715,6 +760,7 @@
             task.incarnation = sidecar.incarnation
             task.upstream = sidecar.room.upstream if sidecar.room else ""
             task.placed_ms = now_ms
+            task.start_number = sidecar.started + 1
             task.is_running = False
             sidecar.add_task(task)
             self._last_needs[task.job.request.queue.service] = task.definition.needs
@@ -723,6 +769,9 @@
             if sidecar.relative_slowness >= sidecars.SLOW_RATIO:
                 sidecar.slow_ms = now_ms
             job.is_dispatched = True
+            reservation = current.reserved.get(sidecar.name)
+            if reservation is not None:
+                self._note_gap(task, sidecar, reservation, now_ms)
             orders.setdefault((sidecar.name, job.request.id), []).append(task)
             placed += 1
         job.waiting[:0] = held
@@ -768,13 +817,16 @@
             )
 
     def _build_order(self, task: jobs.Task) -> runmessages.RunOrder:
-        step = task.definition
-        expected_ms = self.durations.predict_ms(
-            task.job.request.queue.name, task.step, step.estimate_ms
-        )
         sidecar = self.fleet.sidecars[task.sidecar]
-        expected_ms = round(expected_ms * self.fleet.ends.find_spread(task, sidecar))
-        return runmessages.RunOrder(task.run_name, step.needs, expected_ms=expected_ms)
+        spread_ratio = self.fleet.ends.find_spread(task, sidecar)
+        expected_ms = round(self._expect_task_ms(task) * spread_ratio)
+        needs = task.definition.needs
+        return runmessages.RunOrder(task.run_name, needs, expected_ms=expected_ms)
+
+    def _expect_task_ms(self, task: jobs.Task) -> int:
+        """Return the expected duration of a task in ms, on an ordinary upstream."""
+        queue = task.job.request.queue.name
+        return self.durations.predict_ms(queue, task.step, task.definition.estimate_ms)
 
     def _send(self, send: effects.Send) -> None:
         self._effects.append(send)
--- a/amaranthspar/scheduling/runevents.py
+++ b/amaranthspar/scheduling/runevents.py
@@ -56,7 +56,8 @@
             before.
         stop_confirmed_ms: Time at which the upstream confirmed its stop in ms; -1
             before.
-        expected_ms: Duration that its gateway expects in ms; 0 if unknown.
+        expected_ms: Duration in ms that its gateway expects on an upstream of ordinary
+            speed; 0 if unknown.
     """
 
     name: runmessages.RunName
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -9,7 +9,13 @@
 
 import itertools
 
-from amaranthspar.scheduling import orderqueue, resources, runevents, slownessmeter
+from amaranthspar.scheduling import (
+    orderqueue,
+    releases,
+    resources,
+    runevents,
+    slownessmeter,
+)
 from amaranthspar.schema import runmessages
 
 GATEWAY_LEASE_MS = 800
@@ -104,6 +110,7 @@
         ] = {}
         self._report_number = first_number
         self._cached_free: runmessages.Resources | None = None
+        self._predictor = releases.Predictor()
         self._queue = orderqueue.OrderQueue()
         self._capacity_report_ms = 0
         self._unhealthy_until_ms = 0
@@ -813,7 +820,9 @@
             if not is_due and not _has_due_reports(gateway, now_ms):
                 continue
             self._add_progress(gateway, now_ms)
-            reports = runmessages.RunReports(gateway.reports, self._build_room(gateway))
+            reports = runmessages.RunReports(
+                gateway.reports, self._build_room(gateway, now_ms)
+            )
             gateway.report_times_ms[self._report_number] = now_ms
             if len(gateway.report_times_ms) > MAX_REPORT_TIMES:
                 del gateway.report_times_ms[next(iter(gateway.report_times_ms))]
@@ -852,7 +861,7 @@
             return False
         return not resources.fits(self.read_offered(), gateway.expected_free)
 
-    def _build_room(self, gateway: runevents.Gateway) -> runmessages.Room:
+    def _build_room(self, gateway: runevents.Gateway, now_ms: int) -> runmessages.Room:
         self._report_number += 1
         upstream = self.upstream
         return runmessages.Room(
@@ -866,6 +875,9 @@
             self.read_offered(),
             bool(self.refusal_reason),
             slowness_permille=self._slowness.permille,
+            releases=self._predictor.predict(
+                self.runs.values(), self.read_free(), self._slowness.permille, now_ms
+            ),
         )
 
 
