Jobs that can be on time go first under a shortage, by priority

Cause: admission counted cores on sidecars that were cut off or failing, and free remainders in which no task fits. Once the order by deadline had fallen behind, it made each next job late, and the most urgent queue fared worst.

Change: where queues of a service differ in priority, the forecast follows what runs delivered in the last second on sidecars that report. Under a shortage, jobs on time go before late ones, by priority; a more urgent job displaces waiting jobs without runs, which are refused at once; a queue served much less often than the best served one goes first. JobQueue.admit returns an Admission; tests of the queue read its field.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -13,6 +13,7 @@
 
 from amaranthspar import effects
 from amaranthspar.scheduling import (
+    delivery,
     durations,
     fleet,
     jobevents,
@@ -74,6 +75,7 @@
         waiting: Jobs with tasks that are not placed, in the order of service.
         fleet: Sidecars that the gateway can place tasks on.
         durations: Estimates of task durations.
+        delivery: Processor time of the runs that ended lately.
         is_draining: Whether the gateway is shutting down.
         gateway_count: Number of gateways that controllers list, at least 1.
 
@@ -87,6 +89,7 @@
         self.waiting = jobqueue.JobQueue()
         self.fleet = fleet.Fleet(chance, failure_domain)
         self.durations = durations.Durations()
+        self.delivery = delivery.Delivery()
         self.is_draining = False
         self.gateway_count = 1
         self._chance = chance
@@ -180,18 +183,21 @@
         job = jobs.build_job(request, arrived_ms)
         reason = self._find_rejection_reason(job, now_ms)
         if reason:
-            self._refuse(request.id, reason)
+            self._refuse(request.id, reason, now_ms)
             return
         entry = self.build_entry(job)
         end_ms = now_ms + DRAIN_MARGIN * entry.critical_path_ms
         if self.is_draining and end_ms > self._drain_deadline_ms:
-            self._refuse(request.id, "gateway is stopping")
+            self._refuse(request.id, "gateway is stopping", now_ms)
             return
-        forecast = self._build_forecast(request.queue.service, now_ms)
-        if not self.waiting.admit(entry, forecast):
+        forecast = self._build_forecast(entry, now_ms)
+        admission = self.waiting.admit(entry, forecast)
+        for displaced in admission.displaced:
+            self._displace(displaced, request.id, now_ms)
+        if not admission.is_admitted:
             self._renewals.grow(self.fleet.find_pool(request.queue.service), now_ms)
             self._log_refusal(entry, forecast)
-            self._refuse(request.id, "no room in time")
+            self._refuse(request.id, "no room in time", now_ms)
             return
         self._needs_placement = True
         self._add_members_near_data(job, now_ms)
@@ -208,6 +214,19 @@
             cores_free=round(forecast.free_cores),
         )
 
+    def _displace(self, job: jobs.Job, by: str, now_ms: int) -> None:
+        """End a waiting job, no start of which was sent, for a more urgent one."""
+        self._log(
+            "job displaced",
+            job.request.id,
+            by=by,
+            queue=job.request.queue.name,
+            tasks=len(job.tasks),
+        )
+        refused = jobevents.Outcome.REFUSED
+        retry_ms = self._choose_retry_after_ms(now_ms)
+        self._end_job(job, refused, "displaced by a more urgent job", retry_ms)
+
     def _log_refusal(self, entry: jobqueue.Entry, forecast: jobqueue.Forecast) -> None:
         """Log the figures behind a refusal."""
         job = entry.job
@@ -259,19 +278,19 @@
             if not any(map(is_in_rack, service_pool.members.values())):
                 self._renewals.add_suitable_members(service_pool, is_in_rack, now_ms)
 
-    def _refuse(self, name: str, reason: str) -> None:
-        retry_ms = self._choose_retry_after_ms()
+    def _refuse(self, name: str, reason: str, now_ms: int) -> None:
+        retry_ms = self._choose_retry_after_ms(now_ms)
         refused = jobevents.Outcome.REFUSED
         self._effects.append(jobevents.JobEnded(name, refused, reason, retry_ms))
 
-    def _choose_retry_after_ms(self) -> int:
+    def _choose_retry_after_ms(self, now_ms: int) -> int:
         """Return the time in ms after which a refused caller should retry.
 
         It is the expected time to clear the backlog plus jitter, so that callers do not
         retry at the same moment.
         """
         backlog_ms = 0.0
-        rate = self._count_working_cores()
+        rate = self._count_working_cores(now_ms)
         if rate > 0:
             backlog_ms = self.waiting.core_ms / rate
         return round(backlog_ms + RETRY_SPREAD_MS * self._chance.random())
@@ -431,6 +450,8 @@
         expected_ms = self.durations.expect_ms(queue, task.step, step.estimate_ms)
         sidecar.record_outcome(False, now_ms)
         sidecar.record_duration(report.elapsed_ms / expected_ms, now_ms)
+        cores = step.needs.cpu_millis / 1000
+        self.delivery.record_run(cores, report.elapsed_ms, False, now_ms)
         if sidecar.relative_slowness <= sidecars.NORMAL_RATIO:
             declared_ms = step.estimate_ms
             self.durations.record_run(queue, task.step, declared_ms, report.elapsed_ms)
@@ -448,6 +469,8 @@
     ) -> None:
         task.failures += 1
         sidecar.record_outcome(True, now_ms)
+        cores = task.definition.needs.cpu_millis / 1000
+        self.delivery.record_run(cores, now_ms - task.placed_ms, True, now_ms)
         self._log(
             "run failed",
             task.job.request.id,
@@ -526,10 +549,11 @@
             self._checked_ms = now_ms
             self._needs_placement = len(self.waiting) > 0
             self._check_sidecars(now_ms)
+        self.waiting.advance(now_ms)
         for job in self.waiting.pop_expired(now_ms):
             refused = jobevents.Outcome.REFUSED
             self._end_job(
-                job, refused, "waited too long", self._choose_retry_after_ms()
+                job, refused, "waited too long", self._choose_retry_after_ms(now_ms)
             )
 
     def _check_sidecars(self, now_ms: int) -> None:
@@ -609,21 +633,33 @@
 
     # Placement.
 
-    def _build_forecast(self, service: str, now_ms: int) -> jobqueue.Forecast:
-        """Extrapolate the capacity of a service from the pool members that reported."""
+    def _build_forecast(self, entry: jobqueue.Entry, now_ms: int) -> jobqueue.Forecast:
+        """Extrapolate the capacity of a service from the pool members that reported.
+
+        Where priorities differ, only capacity that was delivered lately counts.
+        """
+        service = entry.service
         service_pool = self.fleet.find_pool(service)
         members = service_pool.list_accepting(now_ms)
         scale = service_pool.read_scale_factor()
-        free = scale * pool.sum_free(members)
+        if not self.waiting.has_priorities(service):
+            free = scale * pool.sum_free(members)
+            capacity = scale * pool.sum_capacity(members).cpu_millis / 1000
+            floor = MIN_CORE_SHARE * capacity / self.gateway_count
+            rate = max(self.fleet.used_millis / 1000, floor)
+            return jobqueue.Forecast(now_ms, rate, FREE_SHARE * free)
+        members = [item for item in members if not item.is_unhealthy(now_ms)]
+        need = max(step.needs.cpu_millis for step in entry.job.request.steps)
+        free = scale * delivery.count_usable_cores(members, need)
         capacity = scale * pool.sum_capacity(members).cpu_millis / 1000
-        rate = max(
-            self._count_working_cores(), MIN_CORE_SHARE * capacity / self.gateway_count
-        )
+        floor = MIN_CORE_SHARE * capacity / self.gateway_count
+        rate = max(self._count_working_cores(now_ms), floor)
+        rate *= self.delivery.measure_yield(now_ms)
         return jobqueue.Forecast(now_ms, rate, FREE_SHARE * free)
 
-    def _count_working_cores(self) -> float:
-        """Return the number of cores that the placed tasks of this gateway use."""
-        return self.fleet.used_millis / 1000
+    def _count_working_cores(self, now_ms: int) -> float:
+        """Return the number of cores on which this gateway's runs make progress."""
+        return delivery.count_working_cores(self.fleet.list_members(), now_ms)
 
     def _dispatch(self, now_ms: int) -> None:
         """Place waiting tasks in order; a job that does not fit gets a reservation."""
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -150,6 +150,7 @@
         is_dispatched: Whether a start of any of its tasks was sent.
         start_by_ms: Time in ms by which its waiting tasks should start.
         end_by_ms: Time in ms after which its answer is useless to the caller.
+        precedence: Priority that it has under a shortage; the lowest comes first.
     """
 
     request: Request
@@ -160,6 +161,7 @@
     is_dispatched: bool = False
     start_by_ms: int = 0
     end_by_ms: int = 0
+    precedence: int = 0
 
     @property
     def is_done(self) -> bool:
--- a/tests/test_jobqueue.py
+++ b/tests/test_jobqueue.py
@@ -17,11 +17,15 @@
     return jobqueue.Entry(job, cores, cores * duration_ms, duration_ms)
 
 
+def admits(queue, entry, forecast):
+    return queue.admit(entry, forecast).is_admitted
+
+
 def test_job_with_less_slack_is_served_first():
     queue = jobqueue.JobQueue()
     forecast = jobqueue.Forecast(0, CORES, 0.0)
     for name, duration_ms in (("long", 1_800), ("short", 120), ("middle", 400)):
-        assert queue.admit(build_entry(name, 0, 1, duration_ms), forecast)
+        assert admits(queue, build_entry(name, 0, 1, duration_ms), forecast)
     order = [entry.job.request.id for entry in queue.list_entries()]
     assert order == ["short", "middle", "long"]
 
@@ -29,9 +33,9 @@
 def test_job_that_would_make_others_miss_their_deadlines_is_refused():
     queue = jobqueue.JobQueue()
     forecast = jobqueue.Forecast(0, 30.0, 0.0)
-    assert queue.admit(build_entry("first", 0, 10, 120), forecast)
+    assert admits(queue, build_entry("first", 0, 10, 120), forecast)
     taken = [
-        queue.admit(build_entry(f"more-{number}", 0, 10, 120), forecast)
+        admits(queue, build_entry(f"more-{number}", 0, 10, 120), forecast)
         for number in range(20)
     ]
     assert not all(taken)
@@ -44,23 +48,23 @@
 def test_job_that_fits_into_free_cores_is_admitted():
     queue = jobqueue.JobQueue()
     forecast = jobqueue.Forecast(0, 0.0, 50.0)
-    assert queue.admit(build_entry("a", 0, 50, 120), forecast)
-    assert not queue.admit(build_entry("b", 0, 1, 120), forecast)
+    assert admits(queue, build_entry("a", 0, 50, 120), forecast)
+    assert not admits(queue, build_entry("b", 0, 1, 120), forecast)
 
 
 def test_only_job_is_admitted_although_it_will_be_late():
     queue = jobqueue.JobQueue()
-    assert queue.admit(build_entry("a", 0, 10, 1_000), jobqueue.Forecast(0, 5.0, 0.0))
+    assert admits(queue, build_entry("a", 0, 10, 1_000), jobqueue.Forecast(0, 5.0, 0.0))
     queue = jobqueue.JobQueue()
-    assert not queue.admit(
-        build_entry("a", 0, 10, 1_000), jobqueue.Forecast(0, 1.0, 0.0)
+    assert not admits(
+        queue, build_entry("a", 0, 10, 1_000), jobqueue.Forecast(0, 1.0, 0.0)
     )
 
 
 def test_undispatched_job_that_is_too_late_is_removed():
     queue = jobqueue.JobQueue()
     entry = build_entry("a", 0, 1, 100)
-    assert queue.admit(entry, jobqueue.Forecast(0, CORES, 0.0))
+    assert admits(queue, entry, jobqueue.Forecast(0, CORES, 0.0))
     last_ms = entry.job.end_by_ms - 100
     assert queue.pop_expired(last_ms) == []
     assert queue.pop_expired(last_ms + 1) == [entry.job]
