--- a/amaranthspar/schema/options.py
+++ b/amaranthspar/schema/options.py
@@ -62,6 +62,8 @@
         operator_token_hash: SHA-256 of the token of the first operator in hex.
         drain_ms: Time between reporting not ready and closing in ms.
         max_body_bytes: Largest accepted request body in bytes.
+        read_budget_mb: Memory in MB for the requests of all clients that are being read or handled.
+        max_connections: Largest number of open HTTP connections.
     """
 
     http: str
@@ -70,6 +72,8 @@
     ] = ""
     drain_ms: Annotated[int, msgspec.Meta(ge=0, le=3600000)] = 1000
     max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=1073741824)] = 8388608
+    read_budget_mb: Annotated[int, msgspec.Meta(ge=1, le=1048576)] = 128
+    max_connections: Annotated[int, msgspec.Meta(ge=16, le=1000000)] = 4096
 
 
 @attrs.frozen(slots=True)
