Clients that nobody controls are bounded in bytes, time, connections and chunks

Cause: a body, a head or a connection was bounded by itself only; 64 clients that stop short of their end made a process of the platform grow by up to 236 MB, and chunks of one byte kept the product's gateway busy.

Change: intake.Intake decides, without I/O, for all connections of all HTTP listeners of a process: a budget of bytes over all requests being read or handled (Limits.MemoryMb / 8, [gateway] read_budget_mb), connections (from Limits.MaxFds and MemoryMb, max_connections), times, framing of chunks, pipelined bytes, unread answers. Over the budget the request that held most bytes for the longest time is dropped. network.clientguards carries it out in the servers of aiohttp and Sanic, with a receive buffer of 32 KB in the kernel. A decoded job is charged for its tasks: 69 bytes with 100,000 tasks become 46 MB. Counters by reason, gauges, one log line in 5 s for each reason. Malformed jobs are logged in bounded volume too.

--- a/amaranthspar/observation/metering.py
+++ b/amaranthspar/observation/metering.py
@@ -71,6 +71,9 @@
             the process has received it.
         document_version: Version of the routing document held; -1 for none.
         silence_ms: Time since the last answer of any controller in ms.
+        dropped_clients: Count of connections of clients that were dropped, by reason.
+        client_connections: Open connections of clients.
+        client_bytes: Bytes of requests that are being read or handled.
     """
 
     def __init__(self) -> None:
@@ -84,6 +87,9 @@
         self.document_age = Histogram()
         self.document_version = -1
         self.silence_ms = 0
+        self.dropped_clients: collections.Counter[str] = collections.Counter()
+        self.client_connections = 0
+        self.client_bytes = 0
 
     def count_answer(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count an answered job and its duration.
@@ -138,6 +144,24 @@
             "Time since the last answer of any controller",
             self.silence_ms / 1000,
         )
+        dropped = metrics_core.CounterMetricFamily(
+            "amaranthspar_clients_dropped",
+            "Connections of clients that were dropped",
+            labels=["reason"],
+        )
+        for reason, count in self.dropped_clients.items():
+            dropped.add_metric([reason], count)
+        yield dropped
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_client_connections",
+            "Open connections of clients",
+            self.client_connections,
+        )
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_client_bytes",
+            "Bytes of requests that are being read or handled",
+            self.client_bytes,
+        )
         histograms = (
             ("start", "Time of calls that start a run", self.starts),
             ("loop_late", "Lateness of repeated work", self.lateness),
--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -7,7 +7,7 @@
 import structlog
 from aiohttp import web
 
-from amaranthspar import clock
+from amaranthspar import clock, rejections
 from amaranthspar.platform import servers, wire
 from amaranthspar.roles import jobgateway
 from amaranthspar.scheduling import jobevents, jobs, jobsearches, routes
@@ -18,6 +18,10 @@
 """Shortest time after which a rejected caller is asked to retry."""
 MAX_DEADLINE_MS = 3_600_000
 """Longest deadline of a caller; a longer one is ignored."""
+TASK_BYTES = 512
+"""Memory of a waiting task; 480 bytes were measured."""
+STEP_BYTES = 256
+"""Memory of a decoded step; 230 bytes were measured."""
 DISCONNECT_TURNS = 3
 """Turns of the event loop before a job is submitted. After a pause of the process, a
 request may have waited so long that its caller has left; the end of its connection is
@@ -36,6 +40,7 @@
     def __init__(self, gateway: jobgateway.JobGateway) -> None:
         self._gateway = gateway
         self._clock = clock.Clock()
+        self._rejections = rejections.RejectionLog()
         self._document = b""
         self._table: routes.Table | None = None
 
@@ -116,11 +121,22 @@
         try:
             job = wire.decode_job(await request.read(), name, queue)
         except wire.BodyError as error:
-            _log.info("malformed job rejected", request=name, reason=str(error))
+            self._rejections.record(
+                "malformed job rejected", request=name, reason=str(error)
+            )
             return servers.answer_json(400)
         if job.unsupported:
-            _log.info("unsupported job rejected", request=name, reason=job.unsupported)
+            self._rejections.record(
+                "unsupported job rejected", request=name, reason=job.unsupported
+            )
             return _refuse(f"{job.unsupported} are not offered", None)
+        size_bytes = _estimate_size(job.request)
+        if not servers.reserve(request, size_bytes):
+            self._rejections.record(
+                "job too large for now", request=name, size_bytes=str(size_bytes)
+            )
+            detail = "memory for jobs is short; the job was not accepted and never runs"
+            return _refuse(detail, RETRY_MIN_S)
         for _ in range(DISCONNECT_TURNS):
             await asyncio.sleep(0)
         deadline_s = _read_deadline_s(request, name)
@@ -170,6 +186,12 @@
         return _answer_absent(result)
 
 
+def _estimate_size(request: jobs.Request) -> int:
+    """Return the memory of a job in bytes, which may far exceed its body."""
+    tasks = sum(step.count for step in request.steps)
+    return TASK_BYTES * tasks + STEP_BYTES * len(request.steps)
+
+
 def _answer_absent(result: jobsearches.Result) -> web.Response:
     """Return a response for a job that was not found.
 
--- a/amaranthspar/platform/controller.py
+++ b/amaranthspar/platform/controller.py
@@ -68,11 +68,12 @@
     )
     reloader.subscribe(lambda changed: role.apply_settings(changed.list_controllers()))
     handler = operators.Operators(role.document_requests)
-    server = servers.Server(handler.handle)
+    guard = servers.build_guard(process_settings.memory_mb, process_settings.max_fds)
+    server = servers.Server(handler.handle, guard=guard)
     if not await stopping.run_unless_stopped(role.start(), stop):
         return
     await server.open(process_settings.control)
-    await metrics.serve_metrics(process_settings, metering.Meters())
+    await metrics.serve_metrics(process_settings, metering.Meters(), guard)
     waits = [
         asyncio.ensure_future(stop.wait()),
         asyncio.ensure_future(role.stopped.wait()),
--- a/amaranthspar/platform/gateway.py
+++ b/amaranthspar/platform/gateway.py
@@ -39,17 +39,18 @@
     gateway = jobgateway.JobGateway(process, meters)
     handler = callers.Callers(gateway)
     time_ms = process_settings.stopping_ms
+    guard = servers.build_guard(process_settings.memory_mb, process_settings.max_fds)
     caller_server = servers.Server(
-        handler.handle, time_ms - BALANCER_DELAY_MS + FINAL_ANSWERS_MS
+        handler.handle, time_ms - BALANCER_DELAY_MS + FINAL_ANSWERS_MS, guard
     )
-    readiness_server = servers.Server(handler.check_readiness)
+    readiness_server = servers.Server(handler.check_readiness, guard=guard)
     reloader.subscribe(
         lambda changed: gateway.apply_settings(changed.list_controllers())
     )
     await gateway.start()
     await caller_server.open(process_settings.callers)
     await readiness_server.open(process_settings.readiness)
-    await metrics.serve_metrics(process_settings, meters)
+    await metrics.serve_metrics(process_settings, meters, guard)
     await stop.wait()
     _log.info("stopping", has_jobs=gateway.has_jobs, time_ms=time_ms)
     gateway.drain(time_ms)
--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -1,17 +1,33 @@
 """HTTP servers of the platform adapter."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import structlog
-from aiohttp import http, web
+from aiohttp import http, streams, web
 
 from amaranthspar import errors, rejections
+from amaranthspar.intake import intake, limits
+from amaranthspar.network import clientguards
 
 MAX_LINE_BYTES = 16_384
 """Largest size of the request line and of each header field."""
 KEEP_ALIVE_S = 75
 """Time for which an idle connection is kept open."""
+MAX_FIELDS = 128
+"""Largest number of header fields of a request."""
+READ_BUFFER_BYTES = 8 * 1024
+"""Part of a body that is parsed before its handler takes it. The parser also pauses after
+a sixteenth of it in chunks, so that small chunks don't hold up the event loop."""
+LINGERING_S = 2
+"""Time for which the rest of a body is discarded after its request was answered, so that
+a client that is still sending receives the response."""
+DEFAULT_MEMORY_MB = 512
+"""Memory of the host if the settings don't state it."""
+DEFAULT_MAX_FDS = 20_000
+"""Descriptors of the process if the settings don't state them."""
 SHUTDOWN_MS = 200
 """Default time for running handlers to finish when a server closes."""
 
@@ -26,9 +42,16 @@
     Args:
         handler: Called for each request; returns the response.
         shutdown_ms: Time for running handlers to finish when the server closes, in ms.
+        guard: Guard that all servers of the process share; by default one of its own.
     """
 
-    def __init__(self, handler: Handler, shutdown_ms: int = SHUTDOWN_MS) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        shutdown_ms: int = SHUTDOWN_MS,
+        guard: clientguards.ClientGuard | None = None,
+    ) -> None:
+        self._guard = guard or build_guard()
         self._handler = handler
         self._shutdown_ms = shutdown_ms
         self._runner: web.ServerRunner | None = None
@@ -44,13 +67,17 @@
             errors.ListenError: The server cannot listen on the address.
         """
         host, _, port = address.rpartition(":")
-        server = web.Server(
+        server = _Server(
             self._handle,
+            self._guard,
             handler_cancellation=True,
             access_log=None,
             logger=_build_logger(self._rejections),
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_FIELDS,
+            read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGERING_S,
             keepalive_timeout=KEEP_ALIVE_S,
         )
         self._runner = web.ServerRunner(
@@ -58,16 +85,22 @@
         )
         await self._runner.setup()
         try:
-            await web.TCPSite(self._runner, host, int(port)).start()
+            listener = clientguards.listen(host.strip("[]"), int(port))
+            await web.SockSite(self._runner, listener).start()
         except OSError as error:
             raise errors.ListenError(f"cannot listen on {address}: {error}") from error
+        self._guard.start()
 
     async def close(self) -> None:
         """Stop listening and close idle connections, others after their responses."""
         if self._runner is not None:
             await self._runner.cleanup()
+            self._guard.stop()
+            self._runner = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if isinstance(request.protocol, _Protocol):
+            request.protocol.begin(request)
         try:
             return await self._handler(request)
         except web.HTTPException as error:
@@ -87,6 +120,150 @@
         return web.Response(status=status, text=reason)
 
 
+class _Server(web.Server):
+    """Server whose connections are accounted for.
+
+    Args:
+        handler: Called for each request.
+        guard: Guard of the process.
+        options: Options of aiohttp.
+    """
+
+    def __init__(
+        self, handler: Handler, guard: clientguards.ClientGuard, **options: Any
+    ) -> None:
+        super().__init__(handler, **options)
+        self.guard = guard
+        self._options = {
+            key: value
+            for key, value in options.items()
+            if key != "handler_cancellation"
+        }
+
+    def __call__(self) -> web.RequestHandler:
+        loop = asyncio.get_running_loop()
+        return _Protocol(self, self.guard, loop=loop, **self._options)
+
+
+class _Protocol(web.RequestHandler):
+    """Connection that accounts for what it receives before it is parsed.
+
+    aiohttp has no hook for the end of a head and of a request, so its count of requests
+    and its writing of responses are observed.
+
+    Args:
+        server: Server of the connection.
+        guard: Guard of the process.
+        options: Options of aiohttp.
+    """
+
+    def __init__(
+        self, server: web.Server, guard: clientguards.ClientGuard, **options: Any
+    ) -> None:
+        super().__init__(server, **options)
+        self._guard = guard
+        self._client: clientguards.Connection | None = None
+        self._content: streams.StreamReader | None = None
+        self._is_chunked = False
+        self._wire_bytes = 0
+        self._overhead_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Account for the connection."""
+        super().connection_made(transport)
+        self._client = self._guard.open(self._refuse)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release what the connection held."""
+        if self._client is not None:
+            self._client.close()
+        super().connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        """Note that responses wait for the client."""
+        super().pause_writing()
+        if self._client is not None:
+            self._client.block(True)
+
+    def resume_writing(self) -> None:
+        """Note that the client has read what waited."""
+        super().resume_writing()
+        if self._client is not None:
+            self._client.block(False)
+
+    def data_received(self, data: bytes) -> None:
+        """Account for received bytes and parse them if the connection stays open."""
+        client = self._client
+        if client is None or not data:
+            super().data_received(data)
+            return
+        if not client.receive(len(data)) or not self._count_overhead(client):
+            return
+        known = self._request_count
+        super().data_received(data)
+        self._wire_bytes += len(data)
+        if self._request_count != known:
+            client.begin_body()
+        self._note_end(client)
+
+    def begin(self, request: web.BaseRequest) -> None:
+        """Note that a handler has begun with a request.
+
+        Args:
+            request: Request, whose body may not have arrived.
+        """
+        if self._client is None:
+            return
+        self._client.begin_body()
+        self._content = request.content
+        self._is_chunked = "chunked" in request.headers.get("Transfer-Encoding", "")
+        self._overhead_bytes = self._wire_bytes - request.content.total_bytes
+        self._note_end(self._client)
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Hold more bytes for the request that is handled.
+
+        Args:
+            size_bytes: Bytes that it becomes once it is decoded.
+        """
+        return self._client is None or self._client.reserve(size_bytes)
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response and release what its request held."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            content, self._content = self._content, None
+            if self._client is not None:
+                if content is None or content.is_eof():
+                    self._client.finish()
+                else:
+                    self._client.discard()
+
+    def _note_end(self, client: clientguards.Connection) -> None:
+        content = self._content
+        if content is None:
+            return
+        if client.stage is intake.Stage.BODY and content.is_eof():
+            client.complete()
+
+    def _count_overhead(self, client: clientguards.Connection) -> bool:
+        """Account for the framing of what was received before, which is parsed now."""
+        if not self._is_chunked or self._content is None:
+            return True
+        overhead_bytes = self._wire_bytes - self._content.total_bytes
+        added_bytes = overhead_bytes - self._overhead_bytes
+        self._overhead_bytes = max(overhead_bytes, self._overhead_bytes)
+        return client.add_overhead(added_bytes)
+
+    def _refuse(self, response: bytes) -> None:
+        """Close the connection, after a response to a request that was not read."""
+        if self.transport is not None:
+            clientguards.refuse(self.transport, response)
+
+
 class _RejectionHandler(logging.Handler):
     """Passes what aiohttp logs about a connection to a bounded log.
 
@@ -112,6 +289,29 @@
         _log.error("connection failed", exc_info=error, reason=record.getMessage())
 
 
+def reserve(request: web.BaseRequest, size_bytes: int) -> bool:
+    """Return whether a request may become as large as it is once decoded.
+
+    Args:
+        request: Request that was read.
+        size_bytes: Bytes that it becomes.
+    """
+    protocol = request.protocol
+    return not isinstance(protocol, _Protocol) or protocol.reserve(size_bytes)
+
+
+def build_guard(memory_mb: int = 0, max_fds: int = 0) -> clientguards.ClientGuard:
+    """Return a guard of the clients of a process.
+
+    Args:
+        memory_mb: Memory of the host in MB; 0 if it is not known.
+        max_fds: Descriptors of the process; 0 if they are not known.
+    """
+    return clientguards.ClientGuard(
+        limits.derive_limits(memory_mb or DEFAULT_MEMORY_MB, max_fds or DEFAULT_MAX_FDS)
+    )
+
+
 def _build_logger(log: rejections.RejectionLog) -> logging.Logger:
     """Return a logger that is none of the root logger's, which writes to stderr."""
     logger = logging.Logger(__name__)
--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -38,6 +38,8 @@
         upstream: Address of the upstream on this host; empty if there is none.
         grace_ms: Time from the stop signal until the platform kills the process, in ms.
         max_lease_ms: Longest lease of runs in ms.
+        memory_mb: Memory of the host in MB; 0 if it is not stated.
+        max_fds: Descriptors that the process may open; 0 if they are not stated.
     """
 
     host: str
@@ -54,6 +56,8 @@
     upstream: str
     grace_ms: int
     max_lease_ms: int
+    memory_mb: int = 0
+    max_fds: int = 0
 
     @property
     def stopping_ms(self) -> int:
@@ -156,6 +160,8 @@
             upstream=self._find_address("app"),
             grace_ms=1000 * self._read_integer("Bounds.GraceS"),
             max_lease_ms=self._read_integer("Bounds.MaxHoldMs"),
+            memory_mb=self._read_limit("Limits.MemoryMb"),
+            max_fds=self._read_limit("Limits.MaxFds"),
         )
         if self._faults:
             raise errors.SettingsError(self._faults)
@@ -178,6 +184,10 @@
             self._faults.append(f"{key} = {found}: not a number")
             return 0
 
+    def _read_limit(self, key: str) -> int:
+        """Return a limit of the host; 0 if it is missing."""
+        return max(self._read_integer(key), 0) if self._find(key) else 0
+
     def _read_port(self, key: str) -> int:
         """Return the first port of a range of internal ports."""
         found = self._require(key).partition(",")[0].strip()
--- a/amaranthspar/platform/sidecar.py
+++ b/amaranthspar/platform/sidecar.py
@@ -43,15 +43,17 @@
         upstreams.Upstream(process_settings.upstream, process_settings.max_lease_ms),
         meters,
     )
+    guard = servers.build_guard(process_settings.memory_mb, process_settings.max_fds)
     server = servers.Server(
-        registrations.Registrations(sidecar, process_settings.service).handle
+        registrations.Registrations(sidecar, process_settings.service).handle,
+        guard=guard,
     )
     reloader.subscribe(
         lambda changed: sidecar.apply_settings(changed.list_controllers())
     )
     await sidecar.start()
     await server.open(process_settings.control)
-    await metrics.serve_metrics(process_settings, meters)
+    await metrics.serve_metrics(process_settings, meters, guard)
     await stop.wait()
     _log.info("stopping", has_runs=sidecar.has_runs)
     sidecar.drain()
--- a/amaranthspar/roles/gateway.py
+++ b/amaranthspar/roles/gateway.py
@@ -236,6 +236,7 @@
                 self._answers.expire(now_ms)
                 self._metrics.report(self.dispatcher.counts)
                 self._metrics.report(self._links.counts)
+                self._metrics.report(self._server.counts)
             await asyncio.sleep(TICK_MS / 1000)
 
     def _receive(self, frame: codec.Frame) -> None:
--- a/amaranthspar/web/server.py
+++ b/amaranthspar/web/server.py
@@ -5,6 +5,7 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
+from amaranthspar.intake import limits
 from amaranthspar.schema import problems
 from amaranthspar.web import _httpserver, authorization, callers, operators, responses
 
@@ -34,6 +35,14 @@
         self._operators = operators.OperatorHandlers(gateway, authorizer)
         self._server = self._build_server()
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of dropped connections by reason, as counters."""
+        counts: dict[str, int] = {}
+        for reason, count in self._server.guard.drops.items():
+            counts[f"clients.dropped.{reason}"] = count
+        return counts
+
     async def open(self, address: str) -> None:
         """Listen for HTTP connections.
 
@@ -54,7 +63,12 @@
         await self._server.close()
 
     def _build_server(self) -> _httpserver.HttpServer:
-        server = _httpserver.HttpServer(self._gateway.options.max_body_bytes)
+        options = self._gateway.options
+        server = _httpserver.HttpServer(
+            options.max_body_bytes,
+            options.read_budget_mb * limits.MB,
+            options.max_connections,
+        )
         server.add("GET", "/healthz", self._check_health)
         server.add("GET", "/readyz", self._check_readiness)
         callers, operators = self._callers, self._operators
