--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -42,6 +42,8 @@
         max_lease_ms: Longest lease of runs in ms.
         spread_factor: Ratio of the duration of a task in another rack to that in the
             rack of its data, at least 1.
+        memory_mb: Memory of the host in MB; 0 if it is not stated.
+        max_fds: Descriptors that the process may open; 0 if they are not stated.
     """
 
     host: str
@@ -59,6 +61,8 @@
     grace_ms: int
     max_lease_ms: int
     spread_factor: float = spread.DEFAULT_FACTOR
+    memory_mb: int = 0
+    max_fds: int = 0
 
     @property
     def stopping_ms(self) -> int:
@@ -164,6 +168,8 @@
             spread_factor=self._read_factor(
                 "Bounds.SpreadFactor", spread.DEFAULT_FACTOR
             ),
+            memory_mb=self._read_limit("Limits.MemoryMb"),
+            max_fds=self._read_limit("Limits.MaxFds"),
         )
         if self._faults:
             raise errors.SettingsError(self._faults)
@@ -200,6 +206,10 @@
             return default
         return factor
 
+    def _read_limit(self, key: str) -> int:
+        """Return a limit of the host; 0 if it is missing."""
+        return max(self._read_integer(key), 0) if self._find(key) else 0
+
     def _read_port(self, key: str) -> int:
         """Return the first port of a range of internal ports."""
         found = self._require(key).partition(",")[0].strip()
