`amaranthspar explain` shows where a request or job would go now and why

Cause: an operator who asks why a job waits, is refused or goes to one sidecar has only the status, which shows neither credits nor limits, nor what admission decides.

Change: `explain request` and `explain job` ask a gateway over two new operators' routes, /v1/services/SERVICE/requests/explanation and .../jobs/explanation. The gateway runs its own admission control and choice of sidecars on copies of its routes and its capacity index, and answers with the decision, the expected start, each sidecar with room, speed, failure domain, health and age of its last message, and what was ruled out. Pools, MoveBarrier, Quotas, Backlog and Health get methods that only read. Exit code 1 tells a refusal, 2 bad input, 3 that no gateway answered.

--- a/amaranthspar/clients/client.py
+++ b/amaranthspar/clients/client.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from amaranthspar import errors
-from amaranthspar.schema import bodies, messages, problems
+from amaranthspar.schema import bodies, explanations, messages, problems
 
 Body = TypeVar("Body")
 
@@ -145,6 +145,33 @@
         _expect_status(reply, (200,))
         return _decode(reply.body, bodies.Status)
 
+    async def explain(
+        self,
+        kind: str,
+        service: str,
+        body: bytes,
+        headers: dict[str, str] | None = None,
+        account: str = "",
+    ) -> explanations.Explanation:
+        """Ask where a request or job would go now, without submitting it.
+
+        Args:
+            kind: ``requests`` or ``jobs``.
+            service: Service name.
+            body: Body as for `send_request` or `submit_job`.
+            headers: Additional headers, such as ``Amaranthspar-Desk``.
+            account: Account that would submit it; by default that of the token.
+
+        Raises:
+            ClientError: The gateway refused to explain it or did not respond.
+        """
+        path = f"/v1/services/{quote(service)}/{kind}/explanation"
+        if account:
+            path += f"?{urllib.parse.urlencode({'account': account})}"
+        reply = await self.call("POST", path, body, headers)
+        _expect_status(reply, (200,))
+        return _decode(reply.body, explanations.Explanation)
+
     async def fetch_replicas(self) -> messages.ReplicasChanged:
         """Fetch the set of controller replicas.
 
--- a/amaranthspar/dispatch/admission.py
+++ b/amaranthspar/dispatch/admission.py
@@ -62,6 +62,28 @@
         """Return the expected time in ms to run the whole backlog on the slots."""
         return self._backlog.sum_cost() / max(1, self._slots)
 
+    def copy(self, index: capacity.CapacityIndex) -> "Admission":
+        """Return an admission control that decides alike with a copy of the index.
+
+        Args:
+            index: Copy of the index of this one.
+        """
+        result = Admission(self._holder, self._backlog, self._routes, index)
+        result._slots = self._slots
+        return result
+
+    def estimate_start(self, team: str, service: entries.Service) -> int | None:
+        """Return the time in ms until a new task starts, None without known slots.
+
+        Args:
+            team: Team of the task.
+            service: Service of the task.
+        """
+        if not self._slots:
+            return None
+        cost_ms = self._backlog.estimate_cost_ahead(team, service)
+        return int(cost_ms / self._slots)
+
     def check(
         self, submission: submissions.Submission, now_ms: int
     ) -> submissions.Answer | None:
@@ -131,12 +153,9 @@
     def _check_wait(
         self, submission: submissions.Submission, service: entries.Service, now_ms: int
     ) -> _Rejection | None:
-        if not self._slots:
-            return None
-        cost_ms = self._backlog.estimate_cost_ahead(submission.team, service)
-        wait_ms = int(cost_ms / self._slots)
+        wait_ms = self.estimate_start(submission.team, service)
         left_ms = submission.deadline_ms - now_ms
-        if wait_ms <= left_ms:
+        if wait_ms is None or wait_ms <= left_ms:
             return None
         detail = f"expected to wait {wait_ms} ms, deadline in {left_ms} ms"
         retry_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms - left_ms))
--- a/amaranthspar/dispatch/backlog.py
+++ b/amaranthspar/dispatch/backlog.py
@@ -1,6 +1,6 @@
 """Backlog of tasks that wait in a gateway for a slot."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -137,6 +137,21 @@
             return list(self._queues)
         return sorted(self._queues, key=lambda pool: self._queues[pool].served_ms)
 
+    def rank_pools(self, pools: Iterable[capacity.Pool]) -> list[capacity.Pool]:
+        """Return pools in the order in which they would be served with new tasks.
+
+        Args:
+            pools: Pools of the new tasks, in the order of the tasks.
+        """
+        new = dict.fromkeys(pools)
+        served_ms = dict.fromkeys(new, self._virtual_time_ms)
+        served_ms |= {
+            pool: queue.served_ms for pool, queue in self._queues.items() if pool in new
+        }
+        # Of pools with equal times, those with waiting tasks come first.
+        waiting = [pool for pool in self._queues if pool in new]
+        return sorted(dict.fromkeys([*waiting, *new]), key=served_ms.__getitem__)
+
     def push(self, pool: capacity.Pool, queued: QueuedTask) -> None:
         """Add a task.
 
--- a/amaranthspar/dispatch/capacity.py
+++ b/amaranthspar/dispatch/capacity.py
@@ -1,6 +1,6 @@
 """Index of the sidecars by free capacity, to choose one without a full scan."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -50,6 +50,20 @@
         self._priorities[name] = priority
         self._top = max(self._top, priority)
 
+    def copy(self, routes: Mapping[str, routing.Route]) -> "BucketQueue":
+        """Return a queue with the same order that holds other routes.
+
+        Args:
+            routes: Route that stands for each queued one, by process name.
+        """
+        result = BucketQueue()
+        result._buckets = [
+            {name: routes[name] for name in bucket} for bucket in self._buckets
+        ]
+        result._priorities = dict(self._priorities)
+        result._top = self._top
+        return result
+
     def find_first(self) -> tuple[int, routing.Route | None]:
         """Return the greatest priority and a route with it; 0 and None if empty."""
         while self._top and not self._buckets[self._top]:
@@ -121,21 +135,39 @@
         announcements: dict[Shape, messages.Announcement] = {}
         for route in routes:
             route.index_group = None
-            announcements.setdefault(_describe(route.announcement), route.announcement)
+            announcements.setdefault(describe(route.announcement), route.announcement)
         changed = announcements.keys() != self._announcements.keys()
         self._announcements = announcements
         self._groups = {}
         self._pools = {}
         self._groups_by_pool = {}
         for route in open_routes:
-            shape = _describe(route.announcement)
-            near = route.announcement.failure_domain == self._near_domain
+            shape = describe(route.announcement)
+            near = self.is_near(route)
             route.index_group = self._groups.setdefault(
                 (shape, near), IndexGroup(shape, near)
             )
             self.update(route)
         return changed
 
+    def copy(self, routes: Mapping[str, routing.Route]) -> "CapacityIndex":
+        """Return an index that chooses alike among other routes.
+
+        Args:
+            routes: Route that stands for each indexed one, by process name. They
+                become part of the returned index.
+        """
+        result = CapacityIndex(self._near_domain)
+        result._announcements = self._announcements
+        for key, group in self._groups.items():
+            queue = group.routes.copy(routes)
+            result._groups[key] = IndexGroup(group.shape, group.near, queue)
+        for route in routes.values():
+            if isinstance(route.index_group, IndexGroup):
+                key = (route.index_group.shape, route.index_group.near)
+                route.index_group = result._groups[key]
+        return result
+
     def find_pool(self, needs: routing.Needs) -> Pool:
         """Return the shapes that meet the needs of a task; empty if none does.
 
@@ -154,6 +186,10 @@
                 self._pools[needs] = pool
         return pool
 
+    def is_near(self, route: routing.Route) -> bool:
+        """Return whether a sidecar is in the preferred failure domain."""
+        return route.announcement.failure_domain == self._near_domain
+
     def update(self, route: routing.Route) -> None:
         """Update the index after the free capacity of a sidecar has changed.
 
@@ -219,7 +255,8 @@
         return found
 
 
-def _describe(announcement: messages.Announcement) -> Shape:
+def describe(announcement: messages.Announcement) -> Shape:
+    """Return the shape of an upstream."""
     return Shape(
         tuple(announcement.services),
         announcement.group,
--- a/amaranthspar/dispatch/dispatcher.py
+++ b/amaranthspar/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
     capacity,
     demand,
     estimates,
+    explainer,
     health,
     pools,
     quotas,
@@ -25,7 +26,7 @@
     tracking,
 )
 from amaranthspar.membership import leaseholder
-from amaranthspar.schema import messages
+from amaranthspar.schema import explanations, messages
 
 FAILURE_REASONS = {
     submissions.Failure.OVERDUE: "deadline passed",
@@ -104,6 +105,28 @@
         self._retries = retries.RetryBudget(holder)
         self._deadlines: list[tuple[int, str]] = []
         self._sweep = sweep.Sweep(self.routes)
+        self._explainer = explainer.Explainer(
+            holder,
+            self.routes,
+            self._capacity,
+            self._admission,
+            self._backlog,
+            self._pools,
+            self._quotas,
+            self._estimates,
+            self._health,
+        )
+
+    def explain(
+        self, submission: submissions.Submission, now_ms: int
+    ) -> explanations.Explanation:
+        """Return what would happen to a submission now, without any effect.
+
+        Args:
+            submission: Request or job that was not submitted.
+            now_ms: Monotonic time in ms.
+        """
+        return self._explainer.explain(submission, now_ms)
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Handle one event.
@@ -287,9 +310,7 @@
             route.credit_limit += 1
             self.counts["credits.borrowed"] += 1
         submission = queued.submission
-        route.sent += 1
-        route.unsent += 1
-        route.in_flight[submission.name, queued.task.index] = queued.task
+        route.reserve(submission.name, queued.task)
         self._capacity.update(route)
         self._quotas.start(submission.team)
 
--- a/amaranthspar/dispatch/health.py
+++ b/amaranthspar/dispatch/health.py
@@ -28,6 +28,10 @@
 RECOVERY_STEP_MS = 250
 REFUSALS = frozenset(item.value for item in starts.Refusal)
 """Reasons for which a healthy sidecar starts no task."""
+HEALTHY = "healthy"
+EJECTED = "ejected"
+PROBING = "probing"
+RECOVERING = "recovering"
 
 
 @attrs.define(slots=True)
@@ -101,6 +105,22 @@
         self._records.pop(process, None)
         self._limited.discard(process)
 
+    def describe(self, process: str) -> str:
+        """Return the health of a sidecar.
+
+        Args:
+            process: Process name of the sidecar.
+
+        Returns:
+            ``healthy``, ``ejected``, ``probing`` or ``recovering``.
+        """
+        record = self._records.get(process)
+        if record is None:
+            return HEALTHY
+        if record.ejected_ms is not None:
+            return PROBING if self._routes[process].health_limit else EJECTED
+        return HEALTHY if record.step >= RECOVERY_STEPS else RECOVERING
+
     def tick(self, now_ms: int) -> list[routing.Route]:
         """Allow probes and the next steps of a recovery.
 
--- a/amaranthspar/dispatch/pools.py
+++ b/amaranthspar/dispatch/pools.py
@@ -40,6 +40,31 @@
             return BLOCKED
         return self._capacity.find_pool(routing.resolve_home(needs, view))
 
+    def predict(
+        self, needs: routing.Needs, index: capacity.CapacityIndex
+    ) -> capacity.Pool:
+        """Return the pool that `find` would return, without recording anything.
+
+        Args:
+            needs: Needs of the task.
+            index: Copy of the index of the sidecars.
+        """
+        view = self._holder.view
+        if needs.desk and not self._barrier.is_settled(needs.desk, view):
+            return BLOCKED
+        return index.find_pool(routing.resolve_home(needs, view))
+
+    def list_blocking(self, desk: str) -> list[str]:
+        """Return the sidecars that have not settled the last move of a desk.
+
+        Args:
+            desk: Desk name; empty for none.
+        """
+        view = self._holder.view
+        if self._barrier.is_settled(desk, view):
+            return []
+        return [item.process for item in self._barrier.list_unsettled(desk, view)]
+
     def apply_view(
         self, routes: Iterable[routing.Route], open_routes: Iterable[routing.Route]
     ) -> bool:
--- a/amaranthspar/dispatch/quotas.py
+++ b/amaranthspar/dispatch/quotas.py
@@ -40,6 +40,15 @@
         if not limit or self._running[team] < limit:
             self._backlog.release_team(team)
 
+    def count_allowed(self, team: str) -> int | None:
+        """Return how many more tasks a team may run now, None for no limit.
+
+        Args:
+            team: Team name.
+        """
+        limit = self._find_limit(team)
+        return max(0, limit - self._running[team]) if limit else None
+
     def apply_limits(self) -> None:
         """Apply the quotas of a newer configuration."""
         for team, running in self._running.items():
--- a/amaranthspar/dispatch/routing.py
+++ b/amaranthspar/dispatch/routing.py
@@ -75,6 +75,17 @@
     confirmed_sequence: int = 0
     in_flight: dict[tuple[str, int], submissions.Task] = attrs.field(factory=dict)
 
+    def reserve(self, submission: str, task: submissions.Task) -> None:
+        """Count a task as sent whose start message is not built yet.
+
+        Args:
+            submission: Submission id.
+            task: Task of that submission.
+        """
+        self.sent += 1
+        self.unsent += 1
+        self.in_flight[submission, task.index] = task
+
     @property
     def credits(self) -> int:
         """Number of tasks that may be sent within the credit limit."""
--- a/amaranthspar/membership/desks.py
+++ b/amaranthspar/membership/desks.py
@@ -127,15 +127,25 @@
             desk: Desk name; empty for none.
             held_view: View that the gateway holds.
         """
-        moved_version = held_view.find_move(desk)
-        if self._opened_versions.get(desk, 0) >= moved_version:
-            return True
-        if self.list_unsettled(desk, held_view):
+        if not self.is_settled(desk, held_view):
             return False
-        # A sidecar that joins later holds at least this version from its start.
-        self._opened_versions[desk] = moved_version
+        moved_version = held_view.find_move(desk)
+        if self._opened_versions.get(desk, 0) < moved_version:
+            # A sidecar that joins later holds at least this version from its start.
+            self._opened_versions[desk] = moved_version
         return True
 
+    def is_settled(self, desk: str, held_view: view.View) -> bool:
+        """Return what `is_open` would return, without recording it.
+
+        Args:
+            desk: Desk name; empty for none.
+            held_view: View that the gateway holds.
+        """
+        if self._opened_versions.get(desk, 0) >= held_view.find_move(desk):
+            return True
+        return not self.list_unsettled(desk, held_view)
+
     def list_unsettled(self, desk: str, held_view: view.View) -> list[messages.Member]:
         """Return the sidecars that have not settled the last move of a desk.
 
--- a/amaranthspar/program.py
+++ b/amaranthspar/program.py
@@ -47,6 +47,7 @@
     Command("config", "submit or show the configuration", "config"),
     Command("domain", "take a failure domain out of service or back in", "domain"),
     Command("status", "show members and load", "status"),
+    Command("explain", "show where a request or job would go now", "explain"),
     Command("replica", "show or replace the controllers' replicas", "replica"),
     Command(
         "recover",
--- a/amaranthspar/web/authorization.py
+++ b/amaranthspar/web/authorization.py
@@ -40,8 +40,7 @@
             problems.ProblemError: The token is missing or unknown, or there is no
                 configuration yet.
         """
-        header = headers.get(TOKEN_HEADER, "")
-        account = tokens.find_account(header, self._view.settings)
+        account = self.find_own_account(headers)
         if account is not None:
             return account
         if not self._view.configuration_version:
@@ -49,6 +48,15 @@
         detail = "missing or unknown bearer token"
         raise problems.ProblemError(401, "unauthorized", detail)
 
+    def find_own_account(self, headers: Mapping[str, str]) -> entries.Account | None:
+        """Return the account whose token the headers hold, None if there is none.
+
+        Args:
+            headers: HTTP headers with lower-case names.
+        """
+        header = headers.get(TOKEN_HEADER, "")
+        return tokens.find_account(header, self._view.settings)
+
     def find_operator(self, headers: Mapping[str, str]) -> str:
         """Return the name of the operator that sent the request.
 
--- a/amaranthspar/web/callers.py
+++ b/amaranthspar/web/callers.py
@@ -91,13 +91,8 @@
         self, request: Any, service: str
     ) -> submissions.Submission:
         metadata = self._parse_metadata(request, service)
-        limit_bytes = metadata.service.max_body_bytes
-        if len(request.body) > limit_bytes:
-            detail = f"the body exceeds {limit_bytes} bytes"
-            raise problems.ProblemError(413, "body-too-large", detail)
-        return self._build_submission(
-            metadata, [submissions.Task(0, request.body)], is_job=False
-        )
+        tasks = parsing.parse_request(request.body, metadata.service.max_body_bytes)
+        return self._build_submission(metadata, tasks, is_job=False)
 
     def _build_job_submission(
         self, request: Any, service: str
@@ -122,21 +117,9 @@
         tasks: list[submissions.Task],
         is_job: bool,
     ) -> submissions.Submission:
+        name = self._gateway.create_submission_id()
         now_ms = self._gateway.clock.read_monotonic()
-        return submissions.Submission(
-            name=self._gateway.create_submission_id(),
-            service=metadata.service.name,
-            account=metadata.account.name,
-            team=metadata.account.team,
-            caller=f"{metadata.account.name}/{metadata.desk}",
-            desk=metadata.desk,
-            is_job=is_job,
-            content_type=responses.JSON if is_job else metadata.content_type,
-            admitted_ms=now_ms,
-            deadline_ms=now_ms + metadata.deadline_ms,
-            tasks=tasks,
-            traceparent=metadata.traceparent,
-        )
+        return parsing.build_submission(name, metadata, tasks, is_job, now_ms)
 
     async def _submit(
         self, request: Any, submission: submissions.Submission
--- a/amaranthspar/web/parsing.py
+++ b/amaranthspar/web/parsing.py
@@ -17,6 +17,7 @@
 KEY_HEADER = "idempotency-key"
 CONTENT_TYPE_HEADER = "content-type"
 TRACE_HEADER = "traceparent"
+JOB_CONTENT_TYPE = "application/json"
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 MAX_DEADLINE_MS = 3_600_000
 """Longest deadline that a caller can set; a longer one is reduced to it."""
@@ -124,6 +125,55 @@
     )
 
 
+def build_submission(
+    name: str,
+    metadata: RequestMetadata,
+    tasks: list[submissions.Task],
+    is_job: bool,
+    now_ms: int,
+) -> submissions.Submission:
+    """Return the submission of a request or job.
+
+    Args:
+        name: Submission id.
+        metadata: Metadata of the request.
+        tasks: Tasks in order.
+        is_job: Whether it is a job.
+        now_ms: Monotonic time in ms.
+    """
+    account = metadata.account
+    return submissions.Submission(
+        name=name,
+        service=metadata.service.name,
+        account=account.name,
+        team=account.team,
+        caller=f"{account.name}/{metadata.desk}",
+        desk=metadata.desk,
+        is_job=is_job,
+        content_type=JOB_CONTENT_TYPE if is_job else metadata.content_type,
+        admitted_ms=now_ms,
+        deadline_ms=now_ms + metadata.deadline_ms,
+        tasks=tasks,
+        traceparent=metadata.traceparent,
+    )
+
+
+def parse_request(body: bytes, max_payload_bytes: int) -> list[submissions.Task]:
+    """Return the only task of a request.
+
+    Args:
+        body: Body sent by the caller.
+        max_payload_bytes: Largest accepted body in bytes.
+
+    Raises:
+        problems.ProblemError: The body is too large.
+    """
+    if len(body) > max_payload_bytes:
+        detail = f"the body exceeds {max_payload_bytes} bytes"
+        raise problems.ProblemError(413, "body-too-large", detail)
+    return [submissions.Task(0, body)]
+
+
 def parse_job(body: bytes, max_payload_bytes: int) -> list[submissions.Task]:
     """Parse and validate the body of a job.
 
--- a/amaranthspar/web/server.py
+++ b/amaranthspar/web/server.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING, Any
 
 from amaranthspar.schema import problems
-from amaranthspar.web import _httpserver, authorization, callers, operators, responses
+from amaranthspar.web import (
+    _httpserver,
+    authorization,
+    callers,
+    explaining,
+    operators,
+    responses,
+)
 
 if TYPE_CHECKING:
     from sanic import response
@@ -32,6 +39,7 @@
         )
         self._callers = callers.CallerHandlers(gateway, authorizer)
         self._operators = operators.OperatorHandlers(gateway, authorizer)
+        self._explaining = explaining.ExplanationHandlers(gateway, authorizer)
         self._server = self._build_server()
 
     async def open(self, address: str) -> None:
@@ -61,6 +69,11 @@
         services = "/v1/services/<service:str>"
         server.add("POST", f"{services}/requests", self._wrap(callers.take_request))
         server.add("POST", f"{services}/jobs", self._wrap(callers.take_job))
+        explaining = self._explaining
+        path = f"{services}/requests/explanation"
+        server.add("POST", path, self._wrap(explaining.explain_request))
+        path = f"{services}/jobs/explanation"
+        server.add("POST", path, self._wrap(explaining.explain_job))
         server.add("GET", "/v1/jobs/<job:str>", self._wrap(callers.show_job))
         server.add("DELETE", "/v1/jobs/<job:str>", self._wrap(callers.cancel_job))
         path = "/v1/configuration"
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -113,6 +113,65 @@
     assert served.run("job", "submit", "recalculate", "-", text=failed).returncode == 1
 
 
+def test_explanation_shows_where_a_job_would_go_and_runs_nothing(served) -> None:
+    job = json.dumps({"tasks": [{"payload": {"sleep_ms": 20_000}}] * 5})
+    words = ("explain", "job", "--service", "recalculate", "--account", "field")
+    shown = served.run(*words, "--json", text=job)
+    assert (shown.returncode, shown.stderr) == (0, "")
+    explanation = json.loads(shown.stdout)
+    assert (explanation["admitted"], explanation["tasks"]) == (True, 5)
+    assert explanation["team"] == "field"
+    assert explanation["sent"] + explanation["waiting"] == 5
+    assert len(explanation["sidecars"]) == explanation["known"] == 9
+    assert sum(item["tasks"] for item in explanation["sidecars"]) == explanation["sent"]
+    table = served.run(*words, "-", text=job)
+    assert table.returncode == 0
+    for text in ("job of 5 tasks to recalculate", "admitted", "sidecar-1", "gyor"):
+        assert text in table.stdout
+    for url in served.urls:
+        status = builders_shell.call(f"{url}/v1/status").decode()
+        # The task of a job that another test cancelled may not have ended yet.
+        assert status["queued"] + sum(status["running"].values()) < 5
+
+
+def test_explanation_of_a_request_needs_no_file(served, tmp_path) -> None:
+    words = ("explain", "request", "--service", "lookup", "--desk", "counter-1")
+    shown = served.run(*words, "--deadline-ms", "500", "--json")
+    assert shown.returncode == 0
+    explanation = json.loads(shown.stdout)
+    assert (explanation["desk"], explanation["deadline_ms"]) == ("counter-1", 500)
+    assert not explanation["is_job"]
+    path = tmp_path / "body"
+    path.write_bytes(b"secret" * 10)
+    shown = served.run(*words, str(path))
+    assert shown.returncode == 0
+    assert "secret" not in shown.stdout
+
+
+def test_exit_code_of_an_explanation_tells_the_decision(served) -> None:
+    words = ("explain", "job", "--service")
+    never = json.dumps({"tasks": [{"payload": {}, "accelerators": 99}]})
+    refused = served.run(*words, "recalculate", text=never)
+    assert refused.returncode == 1
+    assert "refused (can-never-run)" in refused.stdout
+    assert "has only 0 accelerators" in refused.stdout
+    malformed = served.run(*words, "recalculate", text="{")
+    assert malformed.returncode == 2
+    assert "Malformed body" in malformed.stderr
+    unknown = served.run(*words, "nothing", text=JOB)
+    assert unknown.returncode == 2
+    assert "no service 'nothing'" in unknown.stderr
+    missing = served.run(*words, "recalculate", "--account", "nobody", text=JOB)
+    assert missing.returncode == 2
+    assert "no account 'nobody'" in missing.stderr
+    assert served.run(*words, "recalculate", "missing.json").returncode == 2
+    assert served.run("explain", "job", text=JOB).returncode == 2
+    unreachable = f"http://127.0.0.1:{builders_shell.find_port_pair()}"
+    access = ("--gateway", unreachable, "--token", "x", "--timeout-ms", "300")
+    lost = builders_shell.run_program(*words, "recalculate", *access, text=JOB)
+    assert lost.returncode == 3
+
+
 def test_access_is_read_from_arguments_or_file(served, tmp_path) -> None:
     url, token = served.urls[0], builders_shell.TOKEN
     given = builders_shell.run_program(
@@ -180,7 +239,13 @@
 
 
 def test_help_shows_examples_and_exit_codes() -> None:
-    for words in (("config", "submit"), ("domain", "out"), ("job", "submit")):
+    for words in (
+        ("config", "submit"),
+        ("domain", "out"),
+        ("job", "submit"),
+        ("explain", "job"),
+        ("explain", "request"),
+    ):
         text = builders_shell.run_program(*words, "--help").stdout
         assert "examples:" in text
         assert "exit codes:" in text
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -71,6 +71,18 @@
         ("/v1/nothing", b"{}", {}, 404, "unknown-path"),
         ("/healthz", b"{}", {}, 405, "unknown-method"),
         (JOBS, b"", {}, 400, "malformed-body"),
+        (f"{JOBS}/explanation", b"{", {}, 400, "malformed-body"),
+        (f"{JOBS}/explanation", b'{"tasks": []}', {}, 400, "malformed-body"),
+        (f"{LOOKUP}/explanation", b"x" * 2_000_000, {}, 413, "body-too-large"),
+        (f"{LOOKUP}/explanation?account=x", b"", {}, 404, "unknown-account"),
+        ("/v1/services/none/jobs/explanation", b"{}", {}, 404, "unknown-service"),
+        (
+            f"{LOOKUP}/explanation",
+            b"{}",
+            {"Amaranthspar-Deadline-Ms": "soon"},
+            400,
+            "malformed-header",
+        ),
         (JOBS, b"{", {}, 400, "malformed-body"),
         (JOBS, b"[]", {}, 400, "malformed-body"),
         (JOBS, b'{"tasks": []}', {}, 400, "malformed-body"),
@@ -109,6 +121,8 @@
     [
         ("POST", LOOKUP),
         ("POST", JOBS),
+        ("POST", f"{LOOKUP}/explanation"),
+        ("POST", f"{JOBS}/explanation"),
         ("GET", "/v1/jobs/a.1.1"),
         ("DELETE", "/v1/jobs/a.1.1"),
         ("GET", "/v1/configuration"),
@@ -183,6 +197,26 @@
         assert b"application/problem+json" in received.lower()
 
 
+def test_explanations_are_for_operators_only(served) -> None:
+    # Guards against callers who learn of the load and limits of others.
+    url = served.urls[0]
+    shown = builders_shell.call(f"{url}/v1/configuration").decode()
+    changed = configuration.parse_text(shown["text"])
+    changed.add_account("visitor", token_hash=tokens.hash_token("visitor"))
+    words = ("config", "submit", "-", "--base-version", str(shown["version"]))
+    assert served.run(*words, text=str(changed)).returncode == 0
+    served.wait_version(url, shown["version"] + 1)
+    for path, body in ((LOOKUP, b""), (JOBS, ONE_TASK_JOB)):
+        path = f"{url}{path}/explanation"
+        check_problem(
+            builders_shell.call(path, "POST", body, "visitor"), 403, "forbidden"
+        )
+        answer = builders_shell.call(f"{path}?account=visitor", "POST", body)
+        assert (answer.status, answer.outcome) == (200, "done")
+        assert answer.decode()["account"] == "visitor"
+        assert answer.decode()["team"] == ""
+
+
 def test_other_accounts_cannot_see_or_cancel_a_job(served) -> None:
     url = served.urls[0]
     shown = builders_shell.call(f"{url}/v1/configuration").decode()
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -13,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MODULES = (
     "entries",
+    "explanations",
     "linkmessages",
     "messages",
     "options",
