--- a/amaranthspar/commands/explain.py
+++ b/amaranthspar/commands/explain.py
@@ -156,13 +156,11 @@
 
 
 def _describe_start(explanation: explanations.Explanation) -> str:
-    match explanation.expected_start_ms:
-        case None:
-            return "unknown" if explanation.admitted else "none"
-        case 0:
-            return "now"
-        case wait_ms:
-            return f"in {wait_ms} ms"
+    if explanation.sent:
+        return "now"
+    if explanation.expected_start_ms is None:
+        return "unknown" if explanation.admitted else "none"
+    return f"in about {explanation.expected_start_ms} ms"
 
 
 def _describe_waiting(explanation: explanations.Explanation) -> str:
--- a/amaranthspar/dispatch/dispatcher.py
+++ b/amaranthspar/dispatch/dispatcher.py
@@ -115,6 +115,7 @@
             self._quotas,
             self._estimates,
             self._health,
+            self.submissions,
         )
 
     def explain(
--- a/amaranthspar/dispatch/explainer.py
+++ b/amaranthspar/dispatch/explainer.py
@@ -102,6 +102,7 @@
         quotas: Limits on the running tasks of teams.
         estimates: Expected run times.
         health: Health of the sidecars.
+        running: Submissions that have not ended, by id.
     """
 
     holder: leaseholder.LeaseHolder
@@ -113,6 +114,7 @@
     quotas: quotas.Quotas
     estimates: estimates.Estimates
     health: health.Health
+    running: Mapping[str, submissions.Submission]
 
     def explain(
         self, submission: submissions.Submission, now_ms: int
@@ -125,7 +127,13 @@
         """
         decision = self._decide(submission, now_ms)
         judged = [self._judge(route, decision) for route in self.routes.values()]
-        answer, placement = decision.answer, decision.placement
+        return self._summarize(decision, judged, now_ms)
+
+    def _summarize(
+        self, decision: _Decision, judged: list[_JudgedRoute], now_ms: int
+    ) -> explanations.Explanation:
+        submission, answer = decision.submission, decision.answer
+        placement = decision.placement
         view = self.holder.view
         return explanations.Explanation(
             gateway=self.holder.member.process,
@@ -141,7 +149,7 @@
             deadline_ms=submission.deadline_ms - now_ms,
             admitted=answer is None,
             failure="" if answer is None else answer.failure.value,
-            reason=_describe_admission(placement) if answer is None else answer.reason,
+            reason=_describe_reason(decision),
             retry_after_ms=0 if answer is None else answer.retry_after_ms,
             expected_start_ms=self._estimate_start(decision, now_ms),
             expected_run_ms=round(max(item.cost_ms for item in decision.queued)),
@@ -151,10 +159,7 @@
             queued=len(self.queue),
             queued_team=self.queue.count_team(submission.team),
             known=len(judged),
-            sidecars=[
-                self._describe_sidecar(item, submission.service, now_ms)
-                for item in sorted(judged, key=self._rank)[:MAX_SIDECARS]
-            ],
+            sidecars=self._list_sidecars(judged, submission.service, now_ms),
             ruled_out=_count_ruled_out(judged),
         )
 
@@ -216,20 +221,26 @@
                 count += 1
         result.waiting = len(queued) - count
         if result.waiting:
-            result.waits_for = self._find_wait(submission, result, allowed)
+            is_held = count == allowed
+            result.waits_for = self._find_wait(submission, tasks_by_pool, is_held)
         return result
 
     def _find_wait(
         self,
         submission: submissions.Submission,
-        placement: _Placement,
-        allowed: int | None,
+        pools_used: Iterable[capacity.Pool],
+        is_held: bool,
     ) -> str:
         blocking = self.pools.list_blocking(submission.desk)
         if blocking:
             names = ", ".join(blocking[:3]) + (", ..." if len(blocking) > 3 else "")
             return f"the move of desk {submission.desk}, which {names} must settle"
-        if placement.sent.total() == allowed:
+        for pool in pools_used:
+            if not any(
+                self.index.is_usable(pool, item) for item in self.routes.values()
+            ):
+                return "a suitable sidecar that is in service"
+        if is_held:
             return f"team {submission.team}, which runs as many tasks as it may"
         return "free capacity"
 
@@ -237,8 +248,8 @@
         """Return the time in ms until the first task starts, None if unknown.
 
         Without free capacity it is the wait that the admission control expects, and
-        no less than the time until a task of this gateway should end at a suitable
-        sidecar.
+        no less than the time until a task of this gateway should end that makes
+        room for it.
         """
         submission, answer = decision.submission, decision.answer
         service = self.holder.view.settings.services.get(submission.service)
@@ -247,19 +258,35 @@
             return None
         if decision.placement.sent:
             return 0
-        if self.pools.list_blocking(submission.desk):
+        routes = [
+            route
+            for route in self.routes.values()
+            if not route.closed
+            and capacity.describe(route.announcement) in decision.suitable
+        ]
+        if not routes or self.pools.list_blocking(submission.desk):
             return None
         wait_ms = self.admission.estimate_start(submission.team, service)
+        end_ms = self._find_next_end(routes, submission.team, now_ms)
+        if end_ms is None:
+            return wait_ms or None
+        return max(wait_ms or 0, end_ms)
+
+    def _find_next_end(
+        self, routes: Iterable[routing.Route], team: str, now_ms: int
+    ) -> int | None:
+        """Return the time in ms until the next task in flight should end.
+
+        Of a team that runs as many tasks as it may, only its own tasks count.
+        """
+        is_held = self.quotas.count_allowed(team) == 0
         ends_ms = [
             max(0, round(task.sent_ms + task.cost_ms) - now_ms)
-            for route in self.routes.values()
-            if not route.closed
-            and capacity.describe(route.announcement) in decision.suitable
-            for task in route.in_flight.values()
+            for route in routes
+            for (name, _), task in route.in_flight.items()
+            if not is_held or (name in self.running and self.running[name].team == team)
         ]
-        known = [] if wait_ms is None else [wait_ms]
-        known += [min(ends_ms)] if ends_ms else []
-        return max(known, default=None)
+        return min(ends_ms, default=None)
 
     def _count_suitable(
         self, queued: Iterable[backlog.QueuedTask], index: capacity.CapacityIndex
@@ -304,6 +331,12 @@
             report_age_ms=now_ms - route.last_message_ms,
         )
 
+    def _list_sidecars(
+        self, judged: Iterable[_JudgedRoute], service: str, now_ms: int
+    ) -> list[explanations.ExplainedSidecar]:
+        listed = sorted(judged, key=self._rank)[:MAX_SIDECARS]
+        return [self._describe_sidecar(item, service, now_ms) for item in listed]
+
     def _rank(self, judged: _JudgedRoute) -> tuple[int, int, bool, int, str]:
         """Return the place of a sidecar in the list, the smallest first."""
         route = judged.route
@@ -360,12 +393,13 @@
     return attrs.evolve(route, in_flight=dict(route.in_flight))
 
 
-def _describe_admission(placement: _Placement) -> str:
+def _describe_reason(decision: _Decision) -> str:
+    if decision.answer is not None:
+        return decision.answer.reason
+    placement = decision.placement
     if not placement.waiting:
         return "there is free capacity for all tasks"
-    return (
-        f"it is expected to start before its deadline; waits for {placement.waits_for}"
-    )
+    return f"no limit is exceeded; waits for {placement.waits_for}"
 
 
 def _describe_mismatch(
--- a/amaranthspar/web/explaining.py
+++ b/amaranthspar/web/explaining.py
@@ -87,7 +87,7 @@
         if not name:
             own = self._authorizer.find_own_account(request.headers)
             return own or entries.Account(operator, token_hash="")
-        account = accounts.get(name)
+        account = accounts.get(parsing.parse_name(name, "account"))
         if account is None:
             detail = f"no account {name!r}"
             raise problems.ProblemError(404, "unknown-account", detail)
--- a/tests/test_explainer.py
+++ b/tests/test_explainer.py
@@ -8,6 +8,7 @@
 import pytest
 
 from amaranthspar import effects
+from amaranthspar.commands import explain
 from amaranthspar.dispatch import dispatcher, explainer, submissions
 from amaranthspar.schema import messages
 from tests import builders_gateway
@@ -295,6 +296,12 @@
     assert (explanation.sent, explanation.waiting) == (2, 1)
     assert explanation.waits_for.startswith("team field")
     gateway.submit(job)
+    office = builders_gateway.build_submission("o1", team="office", expected_ms=20)
+    office.deadline_ms = 30_000
+    gateway.submit(office)
+    # The short task of the other team gives the field no right to start.
+    draft = builders_gateway.build_submission("r2", deadline_ms=30_000)
+    assert gateway.explain(draft).expected_start_ms == 200
     other = builders_gateway.build_submission(team="office", deadline_ms=30_000)
     assert gateway.explain(other).sent == 1
 
@@ -320,6 +327,29 @@
     assert [item.process for item in explanation.sidecars if item.tasks] == ["s5"]
 
 
+def test_job_waits_while_all_suitable_sidecars_are_out_of_service():
+    # Admission counts closed sidecars; the explanation must not promise a start.
+    gateway = Gateway(1)
+    for domain in ("gyor", "pecs"):
+        gateway.settings.add_domain(domain, state="out")
+    gateway.follow()
+    explanation = gateway.explain(builders_gateway.build_submission(deadline_ms=30_000))
+    assert (explanation.admitted, explanation.sent) == (True, 0)
+    assert explanation.waits_for == "a suitable sidecar that is in service"
+    assert explanation.expected_start_ms is None
+
+
+def test_start_is_unknown_while_other_gateways_hold_all_credits():
+    gateway = Gateway(1)
+    for route in gateway.machine.routes.values():
+        route.sent = route.credit_limit
+        gateway.machine._capacity.update(route)
+    draft = builders_gateway.build_submission(deadline_ms=30_000)
+    explanation = gateway.explain(draft)
+    assert (explanation.sent, explanation.expected_start_ms) == (0, None)
+    assert find_sidecar(explanation, "s1").reason == "no credits left"
+
+
 def test_gateway_without_a_lease_would_refuse():
     gateway = Gateway(1)
     gateway.now_ms = 2 * builders_gateway.LEASE_MS
@@ -371,3 +401,5 @@
     explanation = machine.explain(builders_gateway.build_submission(), 0)
     assert explanation.known == 2_500
     assert len(explanation.sidecars) == explainer.MAX_SIDECARS
+    text = explain.format_explanation(explanation)
+    assert "2000 of 2500 sidecars are not listed" in text
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -74,6 +74,7 @@
         (f"{JOBS}/explanation", b"{", {}, 400, "malformed-body"),
         (f"{JOBS}/explanation", b'{"tasks": []}', {}, 400, "malformed-body"),
         (f"{LOOKUP}/explanation", b"x" * 2_000_000, {}, 413, "body-too-large"),
+        (f"{JOBS}/explanation?account=a%00b", b"", {}, 400, "malformed-query"),
         (f"{LOOKUP}/explanation?account=x", b"", {}, 404, "unknown-account"),
         ("/v1/services/none/jobs/explanation", b"{}", {}, 404, "unknown-service"),
         (
