--- a/amaranthspar/web/server.py
+++ b/amaranthspar/web/server.py
@@ -7,7 +7,14 @@
 
 from amaranthspar.intake import limits
 from amaranthspar.schema import problems
-from amaranthspar.web import _httpserver, authorization, callers, operators, responses
+from amaranthspar.web import (
+    _httpserver,
+    authorization,
+    callers,
+    explaining,
+    operators,
+    responses,
+)
 
 if TYPE_CHECKING:
     from sanic import response
@@ -33,6 +40,7 @@
         )
         self._callers = callers.CallerHandlers(gateway, authorizer)
         self._operators = operators.OperatorHandlers(gateway, authorizer)
+        self._explaining = explaining.ExplanationHandlers(gateway, authorizer)
         self._server = self._build_server()
 
     @property
@@ -75,6 +83,11 @@
         services = "/v1/services/<service:str>"
         server.add("POST", f"{services}/requests", self._wrap(callers.take_request))
         server.add("POST", f"{services}/jobs", self._wrap(callers.take_job))
+        explaining = self._explaining
+        path = f"{services}/requests/explanation"
+        server.add("POST", path, self._wrap(explaining.explain_request))
+        path = f"{services}/jobs/explanation"
+        server.add("POST", path, self._wrap(explaining.explain_job))
         server.add("GET", "/v1/jobs/<job:str>", self._wrap(callers.show_job))
         server.add("DELETE", "/v1/jobs/<job:str>", self._wrap(callers.cancel_job))
         path = "/v1/configuration"
