--- a/amaranthspar/observation/metering.py
+++ b/amaranthspar/observation/metering.py
@@ -71,6 +71,11 @@
             the process has received it.
         document_version: Version of the routing document held; -1 for none.
         silence_ms: Time since the last answer of any controller in ms.
+        placements: Count of decisions by expected end: tasks that began to wait for a
+            better sidecar (`held`), or started on a slow upstream (`slow`) or away from
+            the rack of their data (`away`).
+        slowness: Measured over expected duration of the runs on the upstream; 0 if it
+            is unknown.
     """
 
     def __init__(self) -> None:
@@ -84,6 +89,8 @@
         self.document_age = Histogram()
         self.document_version = -1
         self.silence_ms = 0
+        self.placements: collections.Counter[str] = collections.Counter()
+        self.slowness = 0.0
 
     def count_answer(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count an answered job and its duration.
@@ -128,6 +135,17 @@
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_runs", "Runs on the upstream", self.running
         )
+        placements = metrics_core.CounterMetricFamily(
+            "amaranthspar_placements", "Choices by expected end", labels=["choice"]
+        )
+        for choice, count in self.placements.items():
+            placements.add_metric([choice], count)
+        yield placements
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_slowness",
+            "Measured over expected duration on the upstream",
+            self.slowness,
+        )
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_document_version",
             "Version of the routing document held",
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -30,6 +30,12 @@
 SEED_BITS = 64
 MAX_LOGGED_NAMES = 10
 """Maximum number of names in a line of the log."""
+_PLACEMENTS = {
+    "run held": "held",
+    "run on slow upstream": "slow",
+    "run away": "away",
+}
+"""Choices by expected end that are counted, by event."""
 
 _log = structlog.get_logger()
 
@@ -398,6 +404,8 @@
                     self._finish(effect)
                 case jobevents.LogRecord(event=name, job=job, details=details):
                     _log.info(name, request=job, **dict(details))
+                    if name in _PLACEMENTS:
+                        self.meters.placements[_PLACEMENTS[name]] += 1
 
     def _refuse_failed_submission(self, event: jobevents.Event) -> None:
         """Refuse a job whose submission failed before it was admitted."""
--- a/amaranthspar/roles/runsidecar.py
+++ b/amaranthspar/roles/runsidecar.py
@@ -290,6 +290,7 @@
 
     def _tick_contact(self) -> None:
         self._meters.running = len(self._manager.runs)
+        self._meters.slowness = self._manager.slowness_permille / 1000
         now_ms = self._clock.read_monotonic()
         self._contact.tick(now_ms)
         self._meters.silence_ms = self._contact.find_silence_ms(now_ms)
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -14,6 +14,7 @@
 from amaranthspar import effects
 from amaranthspar.scheduling import (
     durations,
+    expectedends,
     fleet,
     jobevents,
     jobqueue,
@@ -716,6 +717,7 @@
             task.upstream = sidecar.room.upstream if sidecar.room else ""
             task.placed_ms = now_ms
             task.is_running = False
+            self._note_slower(task, sidecar, now_ms)
             sidecar.add_task(task)
             self._last_needs[task.job.request.queue.service] = task.definition.needs
             if sidecar.failure_rate >= sidecars.UNHEALTHY_FAILURE_RATE:
@@ -733,15 +735,37 @@
         if task.held_ms >= 0:
             return
         task.held_ms = now_ms
-        estimate = self.fleet.ends.estimate(task, now_ms)
+        hold = self.fleet.ends.last_hold
         self._log(
             "run held",
             task.job.request.id,
             task=task.name,
             run=task.run + 1,
             rack=task.definition.data_rack,
+            wait_ms=hold.wait_ms,
+            saved_ms=hold.saved_ms,
+        )
+
+    def _note_slower(
+        self, task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int
+    ) -> None:
+        """Log a task that is placed where it is expected to take longer."""
+        ends = self.fleet.ends
+        spread_factor = ends.find_spread(task, sidecar)
+        if max(sidecar.steady_ratio, spread_factor) < expectedends.NEAR_RATIO:
+            return
+        estimate = ends.estimate(task, now_ms)
+        self._log(
+            "run away" if spread_factor > 1 else "run on slow upstream",
+            task.job.request.id,
+            task=task.name,
+            run=task.run,
+            sidecar=sidecar.name,
+            slowness=round(sidecar.steady_ratio, 2),
             expected_ms=estimate.expected_ms,
             max_ratio=round(estimate.max_ratio, 2),
+            held_ms=now_ms - task.held_ms if task.held_ms >= 0 else 0,
+            room_age_ms=now_ms - sidecar.reported_ms,
         )
 
     def _send_orders(self, sidecar: sidecars.Sidecar, tasks: list[jobs.Task]) -> None:
--- a/amaranthspar/scheduling/expectedends.py
+++ b/amaranthspar/scheduling/expectedends.py
@@ -72,6 +72,19 @@
     is_held: bool = False
 
 
+@attrs.frozen(slots=True)
+class Hold:
+    """Figures behind the decision that a task waits.
+
+    Attributes:
+        wait_ms: Time until it is expected to start in ms.
+        saved_ms: Time by which it then ends sooner, counted from its start, in ms.
+    """
+
+    wait_ms: int
+    saved_ms: int
+
+
 @attrs.define(slots=True)
 class _Group:
     """Sidecars that tasks wait for in one placement pass.
@@ -103,6 +116,7 @@
 
     Attributes:
         gateway_count: Number of gateways that share the sidecars, at least 1.
+        last_hold: Figures behind the last decision that a task waits.
 
     Args:
         chance: Random number generator.
@@ -118,6 +132,7 @@
         spread_factor: float,
     ) -> None:
         self.gateway_count = 1
+        self.last_hold = Hold(0, 0)
         self._chance = chance
         self._durations = task_durations
         self._spread_factor = spread_factor
@@ -325,6 +340,7 @@
         if wait_ms + MIN_GAIN_MS >= saved_ms:
             return False
         group.waiting_cores += cores
+        self.last_hold = Hold(round(wait_ms), round(saved_ms))
         return True
 
     def _find_release_rate(
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -242,6 +242,11 @@
             return "failure domain is out of service"
         return ""
 
+    @property
+    def slowness_permille(self) -> int:
+        """Measured over expected duration of runs, in thousandths; 0 if unknown."""
+        return self._slowness.permille
+
     def read_free(self) -> runmessages.Resources:
         """Return the capacity that no run occupies."""
         if self.upstream is None:
@@ -865,7 +870,7 @@
             resources.NONE if upstream is None else upstream.capacity,
             self.read_offered(),
             bool(self.refusal_reason),
-            slowness_permille=self._slowness.permille,
+            slowness_permille=self.slowness_permille,
         )
 
 
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -47,3 +47,14 @@
     assert "amaranthspar_jobs_waiting 3.0" in lines
     assert "amaranthspar_runs 4.0" in lines
     assert 'amaranthspar_start_seconds_bucket{le="0.002"} 1.0' in lines
+
+
+def test_choices_by_expected_end_and_slowness_are_rendered():
+    meters = metering.Meters()
+    meters.placements["held"] += 2
+    meters.slowness = 2.2
+
+    lines = render_lines(meters)
+
+    assert 'amaranthspar_placements_total{choice="held"} 2.0' in lines
+    assert "amaranthspar_slowness 2.2" in lines
--- a/tests/test_uneven_upstreams.py
+++ b/tests/test_uneven_upstreams.py
@@ -281,12 +281,24 @@
     assert found.predict_ms("q", 0, 1_600) == pytest.approx(800, rel=0.3)
 
 
-def test_task_that_waits_by_choice_is_logged():
+def list_records(gateway, request):
+    produced = gateway.dispatcher.step(jobevents.Submit(request), gateway.now_ms)
+    return {
+        item.event: dict(item.details)
+        for item in produced
+        if isinstance(item, jobevents.LogRecord)
+    }
+
+
+def test_choices_by_expected_end_are_logged_with_their_figures():
+    # Without them nobody sees why a job waited, or took longer than its sibling.
     gateway = build_uneven_gateway()
     for name in ("fast", "even"):
         gateway.receive_room(name, slowness_permille=1_000, free=0.0)
     step = builders.build_step(1, 1, 1_500)
-    event = jobevents.Submit(builders.build_request("long", steps=[step]))
-    produced = gateway.dispatcher.step(event, gateway.now_ms)
-    names = [item.event for item in produced if isinstance(item, jobevents.LogRecord)]
-    assert "run held" in names
+    found = list_records(gateway, builders.build_request("long", steps=[step]))
+    assert found["run held"]["wait_ms"] < found["run held"]["saved_ms"]
+    step = builders.build_step(1, 1, 20)
+    found = list_records(gateway, builders.build_request("short", steps=[step]))
+    assert found["run on slow upstream"]["slowness"] == pytest.approx(2.2, abs=0.1)
+    assert found["run on slow upstream"]["max_ratio"] > 2.2
