Flapping upstreams get only tries for a while

Cause: each restart cleared the failure rate, so an upstream that restarts again and again got its full share, and all its runs were lost each time.

Change, where reports of slowness differ: after a second restart within 10 s a sidecar gets one task a second from each gateway for twice the time between both restarts. A single restart changes nothing. Log line `upstream flaps`.

Both tests of it fail without the change. Tests that stalled, failing and leaving upstreams are handled beside slow ones pass before and after.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -396,6 +396,13 @@
             sidecar.failure_rate = 0.0
             sidecar.recent_ratios.clear()
             sidecar.meter.set_incarnation(room.upstream)
+            if sidecar.note_upstream(room.upstream, now_ms):
+                self._log(
+                    "upstream flaps",
+                    sidecar=sidecar.name,
+                    upstream=room.upstream,
+                    tries_for_ms=sidecar.probation_ms - now_ms,
+                )
         if before is None or before.is_leaving != room.is_leaving:
             self._log(
                 "sidecar changed",
@@ -720,7 +727,7 @@
             self._note_slower(task, sidecar, now_ms)
             sidecar.add_task(task)
             self._last_needs[task.job.request.queue.service] = task.definition.needs
-            if sidecar.failure_rate >= sidecars.UNHEALTHY_FAILURE_RATE:
+            if sidecar.gets_tries(now_ms):
                 sidecar.failed_ms = now_ms
             if sidecar.relative_slowness >= sidecars.SLOW_RATIO:
                 sidecar.slow_ms = now_ms
--- a/amaranthspar/scheduling/sidecars.py
+++ b/amaranthspar/scheduling/sidecars.py
@@ -56,6 +56,13 @@
 """Failure rate from which a sidecar is unhealthy and gets a task only now and then."""
 FAILURE_RETRY_MS = 1_000
 """Time after which a failing sidecar may get a task again."""
+FLAP_MS = 10_000
+"""Time between two restarts of an upstream up to which it flaps."""
+PROBATION_FACTOR = 2
+"""Multiple of the time between two restarts for which a flapping upstream gets only tries:
+one that goes on restarting as often does so before the time is over."""
+MIN_PROBATION_MS = 2_000
+"""Shortest such time."""
 
 
 @attrs.define(slots=True, eq=False)
@@ -96,6 +103,10 @@
         acknowledged_ms: Time in ms at which the report was received that was last
             acknowledged; -1 before the first.
         used_millis: Processor need of the tasks placed on it, in thousandths of a core.
+        upstream: Latest incarnation of its upstream; empty before the first.
+        restarted_ms: Time at which another incarnation was first reported in ms; -1
+            before.
+        probation_ms: Time in ms until which it gets only tries, as its upstream flaps.
     """
 
     name: str
@@ -129,6 +140,9 @@
     reported_ms: int = -1
     acknowledged_ms: int = -1
     used_millis: int = 0
+    upstream: str = ""
+    restarted_ms: int = -1
+    probation_ms: int = 0
 
     def has_label(self, label: str) -> bool:
         """Return whether its upstream has a label, such as the name of its rack.
@@ -256,12 +270,45 @@
         Args:
             now_ms: Current time in ms.
         """
-        fails = self.failure_rate >= UNHEALTHY_FAILURE_RATE
-        if fails and now_ms - self.failed_ms < FAILURE_RETRY_MS:
+        if self.gets_tries(now_ms) and now_ms - self.failed_ms < FAILURE_RETRY_MS:
             return True
         is_slow = self.relative_slowness >= SLOW_RATIO
         return is_slow and now_ms - self.slow_ms < SLOW_RETRY_MS
 
+    def gets_tries(self, now_ms: int) -> bool:
+        """Return whether it gets a task only now and then, as it fails or flaps.
+
+        Args:
+            now_ms: Current time in ms.
+        """
+        fails = self.failure_rate >= UNHEALTHY_FAILURE_RATE
+        return fails or now_ms < self.probation_ms
+
+    def note_upstream(self, upstream: str, now_ms: int) -> bool:
+        """Note the reported incarnation; a second change within `FLAP_MS` is flapping.
+
+        Args:
+            upstream: Incarnation of the upstream; empty while it has none.
+            now_ms: Current time in ms.
+
+        Returns:
+            Whether it flaps, so that it gets only tries for a while.
+        """
+        if not upstream or upstream == self.upstream:
+            return False
+        is_restart = bool(self.upstream)
+        self.upstream = upstream
+        if not is_restart:
+            return False
+        passed_ms = now_ms - self.restarted_ms
+        flaps = self.is_uneven and self.restarted_ms >= 0 and passed_ms < FLAP_MS
+        if flaps:
+            time_ms = max(PROBATION_FACTOR * passed_ms, MIN_PROBATION_MS)
+            self.probation_ms = now_ms + time_ms
+            self.failed_ms = now_ms
+        self.restarted_ms = now_ms
+        return flaps
+
     def record_outcome(self, has_failed: bool, now_ms: int) -> None:
         """Update the failure rate after a run.
 
--- a/tests/builders_uneven.py
+++ b/tests/builders_uneven.py
@@ -69,6 +69,8 @@
         self.busy_ms = 0.0
         self.reports_slowness = True
         self.stalled = False
+        self.fails = False
+        self.upstream = "u@1"
 
     def read_free(self):
         used = resources.total(run.order.needs for run in self.runs.values())
@@ -78,6 +80,7 @@
         self.number += 1
         return builders.build_room(
             self.number,
+            self.upstream,
             started=self.started.get(gateway, 0),
             capacity=self.capacity.cpu_millis / 1000,
             free=self.read_free().cpu_millis / 1000,
@@ -237,11 +240,30 @@
                 case jobevents.LogRecord(event="run held"):
                     self.held += 1
 
+    def restart_upstream(self, host) -> None:
+        """Let another incarnation replace an upstream, whose runs are lost."""
+        host.upstream = f"u@{int(host.upstream[2:]) + 1}"
+        host.meter.set_incarnation(host.upstream)
+        runs, host.runs = list(host.runs.values()), {}
+        for number in range(len(self.gateways)):
+            reports = [
+                runmessages.RunReport(run.order.name, "lost", "upstream has restarted")
+                for run in runs
+                if run.gateway == number
+            ]
+            self.report(host, number, *reports)
+
     def start(self, host, gateway, start) -> None:
         host.started[gateway] = start.number
         for order in start.orders:
             if order.name.task in host.runs:
                 continue
+            if start.upstream != host.upstream:
+                refused = runmessages.RunReport(
+                    order.name, "refused", "another upstream"
+                )
+                self.report(host, gateway, refused)
+                continue
             if not resources.fits(order.needs, host.read_free()):
                 refused = runmessages.RunReport(order.name, "refused", "no room")
                 self.report(host, gateway, refused)
@@ -252,6 +274,8 @@
                 duration_ms *= self.spread
             if self._chance.random() < LONG_SHARE:
                 duration_ms *= LONG_FACTOR
+            if host.fails:
+                duration_ms = 20
             run = Run(order, gateway, self.now_ms, max(1, round(duration_ms)))
             host.runs[order.name.task] = run
             host.busy_ms += run.duration_ms * order.needs.cpu_millis / 1000
@@ -273,7 +297,12 @@
             return
         del host.runs[run.order.name.task]
         elapsed_ms = self.now_ms - run.began_ms
-        host.meter.record_run("u@1", elapsed_ms, run.order.expected_ms)
+        if host.fails:
+            self.report(
+                host, run.gateway, runmessages.RunReport(run.order.name, "failed")
+            )
+            return
+        host.meter.record_run(host.upstream, elapsed_ms, run.order.expected_ms)
         done = runmessages.RunReport(
             run.order.name, "done", elapsed_ms=elapsed_ms, percent=100
         )
--- a/tests/test_uneven_upstreams.py
+++ b/tests/test_uneven_upstreams.py
@@ -86,22 +86,68 @@
         assert found[host.name].steady_ratio == pytest.approx(expected, rel=0.25)
 
 
-def test_stalled_upstream_gets_few_tasks_beside_slow_ones():
-    run = replay(1, 0.8, 1_000)
-    sick = run.hosts["s15"]
-    sick.stalled = True
-    run.run(1_000)
-    run.clear_counts()
-    run.run(6_000)
+def count_starts(run):
+    """Return the number of starts on each host."""
     counts = dict.fromkeys(run.hosts, 0)
     for places in run.places.values():
         for host in places:
             counts[host.name] += 1
-    # Each gateway tries it once in SLOW_RETRY_MS; a try may be a whole job.
+    return counts
+
+
+@pytest.mark.parametrize("fault", ["stalled", "fails"])
+def test_sick_upstream_gets_few_tasks_beside_slow_ones(fault):
+    run = replay(1, 0.8, 1_000)
+    setattr(run.hosts["s15"], fault, True)
+    run.run(1_000)
+    run.clear_counts()
+    run.run(6_000)
+    counts = count_starts(run)
+    # Each gateway tries it about once a second; a try may be a whole job.
     assert counts["s15"] < statistics.median(counts.values()) / 4
     assert run.read_share("medium") > 0.8
 
 
+def test_flapping_upstream_gets_few_tasks():
+    # Each restart ended all its runs, and it began with a clean record and all its room.
+    run = replay(1, 0.8, 1_000)
+    host = run.hosts["s15"]
+    for number in range(6):
+        run.restart_upstream(host)
+        run.run(1_500)
+        if number == 1:
+            run.clear_counts()
+    counts = count_starts(run)
+    assert counts["s15"] < statistics.median(counts.values()) / 4
+    run.run(7_000)
+    run.clear_counts()
+    run.run(3_000)
+    counts = count_starts(run)
+    assert counts["s15"] > statistics.median(counts.values()) / 2
+
+
+def test_upstream_that_leaves_gets_no_task_and_nobody_waits_for_it():
+    gateway = build_uneven_gateway()
+    for name in ("fast", "even"):
+        gateway.receive_room(name, slowness_permille=1_000, free=0.0, is_leaving=True)
+    step = builders.build_step(1, 1, 1_500)
+    (start,) = gateway.submit(builders.build_request("long", steps=[step]))
+    assert builders.list_orders([start]) == ["long.0.0.0"]
+
+
+def test_single_restart_puts_no_upstream_on_probation():
+    sidecar = build_sidecar()
+    sidecar.note_upstream("u@1", 0)
+    sidecar.note_upstream("u@2", 1_000)
+    assert not sidecar.gets_tries(1_000)
+    sidecar.note_upstream("", 2_000)
+    sidecar.note_upstream("u@2", 2_500)
+    assert not sidecar.gets_tries(2_500)
+    assert sidecar.note_upstream("u@3", 3_000)
+    assert sidecar.gets_tries(3_000 + 3_999)
+    assert not sidecar.gets_tries(3_000 + 4_000)
+
+
 @pytest.mark.parametrize("slowness", [0, 1_000, 2_000])
 def test_equal_reports_change_no_decision(slowness):
     # The choice by expected end takes effect only where reports of slowness differ.
