--- a/amaranthspar/observation/metering.py
+++ b/amaranthspar/observation/metering.py
@@ -76,6 +76,11 @@
         dropped_clients: Count of connections of clients that were dropped, by reason.
         client_connections: Open connections of clients.
         client_bytes: Bytes of requests that are being read or handled.
+        placements: Count of decisions by expected end: tasks that began to wait for a
+            better sidecar (`held`), or started on a slow upstream (`slow`) or away from
+            the rack of their data (`away`).
+        slowness: Measured over expected duration of the runs on the upstream; 0 if it
+            is unknown.
     """
 
     def __init__(self) -> None:
@@ -94,6 +99,8 @@
         self.dropped_clients: collections.Counter[str] = collections.Counter()
         self.client_connections = 0
         self.client_bytes = 0
+        self.placements: collections.Counter[str] = collections.Counter()
+        self.slowness = 0.0
 
     def count_answer(self, queue: str, outcome: str, duration_ms: int) -> None:
         """Count an answered job and its duration.
@@ -148,6 +155,17 @@
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_runs", "Runs on the upstream", self.running
         )
+        placements = metrics_core.CounterMetricFamily(
+            "amaranthspar_placements", "Choices by expected end", labels=["choice"]
+        )
+        for choice, count in self.placements.items():
+            placements.add_metric([choice], count)
+        yield placements
+        yield metrics_core.GaugeMetricFamily(
+            "amaranthspar_slowness",
+            "Measured over expected duration on the upstream",
+            self.slowness,
+        )
         yield metrics_core.GaugeMetricFamily(
             "amaranthspar_document_version",
             "Version of the routing document held",
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -15,6 +15,7 @@
 from amaranthspar.scheduling import (
     delivery,
     durations,
+    expectedends,
     fleet,
     jobevents,
     jobqueue,
@@ -416,6 +417,13 @@
             sidecar.failure_rate = 0.0
             sidecar.recent_ratios.clear()
             sidecar.meter.set_incarnation(room.upstream)
+            if sidecar.note_upstream(room.upstream, now_ms):
+                self._log(
+                    "upstream flaps",
+                    sidecar=sidecar.name,
+                    upstream=room.upstream,
+                    tries_for_ms=sidecar.probation_ms - now_ms,
+                )
         if before is None or before.is_leaving != room.is_leaving:
             self._log(
                 "sidecar changed",
@@ -798,9 +806,10 @@
             task.placed_ms = now_ms
             task.start_number = sidecar.started + 1
             task.is_running = False
+            self._note_slower(task, sidecar, now_ms)
             sidecar.add_task(task)
             self._last_needs[task.job.request.queue.service] = task.definition.needs
-            if sidecar.failure_rate >= sidecars.UNHEALTHY_FAILURE_RATE:
+            if sidecar.gets_tries(now_ms):
                 sidecar.failed_ms = now_ms
             if sidecar.relative_slowness >= sidecars.SLOW_RATIO:
                 sidecar.slow_ms = now_ms
@@ -818,15 +827,37 @@
         if task.held_ms >= 0:
             return
         task.held_ms = now_ms
-        estimate = self.fleet.ends.estimate(task, now_ms)
+        hold = self.fleet.ends.last_hold
         self._log(
             "run held",
             task.job.request.id,
             task=task.name,
             run=task.run + 1,
             rack=task.definition.data_rack,
+            wait_ms=hold.wait_ms,
+            saved_ms=hold.saved_ms,
+        )
+
+    def _note_slower(
+        self, task: jobs.Task, sidecar: sidecars.Sidecar, now_ms: int
+    ) -> None:
+        """Log a task that is placed where it is expected to take longer."""
+        ends = self.fleet.ends
+        spread_factor = ends.find_spread(task, sidecar)
+        if max(sidecar.steady_ratio, spread_factor) < expectedends.NEAR_RATIO:
+            return
+        estimate = ends.estimate(task, now_ms)
+        self._log(
+            "run away" if spread_factor > 1 else "run on slow upstream",
+            task.job.request.id,
+            task=task.name,
+            run=task.run,
+            sidecar=sidecar.name,
+            slowness=round(sidecar.steady_ratio, 2),
             expected_ms=estimate.expected_ms,
             max_ratio=round(estimate.max_ratio, 2),
+            held_ms=now_ms - task.held_ms if task.held_ms >= 0 else 0,
+            room_age_ms=now_ms - sidecar.reported_ms,
         )
 
     def _send_orders(self, sidecar: sidecars.Sidecar, tasks: list[jobs.Task]) -> None:
--- a/amaranthspar/scheduling/runmanager.py
+++ b/amaranthspar/scheduling/runmanager.py
@@ -249,6 +249,11 @@
             return "failure domain is out of service"
         return ""
 
+    @property
+    def slowness_permille(self) -> int:
+        """Measured over expected duration of runs, in thousandths; 0 if unknown."""
+        return self._slowness.permille
+
     def read_free(self) -> runmessages.Resources:
         """Return the capacity that no run occupies."""
         if self.upstream is None:
@@ -874,9 +879,9 @@
             resources.NONE if upstream is None else upstream.capacity,
             self.read_offered(),
             bool(self.refusal_reason),
-            slowness_permille=self._slowness.permille,
+            slowness_permille=self.slowness_permille,
             releases=self._predictor.predict(
-                self.runs.values(), self.read_free(), self._slowness.permille, now_ms
+                self.runs.values(), self.read_free(), self.slowness_permille, now_ms
             ),
         )
 
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -50,3 +50,14 @@
     assert "amaranthspar_sidecars_reserved 2.0" in lines
     assert "amaranthspar_gap_starts_total 5.0" in lines
     assert 'amaranthspar_start_seconds_bucket{le="0.002"} 1.0' in lines
+
+
+def test_choices_by_expected_end_and_slowness_are_rendered():
+    meters = metering.Meters()
+    meters.placements["held"] += 2
+    meters.slowness = 2.2
+
+    lines = render_lines(meters)
+
+    assert 'amaranthspar_placements_total{choice="held"} 2.0' in lines
+    assert "amaranthspar_slowness 2.2" in lines
