Limits leave room on the smallest gateway, and refusals name their problem

Cause: a trial with Limits.MemoryMb=160, MaxFds=1638 and 1,000 clients took 88 MB beside the 49 MB of an idle gateway and up to 40 MB of the machine's kernel buffers for TCP: no margin for jobs.

Change: a twelfth of the memory is for requests (was an eighth), and a connection counts 80 KB (was 48). Refusals have the `type` of the product's problems. Tests at real limits of the product's server, of a job that becomes too large, of settings without the keys.

--- a/amaranthspar/intake/limits.py
+++ b/amaranthspar/intake/limits.py
@@ -7,13 +7,14 @@
 RESERVED_FDS = 200
 """Descriptors that are kept for files."""
 MB = 1024 * 1024
-BUDGET_SHARE = 8
-"""Part of the host's memory for requests: an eighth, as the body that is collected, its
+BUDGET_SHARE = 12
+"""Part of the host's memory for requests: a twelfth, as the body that is collected, its
 copy for the handler and its decoded form may exist at the same time."""
 CONNECTIONS_SHARE = 4
 """Part of the host's memory for connections: a quarter."""
-CONNECTION_BYTES = 48 * 1024
-"""Memory of a connection: 32 KB of kernel buffer and its objects in the process."""
+CONNECTION_BYTES = 80 * 1024
+"""Memory of a connection: 32 KB of kernel buffer, some 36 KB of objects in the process,
+and a margin."""
 RECEIVE_BUFFER_BYTES = 16 * 1024
 """Receive buffer that is set on a listener; the kernel doubles it."""
 MIN_CONNECTIONS = 16
--- a/amaranthspar/network/clientguards.py
+++ b/amaranthspar/network/clientguards.py
@@ -31,6 +31,13 @@
     intake.Reason.CHUNKS: "the chunks of the body are too small",
 }
 
+_PROBLEMS = {
+    400: "malformed-request",
+    408: "request-timeout",
+    431: "headers-too-large",
+    503: "unavailable",
+}
+
 Closer = Callable[[bytes], None]
 
 
@@ -202,6 +209,7 @@
     title = http.HTTPStatus(status).phrase
     body = msgspec.json.encode(
         {
+            "type": f"urn:amaranthspar:{_PROBLEMS[status]}",
             "title": title,
             "status": status,
             "detail": _DETAILS[reason],
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -47,3 +47,16 @@
     assert "amaranthspar_jobs_waiting 3.0" in lines
     assert "amaranthspar_runs 4.0" in lines
     assert 'amaranthspar_start_seconds_bucket{le="0.002"} 1.0' in lines
+
+
+def test_clients_are_rendered_with_the_reasons_of_their_drops():
+    meters = metering.Meters()
+    meters.dropped_clients["budget"] = 3
+    meters.client_connections = 5
+    meters.client_bytes = 70_000
+
+    lines = render_lines(meters)
+
+    assert 'amaranthspar_clients_dropped_total{reason="budget"} 3.0' in lines
+    assert "amaranthspar_client_connections 5.0" in lines
+    assert "amaranthspar_client_bytes 70000.0" in lines
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -557,3 +557,23 @@
             assert response.status == 200
 
     asyncio.run(run())
+
+
+def test_job_that_becomes_too_large_beside_others_is_refused_as_not_run(tmp_path):
+    """A body of 69 bytes with 100,000 tasks takes 46 MB; several end a process."""
+
+    async def scenario(system) -> None:
+        await system.submit_until_done(count=1)
+        server = system.servers[system.callers]
+        holder = server._guard.open(lambda _response: None)
+        holder.receive(1)
+        holder.complete()
+        assert holder.reserve(30_000_000)
+        status, body = await system.submit(JOB[::-1], count=100_000, cpu=1)
+        assert status == 503
+        assert json.loads(body)["outcome"] == "not-run"
+        holder.close()
+        assert server._guard.drops["decoded"] == 1
+        assert await system.submit_until_done(JOB[::-1], count=1) == "completed"
+
+    run_scenario(tmp_path, scenario)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -20,6 +20,20 @@
     assert found.list_controllers() == ["127.0.0.1:7720", "127.0.0.2:7720"]
 
 
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("", (0, 0)),
+        ("Limits.MemoryMb=160\nLimits.MaxFds=1638\n", (160, 1_638)),
+        ("Limits.MemoryMb=\nLimits.MaxFds=-1\n", (0, 0)),
+    ],
+)
+def test_limits_of_the_host_may_be_missing(text, expected):
+    """Settings of earlier releases state none; defaults apply."""
+    found = settings.parse_settings(builders.SETTINGS + text)
+    assert (found.memory_mb, found.max_fds) == expected
+
+
 def test_settings_error_lists_every_fault():
     text = builders.SETTINGS.replace("Ip=127.0.0.1\n", "").replace(
         "GraceS=6", "GraceS=x"
