--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -61,3 +61,16 @@
 
     assert 'amaranthspar_placements_total{choice="held"} 2.0' in lines
     assert "amaranthspar_slowness 2.2" in lines
+
+
+def test_clients_are_rendered_with_the_reasons_of_their_drops():
+    meters = metering.Meters()
+    meters.dropped_clients["budget"] = 3
+    meters.client_connections = 5
+    meters.client_bytes = 70_000
+
+    lines = render_lines(meters)
+
+    assert 'amaranthspar_clients_dropped_total{reason="budget"} 3.0' in lines
+    assert "amaranthspar_client_connections 5.0" in lines
+    assert "amaranthspar_client_bytes 70000.0" in lines
