Compressed and pipelined bytes count towards the memory for requests

Cause: a deflated body of 1 KB that decodes to 900 KB was accounted for as 1 KB, and up to 512 KB behind a request that is handled could not be dropped on any connection.

Change: a compressed body counts by its decoded size while it is read. Behind a handled request 128 KB are taken (was 512), and that connection is dropped when memory is short and no request is being read. A server that could not listen no longer ends the checks of the servers that share its guard.

Evidence: two new tests; tests/test_untrusted_clients.py with platform_path, odd_entries, job_searches, httpserver, moved_controllers and edges_fuzz: 147 passed in 163 s; tests/test_intake.py and tests/test_platform_servers.py: 61 passed in 6 s.

--- a/amaranthspar/intake/intake.py
+++ b/amaranthspar/intake/intake.py
@@ -336,20 +336,35 @@
         """Drop the requests that occupied most bytes for the longest time."""
         drops: list[Drop] = []
         while self.held_bytes > self._limits.budget_bytes:
-            readers = [
-                item
-                for item in self._connections.values()
-                if item.stage in READING and item.held_bytes > self._limits.small_bytes
-            ]
-            if not readers:
+            victim = self._find_largest(now_ms)
+            if victim is None:
                 break
-            victim = max(
-                readers,
-                key=lambda item: item.held_bytes * (now_ms - item.started_ms + 1),
-            )
-            drops.append(self._drop(victim, Reason.BUDGET, now_ms))
+            is_reading = victim.stage in READING
+            reason = Reason.BUDGET if is_reading else Reason.PIPELINED
+            drops.append(self._drop(victim, reason, now_ms))
         return drops
 
+    def _find_largest(self, now_ms: int) -> _Connection | None:
+        """Return the request that held most bytes for the longest time, if it may go.
+
+        Requests that are read come before those behind one that is handled.
+        """
+        small_bytes = self._limits.small_bytes
+        candidates = [
+            item
+            for item in self._connections.values()
+            if (item.stage in READING and item.held_bytes > small_bytes)
+            or item.pipelined_bytes > small_bytes
+        ]
+        return max(
+            candidates,
+            key=lambda item: (
+                item.stage in READING,
+                item.held_bytes * (now_ms - item.started_ms + 1),
+            ),
+            default=None,
+        )
+
     def _hold(self, found: _Connection, size_bytes: int) -> None:
         self.held_bytes += size_bytes - found.held_bytes
         found.held_bytes = size_bytes
--- a/amaranthspar/intake/limits.py
+++ b/amaranthspar/intake/limits.py
@@ -48,7 +48,7 @@
     max_connections: int
     small_bytes: int = 4 * 1024
     max_head_bytes: int = 64 * 1024
-    max_pipelined_bytes: int = 512 * 1024
+    max_pipelined_bytes: int = 128 * 1024
     max_overhead_bytes: int = 2 * MB
     shared_overhead_bytes: int = 256 * 1024
     overhead_rate: int = 128
--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -82,23 +82,22 @@
             lingering_time=LINGERING_S,
             keepalive_timeout=KEEP_ALIVE_S,
         )
-        self._runner = web.ServerRunner(
-            server, shutdown_timeout=self._shutdown_ms / 1000
-        )
-        await self._runner.setup()
+        runner = web.ServerRunner(server, shutdown_timeout=self._shutdown_ms / 1000)
+        await runner.setup()
         try:
             listener = clientguards.listen(host.strip("[]"), int(port))
-            await web.SockSite(self._runner, listener).start()
+            await web.SockSite(runner, listener).start()
         except OSError as error:
             raise errors.ListenError(f"cannot listen on {address}: {error}") from error
+        self._runner = runner
         self._guard.start()
 
     async def close(self) -> None:
         """Stop listening and close idle connections, others after their responses."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
             self._guard.stop()
-            self._runner = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if isinstance(request.protocol, _Protocol):
@@ -167,6 +166,7 @@
         self._client: clientguards.Connection | None = None
         self._content: streams.StreamReader | None = None
         self._is_chunked = False
+        self._accounted_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Account for the connection."""
@@ -194,15 +194,19 @@
     def data_received(self, data: bytes) -> None:
         """Account for received bytes and parse them if the connection stays open."""
         client = self._client
-        if client is None or not data:
+        if client is None:
             super().data_received(data)
             return
-        if not self._count_overhead(client, data) or not client.receive(len(data)):
+        if data and not (
+            self._count_overhead(client, data) and client.receive(len(data))
+        ):
             return
         known = self._request_count
         super().data_received(data)
+        self._accounted_bytes += len(data)
         if self._request_count != known:
             client.begin_body()
+        self._count_decoded(client)
         self._note_end(client)
 
     def begin(self, request: web.BaseRequest) -> None:
@@ -215,6 +219,7 @@
             return
         self._client.begin_body()
         self._content = request.content
+        self._count_decoded(self._client)
         encoding = request.headers.get("Transfer-Encoding", "")
         self._is_chunked = "chunked" in encoding.lower()
         self._note_end(self._client)
@@ -235,12 +240,22 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             content, self._content = self._content, None
+            self._accounted_bytes = 0
             if self._client is not None:
                 if content is None or content.is_eof():
                     self._client.finish()
                 else:
                     self._client.discard()
 
+    def _count_decoded(self, client: clientguards.Connection) -> None:
+        """Account for a compressed body by its size, which may be a thousand times more."""
+        if self._content is None or client.stage is not intake.Stage.BODY:
+            return
+        grown_bytes = self._content.total_bytes - self._accounted_bytes
+        if grown_bytes > 0:
+            self._accounted_bytes += grown_bytes
+            client.receive(grown_bytes)
+
     def _note_end(self, client: clientguards.Connection) -> None:
         content = self._content
         if content is None:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -190,6 +190,21 @@
     assert clients.dropped[1].reason is Reason.PIPELINED
 
 
+def test_pipelined_bytes_go_when_memory_is_short_and_nothing_is_read():
+    """They would otherwise fill memory behind requests that are being handled."""
+    clients = Clients()
+    for key in range(99):
+        clients.begin(key)
+        clients.machine.complete(key)
+    for _ in range(10):
+        for key in range(99):
+            clients.send(key, READ)
+            assert clients.machine.held_bytes <= clients.bounds.budget_bytes
+    assert clients.list_reasons() == {Reason.PIPELINED}
+    clients.machine.close(98)
+    assert clients.serve(500)
+
+
 def test_rest_of_an_answered_body_is_discarded_without_being_held_and_not_for_long():
     clients = Clients()
     clients.begin(1)
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -1,6 +1,7 @@
 """Tests of the platform's HTTP servers with requests that cannot be read."""
 
 import asyncio
+import zlib
 
 import pytest
 import structlog
@@ -146,3 +147,30 @@
         assert guard.held_bytes == 0
 
     asyncio.run(run())
+
+
+def test_compressed_bodies_count_by_their_decoded_size():
+    """A body of 1 MB arrives in 1 KB; many that stop short would fill the memory."""
+
+    async def run() -> None:
+        guard = clientguards.ClientGuard(limits.Limits(3_000_000, 100))
+        server = servers.Server(read_body, guard=guard)
+        address = ports.find_addresses()[0]
+        await server.open(address)
+        host, port = address.split(":")
+        body = zlib.compress(bytes(900_000))
+        head = HEAD + b"Content-Encoding: deflate\r\nContent-Length: 5000\r\n\r\n"
+        writers = []
+        for _ in range(10):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head + body)
+            writers.append(writer)
+        async with asyncio.timeout(WAIT_S):
+            while guard.drops["budget"] < 7:
+                await asyncio.sleep(0.01)
+        assert 2_700_000 <= guard.held_bytes <= 3_000_000
+        for writer in writers:
+            writer.close()
+        await server.close()
+
+    asyncio.run(run())
