Settings without Limits.MaxFds use the descriptors that the system allows

Cause: 20,000 were assumed where the key is missing, so that a process that may open 1,024 took up to 1,638 connections of clients.

Change: the soft limit of the process counts; without one, memory bounds connections.

--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import resource
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -28,8 +29,8 @@
 a client that is still sending receives the response."""
 DEFAULT_MEMORY_MB = 512
 """Memory of the host if the settings don't state it."""
-DEFAULT_MAX_FDS = 20_000
-"""Descriptors of the process if the settings don't state them."""
+MAX_FDS = 1_000_000
+"""Descriptors assumed on a system without a limit; memory then bounds connections."""
 SHUTDOWN_MS = 200
 """Default time for running handlers to finish when a server closes."""
 
@@ -324,10 +325,13 @@
 
     Args:
         memory_mb: Memory of the host in MB; 0 if it is not known.
-        max_fds: Descriptors of the process; 0 if they are not known.
+        max_fds: Descriptors of the process; 0 for those that the system allows.
     """
+    allowed_fds, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed_fds == resource.RLIM_INFINITY:
+        allowed_fds = MAX_FDS
     return clientguards.ClientGuard(
-        limits.derive_limits(memory_mb or DEFAULT_MEMORY_MB, max_fds or DEFAULT_MAX_FDS)
+        limits.derive_limits(memory_mb or DEFAULT_MEMORY_MB, max_fds or allowed_fds)
     )
 
 
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -1,6 +1,7 @@
 """Tests of the platform's HTTP servers with requests that cannot be read."""
 
 import asyncio
+import resource
 import zlib
 
 import pytest
@@ -174,3 +175,12 @@
         await server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("allowed", [1_024, resource.RLIM_INFINITY])
+def test_settings_without_limits_use_those_of_the_system(monkeypatch, allowed):
+    monkeypatch.setattr(resource, "getrlimit", lambda _kind: (allowed, allowed))
+    bounds = servers.build_guard()._intake._limits
+    expected = limits.derive_limits(512, 1_024 if allowed > 0 else 1_000_000)
+    assert bounds == expected
+    assert bounds.max_connections == (412 if allowed > 0 else 1_638)
