--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -1,6 +1,8 @@
 """Tests of the platform's HTTP servers with requests that cannot be read."""
 
 import asyncio
+import resource
+import zlib
 
 import pytest
 import structlog
@@ -146,3 +148,39 @@
         assert guard.held_bytes == 0
 
     asyncio.run(run())
+
+
+def test_compressed_bodies_count_by_their_decoded_size():
+    """A body of 1 MB arrives in 1 KB; many that stop short would fill the memory."""
+
+    async def run() -> None:
+        guard = clientguards.ClientGuard(limits.Limits(3_000_000, 100))
+        server = servers.Server(read_body, guard=guard)
+        address = ports.find_addresses()[0]
+        await server.open(address)
+        host, port = address.split(":")
+        body = zlib.compress(bytes(900_000))
+        head = HEAD + b"Content-Encoding: deflate\r\nContent-Length: 5000\r\n\r\n"
+        writers = []
+        for _ in range(10):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head + body)
+            writers.append(writer)
+        async with asyncio.timeout(WAIT_S):
+            while guard.drops["budget"] < 7:
+                await asyncio.sleep(0.01)
+        assert 2_700_000 <= guard.held_bytes <= 3_000_000
+        for writer in writers:
+            writer.close()
+        await server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("allowed", [1_024, resource.RLIM_INFINITY])
+def test_settings_without_limits_use_those_of_the_system(monkeypatch, allowed):
+    monkeypatch.setattr(resource, "getrlimit", lambda _kind: (allowed, allowed))
+    bounds = servers.build_guard()._intake._limits
+    expected = limits.derive_limits(512, 1_024 if allowed > 0 else 1_000_000)
+    assert bounds == expected
+    assert bounds.max_connections == (412 if allowed > 0 else 1_638)
