Largest jobs get their whole slack in a shortage; jobs that can't succeed are held

Cause: the largest jobs of a queue were the first that no longer fitted; Retry-After took the backlog over all cores, although it hardly decreases in a shortage; a job whose tasks fail each time started all its tasks up to MaxAttempts times.

Change: the largest three tenths of a queue may use their whole slack; queues below 0.8 of the best served share go first; Retry-After follows the rate of decrease, at most 10 s, and is spread over as long again; after two failures of a task its waiting siblings are held until it succeeds. Late jobs with runs count as work ahead.

--- a/amaranthspar/scheduling/delivery.py
+++ b/amaranthspar/scheduling/delivery.py
@@ -31,6 +31,10 @@
 MIN_YIELD = 0.2
 """Lower bound of the yield, so that a gateway goes on trying upstreams that fail."""
 
+MAX_DRAIN_MS = 10_000
+"""Longest time in ms to clear a backlog that a refused caller is told; shortages take
+seconds, and a backlog that does not decrease says nothing on its end."""
+
 
 @attrs.define(slots=True)
 class Window:
@@ -135,3 +139,17 @@
     return sum(
         max(sidecar.free.cpu_millis, 0) // need * need / 1000 for sidecar in members
     )
+
+
+def find_drain_ms(backlog: float, cores: float, admitted: float) -> float:
+    """Return the time in ms in which a backlog is cleared, at most `MAX_DRAIN_MS`.
+
+    Args:
+        backlog: Work that waits, in core-milliseconds.
+        cores: Cores that work it off.
+        admitted: Work that is added to it, in core-milliseconds per ms.
+    """
+    if backlog <= 0:
+        return 0.0
+    rate = cores - admitted
+    return min(backlog / rate, MAX_DRAIN_MS) if rate > 0 else MAX_DRAIN_MS
--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -61,6 +61,9 @@
 MIN_CORE_SHARE = 0.7
 """Lower bound of the cores that a forecast assumes, as a share of this gateway's equal
 part of all cores."""
+SUSPECT_FAILURES = 2
+"""Number of failed runs of a task, on different upstreams, from which its siblings wait
+for its success under a shortage; a single failure may be that of the upstream."""
 DRAIN_MARGIN = 2.0
 """Multiple of a job's expected duration that a draining gateway must have left."""
 RETRY_SPREAD_MS = 2_000
@@ -287,10 +290,19 @@
         """Return the time in ms after which a refused caller should retry.
 
         It is the expected time to clear the backlog plus jitter, so that callers do not
-        retry at the same moment.
+        retry at the same moment. Under a shortage the jitter grows with that time, as
+        more callers are refused the longer it takes.
         """
+        if self.waiting.has_shortage:
+            backlog_ms = delivery.find_drain_ms(
+                self.waiting.core_ms,
+                self._count_working_cores(now_ms),
+                self.waiting.measure_admitted(now_ms),
+            )
+            spread_ms = max(RETRY_SPREAD_MS, backlog_ms)
+            return round(backlog_ms + spread_ms * self._chance.random())
         backlog_ms = 0.0
-        rate = self._count_working_cores(now_ms)
+        rate = self.fleet.used_millis / 1000
         if rate > 0:
             backlog_ms = self.waiting.core_ms / rate
         return round(backlog_ms + RETRY_SPREAD_MS * self._chance.random())
@@ -458,6 +470,8 @@
         sidecar.remove_task(task.name)
         task.state = jobs.TaskState.DONE
         job.remaining[task.step] -= 1
+        if job.release_siblings(task):
+            self._requeue_job(job)
         if job.is_done:
             self._end_job(job, jobevents.Outcome.COMPLETED, "every task is done")
         elif not job.remaining[task.step]:
@@ -490,8 +504,26 @@
             return
         task.avoided.add(sidecar.name)
         task.job.requeue_task(task)
+        if self._is_suspect(task) and task.job.hold_siblings(task):
+            self._log(
+                "siblings held",
+                task.job.request.id,
+                task=task.name,
+                held=len(task.job.held),
+            )
         self._requeue_job(task.job)
 
+    def _is_suspect(self, task: jobs.Task) -> bool:
+        """Return whether a task's failures suggest that its job can't succeed.
+
+        Its failed runs were on different upstreams, as it avoids those that failed it.
+        Without a shortage, its siblings cost nobody anything and are not held back.
+        """
+        queue = task.job.request.queue
+        if not self.waiting.is_short(queue.service):
+            return False
+        return task.failures >= min(SUSPECT_FAILURES, queue.max_attempts - 1)
+
     def _retry_task(self, task: jobs.Task, report: runmessages.RunReport) -> None:
         """Queue a task again whose run ended without a result."""
         self._log(
--- a/amaranthspar/scheduling/jobqueue.py
+++ b/amaranthspar/scheduling/jobqueue.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import bisect
+import heapq
 
 import attrs
 
@@ -144,7 +145,7 @@
 
     def list_entries(self) -> list[Entry]:
         """Return the entries in the order of service."""
-        if not any(map(self.is_short, self._short_ms)):
+        if not self.has_shortage:
             return list(self._entries)
         if self._ordered is None:
             self._ordered = sorted(self._entries, key=self._find_rank)
@@ -175,6 +176,20 @@
             if self._now_ms - seen_ms > PRIORITY_MEMORY_MS:
                 del seen[priority]
 
+    @property
+    def has_shortage(self) -> bool:
+        """Whether the order under shortage is in effect for any service."""
+        return any(map(self.is_short, self._short_ms))
+
+    def measure_admitted(self, now_ms: int) -> float:
+        """Return the work admitted in the last second, in core-ms per ms.
+
+        Args:
+            now_ms: Current time in ms.
+        """
+        total = sum(window.read_sum(now_ms) for window in self._admitted.values())
+        return total / delivery.WINDOW_MS
+
     def advance(self, now_ms: int) -> None:
         """Set the time by which late jobs are told from those that can be on time.
 
@@ -283,15 +298,17 @@
         """
         if not self.is_short(entry.service):
             return 0, 0, *entry.key
-        if entry.is_late(self._now_ms) and not self._is_worth_finishing(entry):
+        if self._is_left_behind(entry):
             return 1, not entry.job.is_dispatched, *entry.key
         return 0, entry.job.precedence, *entry.key
 
-    def _is_worth_finishing(self, entry: Entry) -> bool:
-        """Return whether a job has runs that would be wasted if it waited further."""
+    def _is_left_behind(self, entry: Entry) -> bool:
+        """Return whether a job is late and has no runs whose work is still of use."""
+        if not entry.is_late(self._now_ms):
+            return False
         job = entry.job
         end_ms = self._now_ms + entry.critical_path_ms
-        return job.is_dispatched and end_ms <= job.end_by_ms
+        return not job.is_dispatched or end_ms > job.end_by_ms
 
     def _find_room(
         self, entry: Entry, admit_by_ms: int, forecast: Forecast
@@ -302,34 +319,33 @@
         urgent one with the most processor time among those so far is displaced, which
         keeps the number of callers that are refused small.
         """
-        others = [
-            item
+        residuals = self._build_residuals(entry.service, forecast)
+        own = (entry.job.precedence, *entry.key)
+        ranked = [
+            ((item.job.precedence, *item.key), item)
             for item in self._entries
-            if item.service == entry.service and not item.is_late(forecast.now_ms)
+            if item.service == entry.service and not self._is_left_behind(item)
         ]
-        own_rank = self._find_rank(entry)
-        residuals = self._build_residuals(entry.service, forecast)
         cores = core_ms = 0.0
         displaced: list[Entry] = []
-        candidates: list[Entry] = []
-        for item in sorted([*others, entry], key=self._find_rank):
+        candidates: list[tuple[float, int, Entry]] = []
+        for number, (rank, item) in enumerate(sorted([*ranked, (own, entry)])):
             cores += item.cores
             core_ms += item.core_ms
-            by_ms = admit_by_ms if item is entry else item.job.start_by_ms
             if self._may_yield(item, entry):
-                candidates.append(item)
+                heapq.heappush(candidates, (-item.core_ms, number, item))
+            by_ms = admit_by_ms if item is entry else item.job.start_by_ms
             residual = residuals.get(item.job.precedence, forecast)
             if residual.find_start_ms(cores, core_ms) <= max(by_ms, forecast.now_ms):
                 continue
             if item is entry:
                 return Admission(False)
-            if self._find_rank(item) < own_rank:
+            if rank < own or item.is_late(forecast.now_ms):
                 # It is late with or without the new job.
                 continue
             if not candidates:
                 return Admission(False)
-            victim = max(candidates, key=lambda found: found.core_ms)
-            candidates.remove(victim)
+            _, _, victim = heapq.heappop(candidates)
             displaced.append(victim)
             cores -= victim.cores
             core_ms -= victim.core_ms
--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -43,7 +43,8 @@
     Attributes:
         name: Name of the queue.
         service: Service whose upstreams run the tasks.
-        priority: Priority of its jobs among equal start deadlines; 0 comes first.
+        priority: Priority of its jobs among equal start deadlines, and under a shortage
+            before these; 0 comes first.
         max_attempts: Number of failed runs of one task after which its job fails.
         stretch: Latency objective as a multiple of the job's critical path.
         target_ms: Constant part of the latency objective in ms.
@@ -151,6 +152,8 @@
         start_by_ms: Time in ms by which its waiting tasks should start.
         end_by_ms: Time in ms after which its answer is useless to the caller.
         precedence: Priority that it has under a shortage; the lowest comes first.
+        suspect: Task for whose success its siblings wait; `None` for none.
+        held: Tasks that are not placed until the suspect has succeeded.
     """
 
     request: Request
@@ -162,6 +165,8 @@
     start_by_ms: int = 0
     end_by_ms: int = 0
     precedence: int = 0
+    suspect: Task | None = None
+    held: list[Task] = attrs.field(factory=list)
 
     @property
     def is_done(self) -> bool:
@@ -189,7 +194,42 @@
         task.percent = 0
         task.progressed_ms = 0
         task.sidecar = ""
-        self.waiting.append(task)
+        if self.suspect is not None and self.suspect is not task:
+            self.held.append(task)
+        else:
+            self.waiting.append(task)
+
+    def hold_siblings(self, task: Task) -> bool:
+        """Hold back all other waiting tasks until one that fails has succeeded.
+
+        Args:
+            task: Waiting task of this job; ignored if others wait for another one.
+
+        Returns:
+            Whether its siblings wait for it from now on.
+        """
+        if self.suspect is not None:
+            return False
+        self.suspect = task
+        self.held = [item for item in self.waiting if item is not task]
+        self.waiting = [task]
+        return True
+
+    def release_siblings(self, task: Task) -> bool:
+        """Make the tasks that were held back wait for placement again.
+
+        Args:
+            task: Task of this job that has succeeded.
+
+        Returns:
+            Whether any task was held back for it.
+        """
+        if self.suspect is not task:
+            return False
+        self.suspect = None
+        released, self.held = self.held, []
+        self.waiting += released
+        return bool(released)
 
 
 def build_job(request: Request, now_ms: int) -> Job:
--- a/amaranthspar/scheduling/servedshares.py
+++ b/amaranthspar/scheduling/servedshares.py
@@ -14,14 +14,14 @@
 
 MEMORY_MS = 2_000
 """Time in ms after which an earlier job counts 1/e as much as a new one."""
-MIN_RATIO = 0.6
-"""Served share of a queue relative to the best served one below which it is given
-precedence. Half is required; the rest covers jobs that expire later."""
+MIN_RATIO = 0.8
+"""Served share of a queue relative to the best served one below which its jobs go before
+all others. Half is required; the rest covers jobs that expire or are displaced later."""
 MIN_OFFERED = 3.0
 """Number of recent jobs, with decay, from which the share of a queue is meaningful."""
 SIZE_SAMPLES = 100
 """Number of recent jobs of a queue to whose sizes a new one is compared."""
-LARGE_QUANTILE = 0.9
+LARGE_QUANTILE = 0.7
 """Quantile of size from which a job is one of the largest of its queue."""
 
 
@@ -52,7 +52,7 @@
     _sizes: dict[tuple[str, str], collections.deque[float]] = attrs.field(factory=dict)
 
     def is_large(self, service: str, queue: str, core_ms: float) -> bool:
-        """Return whether a new job is of the largest tenth, and remember its size.
+        """Return whether a new job is one of the largest, and remember its size.
 
         Args:
             service: Service of the queue.
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -4,9 +4,12 @@
 sidecars cut off, through real dispatchers and run managers.
 """
 
+import random
+
 import pytest
 
 from amaranthspar.scheduling import delivery, jobevents, jobqueue, jobs, sidecars
+from amaranthspar.schema import runmessages
 from benchmarks import shortage
 from tests import builders_scheduling as builders
 
@@ -116,6 +119,19 @@
     assert list_waiting(queue) == ["last", "begun", "late", "fresh"]
 
 
+def test_late_job_with_runs_counts_as_work_ahead():
+    """It is served first, so that a job admitted as if it were not there starts late."""
+    queue = build_queue(build_entry("begun", 0, 30, 100), cores=100.0)
+    job = queue.find("begun").job
+    job.is_dispatched = True
+    late_ms = job.start_by_ms + 1
+    queue.advance(late_ms)
+    forecast = jobqueue.Forecast(late_ms, 50.0, 0.0)
+    assert not queue.admit(build_entry("new", late_ms, 20, 100), forecast).is_admitted
+    job.is_dispatched = False
+    assert queue.admit(build_entry("next", late_ms, 20, 100), forecast).is_admitted
+
+
 def test_urgent_job_displaces_the_largest_less_urgent_one():
     """Large jobs admitted earlier held the queue, and urgent ones were refused."""
     small = build_entry("small", 0, 10, 200, BULK)
@@ -300,3 +316,143 @@
             gateway.submit(builders.build_request(f"j{number}", queue, [step]))
         gateway.wait(500)
     assert gateway.ended == {}
+
+
+# Retry-After and jobs that can't succeed.
+
+
+def test_retry_time_follows_the_decrease_of_the_backlog():
+    """A backlog that hardly decreases takes longer than its work over all cores."""
+    assert delivery.find_drain_ms(6_000, 60, 0) == 100
+    assert delivery.find_drain_ms(6_000, 60, 50) == 600
+    assert delivery.find_drain_ms(6_000, 60, 60) == delivery.MAX_DRAIN_MS
+    assert delivery.find_drain_ms(6_000, 0, 0) == delivery.MAX_DRAIN_MS
+    assert delivery.find_drain_ms(0, 0, 0) == 0
+
+
+def test_callers_refused_in_a_shortage_are_spread_over_the_backlog():
+    gateway = builders.Gateway()
+    gateway.list_sidecars("one")
+    gateway.receive_room("one", free=0.0, capacity=80.0)
+    for number in range(60):
+        name = (URGENT, BULK)[number % 2]
+        queue = builders.build_queue(name=name, priority=PRIORITIES[name])
+        step = builders.build_step(4, 10, 100)
+        gateway.submit(builders.build_request(f"j{number}", queue, [step]))
+    times = [ended.retry_after_ms for ended in gateway.ended.values()]
+    assert len(times) > 30
+    assert min(times) >= delivery.MAX_DRAIN_MS
+    assert max(times) - min(times) > delivery.MAX_DRAIN_MS / 2
+
+
+def start_hopeless_job(is_short):
+    """Start a job of eight tasks, the first of which fails on two upstreams."""
+    gateway = builders.Gateway()
+    names = ("one", "two", "three", "four")
+    gateway.list_sidecars(*names)
+    for name in names:
+        gateway.receive_room(name, free=1.0)
+    queue = builders.build_queue(max_attempts=4)
+    if is_short:
+        bulk = builders.build_queue(name=BULK, priority=2)
+        huge = builders.build_step(8, 8, 5_000)
+        gateway.submit(builders.build_request("first"))
+        for number in range(2):
+            request = builders.build_request(f"huge-{number}", bulk, [huge])
+            gateway.submit(request)
+        for name in gateway.dispatcher.jobs.copy():
+            outcome = jobevents.Outcome.CANCELLED
+            gateway.step(jobevents.Cancel(name, outcome, "test"))
+        gateway.sent.clear()
+        for name in names:
+            gateway.receive_room(name, free=1.0, started=9)
+    gateway.submit(builders.build_request("bad", queue, [builders.build_step(8)]))
+    for _ in range(2):
+        task = gateway.dispatcher.jobs["bad"].tasks[-1]
+        failed = runmessages.RunReport(task.run_name, "failed", "")
+        gateway._numbers[task.sidecar] += 1
+        room = builders.build_room(gateway._numbers[task.sidecar], free=0.0, started=99)
+        gateway.receive(task.sidecar, room, failed)
+        others = [name for name in names if name not in task.avoided]
+        gateway.receive_room(others[0], free=1.0, started=99)
+    return gateway, task
+
+
+def test_siblings_of_a_task_that_fails_repeatedly_are_not_started_in_a_shortage():
+    """Each of them would fail up to `MaxAttempts` times on capacity that is scarce."""
+    gateway, task = start_hopeless_job(is_short=True)
+    job = gateway.dispatcher.jobs["bad"]
+    assert job.suspect is task
+    assert job.held
+    starts = len(builders.list_orders(builders.list_starts(gateway.sent)))
+    for name in ("one", "two", "three", "four"):
+        gateway.receive_room(name, free=8.0, started=999)
+    orders = builders.list_orders(builders.list_starts(gateway.sent))[starts:]
+    assert set(orders) <= {task.name}
+
+
+def test_held_siblings_start_once_the_task_has_succeeded():
+    gateway, task = start_hopeless_job(is_short=True)
+    for name in ("one", "two", "three", "four"):
+        gateway.receive_room(name, free=8.0, started=999)
+    held = {item.name for item in gateway.dispatcher.jobs["bad"].held}
+    done = runmessages.RunReport(task.run_name, "done", "", elapsed_ms=100)
+    gateway._numbers[task.sidecar] += 1
+    room = builders.build_room(gateway._numbers[task.sidecar], started=999)
+    starts = gateway.receive(task.sidecar, room, done)
+    assert held
+    assert held == set(builders.list_orders(starts))
+
+
+def test_siblings_start_without_a_shortage():
+    gateway, _ = start_hopeless_job(is_short=False)
+    assert gateway.dispatcher.jobs["bad"].suspect is None
+
+
+def measure_classes(seed):
+    """Serve 20 s of 1.6 times the capacity; return served shares of bulk jobs.
+
+    The shares are those of the largest tenth, the fifth below it, and all.
+    """
+    chance = random.Random(seed)
+    queue = jobqueue.JobQueue()
+    sizes: dict[str, float] = {}
+    served: set[str] = set()
+    work_done = 0.0
+    for now_ms in range(0, 20_000, 10):
+        forecast = jobqueue.Forecast(now_ms, 100.0, 0.0)
+        work_done = min(work_done + 100.0 * 10, 1_000.0)
+        for name, share, cores, duration_ms in (
+            (URGENT, 0.25, 20, 100),
+            (BULK, 0.1, 24, 500),
+        ):
+            if chance.random() < share:
+                cores *= chance.lognormvariate(-0.32, 0.8)
+                entry = build_entry(
+                    f"{name}-{now_ms}", now_ms, cores, duration_ms, name
+                )
+                if name == BULK:
+                    sizes[entry.job.request.id] = cores
+                queue.admit(entry, forecast)
+        queue.advance(now_ms)
+        queue.pop_expired(now_ms)
+        for entry in queue.list_entries():
+            if work_done <= 0:
+                break
+            work_done -= entry.core_ms
+            queue.remove(entry.job.request.id)
+            served.add(entry.job.request.id)
+    ordered = sorted(sizes, key=lambda name: sizes[name])
+    tenth = len(ordered) // 10
+    parts = (ordered[-tenth:], ordered[-3 * tenth : -tenth], ordered)
+    return [sum(name in served for name in part) / len(part) for part in parts]
+
+
+def test_largest_jobs_of_a_queue_are_not_starved():
+    """With half of their slack, the largest were the first that no longer fitted."""
+    found = [measure_classes(seed) for seed in range(5)]
+    largest, below, whole = (
+        sum(part) / len(found) for part in zip(*found, strict=True)
+    )
+    assert largest >= whole / 2
+    assert below >= whole / 2
