A request that was read whole is not dropped while it is handled

Cause: if a body was parsed after a pause of aiohttp's parser (over 4 KB and its end in one read), its end was not noted. The connection stayed in the stage of a body and was dropped after 60 s, or 3 s while memory is short, with 408 and the outcome not-run, while the job ran. Likewise a connection whose request was answered before its body had been read stayed in the stage of the discarded rest: after 10 s it was closed without an answer, idle or with a next request handled.

Change: the end is also noted when the parser goes on by itself, the end of a discarded rest makes the connection idle, and a dropped one is not parsed on.

Evidence: of the 8 cases of the two new tests, 6 failed before (4 of 6, and 2 of 2); all pass now.

--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -194,9 +194,15 @@
     def data_received(self, data: bytes) -> None:
         """Account for received bytes and parse them if the connection stays open."""
         client = self._client
-        if client is None or not data:
+        if client is None:
             super().data_received(data)
             return
+        if not data:
+            # The parser goes on with bytes that were accounted for.
+            if client.is_open:
+                super().data_received(data)
+                self._note_end(client)
+            return
         if not self._count_overhead(client, data) or not client.receive(len(data)):
             return
         known = self._request_count
@@ -213,6 +219,8 @@
         """
         if self._client is None:
             return
+        if self._client.is_discarding:
+            self._client.finish()
         self._client.begin_body()
         self._content = request.content
         encoding = request.headers.get("Transfer-Encoding", "")
@@ -234,19 +242,23 @@
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
-            content, self._content = self._content, None
             if self._client is not None:
-                if content is None or content.is_eof():
+                if self._content is None or self._content.is_eof():
+                    self._content = None
                     self._client.finish()
                 else:
                     self._client.discard()
 
     def _note_end(self, client: clientguards.Connection) -> None:
         content = self._content
-        if content is None:
+        if content is None or not content.is_eof():
             return
-        if client.stage is intake.Stage.BODY and content.is_eof():
-            client.complete()
+        match client.stage:
+            case intake.Stage.BODY:
+                client.complete()
+            case intake.Stage.DISCARDED:
+                self._content = None
+                client.finish()
 
     def _count_overhead(self, client: clientguards.Connection, data: bytes) -> bool:
         """Account for the framing of chunks before it is parsed.
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -1,6 +1,7 @@
 """Tests of the platform's HTTP servers with requests that cannot be read."""
 
 import asyncio
+import contextlib
 
 import pytest
 import structlog
@@ -12,6 +13,9 @@
 
 WAIT_S = 10
 COUNT = 20
+BOUND_MS = 300
+HANDLING_S = 1.5
+"""Longer than the bound and an interval of checks together."""
 HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\n"
 
 
@@ -146,3 +150,74 @@
         assert guard.held_bytes == 0
 
     asyncio.run(run())
+
+
+async def exchange(
+    server: servers.Server, requests: list[bytes], pause_s: float = 0
+) -> list[bytes]:
+    """Send requests one after the other on one connection; return the first lines."""
+    address = ports.find_addresses()[0]
+    await server.open(address)
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = []
+    with contextlib.closing(writer):
+        async with asyncio.timeout(WAIT_S):
+            for data in requests:
+                writer.write(data)
+                answer = await reader.readuntil(b"{}")
+                lines.append(answer.partition(b"\r\n")[0])
+                await asyncio.sleep(pause_s)
+    await server.close()
+    return lines
+
+
+@pytest.mark.parametrize("size", [2, 6_000, 12_000])
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_request_that_was_read_whole_is_not_dropped_while_it_is_handled(
+    size, is_chunked
+):
+    """Its refusal would state that it was not run, although its handler goes on."""
+    body = b"a" * size
+    if is_chunked:
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (size, body)
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body
+    else:
+        data = HEAD + b"Content-Length: %d\r\n\r\n" % size + body
+
+    async def handle(request):
+        await request.read()
+        await asyncio.sleep(HANDLING_S)
+        return servers.answer_json(200)
+
+    guard = clientguards.ClientGuard(
+        limits.Limits(limits.MB, 100, stall_ms=BOUND_MS, short_ms=BOUND_MS)
+    )
+    server = servers.Server(handle, guard=guard)
+    lines = asyncio.run(exchange(server, [data, data]))
+    assert lines == [b"HTTP/1.1 200 OK"] * 2
+    assert not guard.drops
+    assert guard.held_bytes == 0
+
+
+@pytest.mark.parametrize("pause_s", [0, HANDLING_S])
+def test_connection_is_usable_after_a_request_whose_body_was_not_read(pause_s):
+    """The bound on the rest of a body must not end the next request or an idle time."""
+    large = HEAD + b"Content-Length: 12000\r\n\r\n" + b"a" * 12_000
+    ordinary = HEAD + b"Content-Length: 2\r\n\r\n{}"
+    count = 0
+
+    async def handle(request):
+        nonlocal count
+        count += 1
+        if count == 1:
+            return servers.answer_json(404)
+        await asyncio.sleep(HANDLING_S - pause_s)
+        return servers.answer_json(200)
+
+    guard = clientguards.ClientGuard(limits.Limits(limits.MB, 100, discard_ms=BOUND_MS))
+    server = servers.Server(handle, guard=guard)
+    lines = asyncio.run(exchange(server, [large, ordinary], pause_s))
+    assert lines == [b"HTTP/1.1 404 Not Found", b"HTTP/1.1 200 OK"]
+    assert not guard.drops
+    assert guard.held_bytes == 0
