A request without a body is handled, not read, once its head is complete

Cause: Sanic reads a body only if a length or chunks are announced. Without them the connection stayed in the stage of a head while its handler ran, and was dropped after 30 s (3 s while memory is short), or at once for a new connection, with the outcome not-run, although a POST without a body or a DELETE was carried out.

Change: such a request is complete with its head.

Evidence: the new test got 408 before; it passes now.

--- a/amaranthspar/web/_httpserver.py
+++ b/amaranthspar/web/_httpserver.py
@@ -81,6 +81,12 @@
         self._parts = 0
         _find_client(self).finish()
 
+    async def http1_request_header(self) -> None:
+        """Receive a head; a request without a body is complete with it."""
+        await super().http1_request_header()  # type: ignore[no-untyped-call]
+        if not self.request_body:
+            _find_client(self).complete()
+
     async def read(self) -> bytes | None:
         """Read a part of a body, and let others read from time to time."""
         client = _find_client(self)
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,54 @@
+"""Tests of the product's HTTP server with legal clients that need time."""
+
+import asyncio
+import contextlib
+
+from sanic import response
+
+from amaranthspar import ports
+from amaranthspar.intake import limits
+from amaranthspar.network import clientguards
+from amaranthspar.web import _httpserver
+
+WAIT_S = 30
+BOUND_MS = 300
+HANDLING_S = 1.5
+"""Longer than the bound and an interval of checks together."""
+FIELDS = b"Host: a\r\nConnection: close\r\n"
+
+
+def build_server(**bounds: int) -> _httpserver.HttpServer:
+    """Return a server whose guard has shorter times."""
+    server = _httpserver.HttpServer(limits.MB)
+    server.guard = clientguards.ClientGuard(
+        limits.Limits(64 * limits.MB, 100, **bounds)
+    )
+    server.app.ctx.guard = server.guard
+    return server
+
+
+async def handle_slowly(request) -> response.HTTPResponse:
+    await asyncio.sleep(HANDLING_S)
+    return response.text("done")
+
+
+def test_request_without_body_is_not_dropped_while_it_is_handled():
+    """Its refusal would state that it was not run."""
+
+    async def run() -> None:
+        server = build_server(head_ms=BOUND_MS, short_ms=BOUND_MS)
+        server.add("POST", "/a", handle_slowly)
+        address = ports.find_addresses()[0]
+        await server.open(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /a HTTP/1.1\r\n" + FIELDS + b"\r\n")
+        with contextlib.closing(writer):
+            async with asyncio.timeout(WAIT_S):
+                answer = await reader.read()
+        await server.close()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert not server.guard.drops
+        assert server.guard.held_bytes == 0
+
+    asyncio.run(run())
