A pause of the process is not charged to its clients

Cause: after a pause, the first check found every head and body overdue, although what the clients had sent meanwhile still waited in the kernel.

Change: of the time between two checks, at most 600 ms count; the times of all connections are moved by the rest. A loop that is always late stretches the times, but does not suspend them. The budgets and the bound on connections are unchanged.

Evidence: the new test, with a pause of 10 s while memory is short, lost all 8 clients before; none now.

--- a/amaranthspar/intake/intake.py
+++ b/amaranthspar/intake/intake.py
@@ -13,6 +13,10 @@
 OTHERS_SHARE = 4
 """A request may exceed the budget while others hold less than a quarter of it."""
 
+MAX_CHECK_GAP_MS = 600
+"""Largest part of the time between two checks that counts for clients. A process that
+was paused for longer has not yet read what they sent meanwhile."""
+
 
 class Reason(enum.Enum):
     """Why a connection was dropped."""
@@ -101,6 +105,7 @@
         self._connections: dict[int, _Connection] = {}
         self._overhead_bytes = 0
         self._overhead_ms = 0
+        self._checked_ms: int | None = None
 
     @property
     def open_connections(self) -> int:
@@ -304,6 +309,7 @@
             now_ms: Time in ms.
         """
         drops = []
+        self._excuse_pause(now_ms)
         is_short = self.is_short
         for found in list(self._connections.values()):
             reason = self._find_overdue(found, is_short, now_ms)
@@ -311,6 +317,18 @@
                 drops.append(self._drop(found, reason, now_ms))
         return drops
 
+    def _excuse_pause(self, now_ms: int) -> None:
+        """Move the times of all connections by a pause of the process."""
+        checked_ms, self._checked_ms = self._checked_ms, now_ms
+        if checked_ms is None or now_ms - checked_ms <= MAX_CHECK_GAP_MS:
+            return
+        pause_ms = now_ms - checked_ms - MAX_CHECK_GAP_MS
+        for found in self._connections.values():
+            found.started_ms = min(found.started_ms + pause_ms, now_ms)
+            found.progress_ms = min(found.progress_ms + pause_ms, now_ms)
+            if found.blocked_ms is not None:
+                found.blocked_ms = min(found.blocked_ms + pause_ms, now_ms)
+
     def _find_overdue(
         self, found: _Connection, is_short: bool, now_ms: int
     ) -> Reason | None:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -155,6 +155,22 @@
     assert clients.dropped[1].reason is Reason.HEAD_TIME
 
 
+def test_clients_are_not_charged_for_time_in_which_the_process_was_paused():
+    """After a pause, what they sent meanwhile waits in the kernel."""
+    clients = Clients()
+    for key in range(7):
+        clients.begin(key)
+        clients.send(key, MB)
+    clients.open(8)
+    clients.send(8, 10)
+    clients.wait(1_000)
+    clients.now_ms += 10_000
+    clients.take(clients.machine.check(clients.now_ms))
+    assert clients.dropped == {}
+    clients.wait(LIMITS.short_ms)
+    assert len(clients.dropped) == 8
+
+
 def test_too_many_connections_drop_the_one_that_was_idle_longest():
     clients = Clients()
     for key in range(1_000):
