A handled request is not dropped for the framing of pipelined bytes

Cause: line ends that arrive while a request is handled counted as its framing of chunks, and its connection could be dropped with 400 and the outcome not-run although it was running.

Change: connections whose request is handled are no candidates; their pipelined bytes stay bounded.

Evidence: the new test lost the connection before; it keeps it now.

--- a/amaranthspar/intake/intake.py
+++ b/amaranthspar/intake/intake.py
@@ -211,6 +211,7 @@
             item
             for item in self._connections.values()
             if item.overhead_bytes >= MIN_OVERHEAD_BYTES
+            and item.stage is not Stage.HANDLED
         ]
         is_alone = len(costly) <= 1
         if is_alone and self._overhead_bytes <= self._limits.max_overhead_bytes:
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -133,6 +133,19 @@
     assert clients.parsed_bytes < 3 * LIMITS.shared_overhead_bytes
 
 
+def test_handled_request_is_not_dropped_for_the_framing_of_pipelined_bytes():
+    """Its refusal would state that it was not run."""
+    clients = Clients()
+    clients.begin(1)
+    clients.machine.complete(1)
+    for _ in range(4):
+        clients.send(1, 100_000, overhead=LIMITS.max_overhead_bytes)
+    assert clients.dropped == {}
+    clients.begin(2)
+    clients.send(2, 10_000, overhead=9_000)
+    assert list(clients.dropped) == [2]
+
+
 @pytest.mark.parametrize("size", [2, READ])
 def test_head_without_end_is_refused(size):
     """Ways 1 and 2: fields, or empty lines, without end."""
