A response that is read slowly is not cut off as unread

Cause: a response larger than the write buffer counted as unread from the time it was written until nearly all of it was sent, also if its client went on reading. A response of some MB was cut off after 60 s, or 3 s while memory is short.

Change: at each check, the time starts anew if fewer bytes wait than at the last one.

Evidence: the new test (16 MB read over some 3 s with a bound of 1.5 s) was dropped as unread before; the client gets all of it now.

--- a/amaranthspar/intake/intake.py
+++ b/amaranthspar/intake/intake.py
@@ -294,6 +294,8 @@
     def block(self, key: int, is_blocked: bool, now_ms: int) -> None:
         """Note whether the client leaves so much of its responses unread that more wait.
 
+        It is noted again whenever the client has read some of it.
+
         Args:
             key: Connection.
             is_blocked: Whether responses wait for the client.
--- a/amaranthspar/network/clientguards.py
+++ b/amaranthspar/network/clientguards.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 
+import attrs
 import msgspec
 
 from amaranthspar import clock, loop as loops, rejections
@@ -34,6 +35,19 @@
 Closer = Callable[[bytes], None]
 
 
+@attrs.define(slots=True)
+class _Unread:
+    """Responses that wait for their client.
+
+    Attributes:
+        measure: Returns the number of bytes that wait.
+        size_bytes: Number of bytes that waited at the last check.
+    """
+
+    measure: Callable[[], int]
+    size_bytes: int
+
+
 class ClientGuard:
     """Connections of the clients of one process.
 
@@ -50,6 +64,7 @@
         self._intake = intake.Intake(process_limits)
         self._clock = clock.Clock()
         self._closers: dict[int, Closer] = {}
+        self._unread: dict[int, _Unread] = {}
         self._keys = itertools.count()
         self._log = rejections.RejectionLog()
         self._users = 0
@@ -91,7 +106,13 @@
         return Connection(self, key)
 
     def _check(self) -> None:
-        self._carry_out(self._intake.check(self._clock.read_monotonic()))
+        now_ms = self._clock.read_monotonic()
+        for key, unread in self._unread.items():
+            size_bytes = unread.measure()
+            if size_bytes < unread.size_bytes:
+                self._intake.block(key, True, now_ms)
+            unread.size_bytes = size_bytes
+        self._carry_out(self._intake.check(now_ms))
 
     def _carry_out(self, drops: list[intake.Drop]) -> None:
         for drop in drops:
@@ -105,6 +126,7 @@
                 all_held_bytes=str(self._intake.held_bytes),
                 open_connections=str(self._intake.open_connections),
             )
+            self._unread.pop(drop.key, None)
             closer = self._closers.pop(drop.key, None)
             if closer is not None:
                 closer(build_refusal(drop.reason, drop.status))
@@ -173,9 +195,20 @@
         """Note that the rest of a body is read without being held."""
         self._intake.discard(self._key, self._read_clock())
 
-    def block(self, is_blocked: bool) -> None:
-        """Note whether responses wait for the client to read them."""
-        self._intake.block(self._key, is_blocked, self._read_clock())
+    def block(self, measure: Callable[[], int]) -> None:
+        """Note that responses wait for the client to read them.
+
+        Args:
+            measure: Returns the number of bytes that wait.
+        """
+        if self.is_open:
+            self._guard._unread[self._key] = _Unread(measure, measure())
+        self._intake.block(self._key, True, self._read_clock())
+
+    def unblock(self) -> None:
+        """Note that no responses wait for the client any more."""
+        self._guard._unread.pop(self._key, None)
+        self._intake.block(self._key, False, self._read_clock())
 
     def finish(self) -> None:
         """Note that a request was answered and read to its end."""
@@ -184,6 +217,7 @@
     def close(self) -> None:
         """Forget the connection."""
         self._guard._closers.pop(self._key, None)
+        self._guard._unread.pop(self._key, None)
         self._intake.close(self._key)
 
     def _read_clock(self) -> int:
--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -182,14 +182,14 @@
     def pause_writing(self) -> None:
         """Note that responses wait for the client."""
         super().pause_writing()
-        if self._client is not None:
-            self._client.block(True)
+        if self._client is not None and self.transport is not None:
+            self._client.block(self.transport.get_write_buffer_size)
 
     def resume_writing(self) -> None:
         """Note that the client has read what waited."""
         super().resume_writing()
         if self._client is not None:
-            self._client.block(False)
+            self._client.unblock()
 
     def data_received(self, data: bytes) -> None:
         """Account for received bytes and parse them if the connection stays open."""
--- a/amaranthspar/web/_httpserver.py
+++ b/amaranthspar/web/_httpserver.py
@@ -129,12 +129,13 @@
     def pause_writing(self) -> None:
         """Note that responses wait for the client."""
         super().pause_writing()  # type: ignore[no-untyped-call]
-        self.client.block(True)
+        if self.transport is not None:
+            self.client.block(self.transport.get_write_buffer_size)
 
     def resume_writing(self) -> None:
         """Note that the client has read what waited."""
         super().resume_writing()  # type: ignore[no-untyped-call]
-        self.client.block(False)
+        self.client.unblock()
 
     def data_received(self, data: bytes) -> None:
         """Account for received bytes and parse them if the connection stays open."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -52,3 +52,31 @@
         assert server.guard.held_bytes == 0
 
     asyncio.run(run())
+
+
+def test_large_response_that_is_read_slowly_is_sent_whole():
+    """A client that goes on reading is not one that reads nothing."""
+    size = 16 * limits.MB
+
+    async def answer_much(request) -> response.HTTPResponse:
+        return response.raw(bytes(size))
+
+    async def run() -> int:
+        server = build_server(stall_ms=1_500)
+        server.add("GET", "/a", answer_much)
+        address = ports.find_addresses()[0]
+        await server.open(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /a HTTP/1.1\r\n" + FIELDS + b"\r\n")
+        received = 0
+        with contextlib.closing(writer):
+            async with asyncio.timeout(WAIT_S):
+                while part := await reader.read(limits.MB):
+                    received += len(part)
+                    await asyncio.sleep(0.05)
+        await server.close()
+        assert not server.guard.drops
+        return received
+
+    assert asyncio.run(run()) > size
