A refused client that reads nothing loses its connection after 2 s

Cause: a dropped connection is no longer accounted for, but stayed open as long as the kernel had no room for the refusal, so that its descriptor was outside the bound.

Change: it is aborted 2 s after the refusal was written.

Evidence: the new test waited 20 s in vain before, with asyncio's and uvloop's loop; it passes now with both.

--- a/amaranthspar/network/clientguards.py
+++ b/amaranthspar/network/clientguards.py
@@ -20,6 +20,9 @@
 RETRY_AFTER_S = 2
 """Time after which a refused client is asked to retry: by then those that stopped short
 of their end have lost their connections."""
+REFUSAL_S = 2
+"""Time for a client to make room for a refusal. Its connection is not accounted for any
+more, but occupies a descriptor until it is closed."""
 RETRY_STATUSES = (429, 503)
 BACKLOG = 128
 _DETAILS = {
@@ -266,6 +269,7 @@
         return
     if response:
         transport.write(response)
+        asyncio.get_running_loop().call_later(REFUSAL_S, transport.abort)
     transport.close()
 
 
