A request that was refused before its handler began is not run

Cause: on the product's own interface, a connection that was dropped after a whole head had arrived got its refusal with the outcome not-run, but the task that reads it went on and called the handler before the end of the connection was noticed. A POST without a body was submitted.

Change: reading ends after the head if the connection was dropped.

Evidence: the new test of this interface found the handler called before, with asyncio's and uvloop's loop; it is not called now. The same test of the platform's servers passed before as well and is kept.

--- a/amaranthspar/web/_httpserver.py
+++ b/amaranthspar/web/_httpserver.py
@@ -84,8 +84,12 @@
     async def http1_request_header(self) -> None:
         """Receive a head; a request without a body is complete with it."""
         await super().http1_request_header()  # type: ignore[no-untyped-call]
+        client = _find_client(self)
+        if not client.is_open:
+            # It was refused as not run after its head had arrived.
+            raise exceptions.BadRequest("the connection was closed")
         if not self.request_body:
-            _find_client(self).complete()
+            client.complete()
 
     async def read(self) -> bytes | None:
         """Read a part of a body, and let others read from time to time."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import pytest
+import uvloop
 from sanic import response
 
 from amaranthspar import ports
@@ -80,3 +82,42 @@
         return received
 
     assert asyncio.run(run()) > size
+
+
+@pytest.mark.parametrize("factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_request_that_is_dropped_before_its_handler_begins_is_not_run(
+    factory, monkeypatch
+):
+    """It was refused as not run, for a connection that arrived right after its head."""
+    receive = _httpserver._Protocol.data_received
+    handled = []
+
+    def receive_and_drop(self, data: bytes) -> None:
+        receive(self, data)
+        self.app.ctx.guard.open(lambda refusal: None)
+
+    async def handle(request) -> response.HTTPResponse:
+        handled.append(request.path)
+        return response.text("done")
+
+    async def run() -> bytes:
+        server = build_server()
+        server.guard = clientguards.ClientGuard(limits.Limits(limits.MB, 1))
+        server.app.ctx.guard = server.guard
+        server.add("POST", "/a", handle)
+        address = ports.find_addresses()[0]
+        await server.open(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /a HTTP/1.1\r\n" + FIELDS + b"\r\n")
+        with contextlib.closing(writer):
+            async with asyncio.timeout(WAIT_S):
+                answer = await reader.read()
+        await server.close()
+        return answer
+
+    monkeypatch.setattr(_httpserver._Protocol, "data_received", receive_and_drop)
+    with asyncio.Runner(loop_factory=factory) as runner:
+        answer = runner.run(run())
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert handled == []
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 import structlog
+import uvloop
 
 from amaranthspar import ports
 from amaranthspar.intake import limits
@@ -221,3 +222,35 @@
     assert lines == [b"HTTP/1.1 404 Not Found", b"HTTP/1.1 200 OK"]
     assert not guard.drops
     assert guard.held_bytes == 0
+
+
+@pytest.mark.parametrize("factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_request_that_is_dropped_before_its_handler_begins_is_not_run(
+    factory, monkeypatch
+):
+    """It was refused as not run, for a connection that arrived right after it."""
+    receive = servers._Protocol.data_received
+    handled = []
+
+    def receive_and_drop(self, data: bytes) -> None:
+        receive(self, data)
+        self._guard.open(lambda refusal: None)
+
+    async def handle(request):
+        handled.append(request.path)
+        return servers.answer_json(200)
+
+    async def run() -> bytes:
+        guard = clientguards.ClientGuard(limits.Limits(limits.MB, 1))
+        server = servers.Server(handle, guard=guard)
+        address = ports.find_addresses()[0]
+        await server.open(address)
+        line = await send(address, HEAD + b"Content-Length: 2\r\n\r\n{}")
+        await server.close()
+        return line
+
+    monkeypatch.setattr(servers._Protocol, "data_received", receive_and_drop)
+    with asyncio.Runner(loop_factory=factory) as runner:
+        line = runner.run(run())
+    assert line.split()[1] == b"503"
+    assert handled == []
