--- a/amaranthspar/network/clientguards.py
+++ b/amaranthspar/network/clientguards.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 
+import attrs
 import msgspec
 
 from amaranthspar import clock, loop as loops, rejections
@@ -19,6 +20,9 @@
 RETRY_AFTER_S = 2
 """Time after which a refused client is asked to retry: by then those that stopped short
 of their end have lost their connections."""
+REFUSAL_S = 2
+"""Time for a client to make room for a refusal. Its connection is not accounted for any
+more, but occupies a descriptor until it is closed."""
 RETRY_STATUSES = (429, 503)
 BACKLOG = 128
 _DETAILS = {
@@ -41,6 +45,19 @@
 Closer = Callable[[bytes], None]
 
 
+@attrs.define(slots=True)
+class _Unread:
+    """Responses that wait for their client.
+
+    Attributes:
+        measure: Returns the number of bytes that wait.
+        size_bytes: Number of bytes that waited at the last check.
+    """
+
+    measure: Callable[[], int]
+    size_bytes: int
+
+
 class ClientGuard:
     """Connections of the clients of one process.
 
@@ -57,6 +74,7 @@
         self._intake = intake.Intake(process_limits)
         self._clock = clock.Clock()
         self._closers: dict[int, Closer] = {}
+        self._unread: dict[int, _Unread] = {}
         self._keys = itertools.count()
         self._log = rejections.RejectionLog()
         self._users = 0
@@ -98,7 +116,13 @@
         return Connection(self, key)
 
     def _check(self) -> None:
-        self._carry_out(self._intake.check(self._clock.read_monotonic()))
+        now_ms = self._clock.read_monotonic()
+        for key, unread in self._unread.items():
+            size_bytes = unread.measure()
+            if size_bytes < unread.size_bytes:
+                self._intake.block(key, True, now_ms)
+            unread.size_bytes = size_bytes
+        self._carry_out(self._intake.check(now_ms))
 
     def _carry_out(self, drops: list[intake.Drop]) -> None:
         for drop in drops:
@@ -112,6 +136,7 @@
                 all_held_bytes=str(self._intake.held_bytes),
                 open_connections=str(self._intake.open_connections),
             )
+            self._unread.pop(drop.key, None)
             closer = self._closers.pop(drop.key, None)
             if closer is not None:
                 closer(build_refusal(drop.reason, drop.status))
@@ -180,9 +205,20 @@
         """Note that the rest of a body is read without being held."""
         self._intake.discard(self._key, self._read_clock())
 
-    def block(self, is_blocked: bool) -> None:
-        """Note whether responses wait for the client to read them."""
-        self._intake.block(self._key, is_blocked, self._read_clock())
+    def block(self, measure: Callable[[], int]) -> None:
+        """Note that responses wait for the client to read them.
+
+        Args:
+            measure: Returns the number of bytes that wait.
+        """
+        if self.is_open:
+            self._guard._unread[self._key] = _Unread(measure, measure())
+        self._intake.block(self._key, True, self._read_clock())
+
+    def unblock(self) -> None:
+        """Note that no responses wait for the client any more."""
+        self._guard._unread.pop(self._key, None)
+        self._intake.block(self._key, False, self._read_clock())
 
     def finish(self) -> None:
         """Note that a request was answered and read to its end."""
@@ -191,6 +227,7 @@
     def close(self) -> None:
         """Forget the connection."""
         self._guard._closers.pop(self._key, None)
+        self._guard._unread.pop(self._key, None)
         self._intake.close(self._key)
 
     def _read_clock(self) -> int:
@@ -240,6 +277,7 @@
         return
     if response:
         transport.write(response)
+        asyncio.get_running_loop().call_later(REFUSAL_S, transport.abort)
     transport.close()
 
 
--- a/amaranthspar/platform/servers.py
+++ b/amaranthspar/platform/servers.py
@@ -183,14 +183,14 @@
     def pause_writing(self) -> None:
         """Note that responses wait for the client."""
         super().pause_writing()
-        if self._client is not None:
-            self._client.block(True)
+        if self._client is not None and self.transport is not None:
+            self._client.block(self.transport.get_write_buffer_size)
 
     def resume_writing(self) -> None:
         """Note that the client has read what waited."""
         super().resume_writing()
         if self._client is not None:
-            self._client.block(False)
+            self._client.unblock()
 
     def data_received(self, data: bytes) -> None:
         """Account for received bytes and parse them if the connection stays open."""
@@ -198,9 +198,14 @@
         if client is None:
             super().data_received(data)
             return
-        if data and not (
-            self._count_overhead(client, data) and client.receive(len(data))
-        ):
+        if not data:
+            # The parser goes on with bytes that were accounted for.
+            if client.is_open:
+                super().data_received(data)
+                self._count_decoded(client)
+                self._note_end(client)
+            return
+        if not self._count_overhead(client, data) or not client.receive(len(data)):
             return
         known = self._request_count
         super().data_received(data)
@@ -218,6 +223,8 @@
         """
         if self._client is None:
             return
+        if self._client.is_discarding:
+            self._client.finish()
         self._client.begin_body()
         self._content = request.content
         self._count_decoded(self._client)
@@ -240,10 +247,10 @@
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
-            content, self._content = self._content, None
             self._accounted_bytes = 0
             if self._client is not None:
-                if content is None or content.is_eof():
+                if self._content is None or self._content.is_eof():
+                    self._content = None
                     self._client.finish()
                 else:
                     self._client.discard()
@@ -259,10 +266,14 @@
 
     def _note_end(self, client: clientguards.Connection) -> None:
         content = self._content
-        if content is None:
+        if content is None or not content.is_eof():
             return
-        if client.stage is intake.Stage.BODY and content.is_eof():
-            client.complete()
+        match client.stage:
+            case intake.Stage.BODY:
+                client.complete()
+            case intake.Stage.DISCARDED:
+                self._content = None
+                client.finish()
 
     def _count_overhead(self, client: clientguards.Connection, data: bytes) -> bool:
         """Account for the framing of chunks before it is parsed.
--- a/amaranthspar/web/_httpserver.py
+++ b/amaranthspar/web/_httpserver.py
@@ -81,6 +81,16 @@
         self._parts = 0
         _find_client(self).finish()
 
+    async def http1_request_header(self) -> None:
+        """Receive a head; a request without a body is complete with it."""
+        await super().http1_request_header()  # type: ignore[no-untyped-call]
+        client = _find_client(self)
+        if not client.is_open:
+            # It was refused as not run after its head had arrived.
+            raise exceptions.BadRequest("the connection was closed")
+        if not self.request_body:
+            client.complete()
+
     async def read(self) -> bytes | None:
         """Read a part of a body, and let others read from time to time."""
         client = _find_client(self)
@@ -123,12 +133,13 @@
     def pause_writing(self) -> None:
         """Note that responses wait for the client."""
         super().pause_writing()  # type: ignore[no-untyped-call]
-        self.client.block(True)
+        if self.transport is not None:
+            self.client.block(self.transport.get_write_buffer_size)
 
     def resume_writing(self) -> None:
         """Note that the client has read what waited."""
         super().resume_writing()  # type: ignore[no-untyped-call]
-        self.client.block(False)
+        self.client.unblock()
 
     def data_received(self, data: bytes) -> None:
         """Account for received bytes and parse them if the connection stays open."""
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -133,6 +133,20 @@
     assert clients.parsed_bytes < 3 * LIMITS.shared_overhead_bytes
 
 
+def test_handled_request_is_not_dropped_for_the_framing_of_pipelined_bytes():
+    """Its refusal would state that it was not run."""
+    clients = Clients()
+    clients.begin(1)
+    clients.machine.complete(1)
+    size = LIMITS.max_pipelined_bytes // 4
+    for _ in range(4):
+        clients.send(1, size, overhead=LIMITS.max_overhead_bytes)
+    assert clients.dropped == {}
+    clients.begin(2)
+    clients.send(2, 10_000, overhead=9_000)
+    assert list(clients.dropped) == [2]
+
+
 @pytest.mark.parametrize("size", [2, READ])
 def test_head_without_end_is_refused(size):
     """Ways 1 and 2: fields, or empty lines, without end."""
@@ -155,6 +169,22 @@
     assert clients.dropped[1].reason is Reason.HEAD_TIME
 
 
+def test_clients_are_not_charged_for_time_in_which_the_process_was_paused():
+    """After a pause, what they sent meanwhile waits in the kernel."""
+    clients = Clients()
+    for key in range(7):
+        clients.begin(key)
+        clients.send(key, MB)
+    clients.open(8)
+    clients.send(8, 10)
+    clients.wait(1_000)
+    clients.now_ms += 10_000
+    clients.take(clients.machine.check(clients.now_ms))
+    assert clients.dropped == {}
+    clients.wait(LIMITS.short_ms)
+    assert len(clients.dropped) == 8
+
+
 def test_too_many_connections_drop_the_one_that_was_idle_longest():
     clients = Clients()
     for key in range(1_000):
