Burst test states the figures of its own scenario

Cause: its comments had the figures of a longer scenario, and the bound for medium jobs was met without the change.

Change: bound 0.65 instead of 0.55; order by deadline gives 0.56.

Evidence: tests/test_shortage.py passes.

--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -57,13 +57,13 @@
 
 
 def test_urgent_jobs_keep_their_value_in_a_burst(burst):
-    """Order by deadline earned 0.22 for the most urgent queue and 0.46 for the next."""
+    """Order by deadline earned 0.30 for the most urgent queue and 0.56 for the next."""
     assert burst["lookup"].value > 0.4
-    assert burst["flag"].value > 0.55
+    assert burst["flag"].value > 0.65
 
 
 def test_few_answers_are_late_in_a_burst(burst):
-    """Order by deadline made 40% of all answers late once it had fallen behind."""
+    """Order by deadline made 36% of all jobs late once it had fallen behind."""
     late = sum(found.counts["late"] for found in burst.values())
     assert late < 0.2 * sum(found.counts.total() for found in burst.values())
 
