Windows of delivered work drop old buckets when they grow

Only forecasts for queues that differ in priority, and retry times under a shortage, read the windows, and only reading dropped buckets. A gateway without such queues kept up to 20 buckets a second for each window for as long as it ran.

Window.add now drops buckets that are out of the window.

--- a/amaranthspar/scheduling/delivery.py
+++ b/amaranthspar/scheduling/delivery.py
@@ -52,6 +52,7 @@
             amount: Amount to add.
             now_ms: Current time in ms.
         """
+        self._drop_old(now_ms)
         number = now_ms // BUCKET_MS
         self._total += amount
         if self._buckets and self._buckets[-1][0] == number:
@@ -64,12 +65,15 @@
         Args:
             now_ms: Current time in ms.
         """
+        self._drop_old(now_ms)
+        return self._total
+
+    def _drop_old(self, now_ms: int) -> None:
         oldest = (now_ms - WINDOW_MS) // BUCKET_MS
         while self._buckets and self._buckets[0][0] <= oldest:
             self._total -= self._buckets.popleft()[1]
         if not self._buckets:
             self._total = 0.0
-        return self._total
 
 
 @attrs.define(slots=True)
