Served shares are compared with those of queues with recent jobs only

A queue that had been idle kept its last share, and one with few jobs counted as served in full. Beside either, every queue served less than 0.8 of the time was underserved and got the same precedence, so that under a shortage the order by priority was lost.

The best share is now taken over queues with enough recent jobs, with decay.

--- a/amaranthspar/scheduling/jobqueue.py
+++ b/amaranthspar/scheduling/jobqueue.py
@@ -274,7 +274,7 @@
             return Admission(self._is_feasible(entry, admit_by_ms, forecast))
         self._note_shortage(queue.service)
         job = entry.job
-        if self._shares.is_underserved(queue.service, queue.name):
+        if self._shares.is_underserved(queue.service, queue.name, self._now_ms):
             job.precedence = min(self._priorities[queue.service]) - 1
         # The largest jobs wait for the most work ahead and need all of their slack.
         by_ms = job.start_by_ms if is_large else admit_by_ms
--- a/amaranthspar/scheduling/servedshares.py
+++ b/amaranthspar/scheduling/servedshares.py
@@ -92,17 +92,24 @@
         if share is not None:
             share.admitted = max(share.admitted - 1, 0.0)
 
-    def is_underserved(self, service: str, queue: str) -> bool:
+    def is_underserved(self, service: str, queue: str, now_ms: int) -> bool:
         """Return whether a queue was served too rarely beside others.
 
+        Queues with too few recent jobs are not compared, as their share is unknown.
+
         Args:
             service: Service of the queue.
             queue: Name of the queue.
+            now_ms: Current time in ms.
         """
         own = self._shares.get((service, queue))
         if own is None:
             return False
-        best = max(
-            share.ratio for (name, _), share in self._shares.items() if name == service
-        )
+        best = 0.0
+        for (name, _), share in self._shares.items():
+            if name != service:
+                continue
+            share.decay(now_ms)
+            if share.offered >= MIN_OFFERED:
+                best = max(best, share.ratio)
         return own.ratio < MIN_RATIO * best
--- a/tests/test_shortage_state.py
+++ b/tests/test_shortage_state.py
@@ -1,6 +1,9 @@
 """Tests of state that the order under shortage keeps for each queue."""
 
-from amaranthspar.scheduling import delivery
+from amaranthspar.scheduling import delivery, servedshares
+from tests import builders_scheduling as builders
+
+SERVICE = builders.SERVICE
 
 
 def test_window_that_is_never_read_stays_bounded():
@@ -10,3 +13,28 @@
         window.add(1.0, now_ms)
     assert len(window._buckets) <= delivery.WINDOW_MS // delivery.BUCKET_MS + 1
     assert window.read_sum(now_ms) == delivery.WINDOW_MS / delivery.BUCKET_MS
+
+
+def record(shares, queue, admitted, refused, now_ms):
+    for number in range(admitted + refused):
+        shares.record(SERVICE, queue, number < admitted, now_ms)
+
+
+def test_idle_queue_is_not_the_best_served_one():
+    """Its old share of 1 put all busy queues before all others, so none came first."""
+    shares = servedshares.ServedShares()
+    record(shares, "idle", 10, 0, 0)
+    late_ms = 10 * servedshares.MEMORY_MS
+    record(shares, "busy", 5, 5, late_ms)
+    record(shares, "other", 5, 5, late_ms)
+    assert not shares.is_underserved(SERVICE, "busy", late_ms)
+    record(shares, "idle", 10, 0, late_ms)
+    assert shares.is_underserved(SERVICE, "busy", late_ms)
+
+
+def test_rare_queue_is_not_the_best_served_one():
+    """Its share is unknown after a single job and counted as 1."""
+    shares = servedshares.ServedShares()
+    record(shares, "rare", 1, 0, 0)
+    record(shares, "busy", 5, 5, 0)
+    assert not shares.is_underserved(SERVICE, "busy", 0)
