Steps that become ready wait for a suspect task as its siblings do

Job.release_steps added the tasks of a step to those that wait although a task of the job was suspected of failing each time, so that they were started.

They are now held until that task has succeeded.

--- a/amaranthspar/scheduling/jobs.py
+++ b/amaranthspar/scheduling/jobs.py
@@ -188,7 +188,7 @@
                 self.remaining[step] for step in after
             ):
                 task.state = TaskState.WAITING
-                self.waiting.append(task)
+                (self.waiting if self.suspect is None else self.held).append(task)
 
     def requeue_task(self, task: Task) -> None:
         """Make a task wait for placement again after a run without success.
--- a/tests/test_shortage_state.py
+++ b/tests/test_shortage_state.py
@@ -1,6 +1,6 @@
 """Tests of state that the order under shortage keeps for each queue."""
 
-from amaranthspar.scheduling import delivery, servedshares
+from amaranthspar.scheduling import delivery, jobs, servedshares
 from tests import builders_scheduling as builders
 
 SERVICE = builders.SERVICE
@@ -38,3 +38,20 @@
     record(shares, "rare", 1, 0, 0)
     record(shares, "busy", 5, 5, 0)
     assert not shares.is_underserved(SERVICE, "busy", 0)
+
+
+def test_later_steps_wait_for_the_suspect_as_well():
+    """Tasks of a step that became ready were started while their siblings were held."""
+    steps = [builders.build_step(2), builders.build_step(1)]
+    steps.append(builders.build_step(3, after=(1,)))
+    job = jobs.build_job(builders.build_request(steps=steps), 0)
+    suspect, sibling, first = job.tasks[:3]
+    job.waiting.remove(first)
+    first.state = jobs.TaskState.DONE
+    assert job.hold_siblings(suspect)
+    job.remaining[1] = 0
+    job.release_steps()
+    assert job.waiting == [suspect]
+    job.waiting.clear()
+    job.release_siblings(suspect)
+    assert job.waiting == [sibling, *job.tasks[3:]]
