Jobs that no sidecar may run now don't end a placement pass

A job at the head of the queue whose next task may run nowhere, because each upstream runs as many tasks of its step as allowed or because those with its label have left, got no reservation, and the pass ended there. All jobs behind it, also those of other services, waited although there was capacity. A job with runs does not expire, so this could last for ever.

Up to 8 such jobs per pass are skipped. Nothing is taken from them, as no sidecar may run their tasks. A pass still ends at a job that lacks only a reservation.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -51,6 +51,9 @@
 noticed."""
 MAX_SCANNED_JOBS = 64
 """Maximum number of waiting jobs examined per pass, which bounds its processor time."""
+MAX_SKIPPED_JOBS = 8
+"""Maximum number of jobs per pass that are skipped because no sidecar may run their next
+task now; each is compared with all sidecars of its service."""
 UNLISTED_RETENTION_MS = 30_000
 """Time without a message after which a sidecar that is no longer listed is removed."""
 CLEANUP_INTERVAL_MS = 1_000
@@ -724,12 +727,13 @@
         """Place waiting tasks in order; a job that does not fit gets a reservation.
 
         Jobs behind one without a reservation are placed only if the reservations before
-        it have known starts.
+        it have known starts, or if no sidecar may run it now whatever is free.
         """
         if not len(self.waiting):
             return
         orders: dict[tuple[str, str], list[jobs.Task]] = {}
         current = placement.Pass(self.fleet, now_ms, self._expect_task_ms)
+        skipped = 0
         for entry in self.waiting.list_entries()[:MAX_SCANNED_JOBS]:
             job = entry.job
             placed = self._place_tasks(job, current, orders, now_ms)
@@ -742,8 +746,10 @@
             if job.waiting[-1].is_held:
                 # It waits by choice; a reservation would bar others from what is free.
                 continue
-            is_reserved = current.reserve(job.waiting[-1])
-            if not is_reserved and not current.has_reserved_start(service):
+            if current.reserve(job.waiting[-1]) or current.has_reserved_start(service):
+                continue
+            skipped += 1
+            if skipped > MAX_SKIPPED_JOBS or current.may_run(job.waiting[-1]):
                 break
         self._needs_placement = False
         self._note_reservations(current, now_ms)
--- a/amaranthspar/scheduling/placement.py
+++ b/amaranthspar/scheduling/placement.py
@@ -165,6 +165,18 @@
         self.reserved[chosen.name] = reservation
         return True
 
+    def may_run(self, task: jobs.Task) -> bool:
+        """Return whether any sidecar may run a task, regardless of free capacity.
+
+        Args:
+            task: Task that waits.
+        """
+        service = task.job.request.queue.service
+        return any(
+            fleet.may_run(task, sidecar)
+            for sidecar in self._fleet.list_accepting(service, self._now_ms)
+        )
+
     def _find_most_free(self, service: str) -> runmessages.Resources:
         """Return the most that any member of a service has free in each dimension.
 
