Forecast counts unhealthy sidecars if there are no others

Where priorities differ, the forecast left out all unhealthy sidecars. With each of them failing and no run under way it counted no capacity, so that jobs were refused although placement, which uses unhealthy sidecars if there are no others, would have started them at once.

The forecast follows the same rule; the yield still discounts failed runs.

The new test failed before: the job was refused with free capacity and an empty queue.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -710,7 +710,9 @@
             floor = MIN_CORE_SHARE * capacity / self.gateway_count
             rate = max(self.fleet.used_millis / 1000, floor)
             return jobqueue.Forecast(now_ms, rate, FREE_SHARE * free)
-        members = [item for item in members if not item.is_unhealthy(now_ms)]
+        # Tasks are placed on unhealthy ones if there are no others.
+        healthy = [item for item in members if not item.is_unhealthy(now_ms)]
+        members = healthy or members
         need = max(step.needs.cpu_millis for step in entry.job.request.steps)
         free = scale * delivery.count_usable_cores(members, need)
         capacity = scale * pool.sum_capacity(members).cpu_millis / 1000
--- a/tests/test_blocked_queue.py
+++ b/tests/test_blocked_queue.py
@@ -1,5 +1,6 @@
 """Tests that a job that can run nowhere now does not keep others from being placed."""
 
+from amaranthspar.scheduling import jobevents
 from tests import builders_scheduling as builders
 
 
@@ -32,3 +33,18 @@
     gateway.receive_room("s1", labels=["gpu"], free=0.0, capacity=1.0, is_leaving=True)
     later = builders.build_step(1, 1.0, 5_000)
     assert submit(gateway, "later", later) == ["later.0.0.0"]
+
+
+def test_failing_upstreams_are_counted_if_there_are_no_others():
+    """The forecast counted nothing, and jobs were refused that would have started."""
+    gateway = builders.Gateway()
+    gateway.list_sidecars("s1")
+    gateway.receive_room("s1")
+    service_queues = [builders.build_queue(name=f"q{i}", priority=i) for i in range(2)]
+    for queue in service_queues:
+        gateway.submit(builders.build_request(queue.name, queue))
+        gateway.step(jobevents.Cancel(queue.name, jobevents.Outcome.FAILED, "left"))
+    (sidecar,) = gateway.dispatcher.fleet.list_members()
+    sidecar.failure_rate, sidecar.failed_ms = 1.0, gateway.now_ms
+    request = builders.build_request("next", service_queues[0])
+    assert builders.list_orders(gateway.submit(request)) == ["next.0.0.0"]
