--- a/amaranthspar/scheduling/expectedends.py
+++ b/amaranthspar/scheduling/expectedends.py
@@ -32,6 +32,9 @@
 """Random part of the score, so that gateways do not all choose the same sidecar."""
 SAMPLE_SIZE = 8
 """Number of equally suitable sidecars that are sampled and compared."""
+MIN_FAST_CHOICES = 2
+"""Number of the fastest sidecars with free capacity from which slower ones are not used;
+with one alone, gateways would all choose the same."""
 MIN_GAIN_MS = 20
 """Time by which a task that waits must be expected to end sooner: a report of free
 capacity and a start take some milliseconds each."""
@@ -377,10 +380,15 @@
         if suitable and rack:
             suitable = [item for item in suitable if item.has_label(rack)] or suitable
         scale = TIME_WEIGHT / estimate.max_ratio
+        candidates = suitable or usable
+        limit = min(ratios[item.name] for item in candidates) * NEAR_RATIO
+        fastest = [item for item in candidates if ratios[item.name] <= limit]
         if not suitable:
-            limit = min(ratios.values()) * NEAR_RATIO
-            suitable = [item for item in usable if ratios[item.name] <= limit]
+            suitable = fastest
             scale = 1.0
+        elif len(fastest) >= MIN_FAST_CHOICES:
+            # A task that is longer than expected is late on a slower one.
+            suitable = fastest
         if len(suitable) > SAMPLE_SIZE:
             suitable = self._chance.sample(suitable, SAMPLE_SIZE)
         return min(
