The order under shortage begins once a waiting job has missed its start deadline

Any job that did not pass the check of the order by deadline switched to the stricter admission, and each further arrival kept it on.

Change: only a waiting job without runs that has missed its start deadline switches it on, together with the forecast of delivered capacity. Four tests bring the shortage about in this way now, with the same checks; they did so by one job too many before.

--- a/amaranthspar/scheduling/dispatcher.py
+++ b/amaranthspar/scheduling/dispatcher.py
@@ -698,13 +698,13 @@
     def _build_forecast(self, entry: jobqueue.Entry, now_ms: int) -> jobqueue.Forecast:
         """Extrapolate the capacity of a service from the pool members that reported.
 
-        Where priorities differ, only capacity that was delivered lately counts.
+        Under a shortage, only capacity that was delivered lately counts.
         """
         service = entry.service
         service_pool = self.fleet.find_pool(service)
         members = service_pool.list_accepting(now_ms)
         scale = service_pool.read_scale_factor()
-        if not self.waiting.has_priorities(service):
+        if not self.waiting.is_short(service):
             free = scale * pool.sum_free(members)
             capacity = scale * pool.sum_capacity(members).cpu_millis / 1000
             floor = MIN_CORE_SHARE * capacity / self.gateway_count
--- a/amaranthspar/scheduling/jobqueue.py
+++ b/amaranthspar/scheduling/jobqueue.py
@@ -203,7 +203,7 @@
         for entry in self._entries:
             if entry.job.start_by_ms >= now_ms:
                 break
-            if entry.is_late(now_ms):
+            if not entry.job.is_dispatched and entry.is_late(now_ms):
                 self._note_shortage(entry.service)
 
     def count_undispatched(self, queue: str) -> int:
@@ -272,7 +272,6 @@
             return Admission(True)
         if not self.has_priorities(queue.service):
             return Admission(self._is_feasible(entry, admit_by_ms, forecast))
-        self._note_shortage(queue.service)
         job = entry.job
         if self._shares.is_underserved(queue.service, queue.name, self._now_ms):
             job.precedence = min(self._priorities[queue.service]) - 1
