--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -19,9 +19,9 @@
 MAX_DEADLINE_MS = 3_600_000
 """Longest deadline of a caller; a longer one is ignored."""
 TASK_BYTES = 512
-"""Memory of a waiting task; 480 bytes were measured."""
+"""Memory of a waiting task, which takes 480 bytes, with a margin."""
 STEP_BYTES = 256
-"""Memory of a decoded step; 230 bytes were measured."""
+"""Memory of a decoded step, which takes 230 bytes, with a margin."""
 DISCONNECT_TURNS = 3
 """Turns of the event loop before a job is submitted. After a pause of the process, a
 request may have waited so long that its caller has left; the end of its connection is
--- a/amaranthspar/scheduling/fleet.py
+++ b/amaranthspar/scheduling/fleet.py
@@ -24,8 +24,6 @@
 beyond a few, each further choice shortens the longest queue by little."""
 JITTER = 0.15
 """Random part of the score, so that gateways do not all choose the same sidecar."""
-
-
 MEDIAN_WEIGHT = 0.1
 """Weight of the newest median of the steady slowness in its moving average; at an update
 every 200 ms, the last two seconds count."""
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -61,7 +61,7 @@
 
 
 def test_bodies_that_stop_short_stay_within_the_budget_and_ordinary_ones_are_served():
-    """Way 3: without a budget over all requests, 90 bodies hold 90 MB."""
+    """Without a budget over all requests, 90 bodies hold 90 MB."""
     clients = Clients()
     for key in range(90):
         clients.begin(key)
@@ -117,7 +117,7 @@
 
 
 def test_small_chunks_of_many_are_dropped_and_large_ones_are_not():
-    """Way 4: parsing 5 bytes of framing for each byte keeps the process busy."""
+    """Parsing 5 bytes of framing for each byte keeps the process busy."""
     clients = Clients()
     clients.begin(99)
     for key in range(50):
