Review case 7: a core machine removed without SIGTERM beside a lost disk

Seen: two of four voters left, no read answered but with 503. With TROUBLE=0 the configuration is read back.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A gateway is killed and starts again; a job arrives, and then its cancel."""
+"""A machine of the core is replaced; 1 s after its removal another one loses its disk."""
 
 import asyncio
 import pathlib
@@ -10,72 +10,58 @@
 
 import deployment as deployments  # noqa: E402
 
-JOBS = 10
-CANCEL_S = deployments.BOUNDS["cancel_ms"] / 1000
-GATEWAY = "front-1"
-CHANGE_OF_MIND_S = 0.1
-"""Time from the request to the cancel of the same job, in s."""
-STEPS = [
-    {"Count": 1, "Cpu": 100, "MemMb": 16, "EstimateMs": 4000},
-    {"Count": 1, "Cpu": 100, "MemMb": 16, "EstimateMs": 4000, "After": [0]},
-]
-
-
-async def wait_until_listening(deployment: deployments.Deployment) -> None:
-    """Wait until the gateway accepts connections of clients."""
-    ip, _, port = deployment.front(GATEWAY).rpartition(":")
-    for _ in range(2000):
-        try:
-            _, writer = await asyncio.open_connection(ip, int(port))
-        except OSError:
-            await asyncio.sleep(0.005)
-            continue
-        writer.close()
-        return
-    raise deployments.CannotRunError(f"{GATEWAY} does not listen")
+CATCH_UP_S = deployments.BOUNDS["CatchUpS"]
+RECOVERY_S = deployments.BOUNDS["RecoveryS"]
+REMOVED = "core-1"
+WIPED = "core-2"
+MARGIN_S = 4.0
+"""Time beyond `CATCH_UP_S` that the successor is left in calm, in s."""
+PAUSE_S = 1.0
+"""Time from the removal to the loss of the disk, in s."""
+DOWN_S = 1.0
+READ_S = 30.0
+"""Time for which the operator reads the configuration at the end, in s."""
 
 
 async def play(deployment: deployments.Deployment, has_trouble: bool) -> list[str]:
-    """Submit jobs, and cancel each a moment later at the same gateway."""
+    """Replace a machine of the core, and read the configuration back at the end."""
+    successor = deployment.add_controller(4)
+    await deployment.start_process(successor)
+    await asyncio.sleep(CATCH_UP_S + MARGIN_S)
+    await deployment.put_configuration()
+    await deployment.kill(REMOVED)
+    del deployment.processes[REMOVED]
     if has_trouble:
-        await deployment.kill(GATEWAY)
-        await deployment.start_process(GATEWAY)
-        await wait_until_listening(deployment)
-    cancelled: dict[str, tuple[float, int]] = {}
-    posting = []
-
-    async def use() -> None:
-        job = deployments.new_id()
-        posting.append(
-            asyncio.create_task(
-                deployment.submit(GATEWAY, job, "ms=4000", STEPS, 20_000)
-            )
+        await asyncio.sleep(PAUSE_S)
+        await deployment.kill(WIPED)
+        deployment.wipe(WIPED)
+        deployment.write_settings(WIPED, deployments.DOMAINS[1], False)
+        await asyncio.sleep(DOWN_S)
+        await deployment.start_process(WIPED)
+    await asyncio.sleep(RECOVERY_S)
+    names = deployment.list_names("controller")
+    end_s = time.monotonic() + READ_S
+    number = 0
+    while time.monotonic() < end_s:
+        name = names[number % len(names)]
+        number += 1
+        answer = await deployments.call(
+            deployment.control(name), "GET", "/amaranthspar/config/get"
         )
-        await asyncio.sleep(CHANGE_OF_MIND_S)
-        for _ in range(6):
-            answer = await deployment.ask(GATEWAY, "DELETE", job)
-            if answer.status in (200, 410):
-                cancelled[job] = time.monotonic(), answer.status
-                return
-            await asyncio.sleep(0.5)
-
-    await asyncio.gather(*(use() for _ in range(JOBS)))
-    await asyncio.sleep(10.0)
-    for task in posting:
-        task.cancel()
-    breaks = []
-    for began_s, minion, run, _ in deployment.starts:
-        job = run.task.partition(".")[0]
-        if job not in cancelled:
-            continue
-        acknowledged_s, status = cancelled[job]
-        if began_s > acknowledged_s + CANCEL_S:
-            breaks.append(
-                f"UNASKED: {minion.name} starts run {run.run} of {run.task} "
-                f"{began_s - acknowledged_s:.2f} s after the cancel of its job was "
-                f"answered {status}"
-            )
-    return breaks
+        deployment.record.write(
+            f"operator: GET config/get from {name}: {answer.status or answer.error}"
+        )
+        if answer.status == 200:
+            version = (answer.body or {}).get("Version")
+            if version == deployment.version:
+                return []
+            return [f"CONFIG: version {version} is read back, not {deployment.version}"]
+        await asyncio.sleep(0.5)
+    return [
+        f"CONFIG: version {deployment.version} was acknowledged and is not read back in "
+        f"{READ_S:.0f} s ({number} reads of {len(names)} machines that run), "
+        f"{RECOVERY_S} s after the last machine is back"
+    ]
 
 
 deployments.run_case(FOLDER, play)
