Replaced controllers leave the set also from an odd number of voters

Two core machines are added, two old ones get SIGTERM and end; later one disk is lost. No controller reads the acknowledged configuration back, and none acknowledges anything again, although all three run.

Cause: a voter left the set only from an even number, on SIGTERM (has_spare_voter) and after 3 s of silence (plan_removal). With two successors present the number is odd at each removal, so both removed ones stayed voters and used up the losses that five voters bear.

Change: a set of more voters than bear the losses to be tolerated (2f+1, f from the new setting tolerated_losses, on the platform FaultTolerance.Machines) spares one, odd or even.

--- a/amaranthspar/consensus/replacement.py
+++ b/amaranthspar/consensus/replacement.py
@@ -6,14 +6,26 @@
 from amaranthspar.consensus import replicas
 from amaranthspar.schema import messages
 
-MIN_SPARING_VOTERS = 4
-"""Smallest number of voters of which one may leave."""
+MIN_VOTERS = 3
+"""Smallest number of voters that bears a loss."""
 
 
 class RefusedError(errors.DecisionError):
     """The requested change of the set of replicas is not allowed."""
 
 
+def find_voter_target(tolerated_losses: int, first_count: int) -> int:
+    """Return the number of voters that bears all losses to be tolerated at once.
+
+    Args:
+        tolerated_losses: Number of replicas that may be lost at the same time; 0 for a
+            minority of the initial ones.
+        first_count: Number of the initial replicas.
+    """
+    losses = tolerated_losses or (first_count - 1) // 2
+    return max(2 * losses + 1, MIN_VOTERS)
+
+
 def plan_replacement(
     members: messages.ChangeReplicas,
     removed: str,
@@ -114,38 +126,49 @@
     return messages.ChangeReplicas(changed, members.retired, reason)
 
 
-def plan_removal(members: messages.ChangeReplicas, unresponsive: frozenset[str]) -> str:
+def plan_removal(
+    members: messages.ChangeReplicas, unresponsive: frozenset[str], target: int
+) -> str:
     """Return an unresponsive voter that should be removed; empty for none.
 
-    An even number of voters tolerates no more failures than one voter fewer. It arises
-    when a new replica was added before the one that it replaces was found to be lost.
+    A new replica may have been added before the one that it replaces was found to be
+    lost.
 
     Args:
         members: Current set.
         unresponsive: Ids of replicas that have not answered the leader recently.
+        target: Number of voters that bears the losses to be tolerated.
     """
-    voters = [item.id for item in members.replicas if item.voter]
+    voters = replicas.list_voters(members)
     unresponsive_voters = [voter for voter in voters if voter in unresponsive]
     responsive = len(voters) - len(unresponsive_voters)
-    if len(voters) % 2 or not unresponsive_voters or 2 * responsive <= len(voters) - 1:
+    if not unresponsive_voters or 2 * responsive <= len(voters) - 1:
         return ""
-    return unresponsive_voters[0]
+    return unresponsive_voters[0] if has_spare_voter(members, target) else ""
+
 
+def has_spare_voter(members: messages.ChangeReplicas, target: int) -> bool:
+    """Return whether the set tolerates enough failures without one of its voters.
 
-def has_spare_voter(members: messages.ChangeReplicas) -> bool:
-    """Return whether the set tolerates as many failures without one of its voters.
+    An even number of voters tolerates no more failures than one voter fewer. A number
+    beyond the target arises while several replicas are being replaced; each replaced
+    one that stayed a voter would use up a tolerated loss for good.
 
     Two voters need each other: what one of them confirmed alone would be lost with it.
 
     Args:
         members: Set of replicas.
+        target: Number of voters that bears the losses to be tolerated.
     """
-    count = sum(item.voter for item in members.replicas)
-    return count >= MIN_SPARING_VOTERS and count % 2 == 0
+    count = len(replicas.list_voters(members))
+    return count > MIN_VOTERS and (count % 2 == 0 or count > target)
 
 
 def check_leave(
-    members: messages.ChangeReplicas, leaving: str, unresponsive: frozenset[str]
+    members: messages.ChangeReplicas,
+    leaving: str,
+    unresponsive: frozenset[str],
+    target: int,
 ) -> None:
     """Check that the set can spare a voter that is about to stop.
 
@@ -155,16 +178,17 @@
         members: Current set.
         leaving: Replica id of the voter.
         unresponsive: Ids of replicas that have not answered the leader recently.
+        target: Number of voters that bears the losses to be tolerated.
 
     Raises:
         RefusedError: The replica is no voter, or the set cannot spare it.
     """
-    voters = [item.id for item in members.replicas if item.voter]
+    voters = replicas.list_voters(members)
     if leaving not in voters:
         raise RefusedError(f"replica {leaving} is no voter")
     remaining = [voter for voter in voters if voter != leaving]
     responsive = [voter for voter in remaining if voter not in unresponsive]
-    if not has_spare_voter(members):
+    if not has_spare_voter(members, target):
         raise RefusedError(f"a set of {len(voters)} voters can spare none")
     if 2 * len(responsive) <= len(remaining):
         raise RefusedError("no majority of the remaining voters responds")
--- a/amaranthspar/platform/controller.py
+++ b/amaranthspar/platform/controller.py
@@ -63,6 +63,7 @@
             heartbeat_ms=REPLICA_HEARTBEAT_MS,
             # A disk of the platform comes back with different inode numbers.
             detects_copies=False,
+            tolerated_losses=process_settings.tolerated_losses,
             join=plan.join,
         ),
     )
--- a/amaranthspar/platform/settings.py
+++ b/amaranthspar/platform/settings.py
@@ -44,6 +44,8 @@
             rack of its data, at least 1.
         memory_mb: Memory of the host in MB; 0 if it is not stated.
         max_fds: Descriptors that the process may open; 0 if they are not stated.
+        tolerated_losses: Number of controllers that may be lost at the same time; 0 if
+            it is not stated.
     """
 
     host: str
@@ -63,6 +65,7 @@
     spread_factor: float = spread.DEFAULT_FACTOR
     memory_mb: int = 0
     max_fds: int = 0
+    tolerated_losses: int = 0
 
     @property
     def stopping_ms(self) -> int:
@@ -170,6 +173,7 @@
             ),
             memory_mb=self._read_limit("Limits.MemoryMb"),
             max_fds=self._read_limit("Limits.MaxFds"),
+            tolerated_losses=self._read_limit("FaultTolerance.Machines"),
         )
         if self._faults:
             raise errors.SettingsError(self._faults)
@@ -207,7 +211,7 @@
         return factor
 
     def _read_limit(self, key: str) -> int:
-        """Return a limit of the host; 0 if it is missing."""
+        """Return a limit of the host or of the deployment; 0 if it is missing."""
         return max(self._read_integer(key), 0) if self._find(key) else 0
 
     def _read_port(self, key: str) -> int:
--- a/amaranthspar/registry/administration.py
+++ b/amaranthspar/registry/administration.py
@@ -35,6 +35,7 @@
 
     Args:
         machine: Consensus of this replica.
+        voter_target: Number of voters that bears the losses to be tolerated.
         replica_timeout_ms: Time in ms without messages after which a replica may be
             replaced.
         leader_timeout_ms: Time in ms without a leader after which a replica asks to
@@ -44,10 +45,12 @@
     def __init__(
         self,
         machine: consensus.Consensus,
+        voter_target: int = replacement.MIN_VOTERS,
         replica_timeout_ms: int = REPLICA_TIMEOUT_MS,
         leader_timeout_ms: int = LEADER_TIMEOUT_MS,
     ) -> None:
         self._machine = machine
+        self._voter_target = voter_target
         self._replica_timeout_ms = replica_timeout_ms
         self._leader_timeout_ms = leader_timeout_ms
         self._pending: list[_PendingReplacement] = []
@@ -65,6 +68,12 @@
             return True
         return machine.read_leader_silence(now_ms) >= self._leader_timeout_ms
 
+    def can_leave(self) -> bool:
+        """Return whether the set, as this replica knows it, has a voter to spare."""
+        return replacement.has_spare_voter(
+            self._machine.journal.members, self._voter_target
+        )
+
     def replace(
         self, address: str, request: messages.ReplaceReplica, now_ms: int
     ) -> list[transitions.Effect]:
@@ -155,6 +164,7 @@
                 members,
                 leaving.replica,
                 leading.list_unresponsive(now_ms, self._replica_timeout_ms),
+                self._voter_target,
             )
         except replacement.RefusedError as error:
             answer = self._build_answer(leaving, "refused", str(error))
@@ -164,7 +174,7 @@
         )
 
     def remove_unresponsive(self, now_ms: int) -> list[transitions.Effect]:
-        """Remove an unresponsive voter if the number of voters is even.
+        """Remove an unresponsive voter that the set can spare.
 
         Args:
             now_ms: Monotonic clock in ms.
@@ -176,7 +186,9 @@
         if leading is None:
             return []
         unresponsive = leading.list_unresponsive(now_ms, self._replica_timeout_ms)
-        removed = replacement.plan_removal(self._machine.journal.members, unresponsive)
+        removed = replacement.plan_removal(
+            self._machine.journal.members, unresponsive, self._voter_target
+        )
         if not removed:
             return []
         return self._machine.step(transitions.Replace(removed, "", ""), now_ms)
--- a/amaranthspar/roles/controller.py
+++ b/amaranthspar/roles/controller.py
@@ -170,7 +170,12 @@
             folder.stored,
             self._clock.read_monotonic(),
         )
-        self._administration = administration.ReplicaAdministration(self._machine)
+        target = replacement.find_voter_target(
+            self._options.tolerated_losses, len(first.replicas)
+        )
+        self._administration = administration.ReplicaAdministration(
+            self._machine, target
+        )
         try:
             await self._links.open()
         except errors.LinkError:
@@ -221,14 +226,13 @@
         A successor has joined it. A replica that stops only to start again joins again.
         """
         for attempt in range(LEAVE_TIMEOUT_MS // LEAVE_INTERVAL_MS):
-            known = self._machine.journal
-            if self.stopped.is_set():
-                return
-            if not replacement.has_spare_voter(known.members):
+            if self.stopped.is_set() or not self._administration.can_leave():
                 return
             self._handle_own_request(
                 messages.LeaveReplicas(
-                    attempt, self._options.replica, known.members_index
+                    attempt,
+                    self._options.replica,
+                    self._machine.journal.members_index,
                 )
             )
             with contextlib.suppress(TimeoutError):
--- a/amaranthspar/schema/options.py
+++ b/amaranthspar/schema/options.py
@@ -120,6 +120,7 @@
         election_ms: Shortest election timeout in ms.
         heartbeat_ms: Interval between heartbeats of the leader in ms.
         detects_copies: Whether a data folder whose inode numbers have changed is treated as a copy; false for disks that are restored with other inode numbers.
+        tolerated_losses: Number of controllers that may be lost at the same time; 0 for a minority of the initial replicas.
         join: Controllers that add this replica if the set does not contain it; empty to wait for an operator.
     """
 
@@ -131,6 +132,7 @@
     election_ms: Annotated[int, msgspec.Meta(ge=20, le=60000)] = 600
     heartbeat_ms: Annotated[int, msgspec.Meta(ge=5, le=60000)] = 100
     detects_copies: bool = True
+    tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=100)] = 0
     join: list[str] = attrs.field(factory=list)
 
 
--- a/tests/builders_replacement.py
+++ b/tests/builders_replacement.py
@@ -53,14 +53,16 @@
     def __init__(self, seed: int, names: tuple[str, ...]) -> None:
         self.hosts: dict[str, Host] = {}
         # Addresses of the replicas, and the hosts that are reached at each.
-        self._addresses = {name: name for name in (*names, NEW_HOST)}
-        self._located = {name: name for name in (*names, NEW_HOST)}
+        self._addresses: dict[str, str] = {}
+        self._located: dict[str, str] = {}
+        self._voter_target = replacement.find_voter_target(0, len(names))
         self._losses = 0
         self._moves = 0
         super().__init__(seed, names)
         self.wait(4 * CALM_MS)
 
     def add_host(self, name: str) -> None:
+        self._addresses[name] = self._located[name] = name
         super().add_host(name)
         self.hosts[name] = Host(name)
         self._administer(name)
@@ -70,7 +72,7 @@
         assert machine is not None
         machine.address = self.find_address(host)
         self.hosts[host].administration = administration.ReplicaAdministration(
-            machine, REPLICA_TIMEOUT_MS, LEADER_TIMEOUT_MS
+            machine, self._voter_target, REPLICA_TIMEOUT_MS, LEADER_TIMEOUT_MS
         )
 
     def kill(self, host: str) -> None:
@@ -84,10 +86,9 @@
         self.transfer_leadership(replica)
         self.wait(2 * simulation.ELECTION_MS)
         for _ in range(LEAVE_TIMEOUT_MS // STEP_MS):
-            machine = self.nodes[replica].machine
-            assert machine is not None
-            spares = replacement.has_spare_voter(machine.journal.members)
-            if not spares or self._leave(host):
+            found = self.hosts[host].administration
+            assert found is not None
+            if not found.can_leave() or self._leave(host):
                 break
             self.wait(STEP_MS)
         self.kill(host)
--- a/tests/test_announcer.py
+++ b/tests/test_announcer.py
@@ -192,9 +192,9 @@
     assert replacement.plan_join(members, joining_replica, frozenset()) == ""
     learner = messages.Replica("h4-ab", "h4:1", False)
     joined = messages.ChangeReplicas([*members.replicas, learner], [])
-    assert replacement.plan_removal(joined, frozenset({"h3"})) == ""
+    assert replacement.plan_removal(joined, frozenset({"h3"}), 3) == ""
     promoted = replacement.plan_promotion(joined, "h4-ab", 7)
-    assert replacement.plan_removal(promoted, frozenset({"h3"})) == "h3"
+    assert replacement.plan_removal(promoted, frozenset({"h3"}), 3) == "h3"
     member = messages.JoinReplicas("h1", "h1:1")
     assert replacement.plan_join(members, member, frozenset()) is None
 
@@ -243,34 +243,52 @@
     new_replica = messages.Replica("h4", "h4:1", True)
     members = messages.ChangeReplicas([*build_members().replicas, new_replica], [])
     if is_spared:
-        replacement.check_leave(members, leaving, frozenset(silent))
+        replacement.check_leave(members, leaving, frozenset(silent), 3)
         return
     with pytest.raises(replacement.RefusedError):
-        replacement.check_leave(members, leaving, frozenset(silent))
+        replacement.check_leave(members, leaving, frozenset(silent), 3)
 
 
-@pytest.mark.parametrize("count", [1, 2, 3, 5])
-def test_stopping_voter_stays_in_a_set_without_a_spare_one(count):
+def build_voters(count: int) -> messages.ChangeReplicas:
+    found = [messages.Replica(f"h{at}", f"h{at}:1", True) for at in range(1, count + 1)]
+    return messages.ChangeReplicas(found, [])
+
+
+@pytest.mark.parametrize(("count", "target"), [(1, 3), (2, 3), (3, 3), (5, 5)])
+def test_stopping_voter_stays_in_a_set_without_a_spare_one(count, target):
     """Of two, the other one would confirm alone what is lost with it."""
-    voters = [
-        messages.Replica(f"h{at}", f"h{at}:1", True) for at in range(1, count + 1)
-    ]
-    members = messages.ChangeReplicas(voters, [])
     with pytest.raises(replacement.RefusedError):
-        replacement.check_leave(members, "h1", frozenset())
+        replacement.check_leave(build_voters(count), "h1", frozenset(), target)
+
+
+def test_voter_leaves_an_odd_number_beyond_the_one_that_bears_the_losses():
+    """Two hosts are replaced at once; both would stay voters after their stop."""
+    replacement.check_leave(build_voters(5), "h1", frozenset(), 3)
+    assert replacement.plan_removal(build_voters(5), frozenset({"h1"}), 3) == "h1"
+    assert replacement.plan_removal(build_voters(5), frozenset({"h1"}), 5) == ""
+    with pytest.raises(replacement.RefusedError):
+        replacement.check_leave(build_voters(5), "h1", frozenset({"h2", "h3"}), 3)
+
+
+@pytest.mark.parametrize(
+    ("losses", "first", "target"),
+    [(0, 3, 3), (0, 5, 5), (1, 5, 3), (2, 0, 5), (0, 1, 3)],
+)
+def test_voters_bear_the_losses_to_be_tolerated(losses, first, target):
+    assert replacement.find_voter_target(losses, first) == target
 
 
 def test_unresponsive_voter_is_removed_from_an_even_number_of_voters():
     """After a change of leader, a new host joined before the old one timed out."""
     new_replica = messages.Replica("h4", "h4:1", True)
     members = messages.ChangeReplicas([*build_members().replicas, new_replica], [])
-    assert replacement.plan_removal(members, frozenset({"h1"})) == "h1"
-    assert replacement.plan_removal(members, frozenset()) == ""
-    assert replacement.plan_removal(members, frozenset({"h1", "h2", "h3"})) == ""
+    assert replacement.plan_removal(members, frozenset({"h1"}), 3) == "h1"
+    assert replacement.plan_removal(members, frozenset(), 3) == ""
+    assert replacement.plan_removal(members, frozenset({"h1", "h2", "h3"}), 3) == ""
 
 
 def test_unresponsive_voter_stays_among_an_odd_number_of_voters():
-    assert replacement.plan_removal(build_members(), frozenset({"h1"})) == ""
+    assert replacement.plan_removal(build_members(), frozenset({"h1"}), 3) == ""
 
 
 def test_started_process_announces_itself_more_often_for_three_seconds():
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -20,6 +20,13 @@
     assert found.list_controllers() == ["127.0.0.1:7720", "127.0.0.2:7720"]
 
 
+@pytest.mark.parametrize(
+    ("line", "losses"), [("", 0), ("FaultTolerance.Machines=2\n", 2)]
+)
+def test_tolerated_losses_are_read_from_the_settings(line, losses):
+    assert settings.parse_settings(builders.SETTINGS + line).tolerated_losses == losses
+
+
 @pytest.mark.parametrize(
     ("line", "factor"),
     [("", 1.5), ("Bounds.SpreadFactor=3\n", 3.0), ("Bounds.SpreadFactor=1\n", 1.0)],
--- a/tests/test_replica_orders.py
+++ b/tests/test_replica_orders.py
@@ -98,3 +98,25 @@
     hosts.restart(lost)
     hosts.wait(2 * CALM_MS)
     assert hosts.commits()
+
+
+@pytest.mark.parametrize("target", ["leader", "follower", "newest"])
+@pytest.mark.parametrize("how", ["stop", "kill"])
+def test_two_hosts_that_are_replaced_at_once_leave_the_set(how, target):
+    """Both successors join first, so that the number of voters is odd at each removal."""
+    for seed in range(3):
+        hosts = builders_replacement.ReplicaHosts(seed, SETS[3])
+        for name in ("new", "newer"):
+            hosts.add_host(name)
+            hosts.wait(CALM_MS)
+        for name in ("a", "b"):
+            hosts.stop(name) if how == "stop" else hosts.kill(name)
+            hosts.wait(CALM_MS)
+        lost = builders_replacement.choose_host(hosts, target, "")
+        hosts.lose_disk(lost)
+        hosts.wait(DOWN_MS)
+        hosts.restart(lost)
+        hosts.wait(CALM_MS)
+        assert hosts.commits(), seed
+        members = hosts.find_committed_members().replicas
+        assert [item.voter for item in members] == [True] * 3, seed
