A replica is unresponsive only after it was sent to for the whole timeout

What callers saw: nothing yet. Two core machines that join within moments: the first one is displaced by the second if it has not answered yet, and joins again half a second or more later.

Cause: the progress of a follower that was added a moment ago says that it answered at -1, which any leader of 3 s or more takes for silence; that of one that was removed and came back is as old as its removal. plan_join lets a joining replica replace an unresponsive learner.

Change: silence counts from when the leader first sent to the follower, and the progress of a removed one is dropped.

Evidence: test_hosts_that_join_at_once_do_not_displace_one_another and two tests of list_unresponsive in tests/test_consensus.py fail before.

--- a/amaranthspar/consensus/consensus.py
+++ b/amaranthspar/consensus/consensus.py
@@ -176,6 +176,7 @@
         if self.leading is None:
             return
         self.leading.start_round(now_ms)
+        self.leading.drop_removed(self.journal.members)
         self.leading.next_heartbeat_ms = now_ms + self._settings.heartbeat_ms
         for peer in self.journal.members.replicas:
             if peer.id != self.replica:
@@ -185,7 +186,7 @@
         if self.leading is None:
             return
         log = self.journal.log
-        progress = self.leading.find_progress(peer.id, log.last_index)
+        progress = self.leading.find_progress(peer.id, log.last_index, now_ms)
         age_ms = self.read_view_age(now_ms)
         append = self.leading.build_append(progress, log, self.commit_index, age_ms)
         address = self._addresses.find(peer)
@@ -206,7 +207,7 @@
         if self.leading is None or message.term < self.term or peer is None:
             return
         last_index = self.journal.log.last_index
-        progress = self.leading.find_progress(peer.id, last_index)
+        progress = self.leading.find_progress(peer.id, last_index, now_ms)
         has_more = self.leading.record_response(progress, message, last_index)
         if message.seen:
             self.journal.emit(transitions.RenewLeases(message.seen))
@@ -249,7 +250,9 @@
         peer = replicas.find_replica(self.journal.members, message.follower)
         if self.leading is None or message.term < self.term or peer is None:
             return
-        progress = self.leading.find_progress(peer.id, self.journal.log.last_index)
+        progress = self.leading.find_progress(
+            peer.id, self.journal.log.last_index, now_ms
+        )
         if self.leading.record_chunk_response(progress, message):
             self._replicate(peer, now_ms)
             self._advance_commit(now_ms)
--- a/amaranthspar/consensus/leadership.py
+++ b/amaranthspar/consensus/leadership.py
@@ -23,6 +23,7 @@
     """Replication progress of one follower.
 
     Attributes:
+        since_ms: Time in ms from which the leader sends to the follower.
         match: Last index known to be on the follower's disk.
         next: Index of the next entry to send.
         acknowledged_ms: Sending time in ms of the newest round that the follower
@@ -33,6 +34,7 @@
         snapshot_index: Index of the snapshot being sent; 0 for none.
     """
 
+    since_ms: int
     match: int = 0
     next: int = 1
     acknowledged_ms: int = -1
@@ -94,18 +96,29 @@
         self.round_sent_ms[self.round] = now_ms
         self.round_sent_ms.pop(self.round - KEPT_ROUNDS, None)
 
-    def find_progress(self, replica: str, last_index: int) -> Progress:
+    def find_progress(self, replica: str, last_index: int, now_ms: int) -> Progress:
         """Return the progress of a follower, which is created if it is missing.
 
         Args:
             replica: Replica id.
             last_index: Last index of the leader's log.
+            now_ms: Current time in ms.
         """
         progress = self.peers.get(replica)
         if progress is None:
-            progress = self.peers[replica] = Progress(next=last_index + 1)
+            progress = self.peers[replica] = Progress(now_ms, next=last_index + 1)
         return progress
 
+    def drop_removed(self, members: messages.ChangeReplicas) -> None:
+        """Drop the progress of replicas outside of the set; one may be added again.
+
+        Args:
+            members: Current set of replicas.
+        """
+        for replica in list(self.peers):
+            if replicas.find_replica(members, replica) is None:
+                del self.peers[replica]
+
     def record_response(
         self, progress: Progress, message: messages.Appended, last_index: int
     ) -> bool:
@@ -138,18 +151,16 @@
     def list_unresponsive(self, now_ms: int, timeout_ms: int) -> frozenset[str]:
         """Return the followers that have answered no recent round.
 
-        The set is empty until this leader has led for as long as the timeout.
+        No follower is in it before this leader has sent to it for as long as the timeout.
 
         Args:
             now_ms: Current time in ms.
             timeout_ms: Time in ms since the last answered round was sent.
         """
-        if now_ms - self.elected_ms < timeout_ms:
-            return frozenset()
         return frozenset(
             replica
             for replica, progress in self.peers.items()
-            if now_ms - progress.acknowledged_ms >= timeout_ms
+            if now_ms - max(progress.acknowledged_ms, progress.since_ms) >= timeout_ms
         )
 
     def find_confirmed_ms(self, members: messages.ChangeReplicas, now_ms: int) -> int:
--- a/tests/builders_replacement.py
+++ b/tests/builders_replacement.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from amaranthspar.consensus import replacement, transitions
+from amaranthspar.consensus import replacement, replicas, transitions
 from amaranthspar.registry import administration
 from amaranthspar.schema import messages
 from tools import simulation
@@ -209,6 +209,16 @@
         names = [name for name, host in self.hosts.items() if host in leading]
         return names[0] if len(names) == 1 else ""
 
+    def is_member(self, host: str) -> bool:
+        """Return whether a replica of a host is in the set, committed or not, of a leader."""
+        return any(
+            replicas.find_replica(machine.journal.members, self.hosts[host].replica)
+            for machine in (
+                self.nodes[item.replica].machine for item in self._list_leading_hosts()
+            )
+            if machine is not None
+        )
+
     def commits(self) -> bool:
         """Return whether a change proposed now is committed."""
         leader = self.find_leading_host()
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from amaranthspar.consensus import consensus, journal, transitions
+from amaranthspar.consensus import consensus, journal, leadership, transitions
 from amaranthspar.schema import codec, messages
 from tools import simulation
 
@@ -354,3 +354,19 @@
     cluster.heal(5 * simulation.ELECTION_MS)
     assert cluster.list_leaders() == [leader]
     assert cluster.nodes[leader].machine.term == term
+
+
+def test_follower_is_unresponsive_once_it_was_sent_to_for_the_timeout():
+    leading = leadership.Leadership(1, "a", 1, 1_000)
+    leading.find_progress("b", 0, 1_000)
+    leading.find_progress("c", 0, 4_900)
+    assert leading.list_unresponsive(3_999, 3_000) == frozenset()
+    assert leading.list_unresponsive(5_000, 3_000) == {"b"}
+
+
+def test_follower_that_was_removed_counts_anew_once_it_is_added_again():
+    leading = leadership.Leadership(1, "a", 1, 1_000)
+    leading.find_progress("b", 0, 1_000)
+    leading.drop_removed(messages.ChangeReplicas([], []))
+    leading.find_progress("b", 0, 9_000)
+    assert leading.list_unresponsive(9_100, 3_000) == frozenset()
--- a/tests/test_replica_orders.py
+++ b/tests/test_replica_orders.py
@@ -120,3 +120,19 @@
         assert hosts.commits(), seed
         members = hosts.find_committed_members().replicas
         assert [item.voter for item in members] == [True] * 3, seed
+
+
+def test_hosts_that_join_at_once_do_not_displace_one_another():
+    """A learner that had not answered yet was taken for an unresponsive one."""
+    for seed in range(3):
+        hosts = builders_replacement.ReplicaHosts(seed, SETS[3])
+        hosts.add_host("new")
+        while not hosts.is_member("new"):
+            hosts.wait(builders_replacement.STEP_MS)
+        hosts.freeze("new")
+        hosts.add_host("newer")
+        hosts.wait(DOWN_MS)
+        assert hosts.is_member("new"), seed
+        hosts.thaw("new")
+        hosts.wait(CALM_MS)
+        assert len(hosts.find_committed_members().replicas) == 5, seed
