A cancel that overtakes the request of its job ends the job

At a gateway that has just started, a cancel 0.1 s after its job is answered 410, and the job runs to its end.

Cause: a job was known only from its admission on. While its request waited for routes or for its body, the gateway told its callers and other gateways that there is no such job.

Change: the gateway holds the ids of jobs from the arrival of their requests. A cancel of one counts, the job is not admitted, and a search finds it as queued. After a search in vain the gateway looks at its own jobs again before it answers 410.

Three test cases in tests/test_job_searches.py fail with platform/callers.py as before.

--- a/amaranthspar/platform/callers.py
+++ b/amaranthspar/platform/callers.py
@@ -50,7 +50,13 @@
         Args:
             request: Request of a caller.
         """
-        response = await self._route(request, self._clock.read_monotonic())
+        arrived_ms = self._clock.read_monotonic()
+        name = request.path.rpartition("/")[2]
+        if request.method == "POST" and wire.is_job_id(name):
+            with self._gateway.expect(name):
+                response = await self._route(request, arrived_ms)
+        else:
+            response = await self._route(request, arrived_ms)
         if self._gateway.is_draining:
             response.force_close()
         return response
@@ -181,7 +187,9 @@
         if self._gateway.cancel(name, "caller cancelled it"):
             return servers.answer_json(200)
         result, _ = await self._gateway.find_elsewhere(name, cancels=True)
-        if result is jobsearches.Result.FOUND:
+        # The job may have arrived here during the search.
+        is_cancelled = self._gateway.cancel(name, "caller cancelled it")
+        if is_cancelled or result is jobsearches.Result.FOUND:
             return servers.answer_json(200)
         return _answer_absent(result)
 
--- a/amaranthspar/roles/jobgateway.py
+++ b/amaranthspar/roles/jobgateway.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import secrets
+from collections.abc import Iterator
 from typing import Literal
 
 import attrs
@@ -87,6 +88,8 @@
         self._reports: list[jobevents.Heard] = []
         self._caller_counts: collections.Counter[str] = collections.Counter()
         self._results: dict[str, asyncio.Future[jobevents.JobEnded]] = {}
+        self._arriving: collections.Counter[str] = collections.Counter()
+        self._cancelled_early: set[str] = set()
         self._searches: dict[int, _Search] = {}
         self._last_search = self._incarnation
         self._ticking: asyncio.Task[None] | None = None
@@ -176,6 +179,25 @@
             self._ticking.cancel()
         self._links.close()
 
+    @contextlib.contextmanager
+    def expect(self, job: str) -> Iterator[None]:
+        """Hold a job from the arrival of its request until the end of its call.
+
+        A cancel may overtake the request while that waits for routes or for its body;
+        the job is then not admitted any more.
+
+        Args:
+            job: Id of the job.
+        """
+        self._arriving[job] += 1
+        try:
+            yield
+        finally:
+            self._arriving[job] -= 1
+            if not self._arriving[job]:
+                del self._arriving[job]
+                self._cancelled_early.discard(job)
+
     async def submit(
         self, request: jobs.Request, arrived_ms: int | None = None
     ) -> jobevents.JobEnded:
@@ -188,6 +210,9 @@
             request: Job as submitted.
             arrived_ms: Time of its arrival in ms; `None` if it has just arrived.
         """
+        if request.id in self._cancelled_early:
+            reason = "caller cancelled it before it was admitted"
+            return jobevents.JobEnded(request.id, jobevents.Outcome.CANCELLED, reason)
         future = self._results.get(request.id)
         if future is None:
             future = asyncio.get_running_loop().create_future()
@@ -219,7 +244,7 @@
         """
         found = self._dispatcher.jobs.get(job)
         if found is None:
-            return ""
+            return "queued" if job in self._arriving else ""
         return "running" if found.is_dispatched else "queued"
 
     def cancel(self, job: str, reason: str) -> bool:
@@ -230,10 +255,12 @@
             reason: Reason for the answer and the log.
 
         Returns:
-            Whether the job was under way at this gateway.
+            Whether the job was under way at this gateway, or its request has arrived.
         """
+        if job in self._arriving:
+            self._cancelled_early.add(job)
         if job not in self._dispatcher.jobs:
-            return False
+            return job in self._arriving
         self._step(jobevents.Cancel(job, jobevents.Outcome.CANCELLED, reason))
         return True
 
--- a/tests/test_job_searches.py
+++ b/tests/test_job_searches.py
@@ -11,10 +11,12 @@
 from amaranthspar.roles import jobgateway
 from amaranthspar.scheduling import jobsearches
 from amaranthspar.schema import runmessages
-from tests import test_platform_path as paths
+from tests import builders_platform as builders, test_platform_path as paths
 
 JOB = paths.JOB
 STOP_S = 2
+ARRIVAL_TURNS = 20_000
+"""Turns of the loop for which a request waits before its job is admitted."""
 STEP_MS = 20
 
 
@@ -65,6 +67,52 @@
     run_with_other(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("place", ["same gateway", "other gateway"])
+def test_cancel_that_overtakes_the_request_of_its_job_ends_it(
+    tmp_path, monkeypatch, place
+):
+    """It was answered with 410 while the request was read, and the job ran."""
+    monkeypatch.setattr(callers, "DISCONNECT_TURNS", ARRIVAL_TURNS)
+
+    async def scenario(system, _gateway, front) -> None:
+        address = system.callers if place == "same gateway" else front
+        caller = asyncio.create_task(system.submit(JOB, count=1))
+        async with asyncio.timeout(STOP_S):
+            while JOB not in system.gateway._arriving:
+                await asyncio.sleep(0)
+        assert JOB not in system.gateway._dispatcher.jobs
+        assert (await system.call("DELETE", address, f"/quotes/{JOB}"))[0] == 200
+        assert await caller == (200, b'{"State":"cancelled"}')
+        assert not system.upstream.starts
+        assert not system.gateway._arriving
+        assert (await system.call("DELETE", address, f"/quotes/{JOB}"))[0] == 410
+
+    run_with_other(tmp_path, scenario)
+
+
+def test_job_that_arrives_during_the_search_for_it_is_cancelled(tmp_path, monkeypatch):
+    async def scenario(system, gateway, front) -> None:
+        found = gateway.find_elsewhere
+
+        async def find_late(job, cancels=False):
+            result = await found(job, cancels)
+            calls.append(asyncio.create_task(system.call("POST", front, path, body)))
+            async with asyncio.timeout(STOP_S):
+                while job not in gateway._arriving:
+                    await asyncio.sleep(0)
+            return result
+
+        calls: list[asyncio.Task] = []
+        path = f"/quotes/{JOB}"
+        body = builders.build_job(count=1)
+        monkeypatch.setattr(gateway, "find_elsewhere", find_late)
+        await system.wait_for(200, "GET", front, "/quotes/")
+        assert (await system.call("DELETE", front, path))[0] == 200
+        assert await calls[0] == (200, b'{"State":"cancelled"}')
+
+    run_with_other(tmp_path, scenario)
+
+
 def test_state_of_a_job_is_shown_at_another_gateway(tmp_path):
     async def scenario(system, _gateway, front) -> None:
         caller = await system.start_long_runs(JOB, count=1)
